--- /dev/null
+++ b/crates/dyketally-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! dyketally-lab.
--- /dev/null
+++ b/crates/dyketally-proxy/src/admin.rs
@@ -0,0 +1,1 @@
+//! Administration over HTTP: health, metrics and status.
--- /dev/null
+++ b/crates/dyketally-proxy/src/edge/mod.rs
@@ -0,0 +1,1 @@
+//! The edge: terminates callers and sends their statements to homes.
--- /dev/null
+++ b/crates/dyketally-proxy/src/lib.rs
@@ -0,0 +1,12 @@
+//! The proxy daemon: tokio and tower services around the coordination parts of `dyketally`.
+
+pub mod admin;
+pub mod clock;
+pub mod edge;
+pub mod home;
+pub mod link;
+pub mod logging;
+pub mod peers;
+pub mod platform;
+pub mod reply;
+pub mod settings;
--- /dev/null
+++ b/crates/dyketally-proxy/src/link.rs
@@ -0,0 +1,1 @@
+//! Links between edges and homes.
--- /dev/null
+++ b/crates/dyketally-proxy/src/logging.rs
@@ -0,0 +1,1 @@
+//! Structured logs: JSON and human layouts.
--- /dev/null
+++ b/crates/dyketally-proxy/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/dyketally-proxy/src/peers/mod.rs
@@ -0,0 +1,1 @@
+//! Membership and configuration among nodes: the sockets around the parts of the library.
--- /dev/null
+++ b/crates/dyketally-proxy/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The platform: key-value service and machine list.
--- /dev/null
+++ b/crates/dyketally-proxy/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemon: a TOML file with flags over it.
--- /dev/null
+++ b/crates/dyketally/src/admission.rs
@@ -0,0 +1,1 @@
+//! Fair admission: weighted max-min sharing of a database's slots between tenants.
--- /dev/null
+++ b/crates/dyketally/src/configuration.rs
@@ -0,0 +1,1 @@
+//! Revisions of the operators' configuration: publishing, ordering and dissemination.
--- /dev/null
+++ b/crates/dyketally/src/group.rs
@@ -0,0 +1,51 @@
+//! A database group as its members report it: roles, terms and log positions.
+
+use serde::{Deserialize, Serialize};
+
+/// The election term of a database group. Grows with each change of primary.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Term(pub u64);
+
+/// A position in a database's log: the term in which the log was last extended, then the offset.
+///
+/// Ordered by term, then by offset. A log at `(t, p)` contains every *confirmed* write at
+/// `(s, q)` with `s <= t` and `q <= p`: an elected primary's log holds all confirmed writes of
+/// earlier terms, and logs of one term are prefixes of each other.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LogPosition {
+    /// Term of the last entry of the log (a timeline, in PostgreSQL's words).
+    pub term: Term,
+    /// Offset of the end of the log. Grows within a term; unit as the database reports it.
+    pub offset: u64,
+}
+
+impl LogPosition {
+    /// True when a log that ends here contains the confirmed write that ended at `write`.
+    pub fn contains(self, write: LogPosition) -> bool {
+        self.term >= write.term && self.offset >= write.offset
+    }
+}
+
+/// The role a database claims. A deposed primary may still claim to be the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Role {
+    /// Accepts writes.
+    Primary,
+    /// Follows a primary and serves reads.
+    Replica,
+}
+
+/// What a database answers to the status statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The role the database believes it has.
+    pub role: Role,
+    /// The highest term the database has heard of or voted in.
+    pub term: Term,
+    /// The end of the database's log.
+    pub log: LogPosition,
+}
--- /dev/null
+++ b/crates/dyketally/src/lib.rs
@@ -0,0 +1,21 @@
+//! Coordination parts of the dyketally database proxy.
+//!
+//! Every part is a state machine without I/O and without a clock: callers pass in messages and
+//! the current [`time::Timestamp`], and get decisions back. The daemon, the stateful fuzzers and
+//! the hollow nodes of the scale run drive the very same code.
+
+pub mod admission;
+pub mod configuration;
+pub mod drain;
+pub mod group;
+pub mod identifiers;
+pub mod membership;
+pub mod outcome;
+pub mod placement;
+pub mod policy;
+pub mod pool;
+pub mod retry;
+pub mod routing;
+pub mod session;
+pub mod template;
+pub mod time;
--- /dev/null
+++ b/crates/dyketally/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership between nodes: failure detection and dissemination.
--- /dev/null
+++ b/crates/dyketally/src/outcome.rs
@@ -0,0 +1,84 @@
+//! The three outcomes a caller can be told, and why.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// What became of a statement. There is nothing in between.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The database ran it, and for a write the group confirmed it.
+    Done,
+    /// It was not run and never will be.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When the caller should come back; `None` when coming back won't help.
+        retry_after: Option<Duration>,
+    },
+    /// It may or may not have been run.
+    Unknown {
+        /// Why it can't be told.
+        reason: UnknownReason,
+    },
+}
+
+/// Why a statement was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
+pub enum NotRunReason {
+    /// The tenant's queue at the home is full.
+    #[error(
+        "the queue of this tenant is full; come back after the stated time or ask the operators for a larger share"
+    )]
+    QueueFull,
+    /// The deadline passed while the statement was queued.
+    #[error(
+        "the statement waited until its deadline; come back after the stated time or raise the deadline in the template"
+    )]
+    DeadlinePassed,
+    /// No primary is known to lead the group.
+    #[error("the database group has no confirmed primary; come back after the stated time")]
+    NoPrimary,
+    /// No node or database could be reached for this statement.
+    #[error("no home of the database could be reached; come back after the stated time")]
+    Unreachable,
+    /// The node or the database is leaving.
+    #[error(
+        "the node or database is leaving; connect to another proxy and send the statement again"
+    )]
+    Leaving,
+    /// The home doesn't know the tenant, group or database yet or any more.
+    #[error(
+        "the tenant or database is not in the configuration in force; check `dyketally tenant list`"
+    )]
+    NotConfigured,
+    /// The home that was asked isn't this database's home.
+    #[error("the node is not the home of this database; send the statement again")]
+    NotHome,
+    /// The database refused the connection or the statement before running it.
+    #[error("the database refused new work; come back after the stated time")]
+    Refused,
+}
+
+/// Why it can't be told whether a statement was run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
+pub enum UnknownReason {
+    /// The connection to the database broke after the statement was sent.
+    #[error(
+        "the connection to the database broke after the statement was sent; look the result up before sending it again"
+    )]
+    ConnectionLost,
+    /// The connection to the home broke after the statement was sent.
+    #[error(
+        "the connection to the database's home broke after the statement was sent; look the result up before sending it again"
+    )]
+    HomeLost,
+    /// The primary answered, but the group did not confirm in time that it still leads.
+    #[error("the group did not confirm the write; look the result up before sending it again")]
+    NotConfirmed,
+    /// The deadline passed after the statement was sent.
+    #[error(
+        "the deadline passed while the statement was running; look the result up before sending it again"
+    )]
+    DeadlinePassed,
+}
--- /dev/null
+++ b/crates/dyketally/src/placement.rs
@@ -0,0 +1,1 @@
+//! Placement: which live node is the home of a database.
--- /dev/null
+++ b/crates/dyketally/src/pool.rs
@@ -0,0 +1,1 @@
+//! Accounting of the connections to one database.
--- /dev/null
+++ b/crates/dyketally/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget for repeatable statements.
--- /dev/null
+++ b/crates/dyketally/src/routing.rs
@@ -0,0 +1,1 @@
+//! Routing: which database a statement is sent to.
--- /dev/null
+++ b/crates/dyketally/src/session.rs
@@ -0,0 +1,77 @@
+//! Session token: what a caller carries so that any edge can let it read its own writes.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::group::{LogPosition, Term};
+use crate::identifiers::GroupName;
+
+/// The newest write (or primary read) that a session has seen, in one group.
+///
+/// Text form, as callers carry it: `v1:<group>:<term>:<offset>`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SessionToken {
+    /// The group in which the position is valid.
+    pub group: GroupName,
+    /// A database must contain this position to serve the session's reads.
+    pub seen: LogPosition,
+}
+
+/// A token that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "session token {text:?} is malformed; pass the value of the parameter `dyketally.session` \
+     unchanged, or leave it out to read from the primary"
+)]
+pub struct MalformedToken {
+    /// The text that was offered, cut to a printable length.
+    pub text: String,
+}
+
+const VERSION_TAG: &str = "v1";
+const LONGEST_QUOTED_TOKEN: usize = 80;
+
+impl SessionToken {
+    /// Raises the token to `position` if that is newer.
+    pub fn advance(&mut self, position: LogPosition) {
+        self.seen = self.seen.max(position);
+    }
+}
+
+impl fmt::Display for SessionToken {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let LogPosition { term, offset } = self.seen;
+        write!(
+            formatter,
+            "{VERSION_TAG}:{}:{}:{offset}",
+            self.group, term.0
+        )
+    }
+}
+
+impl FromStr for SessionToken {
+    type Err = MalformedToken;
+
+    fn from_str(text: &str) -> Result<Self, MalformedToken> {
+        parse(text).ok_or_else(|| MalformedToken {
+            text: text.chars().take(LONGEST_QUOTED_TOKEN).collect(),
+        })
+    }
+}
+
+fn parse(text: &str) -> Option<SessionToken> {
+    let mut fields = text.split(':');
+    let (version, group) = (fields.next()?, fields.next()?);
+    let (term, offset) = (fields.next()?, fields.next()?);
+    if version != VERSION_TAG || group.is_empty() || fields.next().is_some() {
+        return None;
+    }
+    let term = Term(term.parse().ok()?);
+    let offset = offset.parse().ok()?;
+    Some(SessionToken {
+        group: GroupName::new(group),
+        seen: LogPosition { term, offset },
+    })
+}
--- /dev/null
+++ b/crates/dyketally/src/template.rs
@@ -0,0 +1,1 @@
+//! Parameterised templates that operators publish, and their checks.
