--- /dev/null
+++ b/crates/dyketally-lab/src/bench/mod.rs
@@ -0,0 +1,1 @@
+//! Orchestration of processes, workloads and histories, shared by the lab commands.
--- a/crates/dyketally-lab/src/lib.rs
+++ b/crates/dyketally-lab/src/lib.rs
@@ -1,1 +1,12 @@
-//! dyketally-lab.
+//! The lab: stand-ins for databases and platform, and the tools that exercise dyketally with them.
+
+pub mod bench;
+pub mod database;
+pub mod demo;
+pub mod experiment;
+pub mod faults;
+pub mod load;
+pub mod network;
+pub mod platform;
+pub mod report;
+pub mod scale;
--- a/crates/dyketally-lab/src/main.rs
+++ b/crates/dyketally-lab/src/main.rs
@@ -1,2 +1,49 @@
-//! Entry point.
-fn main() {}
+//! `dyketally-lab`: the command line of the lab.
+
+use clap::{Parser, Subcommand};
+use dyketally_lab::{database, demo, experiment, faults, load, network, platform, report, scale};
+
+/// Stand-ins, demo, load, fault cases, experiments and the scale run of dyketally.
+#[derive(Debug, Parser)]
+#[command(name = "dyketally-lab", version)]
+struct CommandLine {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// A stand-in for one database of a group.
+    Database(database::Arguments),
+    /// Stand-ins for the platform: key-value service and machine list.
+    Platform(platform::Arguments),
+    /// Relays between zones that delay and cut connections.
+    Network(network::Arguments),
+    /// Fault cases on real processes, checked by the history checker.
+    Faults(faults::Arguments),
+    /// One experiment on the users' measures.
+    Experiment(experiment::Arguments),
+    /// Hollow nodes beside real ones at the size to design for.
+    Scale(scale::Arguments),
+    /// The whole path as processes.
+    Demo(demo::Arguments),
+    /// Offer load; report latency, rate and memory.
+    Load(load::Arguments),
+    /// One page of all experiment results.
+    Report(report::Arguments),
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    match CommandLine::parse().command {
+        Command::Database(arguments) => database::run(arguments).await,
+        Command::Platform(arguments) => platform::run(arguments).await,
+        Command::Network(arguments) => network::run(arguments).await,
+        Command::Faults(arguments) => faults::run(arguments).await,
+        Command::Experiment(arguments) => experiment::run(arguments).await,
+        Command::Scale(arguments) => scale::run(arguments).await,
+        Command::Demo(arguments) => demo::run(arguments).await,
+        Command::Load(arguments) => load::run(arguments).await,
+        Command::Report(arguments) => report::run(arguments).await,
+    }
+}
