--- a/crates/dyketally-protocol/src/message.rs
+++ b/crates/dyketally-protocol/src/message.rs
@@ -28,12 +28,12 @@
     Hello(Hello),
     /// Run a batch of statements.
     Execute(ExecuteRequest),
-    /// The edge has passed on this many bytes of reply data; the home may send as many more.
+    /// The edge has passed on this many `Data` messages; the home may send as many more.
     Consumed {
         /// The request whose data was passed on.
         request: RequestId,
-        /// Bytes passed on since the last such message.
-        bytes: u32,
+        /// `Data` messages passed on since the last such message.
+        chunks: u32,
     },
     /// The caller no longer waits; stop the request if that is safe.
     Cancel {
--- a/crates/dyketally-proxy/src/edge/mod.rs
+++ b/crates/dyketally-proxy/src/edge/mod.rs
@@ -1,1 +1,98 @@
-//! The edge: terminates callers and sends their statements to homes.
+//! The edge: terminates callers, classifies their statements and sends them to homes.
+//!
+//! A request passes these layers, outermost first: deadline, retry, route, send.
+
+mod answer;
+mod batch;
+mod cancel;
+mod codec;
+mod control;
+mod counters;
+mod deadline;
+mod listener;
+mod request;
+mod route;
+mod send;
+mod session;
+mod startup;
+mod writer;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dyketally::identifiers::{Locality, NodeName};
+use dyketally::policy::PolicySet;
+use dyketally::routing::{RouteSettings, RouteTable};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tower::ServiceBuilder;
+
+pub use cancel::CancelRegistry;
+pub use codec::{CallerCodec, CallerError, Phase};
+pub use counters::{EdgeCounters, EdgeCounts};
+pub use deadline::{Deadline, DeadlineLayer};
+pub use listener::serve_callers;
+pub use request::{
+    PinnedTransaction, ReplyStart, RoutedRequest, StatementReply, StatementRequest,
+};
+pub use route::{Route, RouteLayer, SharedRoutes};
+pub use send::{SendToHome, completion_of};
+
+use crate::homes::Homes;
+
+/// Pause after a connection could not be accepted, which means that the process is out of files.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The request path of an edge.
+pub type RequestPath = Deadline<Route<SendToHome>>;
+
+/// Bounds on what callers may ask of an edge.
+#[derive(Clone, Copy, Debug)]
+pub struct EdgeLimits {
+    /// Longest message of a caller, in bytes.
+    pub longest_message: usize,
+    /// Callers connected at one time.
+    pub callers_at_most: usize,
+}
+
+/// What all sessions of an edge share.
+#[derive(Clone, Debug)]
+pub struct Edge {
+    /// This node.
+    pub node: NodeName,
+    /// Number of this process among all that ran under this name.
+    pub incarnation: u64,
+    /// The configuration in force.
+    pub policies: watch::Receiver<Arc<PolicySet>>,
+    /// The way to the homes.
+    pub homes: Arc<Homes>,
+    /// The request path.
+    pub path: RequestPath,
+    /// Cancel requests.
+    pub cancels: CancelRegistry,
+    /// Bounds.
+    pub limits: EdgeLimits,
+    /// Counters.
+    pub counters: Arc<EdgeCounters>,
+    /// Number of the next session.
+    pub sessions: Arc<AtomicU64>,
+    /// Cancelled when the node leaves: callers are turned away between two statements.
+    pub leaving: CancellationToken,
+}
+
+impl Edge {
+    /// A session number that this process has not used yet.
+    fn next_session(&self) -> u64 {
+        self.sessions.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// Builds the request path of an edge at `locality`.
+pub fn request_path(locality: Locality, homes: Arc<Homes>) -> RequestPath {
+    let routes = SharedRoutes::new(locality, RouteTable::new(RouteSettings::default()));
+    ServiceBuilder::new()
+        .layer(DeadlineLayer)
+        .layer(RouteLayer::new(routes))
+        .service(SendToHome::new(homes))
+}
--- /dev/null
+++ b/crates/dyketally-proxy/src/edge/route.rs
@@ -0,0 +1,212 @@
+//! Route layer: picks the database for a request and follows redirects.
+
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+
+use dyketally::identifiers::{DatabaseName, Locality};
+use dyketally::outcome::NotRunReason;
+use dyketally::routing::{Attempt, Route as NextHop, RouteRequest, RouteTable};
+use dyketally::time::Timestamp;
+use dyketally_protocol::Completion;
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+use tower::{Layer, Service, ServiceExt};
+
+use super::request::{ReplyStart, RoutedRequest, StatementReply, StatementRequest};
+use crate::clock;
+
+/// The cached routes of one edge, shared by its sessions.
+#[derive(Clone, Debug)]
+pub struct SharedRoutes {
+    locality: Locality,
+    table: Arc<Mutex<RouteTable>>,
+}
+
+impl SharedRoutes {
+    /// Routes of an edge at `locality`.
+    pub fn new(locality: Locality, table: RouteTable) -> Self {
+        Self {
+            locality,
+            table: Arc::new(Mutex::new(table)),
+        }
+    }
+
+    fn choose(&self, request: &StatementRequest, attempt: &mut Attempt) -> NextHop {
+        if let Some(pinned) = &request.transaction {
+            return NextHop::Send(pinned.database.clone());
+        }
+        let route = RouteRequest {
+            group: &request.group,
+            access: request.policy.access,
+            freshness: request.freshness,
+            locality: &self.locality,
+        };
+        self.lock().choose(route, attempt, clock::now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RouteTable> {
+        self.table
+            .lock()
+            .expect("no code panics while it holds this lock")
+    }
+}
+
+/// Adds routing to a service that sends routed requests.
+#[derive(Clone, Debug)]
+pub struct RouteLayer {
+    routes: SharedRoutes,
+}
+
+impl RouteLayer {
+    /// Routes by what `routes` knows.
+    pub fn new(routes: SharedRoutes) -> Self {
+        Self { routes }
+    }
+}
+
+impl<Inner> Layer<Inner> for RouteLayer {
+    type Service = Route<Inner>;
+
+    fn layer(&self, inner: Inner) -> Route<Inner> {
+        Route {
+            routes: self.routes.clone(),
+            inner,
+        }
+    }
+}
+
+/// See [`RouteLayer`].
+#[derive(Clone, Debug)]
+pub struct Route<Inner> {
+    routes: SharedRoutes,
+    inner: Inner,
+}
+
+impl<Inner> Service<StatementRequest> for Route<Inner>
+where
+    Inner: Service<RoutedRequest, Response = StatementReply, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    Inner::Future: Send,
+{
+    type Response = StatementReply;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<StatementReply, Infallible>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, request: StatementRequest) -> Self::Future {
+        let inner = self.inner.clone();
+        let routes = self.routes.clone();
+        Box::pin(async move { Ok(route(routes, inner, request).await) })
+    }
+}
+
+async fn route<Inner>(
+    routes: SharedRoutes,
+    mut inner: Inner,
+    request: StatementRequest,
+) -> StatementReply
+where
+    Inner: Service<RoutedRequest, Response = StatementReply, Error = Infallible>,
+{
+    let mut attempt = Attempt::default();
+    let mut last = not_run(&request, NotRunReason::NoPrimary);
+    loop {
+        let database = match routes.choose(&request, &mut attempt) {
+            NextHop::Send(database) => database,
+            NextHop::Wait(until) => match pause(until, &request).await {
+                Waited::Due => continue,
+                Waited::Over => return without_redirect(last),
+            },
+            NextHop::GiveUp(NotRunReason::NoPrimary) => return without_redirect(last),
+            NextHop::GiveUp(reason) => return not_run(&request, reason),
+        };
+        let routed = RoutedRequest {
+            database,
+            request: request.clone(),
+        };
+        let Ok(service) = inner.ready().await;
+        let Ok(reply) = service.call(routed).await;
+        if !moves_on(&routes, &request, &mut attempt, &reply) {
+            return reply;
+        }
+        last = reply;
+    }
+}
+
+enum Waited {
+    Due,
+    Over,
+}
+
+/// Waits until `until`, unless the request's deadline comes first or the caller gives up.
+async fn pause(until: Timestamp, request: &StatementRequest) -> Waited {
+    let time = until.saturating_since(clock::now());
+    if Instant::now() + time >= request.deadline {
+        return Waited::Over;
+    }
+    tokio::select! {
+        () = tokio::time::sleep(time) => Waited::Due,
+        () = request.cancelled.cancelled() => Waited::Over,
+    }
+}
+
+/// Whether another database is asked. Only requests that were certainly not run move on, so this
+/// is safe for writes too.
+fn moves_on(
+    routes: &SharedRoutes,
+    request: &StatementRequest,
+    attempt: &mut Attempt,
+    reply: &StatementReply,
+) -> bool {
+    let ReplyStart::Ended(completion) = &reply.start else {
+        return false;
+    };
+    let group = &request.group.name;
+    let mut table = routes.lock();
+    match completion {
+        Completion::Redirect { primary, term } => {
+            table.redirected(group, attempt, primary.clone(), *term);
+        }
+        Completion::NotRun {
+            reason: 
+                NotRunReason::Unreachable
+                | NotRunReason::NotHome
+                | NotRunReason::NoPrimary
+                | NotRunReason::Leaving,
+            ..
+        } => table.unreachable(group, &reply.database, clock::now()),
+        _ => return false,
+    }
+    // A transaction lives at one home; no other database can go on with it.
+    request.transaction.is_none()
+}
+
+/// A redirect means nothing to a caller: the request was not run, since no primary was found.
+fn without_redirect(reply: StatementReply) -> StatementReply {
+    let start = match reply.start {
+        ReplyStart::Ended(Completion::Redirect { .. }) => ReplyStart::Ended(Completion::NotRun {
+            reason: NotRunReason::NoPrimary,
+            retry_after: None,
+        }),
+        start => start,
+    };
+    StatementReply { start, ..reply }
+}
+
+fn not_run(request: &StatementRequest, reason: NotRunReason) -> StatementReply {
+    let first = request.group.members.first();
+    StatementReply {
+        database: first.map_or_else(|| DatabaseName::new(""), |member| member.name.clone()),
+        home: None,
+        start: ReplyStart::Ended(Completion::NotRun {
+            reason,
+            retry_after: None,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/dyketally-proxy/src/edge/session.rs
@@ -0,0 +1,400 @@
+//! One caller's session: reads its messages, runs its batches in order and writes the answers.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use dyketally::identifiers::{SessionId, TenantName};
+use dyketally::outcome::NotRunReason;
+use dyketally::policy::{Access, PolicySet, TenantPolicy};
+use dyketally::session::{Freshness, Session};
+use dyketally_protocol::{Completion, TransactionStatus};
+use futures::StreamExt;
+use pgwire::messages::extendedquery::CloseComplete;
+use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::Instant;
+use tokio_util::codec::FramedRead;
+use tokio_util::sync::CancellationToken;
+use tower::{Service, ServiceExt};
+
+use super::answer::{CallerFault, sqlstate};
+use super::batch::{BatchBuilder, ClassifiedBatch, Finished};
+use super::cancel::CancelEntry;
+use super::codec::{CallerCodec, CallerError};
+use super::control::{SessionStatement, session_statement};
+use super::counters::count;
+use super::listener::leaving;
+use super::request::{PinnedTransaction, ReplyStart, StatementReply, StatementRequest};
+use super::send::completion_of;
+use super::startup::{Identity, welcome};
+use super::writer::CallerWriter;
+use super::Edge;
+use crate::homes::HomeLocation;
+use crate::reply::ReplyReceiver;
+
+/// Messages that are read ahead while a batch runs. Beyond it the caller's own socket fills up.
+const READ_AHEAD: usize = 256;
+
+/// A caller's session.
+pub struct CallerSession {
+    edge: Edge,
+    tenant: TenantName,
+    id: SessionId,
+    session: Session,
+    /// The node that holds the open transaction's connection.
+    pinned_home: Option<HomeLocation>,
+    transaction: TransactionStatus,
+    builder: BatchBuilder,
+    cancel: CancelEntry,
+    reader: FramedRead<OwnedReadHalf, CallerCodec>,
+    writer: CallerWriter<OwnedWriteHalf>,
+    read_ahead: VecDeque<PgWireFrontendMessage>,
+    told_token: Option<String>,
+}
+
+impl CallerSession {
+    /// A session for a caller that was just admitted.
+    pub fn new(
+        edge: Edge,
+        identity: Identity,
+        cancel: CancelEntry,
+        reader: FramedRead<OwnedReadHalf, CallerCodec>,
+        writer: CallerWriter<OwnedWriteHalf>,
+    ) -> Self {
+        let id = SessionId {
+            edge: edge.node.clone(),
+            incarnation: edge.incarnation,
+            number: edge.next_session(),
+        };
+        Self {
+            edge,
+            tenant: identity.tenant,
+            id,
+            session: identity.session,
+            pinned_home: None,
+            transaction: TransactionStatus::Idle,
+            builder: BatchBuilder::default(),
+            cancel,
+            reader,
+            writer,
+            read_ahead: VecDeque::new(),
+            told_token: None,
+        }
+    }
+
+    /// Serves the caller until it leaves, breaks the protocol or the node leaves.
+    pub async fn run(&mut self) -> Result<(), CallerError> {
+        welcome(&mut self.writer.answer, &self.session, self.cancel.key());
+        self.finish_batch().await?;
+        let leaving_signal = self.edge.leaving.clone();
+        loop {
+            let idle = self.transaction == TransactionStatus::Idle && !self.builder.is_collecting();
+            let message = match self.read_ahead.pop_front() {
+                Some(message) => message,
+                None => tokio::select! {
+                    message = self.reader.next() => match message.transpose()? {
+                        Some(message) => message,
+                        None => return Ok(()),
+                    },
+                    () = leaving_signal.cancelled(), if idle => return self.turn_away().await,
+                },
+            };
+            if let PgWireFrontendMessage::Terminate(_) = message {
+                return Ok(());
+            }
+            self.take(message).await?;
+        }
+    }
+
+    /// Ends the session's transaction, if one is open.
+    pub fn end(&mut self) {
+        if let Some(home) = self.pinned_home.take() {
+            self.edge.homes.end_session(&home, &self.id);
+        }
+    }
+
+    /// The writing side, for a last word.
+    pub fn into_writer(self) -> CallerWriter<OwnedWriteHalf> {
+        self.writer
+    }
+
+    /// The node leaves: the caller is told between two batches and should connect elsewhere.
+    async fn turn_away(&mut self) -> Result<(), CallerError> {
+        self.writer.answer.fatal(leaving());
+        Ok(self.writer.flush().await?)
+    }
+
+    async fn take(&mut self, message: PgWireFrontendMessage) -> Result<(), CallerError> {
+        let policies = self.edge.policies.borrow().clone();
+        let Some(tenant) = policies.tenants.get(&self.tenant) else {
+            self.writer.answer.fatal(CallerFault::not_run(
+                NotRunReason::NotConfigured,
+                None,
+            ));
+            self.writer.flush().await?;
+            return Err(CallerError::Io(std::io::ErrorKind::ConnectionAborted.into()));
+        };
+        let in_transaction = self.in_transaction();
+        match message {
+            PgWireFrontendMessage::Query(query) => {
+                self.simple_query(&policies, tenant, query.query).await
+            }
+            PgWireFrontendMessage::Sync(_) => self.sync(&policies).await,
+            PgWireFrontendMessage::Parse(parse) => {
+                self.builder.parse(parse);
+                Ok(())
+            }
+            PgWireFrontendMessage::Bind(bind) => {
+                self.builder.bind(tenant, in_transaction, bind);
+                Ok(())
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                self.builder.describe(describe);
+                Ok(())
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                self.builder.execute(execute);
+                Ok(())
+            }
+            PgWireFrontendMessage::Close(close) => {
+                self.builder.close(close);
+                Ok(())
+            }
+            PgWireFrontendMessage::Flush(_) => {
+                self.builder.refuse(CallerFault::new(
+                    sqlstate::NOT_SUPPORTED,
+                    "Flush is not supported; end each batch with Sync",
+                ));
+                Ok(())
+            }
+            _ => Err(CallerError::Malformed),
+        }
+    }
+
+    async fn simple_query(
+        &mut self,
+        policies: &PolicySet,
+        tenant: &TenantPolicy,
+        query: String,
+    ) -> Result<(), CallerError> {
+        if let Some(statement) = session_statement(&query) {
+            self.session_statement(statement);
+            return self.finish_batch().await;
+        }
+        match BatchBuilder::simple(tenant, query, self.in_transaction()) {
+            Ok(batch) => self.run_batch(policies, batch).await,
+            Err(fault) => self.refuse(fault).await,
+        }
+    }
+
+    async fn sync(&mut self, policies: &PolicySet) -> Result<(), CallerError> {
+        match self.builder.sync() {
+            Finished::Run(batch) => self.run_batch(policies, *batch).await,
+            Finished::Refused(fault) => self.refuse(fault).await,
+            Finished::Local { closed } => {
+                for _ in 0..closed {
+                    let message = PgWireBackendMessage::CloseComplete(CloseComplete::new());
+                    self.writer.answer.message(message);
+                }
+                self.finish_batch().await
+            }
+        }
+    }
+
+    fn session_statement(
+        &mut self,
+        statement: Result<SessionStatement, dyketally::session::MalformedToken>,
+    ) {
+        match statement {
+            Ok(SessionStatement::Set(token)) => {
+                match token {
+                    Some(token) => self.session.offer(&token),
+                    None => self.session.reset(),
+                }
+                self.writer.answer.command_complete("SET");
+            }
+            Ok(SessionStatement::Show) => {
+                let token = self.session.token().map(|token| token.to_string());
+                self.writer.answer.session_row(&token.unwrap_or_default());
+                self.writer.answer.command_complete("SHOW");
+            }
+            Err(error) => {
+                let fault = CallerFault::new(sqlstate::INVALID_VALUE, error.to_string());
+                self.writer.answer.error(fault);
+            }
+        }
+    }
+
+    async fn refuse(&mut self, fault: CallerFault) -> Result<(), CallerError> {
+        count(&self.edge.counters.batches_refused);
+        self.writer.answer.error(fault);
+        self.finish_batch().await
+    }
+
+    async fn run_batch(
+        &mut self,
+        policies: &PolicySet,
+        batch: ClassifiedBatch,
+    ) -> Result<(), CallerError> {
+        count(&self.edge.counters.batches);
+        let Some(group) = policies.groups.get(self.session.group()) else {
+            return self.refuse(CallerFault::not_run(NotRunReason::NotConfigured, None)).await;
+        };
+        if batch.policy.access == Access::Read {
+            count(&self.edge.counters.reads);
+        }
+        let cancelled = CancellationToken::new();
+        self.cancel.set_running(cancelled.clone());
+        let over = cancelled.clone().drop_guard();
+        let request = StatementRequest {
+            group: Arc::new(group.clone()),
+            tenant: self.tenant.clone(),
+            session: self.id.clone(),
+            transaction: self.pinned(),
+            freshness: self.freshness(&batch),
+            deadline: Instant::now() + batch.policy.deadline,
+            policy: batch.policy,
+            batch: batch.batch,
+            cancelled: cancelled.clone(),
+        };
+        let reply = self.start(request, &cancelled).await?;
+        let completion = match reply.start {
+            ReplyStart::Ended(completion) => completion,
+            ReplyStart::Data { first, rest } => self.pass_on(first, rest).await?,
+        };
+        self.settle(completion, &reply.database, reply.home);
+        drop(over);
+        self.finish_batch().await
+    }
+
+    /// Runs the request path. Meanwhile the caller's messages are read ahead, so that a caller
+    /// that goes away is noticed.
+    async fn start(
+        &mut self,
+        request: StatementRequest,
+        cancelled: &CancellationToken,
+    ) -> Result<StatementReply, CallerError> {
+        let mut path = self.edge.path.clone();
+        let Ok(service) = path.ready().await;
+        let mut reply = service.call(request);
+        loop {
+            let room = self.read_ahead.len() < READ_AHEAD;
+            tokio::select! {
+                biased;
+                reply = &mut reply => {
+                    let Ok(reply) = reply;
+                    return Ok(reply);
+                }
+                message = self.reader.next(), if room => match message.transpose() {
+                    Ok(Some(message)) => self.read_ahead.push_back(message),
+                    gone => {
+                        cancelled.cancel();
+                        // The home ends what it safely can; its verdict has no reader any more.
+                        drop(reply);
+                        return Err(gone.err().unwrap_or_else(connection_closed));
+                    }
+                },
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        first: Bytes,
+        mut rest: ReplyReceiver,
+    ) -> Result<Completion, CallerError> {
+        self.writer.answer.encoded(&first);
+        while let Some(messages) = rest.next().await {
+            self.writer.answer.encoded(&messages);
+            self.writer.flush_if_large().await?;
+        }
+        Ok(completion_of(rest).await)
+    }
+
+    fn settle(
+        &mut self,
+        completion: Completion,
+        database: &dyketally::identifiers::DatabaseName,
+        home: Option<HomeLocation>,
+    ) {
+        let counters = &self.edge.counters;
+        let fault = match completion {
+            Completion::Done { seen, transaction } => {
+                count(&counters.done);
+                self.session.done(database, seen, transaction);
+                self.transaction = transaction;
+                let open = transaction != TransactionStatus::Idle;
+                self.pinned_home = if open { self.pinned_home.take().or(home) } else { None };
+                return;
+            }
+            Completion::NotRun {
+                reason,
+                retry_after,
+            } => {
+                count(&counters.not_run);
+                CallerFault::not_run(reason, retry_after)
+            }
+            Completion::Redirect { .. } => {
+                count(&counters.not_run);
+                CallerFault::not_run(NotRunReason::NoPrimary, None)
+            }
+            Completion::Unknown { reason } => {
+                count(&counters.unknown);
+                self.lose_transaction();
+                CallerFault::unknown(reason)
+            }
+            Completion::RolledBack => {
+                count(&counters.rolled_back);
+                self.lose_transaction();
+                CallerFault::rolled_back()
+            }
+        };
+        self.writer.answer.error(fault);
+    }
+
+    /// The transaction is gone with its connection. Its home is told, in case it isn't yet.
+    fn lose_transaction(&mut self) {
+        self.session.transaction_lost();
+        self.transaction = TransactionStatus::Idle;
+        self.end();
+    }
+
+    fn freshness(&self, batch: &ClassifiedBatch) -> Freshness {
+        if batch.describes_only {
+            Freshness::Any
+        } else {
+            self.session.freshness()
+        }
+    }
+
+    fn pinned(&self) -> Option<PinnedTransaction> {
+        let pin = self.session.pin()?;
+        Some(PinnedTransaction {
+            number: pin.number,
+            database: pin.database.clone(),
+            home: self.pinned_home.clone()?,
+        })
+    }
+
+    fn in_transaction(&self) -> bool {
+        self.transaction != TransactionStatus::Idle
+    }
+
+    /// Writes the token if it moved, and the end of the batch.
+    async fn finish_batch(&mut self) -> Result<(), CallerError> {
+        if let Some(token) = self.session.token() {
+            let text = token.to_string();
+            if self.told_token.as_ref() != Some(&text) {
+                self.writer.answer.session_token(&token);
+                self.told_token = Some(text);
+            }
+        }
+        self.writer.answer.ready(self.transaction);
+        Ok(self.writer.flush().await?)
+    }
+}
+
+fn connection_closed() -> CallerError {
+    CallerError::Io(std::io::ErrorKind::ConnectionAborted.into())
+}
--- /dev/null
+++ b/crates/dyketally-proxy/src/homes.rs
@@ -0,0 +1,152 @@
+//! Finds the home of a database and hands requests to it, in this process or behind a link.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use dyketally::identifiers::{DatabaseName, Locality, NodeName, SessionId};
+use dyketally::outcome::NotRunReason;
+use dyketally::policy::PolicySet;
+use dyketally_protocol::Completion;
+use tokio::sync::watch;
+
+use crate::home::{AddressRoutes, Home, HomeHandle, HomeOptions};
+use crate::link::LinkPool;
+use crate::reply::HomeRequest;
+
+/// A node that is home to a database.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HomeLocation {
+    /// This node.
+    Here,
+    /// Another node.
+    At {
+        /// The node.
+        node: NodeName,
+        /// Where it accepts links, after address translation.
+        address: SocketAddr,
+    },
+}
+
+/// Tells which live node is the home of a database.
+pub trait LocateHome: fmt::Debug + Send + Sync {
+    /// The home of `database`, which runs at `locality`; `None` when no node is live.
+    fn locate(&self, database: &DatabaseName, locality: &Locality) -> Option<HomeLocation>;
+}
+
+/// A node that stands alone: it is home to every database.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SingleNode;
+
+impl LocateHome for SingleNode {
+    fn locate(&self, _database: &DatabaseName, _locality: &Locality) -> Option<HomeLocation> {
+        Some(HomeLocation::Here)
+    }
+}
+
+/// The way from an edge to all homes, and the homes of this node.
+#[derive(Debug)]
+pub struct Homes {
+    policies: watch::Receiver<Arc<PolicySet>>,
+    placement: Arc<dyn LocateHome>,
+    links: LinkPool,
+    routes: AddressRoutes,
+    options: HomeOptions,
+    here: Mutex<HashMap<DatabaseName, HomeHandle>>,
+}
+
+impl Homes {
+    /// Homes by `placement`, reached over `links`; those of this node run with `options` and
+    /// reach databases at the addresses that `routes` translates to.
+    pub fn new(
+        policies: watch::Receiver<Arc<PolicySet>>,
+        placement: Arc<dyn LocateHome>,
+        links: LinkPool,
+        routes: AddressRoutes,
+        options: HomeOptions,
+    ) -> Self {
+        Self {
+            policies,
+            placement,
+            links,
+            routes,
+            options,
+            here: Mutex::default(),
+        }
+    }
+
+    /// The home of `database` as this node sees it now.
+    pub fn locate(&self, database: &DatabaseName) -> Option<HomeLocation> {
+        let policies = self.policies.borrow().clone();
+        let (_, member) = policies.database(database)?;
+        self.placement.locate(database, &member.locality)
+    }
+
+    /// Hands `request` to the node at `location`. The reply always completes.
+    pub fn submit(&self, location: &HomeLocation, request: HomeRequest) {
+        match location {
+            HomeLocation::Here => self.submit_here(request),
+            HomeLocation::At { address, .. } => self.links.submit(*address, request),
+        }
+    }
+
+    /// Tells a home that a session is over.
+    pub fn end_session(&self, location: &HomeLocation, session: &SessionId) {
+        match location {
+            HomeLocation::Here => self.end_session_here(session),
+            HomeLocation::At { address, .. } => self.links.end_session(*address, session.clone()),
+        }
+    }
+
+    /// Hands `request` to a home of this node. A node that is asked serves, even if its own view
+    /// names another home: two homes of one database are kept apart by the database's own limits.
+    pub fn submit_here(&self, request: HomeRequest) {
+        match self.home_here(&request.execute.database) {
+            Some(home) => home.submit(request),
+            None => refuse(request),
+        }
+    }
+
+    /// Ends a session at the homes of this node.
+    pub fn end_session_here(&self, session: &SessionId) {
+        for home in self.handles() {
+            home.end_session(session);
+        }
+    }
+
+    /// The homes that this node runs.
+    pub fn handles(&self) -> Vec<HomeHandle> {
+        self.lock().values().cloned().collect()
+    }
+
+    fn home_here(&self, database: &DatabaseName) -> Option<HomeHandle> {
+        let mut here = self.lock();
+        if let Some(home) = here.get(database) {
+            return Some(home.clone());
+        }
+        self.policies.borrow().database(database)?;
+        let home = Home::start(
+            database.clone(),
+            self.policies.clone(),
+            self.routes.clone(),
+            self.options.clone(),
+        );
+        here.insert(database.clone(), home.clone());
+        Some(home)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<DatabaseName, HomeHandle>> {
+        self.here
+            .lock()
+            .expect("no code panics while it holds this lock")
+    }
+}
+
+fn refuse(request: HomeRequest) {
+    // An edge that has gone needs no answer.
+    let _ = request.reply.finish(Completion::NotRun {
+        reason: NotRunReason::NotConfigured,
+        retry_after: None,
+    });
+}
--- a/crates/dyketally-proxy/src/link.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Links between edges and homes.
