Add the group view, confirmation rounds, routing and the session state

GroupView keeps each member's last status with the time it was asked for and names the primary: the highest claim that a majority has not moved past.

Confirmations counts answers by the round in which they were asked, so late and reordered answers are harmless. What was weighed: - A status behind the write that shows another term than the one the write was sent in is refused: a primary deposed and elected again in between may have cut the write off its log. - Only answers in exactly the primary's term support an item. A member that was restarted empty reports a lower term and proves nothing. - A position counts as held only by a log whose last entry is of the primary's own term: entries of earlier terms on a majority may still be overwritten by a member whose log ends in a term between. Ruled out: comparing with `contains` alone, which allows that case. - Rounds are bounded per member (unanswered questions), not in all, so a member that never answers doesn't hold up the others.

A home serves a read at a position only by a status not older than the connection used: a restart may lose the log but breaks older connections. A primary whose log lacks the position serves under confirmation, as the position may never have been confirmed.

Freshness and TransactionStatus move from the link protocol to the session module, which decides by them; the protocol re-exports them.

--- a/crates/dyketally-protocol/src/message.rs
+++ b/crates/dyketally-protocol/src/message.rs
@@ -7,6 +7,7 @@
 use dyketally::identifiers::{DatabaseName, NodeName, RequestId, SessionId, TenantName};
 use dyketally::outcome::{NotRunReason, UnknownReason};
 use dyketally::policy::{Access, Repeat, Urgency};
+pub use dyketally::session::{Freshness, TransactionStatus};
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages in this module. Nodes with another version are refused.
@@ -95,17 +96,6 @@
     pub batch: StatementBatch,
 }
 
-/// How fresh a database must be to serve a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Freshness {
-    /// Only the primary, confirmed to lead by a round that began after the request arrived.
-    Current,
-    /// Any database whose log contains this position.
-    AtLeast(LogPosition),
-    /// Any database.
-    Any,
-}
-
 /// Statements of one batch and the prepared statements they refer to.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StatementBatch {
@@ -165,17 +155,6 @@
     Sync,
 }
 
-/// The state of the session's transaction after a batch, as `ReadyForQuery` reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum TransactionStatus {
-    /// No transaction; the connection went back to the pool.
-    Idle,
-    /// In a transaction; the connection stays pinned to the session.
-    Open,
-    /// In a failed transaction; the connection stays pinned until it is rolled back.
-    Failed,
-}
-
 /// How a request ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Completion {
--- a/crates/dyketally/src/group.rs
+++ b/crates/dyketally/src/group/mod.rs
@@ -1,5 +1,13 @@
 //! A database group as its members report it: roles, terms and log positions.
 
+mod confirmation;
+mod view;
+
+pub use confirmation::{
+    Confirmations, FinishedWrite, ProbePacing, Resolved, Round, RoundNumber, Verdict,
+};
+pub use view::{GroupEvent, GroupView, SeenStatus};
+
 use serde::{Deserialize, Serialize};
 
 /// The election term of a database group. Grows with each change of primary.
@@ -12,7 +20,8 @@
 ///
 /// Ordered by term, then by offset. A log at `(t, p)` contains every *confirmed* write at
 /// `(s, q)` with `s <= t` and `q <= p`: an elected primary's log holds all confirmed writes of
-/// earlier terms, and logs of one term are prefixes of each other.
+/// earlier terms, and logs of one term are prefixes of each other. A new primary is expected to
+/// extend its log at once by an entry of its own term, as a change of timeline does.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
--- a/crates/dyketally/src/routing.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Routing: which database a statement is sent to.
