Share a database's slots by busy time between tenants

A statement count would let a tenant with long statements take most of a database, so the queue charges slot time while a statement runs: the tenant's average at the start, the time elapsed once that is longer, and the true time at the end. The tenant with the least charged time by weight is next. A tenant that begins to wait starts at the level of those that wait already (or run, when none waits), so idle time is not saved up and time used while nobody waited is not owed.

Ruled out: one first-come queue (a flood fills it), deficit round robin (needs the cost before the statement has run), a queue for each pair of tenant and class (urgent statements would gain share).

Statements of an open transaction pass the tenant's fresh ones and are not counted by its queue limit: they hold a connection that others wait for. next_eligible passes over a tenant that can't have a connection, so that no slot is held while waiting for one.

--- /dev/null
+++ b/crates/dyketally/src/admission/mod.rs
@@ -0,0 +1,21 @@
+//! Fair admission: weighted max-min sharing of a database's slots between tenants.
+//!
+//! A slot is the right to have one statement running at the database. [`FairQueue`] holds the
+//! statements that wait for a slot and decides which tenant gets the next free one: the tenant
+//! with the least *busy slot time* divided by its weight. Statements are charged while they run,
+//! so a tenant with few long statements gets no more than a tenant with many short ones. A tenant
+//! that was idle starts level with the others; it neither saves up slot time nor owes any.
+
+mod average;
+mod drain_rate;
+mod queue;
+mod schedule;
+mod status;
+mod submission;
+mod tenant;
+
+pub use queue::FairQueue;
+pub use status::{QueueStatus, TenantCounters, TenantStatus};
+pub use submission::{
+    Admitted, Expired, Rejected, RejectionReason, Stage, Submission, Ticket, Withdrawn,
+};
--- /dev/null
+++ b/crates/dyketally/src/admission/queue.rs
@@ -0,0 +1,316 @@
+//! The fair queue of one database.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::drain_rate::retry_after;
+use super::schedule::Schedule;
+use super::status::QueueStatus;
+use super::submission::{
+    Admitted, Expired, Rejected, RejectionReason, Stage, Submission, Ticket, Withdrawn,
+};
+use super::tenant::{Rank, Tenant, Waiting};
+use crate::identifiers::TenantName;
+use crate::time::Timestamp;
+
+/// Where a waiting statement is.
+#[derive(Debug)]
+struct Location {
+    tenant: TenantName,
+    rank: Rank,
+    deadline: Timestamp,
+}
+
+/// The statements that wait for one of a database's slots, and those that hold one.
+///
+/// Each statement that [`enqueue`](Self::enqueue) accepts leaves in exactly one of three ways:
+/// from [`next`](Self::next) with a slot, from [`expire`](Self::expire) at its deadline, or from
+/// [`withdraw`](Self::withdraw).
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    slots: u32,
+    tenants: BTreeMap<TenantName, Tenant<T>>,
+    schedule: Schedule,
+    locations: BTreeMap<Ticket, Location>,
+    deadlines: BTreeSet<(Timestamp, Ticket)>,
+    queued_fresh: usize,
+    next_ticket: u64,
+    unknown_finished: u64,
+}
+
+impl<T> FairQueue<T> {
+    /// A queue without statements, for a database that runs `slots` statements at one time.
+    pub fn new(slots: u32) -> Self {
+        FairQueue {
+            slots,
+            tenants: BTreeMap::new(),
+            schedule: Schedule::default(),
+            locations: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            queued_fresh: 0,
+            next_ticket: 0,
+            unknown_finished: 0,
+        }
+    }
+
+    /// Changes the number of slots. Statements that hold a slot keep it; with fewer slots than
+    /// those, none is admitted until enough have finished. No slots pause the queue.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Queues a statement, or turns it away at once with the time to come back.
+    pub fn enqueue(
+        &mut self,
+        now: Timestamp,
+        submission: Submission<T>,
+        random: &mut impl Rng,
+    ) -> Result<Ticket, Rejected<T>> {
+        let tenant = self
+            .tenants
+            .entry(submission.tenant.clone())
+            .or_insert_with(Tenant::new);
+        tenant.set_weight(submission.weight);
+        if let Some(reason) = refusal(now, tenant, &submission) {
+            tenant.counters.rejected += 1;
+            return Err(Rejected {
+                reason,
+                retry_after: time_to_come_back(now, tenant, random),
+                item: submission.item,
+            });
+        }
+        Ok(self.accept(now, submission))
+    }
+
+    /// Gives a free slot to the statement whose turn it is. Call until it yields `None`.
+    pub fn next(&mut self, now: Timestamp) -> Option<Admitted<T>> {
+        self.next_eligible(now, |_, _| true)
+    }
+
+    /// As [`next`](Self::next), but passes over statements that can't run now, such as fresh ones
+    /// of a tenant that can't have another connection. They keep their turn.
+    pub fn next_eligible(
+        &mut self,
+        now: Timestamp,
+        eligible: impl Fn(&TenantName, Stage) -> bool,
+    ) -> Option<Admitted<T>> {
+        if self.free_slots() == 0 {
+            return None;
+        }
+        self.schedule.charge_overdue(now);
+        let ticket = self.first_eligible(now, eligible)?;
+        self.admit(now, ticket)
+    }
+
+    /// Takes the slot of an admitted statement back. False when `ticket` holds none.
+    pub fn finished(&mut self, now: Timestamp, ticket: Ticket) -> bool {
+        let Some(finished) = self.schedule.finish(now, ticket) else {
+            self.unknown_finished += 1;
+            return false;
+        };
+        if let Some(tenant) = self.tenants.get_mut(&finished.tenant) {
+            tenant.finished(finished.busy);
+        }
+        true
+    }
+
+    /// Gives up on the statements whose deadline has come.
+    pub fn expire(&mut self, now: Timestamp, random: &mut impl Rng) -> Vec<Expired<T>> {
+        let mut expired = Vec::new();
+        while let Some((deadline, ticket)) = self.deadlines.first().copied() {
+            if deadline > now {
+                break;
+            }
+            expired.extend(self.expire_one(now, ticket, random));
+        }
+        expired
+    }
+
+    /// When [`expire`](Self::expire) has something to do next.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Takes a waiting statement out. `None` when it doesn't wait any more.
+    pub fn withdraw(&mut self, ticket: Ticket) -> Option<Withdrawn<T>> {
+        let (location, waiting) = self.take(ticket)?;
+        if let Some(tenant) = self.tenants.get_mut(&location.tenant) {
+            tenant.counters.withdrawn += 1;
+        }
+        Some(Withdrawn {
+            ticket,
+            tenant: location.tenant,
+            item: waiting.item,
+        })
+    }
+
+    /// Takes all waiting statements out, oldest first; for a home that gives the database up.
+    pub fn withdraw_all(&mut self) -> Vec<Withdrawn<T>> {
+        let tickets: Vec<Ticket> = self.locations.keys().copied().collect();
+        tickets
+            .into_iter()
+            .filter_map(|ticket| self.withdraw(ticket))
+            .collect()
+    }
+
+    /// Drops what is remembered of idle tenants that `keep` doesn't name.
+    pub fn retain_tenants(&mut self, keep: impl Fn(&TenantName) -> bool) {
+        let schedule = &mut self.schedule;
+        self.tenants.retain(|name, tenant| {
+            let retained = keep(name) || !tenant.is_idle();
+            if !retained {
+                schedule.forget(name);
+            }
+            retained
+        });
+    }
+
+    /// Slots that no statement holds.
+    pub fn free_slots(&self) -> u32 {
+        let running = u32::try_from(self.schedule.running()).unwrap_or(u32::MAX);
+        self.slots.saturating_sub(running)
+    }
+
+    /// Statements that wait.
+    pub fn queued(&self) -> usize {
+        self.locations.len()
+    }
+
+    /// Fresh statements of all tenants that wait for a slot and will need a connection.
+    pub fn queued_fresh(&self) -> usize {
+        self.queued_fresh
+    }
+
+    /// Statements that hold a slot.
+    pub fn running(&self) -> usize {
+        self.schedule.running()
+    }
+
+    /// The queue as operators see it.
+    pub fn status(&self) -> QueueStatus {
+        let tenants = self.tenants.iter();
+        QueueStatus {
+            slots: self.slots,
+            queued: self.queued(),
+            running: self.running(),
+            unknown_finished: self.unknown_finished,
+            tenants: tenants
+                .map(|(name, tenant)| (name.clone(), tenant.status()))
+                .collect(),
+        }
+    }
+
+    fn accept(&mut self, now: Timestamp, submission: Submission<T>) -> Ticket {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        let rank = Rank {
+            stage: submission.stage,
+            urgency: Reverse(submission.urgency),
+            ticket,
+        };
+        let waiting = Waiting {
+            enqueued: now,
+            deadline: submission.deadline,
+            item: submission.item,
+        };
+        self.schedule
+            .begin_waiting(now, &submission.tenant, submission.weight);
+        let location = Location {
+            tenant: submission.tenant.clone(),
+            rank,
+            deadline: submission.deadline,
+        };
+        self.queued_fresh += usize::from(rank.stage == Stage::Fresh);
+        self.locations.insert(ticket, location);
+        self.deadlines.insert((submission.deadline, ticket));
+        if let Some(tenant) = self.tenants.get_mut(&submission.tenant) {
+            tenant.counters.enqueued += 1;
+            tenant.push(rank, waiting);
+        }
+        ticket
+    }
+
+    fn first_eligible(
+        &self,
+        now: Timestamp,
+        eligible: impl Fn(&TenantName, Stage) -> bool,
+    ) -> Option<Ticket> {
+        self.schedule.in_order().find_map(|name| {
+            let tenant = self.tenants.get(name)?;
+            let rank = tenant.first(now, |stage| eligible(name, stage))?;
+            Some(rank.ticket)
+        })
+    }
+
+    fn admit(&mut self, now: Timestamp, ticket: Ticket) -> Option<Admitted<T>> {
+        let Location { tenant: name, .. } = self.locations.get(&ticket)?;
+        let name = name.clone();
+        let tenant = self.tenants.get_mut(&name)?;
+        self.schedule.start(now, &name, ticket, tenant.estimate());
+        tenant.running += 1;
+        tenant.counters.admitted += 1;
+        tenant.drain_rate.admitted(now, tenant.waiting_count() > 1);
+        let (location, waiting) = self.take(ticket)?;
+        Some(Admitted {
+            ticket,
+            tenant: location.tenant,
+            stage: location.rank.stage,
+            waited: now.saturating_since(waiting.enqueued),
+            item: waiting.item,
+        })
+    }
+
+    fn expire_one(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        random: &mut impl Rng,
+    ) -> Option<Expired<T>> {
+        let (location, waiting) = self.take(ticket)?;
+        let tenant = self.tenants.get_mut(&location.tenant)?;
+        tenant.counters.expired += 1;
+        Some(Expired {
+            ticket,
+            retry_after: time_to_come_back(now, tenant, random),
+            tenant: location.tenant,
+            item: waiting.item,
+        })
+    }
+
+    /// Removes a waiting statement from every index.
+    fn take(&mut self, ticket: Ticket) -> Option<(Location, Waiting<T>)> {
+        let location = self.locations.remove(&ticket)?;
+        self.deadlines.remove(&(location.deadline, ticket));
+        let tenant = self.tenants.get_mut(&location.tenant)?;
+        let waiting = tenant.remove(location.rank)?;
+        self.queued_fresh -= usize::from(location.rank.stage == Stage::Fresh);
+        if !tenant.has_waiting() {
+            tenant.drain_rate.emptied();
+            self.schedule.end_waiting(&location.tenant);
+        }
+        Some((location, waiting))
+    }
+}
+
+/// Why `submission` can't be queued, if it can't.
+fn refusal<T>(
+    now: Timestamp,
+    tenant: &Tenant<T>,
+    submission: &Submission<T>,
+) -> Option<RejectionReason> {
+    if submission.deadline <= now {
+        return Some(RejectionReason::DeadlinePassed);
+    }
+    let counts = submission.stage == Stage::Fresh;
+    (counts && tenant.is_full(submission.queue_limit)).then_some(RejectionReason::QueueFull)
+}
+
+/// Time until the tenant's queue as it is now has drained.
+fn time_to_come_back<T>(now: Timestamp, tenant: &Tenant<T>, random: &mut impl Rng) -> Duration {
+    let interval = tenant.drain_rate.interval(now);
+    let interval = interval.unwrap_or_else(|| tenant.estimate());
+    retry_after(interval, tenant.waiting_count(), random)
+}
--- /dev/null
+++ b/crates/dyketally/src/admission/tenant.rs
@@ -0,0 +1,132 @@
+//! The waiting statements of one tenant and what was measured about it.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::average::MovingAverage;
+use super::drain_rate::DrainRate;
+use super::status::{TenantCounters, TenantStatus};
+use super::submission::{Stage, Ticket};
+use crate::policy::Urgency;
+use crate::time::Timestamp;
+
+/// Busy time that is assumed for a statement of a tenant that has run none yet.
+const FIRST_ESTIMATE: Duration = Duration::from_millis(5);
+
+/// Order of a tenant's own statements: open transactions first, then urgent before normal, then
+/// by arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    pub(super) stage: Stage,
+    pub(super) urgency: Reverse<Urgency>,
+    pub(super) ticket: Ticket,
+}
+
+#[derive(Debug)]
+pub(super) struct Waiting<T> {
+    pub(super) enqueued: Timestamp,
+    pub(super) deadline: Timestamp,
+    pub(super) item: T,
+}
+
+#[derive(Debug)]
+pub(super) struct Tenant<T> {
+    weight: u32,
+    waiting: BTreeMap<Rank, Waiting<T>>,
+    fresh: usize,
+    pub(super) running: usize,
+    service_time: MovingAverage,
+    pub(super) drain_rate: DrainRate,
+    pub(super) counters: TenantCounters,
+}
+
+impl<T> Tenant<T> {
+    pub(super) fn new() -> Self {
+        Tenant {
+            weight: 1,
+            waiting: BTreeMap::new(),
+            fresh: 0,
+            running: 0,
+            service_time: MovingAverage::default(),
+            drain_rate: DrainRate::default(),
+            counters: TenantCounters::default(),
+        }
+    }
+
+    pub(super) fn set_weight(&mut self, weight: u32) {
+        self.weight = weight.max(1);
+    }
+
+    /// Whether `limit` fresh statements wait already.
+    pub(super) fn is_full(&self, limit: u32) -> bool {
+        u32::try_from(self.fresh).unwrap_or(u32::MAX) >= limit
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running == 0
+    }
+
+    pub(super) fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    pub(super) fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn push(&mut self, rank: Rank, waiting: Waiting<T>) {
+        self.fresh += usize::from(rank.stage == Stage::Fresh);
+        self.drain_rate.waiting(waiting.enqueued);
+        self.waiting.insert(rank, waiting);
+    }
+
+    pub(super) fn remove(&mut self, rank: Rank) -> Option<Waiting<T>> {
+        let waiting = self.waiting.remove(&rank)?;
+        self.fresh -= usize::from(rank.stage == Stage::Fresh);
+        Some(waiting)
+    }
+
+    /// The first waiting statement that is of an eligible stage and not past its deadline.
+    pub(super) fn first(&self, now: Timestamp, eligible: impl Fn(Stage) -> bool) -> Option<Rank> {
+        [Stage::Continuation, Stage::Fresh]
+            .into_iter()
+            .filter(|stage| eligible(*stage))
+            .find_map(|stage| self.first_of(now, stage))
+    }
+
+    fn first_of(&self, now: Timestamp, stage: Stage) -> Option<Rank> {
+        let lowest = Rank {
+            stage,
+            urgency: Reverse(Urgency::Urgent),
+            ticket: Ticket(0),
+        };
+        self.waiting
+            .range(lowest..)
+            .take_while(|(rank, _)| rank.stage == stage)
+            .find(|(_, waiting)| waiting.deadline > now)
+            .map(|(rank, _)| *rank)
+    }
+
+    /// Busy time to expect of the tenant's next statement.
+    pub(super) fn estimate(&self) -> Duration {
+        self.service_time.value().unwrap_or(FIRST_ESTIMATE)
+    }
+
+    pub(super) fn finished(&mut self, busy: Duration) {
+        self.running -= 1;
+        self.service_time.record(busy);
+        self.counters.finished += 1;
+        self.counters.busy += busy;
+    }
+
+    pub(super) fn status(&self) -> TenantStatus {
+        TenantStatus {
+            weight: self.weight,
+            queued: self.waiting.len(),
+            running: self.running,
+            service_time: self.service_time.value(),
+            counters: self.counters,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally/tests/admission.rs
@@ -0,0 +1,263 @@
+//! Fair queue: order, bounds, deadlines and slots, case by case.
+
+use std::time::Duration;
+
+use dyketally::admission::{FairQueue, RejectionReason, Stage, Submission, Ticket};
+use dyketally::identifiers::TenantName;
+use dyketally::policy::Urgency;
+use dyketally::time::Timestamp;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+const SEED: u64 = 1;
+const FAR: Timestamp = Timestamp::from_millis(1_000_000);
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn statement(tenant: &str, item: &'static str) -> Submission<&'static str> {
+    Submission {
+        tenant: TenantName::from(tenant),
+        weight: 1,
+        queue_limit: 100,
+        stage: Stage::Fresh,
+        urgency: Urgency::Normal,
+        deadline: FAR,
+        item,
+    }
+}
+
+fn enqueue<T>(queue: &mut FairQueue<T>, now: Timestamp, submission: Submission<T>) -> Ticket {
+    let mut random = StdRng::seed_from_u64(SEED);
+    match queue.enqueue(now, submission, &mut random) {
+        Ok(ticket) => ticket,
+        Err(rejected) => panic!("rejected: {:?}", rejected.reason),
+    }
+}
+
+/// Runs everything that waits, one statement at a time, each for `busy` milliseconds.
+fn drain(queue: &mut FairQueue<&'static str>, mut now: u64, busy: u64) -> Vec<&'static str> {
+    let mut order = Vec::new();
+    while let Some(admitted) = queue.next(at(now)) {
+        order.push(admitted.item);
+        now += busy;
+        assert!(queue.finished(at(now), admitted.ticket));
+    }
+    order
+}
+
+#[rstest]
+#[case::arrival_order(&[(Stage::Fresh, Urgency::Normal, "first"), (Stage::Fresh, Urgency::Normal, "second")], &["first", "second"])]
+#[case::urgent_before_normal(&[(Stage::Fresh, Urgency::Normal, "lookup"), (Stage::Fresh, Urgency::Urgent, "order")], &["order", "lookup"])]
+#[case::transaction_before_urgent(&[(Stage::Fresh, Urgency::Urgent, "order"), (Stage::Continuation, Urgency::Normal, "commit")], &["commit", "order"])]
+fn own_statements_run_in_order(
+    #[case] statements: &[(Stage, Urgency, &'static str)],
+    #[case] expected: &[&str],
+) {
+    let mut queue = FairQueue::new(1);
+    for (stage, urgency, item) in statements {
+        let submission = Submission {
+            stage: *stage,
+            urgency: *urgency,
+            ..statement("huber", item)
+        };
+        enqueue(&mut queue, at(0), submission);
+    }
+    assert_eq!(drain(&mut queue, 0, 1), expected);
+}
+
+#[test]
+fn urgent_statements_take_nothing_from_another_tenant() {
+    let mut queue = FairQueue::new(1);
+    for item in ["a1", "a2"] {
+        let urgent = Submission {
+            urgency: Urgency::Urgent,
+            ..statement("a", item)
+        };
+        enqueue(&mut queue, at(0), urgent);
+    }
+    enqueue(&mut queue, at(0), statement("b", "b1"));
+    enqueue(&mut queue, at(0), statement("b", "b2"));
+    assert_eq!(drain(&mut queue, 0, 10), ["a1", "b1", "a2", "b2"]);
+}
+
+#[test]
+fn shares_are_of_busy_time_not_of_statements() {
+    let mut queue = FairQueue::new(2);
+    for _ in 0..1_000 {
+        for tenant in ["long", "short"] {
+            let unlimited = Submission {
+                queue_limit: u32::MAX,
+                ..statement(tenant, tenant)
+            };
+            enqueue(&mut queue, at(0), unlimited);
+        }
+    }
+    let mut running: Vec<(u64, Ticket)> = Vec::new();
+    for now in 0..5_000 {
+        running.retain(|(end, ticket)| *end > now || !queue.finished(at(now), *ticket));
+        while let Some(admitted) = queue.next(at(now)) {
+            let busy = if admitted.item == "long" { 50 } else { 5 };
+            running.push((now + busy, admitted.ticket));
+        }
+        if queue.status().tenants[&TenantName::from("short")].queued == 0 {
+            break;
+        }
+    }
+    let status = queue.status();
+    let long = status.tenants[&TenantName::from("long")].counters.busy;
+    let short = status.tenants[&TenantName::from("short")].counters.busy;
+    let difference = long.abs_diff(short);
+    assert!(
+        difference <= Duration::from_millis(100),
+        "{long:?} and {short:?}"
+    );
+}
+
+#[rstest]
+#[case::no_statement_ran_meanwhile(0)]
+#[case::a_lone_tenant_ran_for_long(10_000)]
+fn an_idle_tenant_saves_nothing_up(#[case] lone_milliseconds: u64) {
+    let mut queue = FairQueue::new(1);
+    enqueue(&mut queue, at(0), statement("lone", "lone"));
+    let lone = queue.next(at(0)).expect("a slot is free");
+    assert!(queue.finished(at(lone_milliseconds), lone.ticket));
+    for _ in 0..20 {
+        enqueue(&mut queue, at(lone_milliseconds), statement("lone", "lone"));
+        enqueue(&mut queue, at(lone_milliseconds), statement("late", "late"));
+    }
+    let order = drain(&mut queue, lone_milliseconds, 5);
+    let of_late = order[..10].iter().filter(|item| **item == "late").count();
+    assert!((4..=6).contains(&of_late), "{order:?}");
+}
+
+#[test]
+fn a_full_queue_turns_away_with_the_time_to_come_back() {
+    let mut queue = FairQueue::new(0);
+    let mut random = StdRng::seed_from_u64(SEED);
+    let limited = || Submission {
+        queue_limit: 1,
+        ..statement("a", "x")
+    };
+    assert!(queue.enqueue(at(0), limited(), &mut random).is_ok());
+    let rejected = queue
+        .enqueue(at(0), limited(), &mut random)
+        .expect_err("full");
+    assert_eq!(rejected.reason, RejectionReason::QueueFull);
+    assert!(rejected.retry_after > Duration::ZERO);
+    let continuation = Submission {
+        stage: Stage::Continuation,
+        ..limited()
+    };
+    assert!(queue.enqueue(at(0), continuation, &mut random).is_ok());
+}
+
+#[test]
+fn the_time_to_come_back_follows_the_drain_rate() {
+    let told_after = |busy: u64| {
+        let mut queue = FairQueue::new(1);
+        for _ in 0..30 {
+            enqueue(&mut queue, at(0), statement("a", "x"));
+        }
+        for turn in 0..20 {
+            let admitted = queue.next(at(turn * busy)).expect("one waits");
+            assert!(queue.finished(at((turn + 1) * busy), admitted.ticket));
+        }
+        let mut random = StdRng::seed_from_u64(SEED);
+        let full = Submission {
+            queue_limit: 10,
+            ..statement("a", "x")
+        };
+        let rejected = queue.enqueue(at(20 * busy), full, &mut random);
+        rejected.expect_err("full").retry_after
+    };
+    let (fast, slow) = (told_after(2), told_after(20));
+    assert!(slow > fast * 5, "{fast:?} and {slow:?}");
+}
+
+#[test]
+fn a_statement_past_its_deadline_is_given_up_and_never_admitted() {
+    let mut queue = FairQueue::new(1);
+    let mut random = StdRng::seed_from_u64(SEED);
+    let short = Submission {
+        deadline: at(10),
+        ..statement("a", "short")
+    };
+    enqueue(&mut queue, at(0), short);
+    enqueue(&mut queue, at(0), statement("a", "patient"));
+    assert_eq!(queue.next_deadline(), Some(at(10)));
+    assert!(queue.expire(at(9), &mut random).is_empty());
+    let admitted = queue.next(at(10)).expect("one may still run");
+    assert_eq!(admitted.item, "patient");
+    let expired = queue.expire(at(10), &mut random);
+    assert_eq!(expired.len(), 1);
+    assert_eq!(expired[0].item, "short");
+    assert!(expired[0].retry_after > Duration::ZERO);
+    let late = Submission {
+        deadline: at(10),
+        ..statement("a", "late")
+    };
+    let rejected = queue
+        .enqueue(at(10), late, &mut random)
+        .expect_err("too late");
+    assert_eq!(rejected.reason, RejectionReason::DeadlinePassed);
+}
+
+#[test]
+fn a_statement_that_can_not_run_keeps_its_turn() {
+    let mut queue = FairQueue::new(2);
+    enqueue(&mut queue, at(0), statement("a", "a"));
+    enqueue(&mut queue, at(0), statement("b", "b"));
+    let blocked = TenantName::from("a");
+    let passed = queue.next_eligible(at(0), |tenant, _| *tenant != blocked);
+    assert_eq!(passed.expect("b may run").item, "b");
+    assert!(
+        queue
+            .next_eligible(at(0), |tenant, _| *tenant != blocked)
+            .is_none()
+    );
+    assert_eq!(queue.next(at(0)).expect("a may run now").item, "a");
+}
+
+#[test]
+fn fewer_slots_let_running_statements_finish() {
+    let mut queue = FairQueue::new(2);
+    for _ in 0..4 {
+        enqueue(&mut queue, at(0), statement("a", "x"));
+    }
+    let first = queue.next(at(0)).expect("a slot is free");
+    let second = queue.next(at(0)).expect("a slot is free");
+    queue.set_slots(1);
+    assert!(queue.finished(at(1), first.ticket));
+    assert!(queue.next(at(1)).is_none());
+    assert!(queue.finished(at(2), second.ticket));
+    assert!(queue.next(at(2)).is_some());
+    assert!(queue.next(at(2)).is_none());
+}
+
+#[test]
+fn a_slot_is_given_back_once() {
+    let mut queue = FairQueue::new(1);
+    enqueue(&mut queue, at(0), statement("a", "x"));
+    let admitted = queue.next(at(0)).expect("a slot is free");
+    assert!(queue.withdraw(admitted.ticket).is_none());
+    assert!(queue.finished(at(1), admitted.ticket));
+    assert!(!queue.finished(at(2), admitted.ticket));
+    assert_eq!(queue.status().unknown_finished, 1);
+}
+
+#[test]
+fn withdrawn_statements_are_gone() {
+    let mut queue = FairQueue::new(0);
+    let first = enqueue(&mut queue, at(0), statement("a", "first"));
+    enqueue(&mut queue, at(0), statement("b", "second"));
+    assert_eq!(queue.withdraw(first).expect("it waits").item, "first");
+    assert!(queue.withdraw(first).is_none());
+    let rest = queue.withdraw_all();
+    assert_eq!(rest.len(), 1);
+    assert_eq!(queue.queued(), 0);
+    queue.retain_tenants(|_| false);
+    assert!(queue.status().tenants.is_empty());
+}
