--- a/crates/dyketally-proxy/src/edge/batch.rs
+++ b/crates/dyketally-proxy/src/edge/batch.rs
@@ -209,7 +209,10 @@
 
     fn require(&mut self, statement: &PreparedStatement) {
         let required = &mut self.collected.batch.prepared;
-        if required.iter().all(|present| present.name != statement.name) {
+        if required
+            .iter()
+            .all(|present| present.name != statement.name)
+        {
             required.push(statement.clone());
         }
     }
@@ -305,7 +308,11 @@
     StatementPolicy {
         access: if writes { Access::Write } else { Access::Read },
         urgency: current.urgency.max(next.urgency),
-        repeat: if repeatable { current.repeat } else { Repeat::Never },
+        repeat: if repeatable {
+            current.repeat
+        } else {
+            Repeat::Never
+        },
         deadline: current.deadline.min(next.deadline),
     }
 }
--- a/crates/dyketally-proxy/src/edge/codec.rs
+++ b/crates/dyketally-proxy/src/edge/codec.rs
@@ -27,7 +27,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum CallerError {
     /// A message exceeds the bound.
-    #[error("a message of {length} bytes exceeds the bound of {bound}; send less in one statement or raise `limits.longest_caller_message`")]
+    #[error(
+        "a message of {length} bytes exceeds the bound of {bound}; send less in one statement or raise `limits.longest_caller_message`"
+    )]
     TooLong {
         /// Length the caller announced, in bytes.
         length: usize,
@@ -35,7 +37,9 @@
         bound: usize,
     },
     /// The bytes aren't a message of the PostgreSQL protocol.
-    #[error("the message is not of the PostgreSQL protocol, version 3; connect with a PostgreSQL driver")]
+    #[error(
+        "the message is not of the PostgreSQL protocol, version 3; connect with a PostgreSQL driver"
+    )]
     Malformed,
     /// The connection failed.
     #[error("the caller's connection failed: {0}")]
--- a/crates/dyketally-proxy/src/edge/control.rs
+++ b/crates/dyketally-proxy/src/edge/control.rs
@@ -16,7 +16,14 @@
 }
 
 const TRANSACTION_WORDS: &[&str] = &[
-    "begin", "start", "commit", "end", "rollback", "abort", "savepoint", "release",
+    "begin",
+    "start",
+    "commit",
+    "end",
+    "rollback",
+    "abort",
+    "savepoint",
+    "release",
 ];
 const SETTING_WORDS: &[&str] = &["set", "reset", "discard"];
 
@@ -79,7 +86,10 @@
 fn assigned_value(rest: &str) -> Option<&str> {
     let value = match rest.strip_prefix('=') {
         Some(value) => value,
-        None => rest.get(..2).filter(|word| word.eq_ignore_ascii_case("to")).map(|_| &rest[2..])?,
+        None => rest
+            .get(..2)
+            .filter(|word| word.eq_ignore_ascii_case("to"))
+            .map(|_| &rest[2..])?,
     };
     Some(value.trim().trim_matches('\''))
 }
--- a/crates/dyketally-proxy/src/edge/deadline.rs
+++ b/crates/dyketally-proxy/src/edge/deadline.rs
@@ -49,7 +49,10 @@
     fn call(&mut self, request: StatementRequest) -> Self::Future {
         let due = request.deadline + GRACE;
         let cancelled = request.cancelled.clone();
-        let asked = request.transaction.as_ref().map(|pinned| pinned.database.clone());
+        let asked = request
+            .transaction
+            .as_ref()
+            .map(|pinned| pinned.database.clone());
         let asked = asked.or_else(|| request.group.members.first().map(|m| m.name.clone()));
         let reply = self.inner.call(request);
         Box::pin(async move {
--- a/crates/dyketally-proxy/src/edge/mod.rs
+++ b/crates/dyketally-proxy/src/edge/mod.rs
@@ -33,9 +33,7 @@
 pub use counters::{EdgeCounters, EdgeCounts};
 pub use deadline::{Deadline, DeadlineLayer};
 pub use listener::serve_callers;
-pub use request::{
-    PinnedTransaction, ReplyStart, RoutedRequest, StatementReply, StatementRequest,
-};
+pub use request::{PinnedTransaction, ReplyStart, RoutedRequest, StatementReply, StatementRequest};
 pub use route::{Route, RouteLayer, SharedRoutes};
 pub use send::{SendToHome, completion_of};
 
--- a/crates/dyketally-proxy/src/edge/route.rs
+++ b/crates/dyketally-proxy/src/edge/route.rs
@@ -174,7 +174,7 @@
             table.redirected(group, attempt, primary.clone(), *term);
         }
         Completion::NotRun {
-            reason: 
+            reason:
                 NotRunReason::Unreachable
                 | NotRunReason::NotHome
                 | NotRunReason::NoPrimary
--- a/crates/dyketally-proxy/src/edge/send.rs
+++ b/crates/dyketally-proxy/src/edge/send.rs
@@ -104,9 +104,7 @@
         urgency: request.policy.urgency,
         repeat: request.policy.repeat,
         freshness: request.freshness,
-        time_left: request
-            .deadline
-            .saturating_duration_since(Instant::now()),
+        time_left: request.deadline.saturating_duration_since(Instant::now()),
         batch: request.batch,
     }
 }
--- a/crates/dyketally-proxy/src/edge/session.rs
+++ b/crates/dyketally-proxy/src/edge/session.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tower::{Service, ServiceExt};
 
+use super::Edge;
 use super::answer::{CallerFault, sqlstate};
 use super::batch::{BatchBuilder, ClassifiedBatch, Finished};
 use super::cancel::CancelEntry;
@@ -29,7 +30,6 @@
 use super::send::completion_of;
 use super::startup::{Identity, welcome};
 use super::writer::CallerWriter;
-use super::Edge;
 use crate::homes::HomeLocation;
 use crate::reply::ReplyReceiver;
 
@@ -128,12 +128,13 @@
     async fn take(&mut self, message: PgWireFrontendMessage) -> Result<(), CallerError> {
         let policies = self.edge.policies.borrow().clone();
         let Some(tenant) = policies.tenants.get(&self.tenant) else {
-            self.writer.answer.fatal(CallerFault::not_run(
-                NotRunReason::NotConfigured,
-                None,
-            ));
+            self.writer
+                .answer
+                .fatal(CallerFault::not_run(NotRunReason::NotConfigured, None));
             self.writer.flush().await?;
-            return Err(CallerError::Io(std::io::ErrorKind::ConnectionAborted.into()));
+            return Err(CallerError::Io(
+                std::io::ErrorKind::ConnectionAborted.into(),
+            ));
         };
         let in_transaction = self.in_transaction();
         match message {
@@ -239,7 +240,9 @@
     ) -> Result<(), CallerError> {
         count(&self.edge.counters.batches);
         let Some(group) = policies.groups.get(self.session.group()) else {
-            return self.refuse(CallerFault::not_run(NotRunReason::NotConfigured, None)).await;
+            return self
+                .refuse(CallerFault::not_run(NotRunReason::NotConfigured, None))
+                .await;
         };
         if batch.policy.access == Access::Read {
             count(&self.edge.counters.reads);
@@ -325,7 +328,11 @@
                 self.session.done(database, seen, transaction);
                 self.transaction = transaction;
                 let open = transaction != TransactionStatus::Idle;
-                self.pinned_home = if open { self.pinned_home.take().or(home) } else { None };
+                self.pinned_home = if open {
+                    self.pinned_home.take().or(home)
+                } else {
+                    None
+                };
                 return;
             }
             Completion::NotRun {
--- a/crates/dyketally-proxy/src/edge/startup.rs
+++ b/crates/dyketally-proxy/src/edge/startup.rs
@@ -129,7 +129,9 @@
 fn unknown_tenant(user: &str) -> CallerFault {
     CallerFault::new(
         sqlstate::INVALID_AUTHORIZATION,
-        format!("tenant {user:?} is not configured; connect with the tenant's name as user, see `dyketally tenant list`"),
+        format!(
+            "tenant {user:?} is not configured; connect with the tenant's name as user, see `dyketally tenant list`"
+        ),
     )
 }
 
--- a/crates/dyketally-proxy/src/home/output.rs
+++ b/crates/dyketally-proxy/src/home/output.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use dyketally_protocol::Completion;
 
-use crate::reply::ReplySender;
+use crate::reply::{EdgeGone, ReplySender};
 
 /// Size from which reply data is passed on as a chunk of its own, in bytes.
 pub const CHUNK_BYTES: usize = 32 * 1024;
@@ -92,11 +92,14 @@
     }
 
     /// Ends the reply, with its data if the statements are done.
-    pub async fn finish(mut self, completion: Completion) {
+    ///
+    /// # Errors
+    /// The edge has gone: a transaction that the request left open has no owner.
+    pub async fn finish(mut self, completion: Completion) -> Result<(), EdgeGone> {
         if matches!(completion, Completion::Done { .. }) {
             self.release().await;
         }
-        self.sender.finish(completion);
+        self.sender.finish(completion)
     }
 
     async fn release(&mut self) {
--- a/crates/dyketally-proxy/src/home/serve.rs
+++ b/crates/dyketally-proxy/src/home/serve.rs
@@ -35,7 +35,10 @@
     let completion = served.run(&mut output).await;
     served.count(&completion);
     shared.sessions().finished(&execute.session);
-    output.finish(completion).await;
+    if output.finish(completion).await.is_err() {
+        // A transaction without an owner is rolled back.
+        drop(shared.sessions().end(&execute.session));
+    }
 }
 
 struct ServedRequest<'a> {
--- a/crates/dyketally-proxy/src/link/mod.rs
+++ b/crates/dyketally-proxy/src/link/mod.rs
@@ -25,7 +25,9 @@
     #[error(transparent)]
     Frame(#[from] FrameError),
     /// The peer speaks another version.
-    #[error("the peer {node} speaks version {version} of the link protocol, this node {PROTOCOL_VERSION}; upgrade the older of the two")]
+    #[error(
+        "the peer {node} speaks version {version} of the link protocol, this node {PROTOCOL_VERSION}; upgrade the older of the two"
+    )]
     Version {
         /// The peer.
         node: String,
@@ -33,7 +35,9 @@
         version: u16,
     },
     /// The peer didn't begin with a hello.
-    #[error("the peer did not begin with a hello; check that the address is the peer address of a dyketallyd")]
+    #[error(
+        "the peer did not begin with a hello; check that the address is the peer address of a dyketallyd"
+    )]
     NoHello,
     /// The peer didn't answer in time.
     #[error("the peer did not answer within {HANDSHAKE_TIMEOUT:?}; it may be restarting")]
@@ -42,7 +46,9 @@
     #[error("the peer closed the link; it may be restarting")]
     Closed,
     /// The peer sent more data than it was allowed to.
-    #[error("the peer sent more reply data than was granted; check that it runs a compatible version")]
+    #[error(
+        "the peer sent more reply data than was granted; check that it runs a compatible version"
+    )]
     Overrun,
 }
 
