--- a/crates/dyketally/src/pool.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Accounting of the connections to one database.
--- a/crates/dyketally/src/retry.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Retry budget for repeatable statements.
