Run plain reads and repeatable statements again within a budget

Cause: a read whose home was lost ended as unknown although it has no effect. Change: a retry layer around routing; recorded statements are left to their home.

--- a/crates/dyketally-proxy/src/edge/mod.rs
+++ b/crates/dyketally-proxy/src/edge/mod.rs
@@ -11,6 +11,7 @@
 mod deadline;
 mod listener;
 mod request;
+mod retry;
 mod route;
 mod send;
 mod session;
@@ -23,6 +24,7 @@
 
 use dyketally::identifiers::{Locality, NodeName};
 use dyketally::policy::PolicySet;
+use dyketally::retry::{Retrier, RetrySettings};
 use dyketally::routing::{RouteSettings, RouteTable};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +36,7 @@
 pub use deadline::{Deadline, DeadlineLayer};
 pub use listener::serve_callers;
 pub use request::{PinnedTransaction, ReplyStart, RoutedRequest, StatementReply, StatementRequest};
+pub use retry::{Retry, RetryLayer};
 pub use route::{Route, RouteLayer, SharedRoutes};
 pub use send::{SendToHome, completion_of};
 
@@ -43,7 +46,7 @@
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// The request path of an edge.
-pub type RequestPath = Deadline<Route<SendToHome>>;
+pub type RequestPath = Deadline<Retry<Route<SendToHome>>>;
 
 /// Bounds on what callers may ask of an edge.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +94,7 @@
     let routes = SharedRoutes::new(locality, RouteTable::new(RouteSettings::default()));
     ServiceBuilder::new()
         .layer(DeadlineLayer)
+        .layer(RetryLayer::new(Retrier::new(RetrySettings::default())))
         .layer(RouteLayer::new(routes))
         .service(SendToHome::new(homes))
 }
--- /dev/null
+++ b/crates/dyketally-proxy/src/edge/retry.rs
@@ -0,0 +1,144 @@
+//! Retry layer: runs plain reads and repeatable statements again when their outcome is unknown.
+
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use dyketally::outcome::UnknownReason;
+use dyketally::policy::Repeat;
+use dyketally::retry::{Attempt, Decision, Retrier};
+use dyketally::time::Timestamp;
+use dyketally_protocol::Completion;
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+use tower::{Layer, Service, ServiceExt};
+
+use super::request::{ReplyStart, StatementReply, StatementRequest};
+use crate::clock;
+
+/// Adds retries to a service. All sessions of an edge share one budget.
+#[derive(Clone, Debug)]
+pub struct RetryLayer {
+    retrier: SharedRetrier,
+}
+
+type SharedRetrier = Arc<Mutex<Retrier>>;
+
+impl RetryLayer {
+    /// Retries as `retrier` decides.
+    pub fn new(retrier: Retrier) -> Self {
+        Self {
+            retrier: Arc::new(Mutex::new(retrier)),
+        }
+    }
+}
+
+impl<Inner> Layer<Inner> for RetryLayer {
+    type Service = Retry<Inner>;
+
+    fn layer(&self, inner: Inner) -> Retry<Inner> {
+        Retry {
+            retrier: self.retrier.clone(),
+            inner,
+        }
+    }
+}
+
+/// See [`RetryLayer`].
+#[derive(Clone, Debug)]
+pub struct Retry<Inner> {
+    retrier: SharedRetrier,
+    inner: Inner,
+}
+
+impl<Inner> Service<StatementRequest> for Retry<Inner>
+where
+    Inner: Service<StatementRequest, Response = StatementReply, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    Inner::Future: Send,
+{
+    type Response = StatementReply;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<StatementReply, Infallible>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, request: StatementRequest) -> Self::Future {
+        let inner = self.inner.clone();
+        let retrier = self.retrier.clone();
+        Box::pin(async move { Ok(retry(retrier, inner, request).await) })
+    }
+}
+
+async fn retry<Inner>(
+    retrier: SharedRetrier,
+    mut inner: Inner,
+    request: StatementRequest,
+) -> StatementReply
+where
+    Inner: Service<StatementRequest, Response = StatementReply, Error = Infallible>,
+{
+    lock(&retrier).fresh();
+    let mut attempts = 0;
+    loop {
+        let Ok(service) = inner.ready().await;
+        let Ok(reply) = service.call(request.clone()).await;
+        if !may_run_again(&request, &reply) {
+            return reply;
+        }
+        attempts += 1;
+        let attempt = attempt(&request, attempts);
+        let decision = lock(&retrier).decide(clock::now(), &attempt, &mut rand::rng());
+        let Decision::RetryAt(at) = decision else {
+            return reply;
+        };
+        let pause = tokio::time::sleep(at.saturating_since(clock::now()));
+        tokio::select! {
+            () = pause => {}
+            () = request.cancelled.cancelled() => return reply,
+        }
+    }
+}
+
+/// Only a reply that has not started and whose outcome is unknown. Past the deadline there is no
+/// time left, and a statement of a transaction can't be run without the rest of it.
+fn may_run_again(request: &StatementRequest, reply: &StatementReply) -> bool {
+    let lost = matches!(
+        &reply.start,
+        ReplyStart::Ended(Completion::Unknown { reason }) if *reason != UnknownReason::DeadlinePassed
+    );
+    lost && request.transaction.is_none() && !request.cancelled.is_cancelled()
+}
+
+fn attempt(request: &StatementRequest, number: u32) -> Attempt {
+    // A recorded statement is resolved by its home, through the ledger; the edge never repeats it.
+    let repeatable = request.is_plain_read() || request.policy.repeat == Repeat::Repeatable;
+    let repeat = if repeatable {
+        Repeat::Repeatable
+    } else {
+        Repeat::Never
+    };
+    Attempt {
+        number,
+        may_have_run: true,
+        repeat,
+        retry_after: None,
+        deadline: timestamp_of(request.deadline),
+    }
+}
+
+fn timestamp_of(instant: Instant) -> Timestamp {
+    let left: Duration = instant.saturating_duration_since(Instant::now());
+    clock::now() + left
+}
+
+fn lock(retrier: &SharedRetrier) -> MutexGuard<'_, Retrier> {
+    retrier
+        .lock()
+        .expect("no code panics while it holds this lock")
+}
--- a/crates/dyketally-proxy/src/edge/startup.rs
+++ b/crates/dyketally-proxy/src/edge/startup.rs
@@ -1,7 +1,6 @@
 //! The start of a caller's connection: encryption refused, tenant and database looked up.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use dyketally::identifiers::{GroupName, TenantName};
 use dyketally::policy::{PolicySet, TenantPolicy};
@@ -186,8 +185,3 @@
         secret,
     )));
 }
-
-/// Policies of the tenant now; `None` once it was removed.
-pub fn tenant_policy(policies: &Arc<PolicySet>, tenant: &TenantName) -> Option<TenantPolicy> {
-    policies.tenants.get(tenant).cloned()
-}
--- a/crates/dyketally-proxy/src/link/client.rs
+++ b/crates/dyketally-proxy/src/link/client.rs
@@ -30,7 +30,7 @@
 
 #[derive(Debug)]
 enum Command {
-    Execute(HomeRequest),
+    Execute(Box<HomeRequest>),
     EndSession(SessionId),
 }
 
@@ -46,8 +46,8 @@
     /// Sends `request` to the node at `address`. The reply always completes: with `NotRun` when
     /// nothing was sent, with `Unknown` when the link broke later.
     pub fn submit(&self, address: SocketAddr, request: HomeRequest) {
-        if let Err(Command::Execute(refused)) = self.command(address, Command::Execute(request)) {
-            finish_unsent(refused);
+        if let Err(Command::Execute(refused)) = self.command(address, Command::Execute(Box::new(request))) {
+            finish_unsent(*refused);
         }
     }
 
@@ -112,7 +112,7 @@
     commands.close();
     while let Some(command) = commands.recv().await {
         if let Command::Execute(request) = command {
-            finish_unsent(request);
+            finish_unsent(*request);
         }
     }
 }
@@ -208,7 +208,7 @@
 
     async fn feed(&mut self, command: Command) -> Result<(), LinkError> {
         match command {
-            Command::Execute(request) => self.execute(request).await,
+            Command::Execute(request) => self.execute(*request).await,
             Command::EndSession(session) => {
                 let message = EdgeMessage::EndSession { session };
                 Ok(self.frames.feed(message).await?)
