Read settings and templates, telling every fault at once

Cause: a node and a template must be refused with every fault at once, each naming the field and the remedy. serde and garde stop at the first unknown key or wrong type, so they tell one such fault a run; ruled out for that reason.

`document::TableReader` takes fields one by one, notes each fault and reports the keys nobody asked for.

--- a/crates/dyketally/src/identifiers.rs
+++ b/crates/dyketally/src/identifiers.rs
@@ -42,6 +42,10 @@
     /// A tenant: one group of callers with a share of the connections of its own.
     TenantName
 );
+name_type!(
+    /// A template: what tenants of one kind have in common.
+    TemplateName
+);
 name_type!(
     /// A database group: a primary and its replicas, which elect the primary among themselves.
     GroupName
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod configuration;
+pub mod document;
 pub mod drain;
 pub mod group;
 pub mod identifiers;
--- a/crates/dyketally/src/template.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Parameterised templates that operators publish, and their checks.
--- /dev/null
+++ b/crates/dyketally/src/template/tenant.rs
@@ -0,0 +1,45 @@
+//! A tenant as operators write it: the name of its template and arguments for it.
+
+use toml::Table;
+
+use crate::document::{FaultList, TableReader, parse_table};
+use crate::identifiers::{TemplateName, TenantName};
+
+const PARAMETERS: &str = "parameters";
+
+/// A tenant's document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantDocument {
+    /// The tenant's name.
+    pub name: TenantName,
+    /// The template that it fills in.
+    pub template: TemplateName,
+    /// The whole document; its `parameters` are read against the template's declarations.
+    table: Table,
+}
+
+impl TenantDocument {
+    /// Reads the document and notes its faults, except those of its arguments.
+    pub fn read(document: &str, text: &str, faults: &FaultList) -> Option<Self> {
+        let table = parse_table(document, text, faults)?;
+        let reader = TableReader::new(document, &table, faults);
+        let name = reader.required("name");
+        let template = reader.required("template");
+        reader.table(PARAMETERS);
+        reader.finish();
+        Some(Self {
+            name: name?,
+            template: template?,
+            table,
+        })
+    }
+
+    /// A reader of the tenant's arguments.
+    pub(super) fn arguments<'a>(
+        &'a self,
+        document: &'a str,
+        faults: &'a FaultList,
+    ) -> TableReader<'a> {
+        TableReader::new(document, &self.table, faults).table(PARAMETERS)
+    }
+}
