Place databases on nodes by weighted rendezvous hashing

Each database needs one home among up to 610 nodes, and a replaced node must not shuffle the others' databases.

With 610 nodes and 670 databases, the test finds that no departure moves a database of another node.

--- a/crates/dyketally/src/placement.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placement: which live node is the home of a database.
--- /dev/null
+++ b/crates/dyketally/src/placement/mod.rs
@@ -0,0 +1,131 @@
+//! Placement: which live node is the home of a database, and which nodes are relays.
+//!
+//! Weighted rendezvous hashing: each node gets a score for each database, and the node with the
+//! highest score is the home. A node that joins takes only the databases for which it scores
+//! highest, and a node that leaves gives up only its own; no other database moves. Nodes compute
+//! this from their own view of the members. Two nodes that disagree for a moment both act as the
+//! home; the database's own connection limit bounds the two together.
+
+mod score;
+mod tier;
+
+use crate::identifiers::{DatabaseName, Locality, NodeName};
+
+use score::{Key, Score};
+use tier::Tier;
+
+/// Number of relays that [`relays`] is normally asked for in each zone.
+pub const RELAYS_PER_ZONE: usize = 3;
+
+/// The weight of a node that states none. Weights count relative to each other.
+pub const NORMAL_WEIGHT: u16 = 100;
+
+/// A live node that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The node.
+    pub node: &'a NodeName,
+    /// Where it runs.
+    pub locality: &'a Locality,
+    /// Its share of the databases relative to other nodes of its zone; 0 to take none.
+    pub weight: u16,
+    /// The node has told that it leaves: chosen only when no other node is left.
+    pub leaving: bool,
+}
+
+/// The home of `database`, which runs at `locality`; `None` when there is no candidate.
+pub fn home<'a>(
+    database: &DatabaseName,
+    locality: &Locality,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+) -> Option<&'a NodeName> {
+    let key = Key::of_database(database);
+    let mut best: Option<Ranked<'a>> = None;
+    for candidate in candidates.into_iter().filter(takes_databases) {
+        let tier = Tier::of(&candidate, locality);
+        if best.as_ref().is_some_and(|best| best.tier < tier) {
+            continue;
+        }
+        let ranked = Ranked::new(candidate, tier, key);
+        if best.as_ref().is_none_or(|best| ranked.comes_before(best)) {
+            best = Some(ranked);
+        }
+    }
+    best.map(|best| best.node)
+}
+
+/// The first `count` nodes for `database`, best first: the home, then those that would follow it.
+///
+/// Nodes that stay come before nodes that leave; among these, nodes of the database's zone come
+/// first, then nodes of its region, then all others.
+pub fn rank<'a>(
+    database: &DatabaseName,
+    locality: &Locality,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+    count: usize,
+) -> Vec<&'a NodeName> {
+    let key = Key::of_database(database);
+    let ranked = candidates.into_iter().filter(takes_databases);
+    let ranked = ranked.map(|candidate| {
+        let tier = Tier::of(&candidate, locality);
+        Ranked::new(candidate, tier, key)
+    });
+    first_few(ranked.collect(), count)
+}
+
+/// The nodes of the zone at `locality` that watch the platform's service for the whole zone.
+pub fn relays<'a>(
+    locality: &Locality,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+    count: usize,
+) -> Vec<&'a NodeName> {
+    let key = Key::of_relays(locality);
+    let of_zone = candidates
+        .into_iter()
+        .filter(|candidate| candidate.locality == locality);
+    let ranked = of_zone.map(|candidate| {
+        let equal_weight = Candidate {
+            weight: NORMAL_WEIGHT,
+            ..candidate
+        };
+        Ranked::new(equal_weight, Tier::of(&candidate, locality), key)
+    });
+    first_few(ranked.collect(), count)
+}
+
+fn takes_databases(candidate: &Candidate<'_>) -> bool {
+    candidate.weight > 0
+}
+
+fn first_few(mut ranked: Vec<Ranked<'_>>, count: usize) -> Vec<&NodeName> {
+    ranked.sort_unstable_by(Ranked::order);
+    ranked.iter().take(count).map(|entry| entry.node).collect()
+}
+
+struct Ranked<'a> {
+    node: &'a NodeName,
+    tier: Tier,
+    score: Score,
+}
+
+impl<'a> Ranked<'a> {
+    fn new(candidate: Candidate<'a>, tier: Tier, key: Key) -> Self {
+        Self {
+            node: candidate.node,
+            tier,
+            score: key.score(candidate.node, candidate.weight),
+        }
+    }
+
+    fn order(&self, other: &Self) -> std::cmp::Ordering {
+        let by_tier = self.tier.cmp(&other.tier);
+        let by_score = || other.score.cmp(&self.score);
+        by_tier
+            .then_with(by_score)
+            .then_with(|| self.node.cmp(other.node))
+    }
+
+    fn comes_before(&self, other: &Self) -> bool {
+        self.order(other).is_lt()
+    }
+}
--- /dev/null
+++ b/crates/dyketally/tests/placement.rs
@@ -0,0 +1,181 @@
+//! Placement: order of nodes, and how much moves when a node joins or leaves.
+
+use dyketally::identifiers::{DatabaseName, Locality, NodeName};
+use dyketally::placement::{Candidate, NORMAL_WEIGHT, home, rank, relays};
+use rstest::rstest;
+
+const ZONES: usize = 6;
+const ZONES_PER_REGION: usize = 2;
+
+#[derive(Clone)]
+struct Node {
+    name: NodeName,
+    locality: Locality,
+    weight: u16,
+    leaving: bool,
+}
+
+impl Node {
+    fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            node: &self.name,
+            locality: &self.locality,
+            weight: self.weight,
+            leaving: self.leaving,
+        }
+    }
+}
+
+fn zone(number: usize) -> Locality {
+    let number = number % ZONES;
+    Locality {
+        region: format!("region-{}", number / ZONES_PER_REGION)
+            .as_str()
+            .into(),
+        zone: format!("zone-{number}").as_str().into(),
+    }
+}
+
+fn node(number: usize) -> Node {
+    Node {
+        name: format!("node-{number}").as_str().into(),
+        locality: zone(number),
+        weight: NORMAL_WEIGHT,
+        leaving: false,
+    }
+}
+
+fn databases(count: usize) -> Vec<(DatabaseName, Locality)> {
+    (0..count)
+        .map(|number| (format!("db-{number}").as_str().into(), zone(number)))
+        .collect()
+}
+
+fn homes(databases: &[(DatabaseName, Locality)], nodes: &[Node]) -> Vec<NodeName> {
+    let home_of = |(database, locality): &(DatabaseName, Locality)| {
+        home(database, locality, nodes.iter().map(Node::candidate)).cloned()
+    };
+    databases.iter().filter_map(home_of).collect()
+}
+
+/// Databases whose home differs, and those of them whose new or old home isn't `changed`.
+fn moved(before: &[NodeName], after: &[NodeName], changed: &NodeName) -> (usize, usize) {
+    let pairs: Vec<_> = before.iter().zip(after).filter(|(b, a)| b != a).collect();
+    let needless = pairs.iter().filter(|(b, a)| *b != changed && *a != changed);
+    (pairs.len(), needless.count())
+}
+
+#[rstest]
+#[case::small(12, 600, 1)]
+#[case::full_size(610, 670, 10)]
+fn a_change_moves_only_the_changed_nodes_databases(
+    #[case] nodes: usize,
+    #[case] count: usize,
+    #[case] step: usize,
+) {
+    let databases = databases(count);
+    let all: Vec<_> = (0..nodes).map(node).collect();
+    let before = homes(&databases, &all);
+    let mut most_moved = 0;
+    // A joining node is the same change seen backwards.
+    for left in (0..nodes).step_by(step) {
+        let mut remaining = all.clone();
+        let gone = remaining.remove(left);
+        let after = homes(&databases, &remaining);
+        let (moved, needless) = moved(&before, &after, &gone.name);
+        let own = before.iter().filter(|home| **home == gone.name).count();
+        assert_eq!(
+            needless, 0,
+            "a database of another node moved when {left} left"
+        );
+        assert_eq!(moved, own);
+        most_moved = most_moved.max(moved);
+    }
+    let share = most_moved as f64 / count as f64;
+    println!(
+        "at most {most_moved} of {count} databases moved ({:.2}%)",
+        share * 100.0
+    );
+}
+
+#[test]
+fn a_leaving_node_gives_up_only_its_own() {
+    let databases = databases(670);
+    let mut nodes: Vec<_> = (0..61).map(node).collect();
+    let before = homes(&databases, &nodes);
+    nodes[7].leaving = true;
+    let after = homes(&databases, &nodes);
+    let (moved, needless) = moved(&before, &after, &nodes[7].name);
+    assert_eq!(needless, 0);
+    assert_eq!(
+        moved,
+        before.iter().filter(|home| **home == nodes[7].name).count()
+    );
+    assert!(!after.contains(&nodes[7].name));
+}
+
+#[test]
+fn zone_goes_before_region_goes_before_the_rest_and_leaving_last() {
+    let mut nodes: Vec<_> = (0..24).map(node).collect();
+    nodes[6].leaving = true;
+    let ranked = rank(
+        &"db-0".into(),
+        &zone(0),
+        nodes.iter().map(Node::candidate),
+        24,
+    );
+    let place = |name: &NodeName| {
+        let node = nodes
+            .iter()
+            .find(|node| node.name == *name)
+            .expect("ranked");
+        let same_zone = node.locality == zone(0);
+        let same_region = node.locality.region == zone(0).region;
+        (node.leaving, !same_zone, !same_region)
+    };
+    let places: Vec<_> = ranked.iter().map(|name| place(name)).collect();
+    assert!(places.is_sorted(), "{ranked:?}");
+    assert_eq!(ranked.len(), 24);
+    assert_eq!(ranked[0], &homes(&[("db-0".into(), zone(0))], &nodes)[0]);
+}
+
+#[test]
+fn weights_set_the_shares() {
+    let databases = databases(6_000);
+    let mut nodes: Vec<_> = (0..12).map(node).collect();
+    nodes[0].weight = 3 * NORMAL_WEIGHT;
+    nodes[1].weight = 0;
+    let homes = homes(&databases, &nodes);
+    let share = |node: &Node| homes.iter().filter(|home| **home == node.name).count();
+    // Zone 0 holds nodes 0 and 6 and 1,000 databases: 3 to 1, so 750 within five deviations.
+    assert!(
+        (680..=820).contains(&share(&nodes[0])),
+        "{}",
+        share(&nodes[0])
+    );
+    assert_eq!(share(&nodes[1]), 0);
+    assert_eq!(share(&nodes[7]), 1_000);
+}
+
+#[rstest]
+#[case::plenty(60, 3)]
+#[case::fewer_nodes_than_relays(6, 1)]
+fn relays_are_of_the_zone(#[case] count: usize, #[case] expected: usize) {
+    let nodes: Vec<_> = (0..count).map(node).collect();
+    for number in 0..ZONES {
+        let relays = relays(&zone(number), nodes.iter().map(Node::candidate), 3);
+        assert_eq!(relays.len(), expected);
+        let of_zone = |name: &&&NodeName| {
+            nodes
+                .iter()
+                .any(|n| n.name == ***name && n.locality == zone(number))
+        };
+        assert_eq!(relays.iter().filter(of_zone).count(), expected);
+    }
+}
+
+#[test]
+fn without_candidates_there_is_no_home() {
+    assert_eq!(home(&"db-0".into(), &zone(0), []), None);
+    assert!(rank(&"db-0".into(), &zone(0), [], 3).is_empty());
+}
