--- a/crates/dyketally-proxy/src/link/client.rs
+++ b/crates/dyketally-proxy/src/link/client.rs
@@ -46,7 +46,9 @@
     /// Sends `request` to the node at `address`. The reply always completes: with `NotRun` when
     /// nothing was sent, with `Unknown` when the link broke later.
     pub fn submit(&self, address: SocketAddr, request: HomeRequest) {
-        if let Err(Command::Execute(refused)) = self.command(address, Command::Execute(Box::new(request))) {
+        if let Err(Command::Execute(refused)) =
+            self.command(address, Command::Execute(Box::new(request)))
+        {
             finish_unsent(*refused);
         }
     }
--- a/crates/dyketally-proxy/src/main.rs
+++ b/crates/dyketally-proxy/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use dyketally_proxy::node::{Node, StopSignal};
-use dyketally_proxy::{logging, settings};
+use dyketally_proxy::settings;
 
 /// Database proxy with session consistency.
 #[derive(Debug, Parser)]
@@ -31,7 +31,7 @@
 fn check(flags: &settings::Flags) -> eyre::Result<()> {
     let report = settings::check_flags(flags);
     println!("{report}");
-    if !report.is_clean() {
+    if !report.is_accepted() {
         std::process::exit(1);
     }
     Ok(())
@@ -40,7 +40,6 @@
 #[tokio::main]
 async fn serve(flags: &settings::Flags) -> eyre::Result<()> {
     let settings = settings::load(flags)?;
-    logging::start(&settings.logging)?;
     let mut stop = StopSignal::listen()?;
     let node = Node::start(settings).await?;
     stop.received().await;
