--- /dev/null
+++ b/crates/dyketally-lab/src/database/peers.rs
@@ -0,0 +1,242 @@
+//! Carries messages among the members of a group, and drives the member with the clock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dyketally::group::{Role, Term};
+use dyketally::identifiers::DatabaseName;
+use dyketally::time::Timestamp;
+use futures::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
+
+use super::replication::{Append, Envelope, Message};
+use super::server::Database;
+use super::settings::PeerSettings;
+
+/// Messages that may wait for the member or for a peer; more are dropped and sent again later.
+const QUEUE_LENGTH: usize = 1_024;
+/// How often the member sees the clock.
+const TICK: Duration = Duration::from_millis(5);
+/// Pause before a peer that can't be reached is tried again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// Largest message among members, in bytes.
+const LARGEST_FRAME: usize = 256 * 1024 * 1024;
+
+type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> FramedStream {
+    // Messages are small and urgent; a socket without the option still works.
+    let _ = stream.set_nodelay(true);
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(LARGEST_FRAME)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Drives the member of `database` until `stopped`.
+pub async fn run_member(
+    database: Arc<Database>,
+    listener: TcpListener,
+    stopped: CancellationToken,
+) {
+    let (inbox_sender, inbox) = mpsc::channel(QUEUE_LENGTH);
+    tokio::spawn(accept_peers(listener, inbox_sender, stopped.clone()));
+    let peers = database.settings.peers.iter();
+    let outboxes = peers
+        .map(|peer| {
+            let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+            let link = send_to_peer(database.settings.name.clone(), peer.clone(), receiver);
+            let stopped = stopped.clone();
+            tokio::spawn(async move { stopped.run_until_cancelled(link).await });
+            (peer.name.clone(), sender)
+        })
+        .collect();
+    let driver = Driver {
+        database,
+        inbox,
+        outboxes,
+        delayed: VecDeque::new(),
+        reported: None,
+    };
+    stopped.run_until_cancelled(driver.run()).await;
+}
+
+async fn accept_peers(
+    listener: TcpListener,
+    inbox: mpsc::Sender<Envelope>,
+    stopped: CancellationToken,
+) {
+    while let Some(accepted) = stopped.run_until_cancelled(listener.accept()).await {
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        let reader = read_from_peer(stream, inbox.clone());
+        let stopped = stopped.clone();
+        tokio::spawn(async move { stopped.run_until_cancelled(reader).await });
+    }
+}
+
+async fn read_from_peer(stream: TcpStream, inbox: mpsc::Sender<Envelope>) {
+    let mut frames = framed(stream);
+    while let Some(Ok(frame)) = frames.next().await {
+        let Ok(envelope) = postcard::from_bytes(&frame) else {
+            return;
+        };
+        if inbox.send(envelope).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send_to_peer(
+    own_name: DatabaseName,
+    peer: PeerSettings,
+    mut messages: mpsc::Receiver<Message>,
+) {
+    loop {
+        let Ok(stream) = TcpStream::connect(peer.address).await else {
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+            // What waited is out of date.
+            while messages.try_recv().is_ok() {}
+            continue;
+        };
+        let mut frames = framed(stream);
+        loop {
+            let Some(message) = messages.recv().await else {
+                return;
+            };
+            let envelope = Envelope {
+                from: own_name.clone(),
+                message,
+            };
+            let Ok(frame) = postcard::to_stdvec(&envelope) else {
+                continue;
+            };
+            if frames.send(Bytes::from(frame)).await.is_err() {
+                break;
+            }
+        }
+    }
+}
+
+/// An append that is applied late because this member lags.
+struct DelayedAppend {
+    received_at: Timestamp,
+    from: DatabaseName,
+    append: Append,
+}
+
+struct Driver {
+    database: Arc<Database>,
+    inbox: mpsc::Receiver<Envelope>,
+    outboxes: BTreeMap<DatabaseName, mpsc::Sender<Message>>,
+    delayed: VecDeque<DelayedAppend>,
+    reported: Option<(Role, Term)>,
+}
+
+impl Driver {
+    async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                envelope = self.inbox.recv() => match envelope {
+                    Some(envelope) => self.receive(envelope),
+                    None => return,
+                },
+                () = self.database.appended.notified() => {
+                    self.database.with_member(|member, now| member.replicate(now));
+                }
+                _ = ticks.tick() => self.tick(),
+            }
+            self.deliver();
+        }
+    }
+
+    fn tick(&mut self) {
+        let drained = self.database.is_leaving() && self.database.connections.count() == 0;
+        self.database.with_member(|member, now| {
+            if drained {
+                member.leave();
+            }
+            member.tick(now);
+        });
+        self.apply_delayed();
+        self.report();
+    }
+
+    fn receive(&mut self, envelope: Envelope) {
+        let Envelope { from, message } = envelope;
+        if self.database.cut_from(&from).inbound {
+            return;
+        }
+        let lags = !self.database.replication_lag().is_zero() || !self.delayed.is_empty();
+        match message {
+            Message::Append(append) if lags => self.delay(from, append),
+            message => self
+                .database
+                .with_member(|member, now| member.receive(now, &from, message)),
+        }
+    }
+
+    fn delay(&mut self, from: DatabaseName, append: Append) {
+        let term = append.term;
+        let received_at = self.database.with_member(|member, now| {
+            member.hear_primary(now, &from, term);
+            now
+        });
+        self.delayed.push_back(DelayedAppend {
+            received_at,
+            from,
+            append,
+        });
+    }
+
+    fn apply_delayed(&mut self) {
+        let lag = self.database.replication_lag();
+        let now = self.database.now();
+        while let Some(first) = self.delayed.front() {
+            if now.saturating_since(first.received_at) < lag {
+                return;
+            }
+            let Some(due) = self.delayed.pop_front() else {
+                return;
+            };
+            let message = Message::Append(due.append);
+            self.database
+                .with_member(|member, now| member.receive(now, &due.from, message));
+        }
+    }
+
+    /// Hands the member's messages to the links; one that is cut or full drops them.
+    fn deliver(&self) {
+        let messages = self.database.with_member(|member, _| member.take_outbox());
+        for (to, message) in messages {
+            if self.database.cut_from(&to).outbound {
+                continue;
+            }
+            if let Some(outbox) = self.outboxes.get(&to) {
+                let _ = outbox.try_send(message);
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        let status = self.database.status();
+        let current = Some((status.role, status.term));
+        if current != self.reported {
+            self.reported = current;
+            let name = &self.database.settings.name;
+            log::info!(
+                "database {name}: {:?} in term {}",
+                status.role,
+                status.term.0
+            );
+        }
+    }
+}
--- a/crates/dyketally-lab/src/main.rs
+++ b/crates/dyketally-lab/src/main.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     /// A stand-in for one database of a group.
-    Database(database::Arguments),
+    Database(Box<database::Arguments>),
     /// Stand-ins for the platform: key-value service and machine list.
     Platform(platform::Arguments),
     /// Relays between zones that delay and cut connections.
@@ -36,7 +36,7 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     match CommandLine::parse().command {
-        Command::Database(arguments) => database::run(arguments).await,
+        Command::Database(arguments) => database::run(*arguments).await,
         Command::Platform(arguments) => platform::run(arguments).await,
         Command::Network(arguments) => network::run(arguments).await,
         Command::Faults(arguments) => faults::run(arguments).await,
