--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod shutdown;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -21,10 +22,20 @@
 use crate::link::{LinkPool, LinkServer, serve_links};
 use crate::settings::{Settings, load_configuration};
 
+/// The addresses that a node listens on, with the ports it was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For links of other nodes.
+    pub peers: SocketAddr,
+}
+
 /// A node whose tasks run.
 #[derive(Debug)]
 pub struct Node {
     settings: Settings,
+    addresses: BoundAddresses,
     edge: Edge,
     homes: Arc<Homes>,
     sessions: TaskTracker,
@@ -40,9 +51,21 @@
     /// An address can't be bound, or the configuration file is faulty.
     pub async fn start(settings: Settings) -> eyre::Result<Self> {
         let policies = initial_policies(&settings)?;
+        Self::start_with(settings, policies).await
+    }
+
+    /// Like [`Node::start`], with a configuration to begin with.
+    ///
+    /// # Errors
+    /// An address can't be bound.
+    pub async fn start_with(settings: Settings, policies: PolicySet) -> eyre::Result<Self> {
         let (policy_sender, policies) = watch::channel(Arc::new(policies));
         let callers = bind(settings.listen.callers, "listen.callers").await?;
         let peers = bind(settings.listen.peers, "listen.peers").await?;
+        let addresses = BoundAddresses {
+            callers: callers.local_addr()?,
+            peers: peers.local_addr()?,
+        };
         let homes = Arc::new(Homes::new(
             policies.clone(),
             Arc::new(SingleNode),
@@ -56,6 +79,7 @@
             sessions: TaskTracker::new(),
             listeners: CancellationToken::new(),
             links: CancellationToken::new(),
+            addresses,
             settings,
             _policies: policy_sender,
         };
@@ -63,6 +87,11 @@
         Ok(node)
     }
 
+    /// The addresses that the node listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
     fn spawn_listeners(&self, callers: TcpListener, peers: TcpListener) {
         tokio::spawn(serve_callers(
             callers,
@@ -108,7 +137,7 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr, field: &str) -> eyre::Result<TcpListener> {
+async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address).await.wrap_err_with(|| {
         format!("can't listen on {address}; choose a free address of this machine in `{field}`")
     })
