Detect failures and spread membership in a bounded number of bytes

610 nodes must agree on who lives at 6 KB/s a node. Each node probes one other in an interval, and news rides on probes in at most 480 bytes, so the cost does not depend on the number of nodes.

Ruled out: plain SWIM over all regions, since a cut between regions would raise one suspicion and one death for each node behind it, and as many refutations when it heals. Only nodes of a region judge each other; another region as a whole is reachable or not. Ruled out too: full table exchange on a timer (24 KB each at this size). Messages carry a digest, and nodes exchange only the buckets that differ; joining is the same exchange with an empty table.

--- /dev/null
+++ b/crates/dyketally/src/membership/schedule.rs
@@ -0,0 +1,276 @@
+//! What is done as time passes.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::identifiers::NodeName;
+use crate::time::Timestamp;
+
+use super::apply::Applied;
+use super::config::Config;
+use super::engine::Membership;
+use super::message::{Body, Update};
+use super::output::Event;
+use super::probes::Probe;
+use super::table::Status;
+
+/// Time between two attempts to join.
+const JOIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two looks for contacts that are not members: the other half of a split fleet.
+const CONTACT_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Time between two searches for members to forget.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Chance that a joining node that knows members still turns to a contact.
+const CONTACT_SHARE: f64 = 0.25;
+
+/// When things are due.
+#[derive(Debug)]
+pub(super) struct Schedule {
+    started: Timestamp,
+    last_call: Timestamp,
+    next_probe: Timestamp,
+    next_contact: Timestamp,
+    next_heal: Timestamp,
+    next_forget: Timestamp,
+}
+
+impl Schedule {
+    pub(super) fn new(config: &Config, now: Timestamp) -> Self {
+        Self {
+            started: now,
+            last_call: now,
+            next_probe: now,
+            next_contact: now,
+            next_heal: now + config.heal_interval,
+            next_forget: now + FORGET_INTERVAL,
+        }
+    }
+
+    /// Notes the time of a call; gives the time since the last one.
+    pub(super) fn advance(&mut self, now: Timestamp) -> Duration {
+        let gap = now.saturating_since(self.last_call);
+        self.last_call = self.last_call.max(now);
+        gap
+    }
+
+    /// Time since the start of this node.
+    pub(super) fn age(&self, now: Timestamp) -> Duration {
+        now.saturating_since(self.started)
+    }
+
+    pub(super) fn next_deadline(&self) -> Timestamp {
+        self.next_probe.min(self.next_contact).min(self.next_heal)
+    }
+}
+
+/// True when `due` is reached; it is then set to a random time around `interval` later.
+fn take_due(due: &mut Timestamp, interval: Duration, now: Timestamp, rng: &mut impl Rng) -> bool {
+    if *due > now {
+        return false;
+    }
+    *due = now + interval.mul_f64(rng.random_range(0.9..1.1));
+    true
+}
+
+impl Membership {
+    pub(super) fn run_schedule(&mut self, now: Timestamp) {
+        self.ask_helpers(now);
+        self.suspect_unanswered(now);
+        self.declare_deaths(now);
+        self.evaluate_regions(now);
+        self.probe_if_due(now);
+        self.heal_if_due(now);
+        self.contact_if_due(now);
+        self.forget_if_due(now);
+    }
+
+    fn ask_helpers(&mut self, now: Timestamp) {
+        for (sequence, target) in self.probes.needing_helpers(now) {
+            let Some(address) = self.address_of(&target) else {
+                continue;
+            };
+            self.counters.indirect_probes += 1;
+            let count = self.config.helpers;
+            let helpers = self
+                .rings
+                .helpers(&self.table, &target, count, &mut self.rng);
+            for helper in helpers {
+                let body = Body::IndirectPing {
+                    sequence,
+                    target: target.clone(),
+                    address,
+                };
+                if let Some(to) = self.address_of(&helper) {
+                    self.send_bare(now, to, Some(&helper), body);
+                }
+            }
+        }
+    }
+
+    fn suspect_unanswered(&mut self, now: Timestamp) {
+        for Probe {
+            target,
+            incarnation,
+            ..
+        } in self.probes.take_failed(now)
+        {
+            // A newer incarnation was heard of in the meantime, or it is dead already.
+            let unchanged = self.table.get(&target).is_some_and(|entry| {
+                entry.status.is_live() && entry.record.incarnation == incarnation
+            });
+            if !unchanged {
+                continue;
+            }
+            let update = Update::Suspected {
+                node: target,
+                incarnation,
+                by: self.own.clone(),
+            };
+            if self.apply(now, update, true) == Applied::New {
+                self.counters.suspicions += 1;
+            }
+        }
+    }
+
+    fn declare_deaths(&mut self, now: Timestamp) {
+        let judges = self.other_judges();
+        for (node, incarnation) in self.suspicions.expired(&self.config, judges, now) {
+            self.counters.deaths_declared += 1;
+            self.apply(now, Update::Died { node, incarnation }, true);
+        }
+    }
+
+    fn evaluate_regions(&mut self, now: Timestamp) {
+        for change in self.regions.evaluate(self.config.region_timeout, now) {
+            self.view_version += 1;
+            self.emit(if change.reachable {
+                Event::RegionReachable(change.region)
+            } else {
+                Event::RegionUnreachable(change.region)
+            });
+        }
+    }
+
+    fn probe_if_due(&mut self, now: Timestamp) {
+        let interval = self.config.probe_interval;
+        if !take_due(&mut self.schedule.next_probe, interval, now, &mut self.rng) {
+            return;
+        }
+        let size = self.region_size();
+        if let Some(target) = self.rings.next_probe(&self.table, size, &mut self.rng) {
+            self.probe(now, target);
+        }
+    }
+
+    fn heal_if_due(&mut self, now: Timestamp) {
+        let interval = self.config.heal_interval;
+        if !take_due(&mut self.schedule.next_heal, interval, now, &mut self.rng) {
+            return;
+        }
+        if self.table.dead() == 0 {
+            return;
+        }
+        if let Some(target) = self.rings.next_dead(&self.table, &mut self.rng) {
+            self.probe(now, target);
+        }
+    }
+
+    fn probe(&mut self, now: Timestamp, target: NodeName) {
+        let Some(entry) = self.table.get(&target) else {
+            return;
+        };
+        let incarnation = entry.record.incarnation;
+        let to = entry.record.addresses.membership;
+        let with_helpers = entry.status.is_live() && self.is_of_own_region(&target);
+        let sequence =
+            self.probes
+                .start(target.clone(), incarnation, with_helpers, &self.config, now);
+        self.send(now, to, Some(&target), Body::Ping { sequence });
+    }
+
+    fn contact_if_due(&mut self, now: Timestamp) {
+        let settled = self.sync.joined && self.table.live() > 1;
+        let interval = if settled {
+            CONTACT_INTERVAL
+        } else {
+            JOIN_INTERVAL
+        };
+        if !take_due(
+            &mut self.schedule.next_contact,
+            interval,
+            now,
+            &mut self.rng,
+        ) {
+            return;
+        }
+        if settled {
+            self.look_for_strangers(now);
+        } else {
+            self.try_to_join(now);
+        }
+    }
+
+    fn try_to_join(&mut self, now: Timestamp) {
+        let from_contacts = self.rng.random_bool(CONTACT_SHARE);
+        let member = if from_contacts && !self.contacts.is_empty() {
+            None
+        } else {
+            let members = self.rings.any(&self.table, 1, &mut self.rng);
+            members.into_iter().next()
+        };
+        let address = match &member {
+            Some(member) => self.address_of(member),
+            None => self.contacts.choose(&mut self.rng).copied(),
+        };
+        if let Some(to) = address {
+            self.send_sync_request(now, to, member.as_ref());
+        }
+    }
+
+    /// Two parts of a fleet that forgot each other find together again by their contacts.
+    fn look_for_strangers(&mut self, now: Timestamp) {
+        let Some(contact) = self.contacts.choose(&mut self.rng).copied() else {
+            return;
+        };
+        let is_known = self
+            .table
+            .iter()
+            .any(|entry| entry.status.is_live() && entry.record.addresses.membership == contact);
+        if is_known {
+            return;
+        }
+        let sequence = self.probes.next_sequence();
+        self.send(now, contact, None, Body::Ping { sequence });
+    }
+
+    fn forget_if_due(&mut self, now: Timestamp) {
+        let due = &mut self.schedule.next_forget;
+        if !take_due(due, FORGET_INTERVAL, now, &mut self.rng) {
+            return;
+        }
+        let limit = self.config.forget_after;
+        let is_over = |entry: &&super::table::Entry| {
+            let old = now.saturating_since(entry.since) > limit;
+            let region = &entry.record.locality.region;
+            match entry.status {
+                Status::Dead | Status::Left => old,
+                Status::Alive | Status::Suspect => self.regions.silent_for(region, limit, now),
+            }
+        };
+        let over: Vec<NodeName> = self
+            .table
+            .iter()
+            .filter(is_over)
+            .map(|entry| entry.record.node.clone())
+            .collect();
+        for node in over {
+            self.table.remove(&node);
+            self.view_version += 1;
+        }
+    }
+}
