Meet the platform through a key-value store and a machine list, and stand in for both

Cause: nothing read or changed the operators' configuration yet, and tests had no platform.

KeyValueStore and MachineList have an HTTP implementation (etcd v3's JSON gateway; one GET) and one in memory. A change whose reply is lost, times out or ends in a server error is reported as undetermined, never as refused; a refused connection and a rate limit are reported as not carried out. A 503 counts as undetermined because the gateway also uses it for a proposal that timed out.

The stand-in process serves the in-memory store over the same HTTP subset, with outages, slowness, rate limits, lost replies, lapsed leases and compaction injected over a second address. Client and stand-in share the message types, so the published examples are tested against these types by hand.

Ruled out: a real refusal of connections by closing the stand-in's listener during an outage; its port could be taken by another process meanwhile. A stopped service is tested instead.

--- /dev/null
+++ b/crates/dyketally-lab/tests/platform/main.rs
@@ -0,0 +1,9 @@
+//! The platform: one contract for the store and the machine list in memory and over HTTP.
+
+mod backend;
+mod fault_contract;
+mod gateway_messages;
+mod lease_contract;
+mod machine_contract;
+mod store_contract;
+mod watch_contract;
--- /dev/null
+++ b/crates/dyketally-proxy/src/platform/etcd/watch.rs
@@ -0,0 +1,101 @@
+//! The stream of a watch: one JSON message a line.
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use futures::stream::{self, BoxStream};
+use reqwest::Response;
+
+use super::transport::{describe, parse, stream_result};
+use crate::platform::key_value::{WatchBatch, WatchStream};
+use crate::platform::store_error::StoreError;
+use crate::platform::wire::{StreamItem, WatchResponse};
+
+/// Longest message of a watch, in bytes.
+const LONGEST_MESSAGE: usize = 64 * 1024 * 1024;
+
+/// Reads the batches of a watch from the body of its response.
+pub(super) fn batches(response: Response) -> WatchStream {
+    let reader = WatchReader {
+        body: response.bytes_stream().boxed(),
+        buffer: BytesMut::new(),
+        ended: false,
+    };
+    stream::unfold(reader, WatchReader::step).boxed()
+}
+
+struct WatchReader {
+    body: BoxStream<'static, Result<Bytes, reqwest::Error>>,
+    buffer: BytesMut,
+    ended: bool,
+}
+
+impl WatchReader {
+    async fn step(mut self) -> Option<(Result<WatchBatch, StoreError>, Self)> {
+        if self.ended {
+            return None;
+        }
+        let batch = self.next_batch().await;
+        self.ended = batch.is_err();
+        Some((batch, self))
+    }
+
+    async fn next_batch(&mut self) -> Result<WatchBatch, StoreError> {
+        let line = self.next_line().await?;
+        let item: StreamItem<WatchResponse> = parse(&line)?;
+        batch(stream_result(item)?)
+    }
+
+    async fn next_line(&mut self) -> Result<Bytes, StoreError> {
+        let mut searched = 0;
+        loop {
+            let end = self.buffer[searched..]
+                .iter()
+                .position(|byte| *byte == b'\n');
+            if let Some(end) = end {
+                let line = self.buffer.split_to(searched + end + 1).freeze();
+                match line.trim_ascii().is_empty() {
+                    true => {
+                        searched = 0;
+                        continue;
+                    }
+                    false => return Ok(line),
+                }
+            }
+            searched = self.buffer.len();
+            self.read_more().await?;
+        }
+    }
+
+    async fn read_more(&mut self) -> Result<(), StoreError> {
+        if self.buffer.len() > LONGEST_MESSAGE {
+            return Err(StoreError::Malformed {
+                reason: format!("a message of a watch exceeds {LONGEST_MESSAGE} bytes"),
+            });
+        }
+        match self.body.next().await {
+            Some(Ok(chunk)) => {
+                self.buffer.extend_from_slice(&chunk);
+                Ok(())
+            }
+            Some(Err(error)) => Err(lost(describe(&error))),
+            None => Err(lost("the service ended the watch".into())),
+        }
+    }
+}
+
+fn lost(reason: String) -> StoreError {
+    StoreError::Unavailable { reason }
+}
+
+fn batch(response: WatchResponse) -> Result<WatchBatch, StoreError> {
+    if !response.compact_revision.is_zero() {
+        return Err(StoreError::Compacted);
+    }
+    if response.canceled {
+        return Err(lost(format!(
+            "the watch was cancelled: {}",
+            response.cancel_reason
+        )));
+    }
+    Ok(response.into())
+}
--- a/crates/dyketally-proxy/src/platform/mod.rs
+++ b/crates/dyketally-proxy/src/platform/mod.rs
@@ -1,1 +1,18 @@
-//! The platform: key-value service and machine list.
+//! The platform: a key-value service that holds the configuration, and a list of machines.
+//!
+//! Both are met through a trait with two implementations: HTTP, for the real platform, and memory,
+//! for tests. No statement waits for either of them.
+
+pub mod etcd;
+pub mod key_value;
+pub mod machine_list;
+pub mod machine_list_http;
+pub mod memory;
+pub mod store_error;
+pub mod wire;
+
+pub use etcd::{EtcdGateway, EtcdSettings};
+pub use key_value::KeyValueStore;
+pub use machine_list::MachineList;
+pub use machine_list_http::HttpMachineList;
+pub use store_error::StoreError;
