--- a/crates/dyketally/src/membership/apply.rs
+++ b/crates/dyketally/src/membership/apply.rs
@@ -51,7 +51,7 @@
         };
         if applied == Applied::New {
             self.sync.changed(now);
-            self.view_version += 1;
+            self.state_version += 1;
             if spread {
                 self.rumors.add(update);
             }
@@ -74,7 +74,7 @@
         };
         self.rumors.add(update);
         self.table.put(record, Status::Alive, now);
-        self.view_version += 1;
+        self.state_version += 1;
     }
 
     fn apply_to_self(&mut self, now: Timestamp, update: &Update) -> Applied {
--- a/crates/dyketally/src/membership/engine.rs
+++ b/crates/dyketally/src/membership/engine.rs
@@ -57,7 +57,8 @@
     pub(super) sync: SyncPace,
     pub(super) schedule: Schedule,
     pub(super) counters: Counters,
-    pub(super) view_version: u64,
+    pub(super) state_version: u64,
+    pub(super) revision_version: u64,
     pub(super) rng: StdRng,
     outputs: Vec<Output>,
 }
@@ -88,7 +89,8 @@
             sync: SyncPace::new(now),
             schedule: Schedule::new(&config, now),
             counters: Counters::default(),
-            view_version: 0,
+            state_version: 0,
+            revision_version: 0,
             rng: StdRng::seed_from_u64(seed),
             outputs: Vec::new(),
             config,
@@ -112,7 +114,7 @@
         self.revision = revision;
         let own = self.own.clone();
         if self.table.set_revision(&own, revision) {
-            self.view_version += 1;
+            self.revision_version += 1;
         }
     }
 
@@ -171,14 +173,17 @@
         std::mem::take(&mut self.outputs)
     }
 
-    /// When [`Membership::tick`] must be called at the latest.
-    pub fn next_deadline(&self) -> Timestamp {
+    /// When [`Membership::tick`] must be called at the latest; `None` once this node has left or
+    /// was replaced.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        if self.phase != Phase::Running {
+            return None;
+        }
         let judges = self.other_judges();
         let suspicion = self.suspicions.next_deadline(&self.config, judges);
         let deadlines = [suspicion, self.probes.next_deadline()];
-        let earliest = deadlines.into_iter().flatten().min();
-        let scheduled = self.schedule.next_deadline();
-        earliest.map_or(scheduled, |deadline| deadline.min(scheduled))
+        let scheduled = std::iter::once(self.schedule.next_deadline());
+        scheduled.chain(deadlines.into_iter().flatten()).min()
     }
 
     /// All members that are known, this node among them.
@@ -196,7 +201,12 @@
 
     /// Grows whenever [`Membership::members`] changes.
     pub fn view_version(&self) -> u64 {
-        self.view_version
+        self.state_version + self.revision_version
+    }
+
+    /// Grows whenever anything but a revision changes in [`Membership::members`].
+    pub fn state_version(&self) -> u64 {
+        self.state_version
     }
 
     /// This node's name.
@@ -375,7 +385,7 @@
         });
         self.tell_some(now);
         self.table.put(record, Status::Left, now);
-        self.view_version += 1;
+        self.state_version += 1;
         self.phase = Phase::Left;
     }
 
--- a/crates/dyketally/src/membership/receive.rs
+++ b/crates/dyketally/src/membership/receive.rs
@@ -45,7 +45,7 @@
             return;
         }
         if self.table.set_revision(&header.sender, header.revision) {
-            self.view_version += 1;
+            self.revision_version += 1;
         }
         if header.revision > self.revision {
             self.emit(Event::RevisionSeen {
--- a/crates/dyketally/src/membership/schedule.rs
+++ b/crates/dyketally/src/membership/schedule.rs
@@ -140,14 +140,16 @@
     fn declare_deaths(&mut self, now: Timestamp) {
         let judges = self.other_judges();
         for (node, incarnation) in self.suspicions.expired(&self.config, judges, now) {
-            self.counters.deaths_declared += 1;
-            self.apply(now, Update::Died { node, incarnation }, true);
+            self.suspicions.close(&node);
+            if self.apply(now, Update::Died { node, incarnation }, true) == Applied::New {
+                self.counters.deaths_declared += 1;
+            }
         }
     }
 
     fn evaluate_regions(&mut self, now: Timestamp) {
         for change in self.regions.evaluate(self.config.region_timeout, now) {
-            self.view_version += 1;
+            self.state_version += 1;
             self.emit(if change.reachable {
                 Event::RegionReachable(change.region)
             } else {
@@ -269,8 +271,9 @@
             .map(|entry| entry.record.node.clone())
             .collect();
         for node in over {
+            self.suspicions.close(&node);
             self.table.remove(&node);
-            self.view_version += 1;
+            self.state_version += 1;
         }
     }
 }
--- a/crates/dyketally/tests/simulation/mod.rs
+++ b/crates/dyketally/tests/simulation/mod.rs
@@ -245,7 +245,9 @@
             .nodes
             .values()
             .filter(|node| node.process == Process::Running);
-        let deadline = running.map(|node| node.membership.next_deadline()).min();
+        let deadline = running
+            .filter_map(|node| node.membership.next_deadline())
+            .min();
         arrival.into_iter().chain(deadline).min()
     }
 
@@ -277,7 +279,8 @@
 
     fn tick_due(&mut self) {
         let is_due = |node: &Node| {
-            node.process == Process::Running && node.membership.next_deadline() <= self.now
+            let deadline = node.membership.next_deadline();
+            node.process == Process::Running && deadline.is_some_and(|at| at <= self.now)
         };
         let due: Vec<_> = self
             .nodes
