--- a/crates/dyketally-proxy/src/admin.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Administration over HTTP: health, metrics and status.
--- a/crates/dyketally-proxy/src/settings/check.rs
+++ b/crates/dyketally-proxy/src/settings/check.rs
@@ -17,8 +17,8 @@
 }
 
 impl CheckReport {
-    /// True when a node would start.
-    pub fn is_accepted(&self) -> bool {
+    /// True when no fault was found: a node would start.
+    pub fn is_clean(&self) -> bool {
         self.faults.is_empty()
     }
 }
