Test the stand-in database: wire protocol, limits, faults of a group

Tables of pipelined messages over a raw connection (status behind a write before one Sync, skipping to Sync after an error, ReadyForQuery I/T/E, portals that are suspended), the limits on connections and slots, and the faults of a group of three: a killed, a cut-off and a leaving primary, a tail that is truncated, lag, votes denied to a log that is behind.

--- a/crates/dyketally-lab/tests/database/main.rs
+++ b/crates/dyketally-lab/tests/database/main.rs
@@ -1,4 +1,7 @@
 //! The stand-in database: statements, limits and the faults of a group.
 
+mod failover;
+mod limits;
 mod statements;
 mod support;
+mod wire;
