--- a/crates/dyketally-proxy/src/home/backend.rs
+++ b/crates/dyketally-proxy/src/home/backend.rs
@@ -222,6 +222,11 @@
         matches!(received, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Where the database accepts connections.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// What cancels the statement that runs on this connection.
     pub fn cancel_request(&self) -> Option<CancelRequest> {
         self.cancel_key.map(|key| CancelRequest {
--- a/crates/dyketally-proxy/src/home/connection.rs
+++ b/crates/dyketally-proxy/src/home/connection.rs
@@ -1,7 +1,8 @@
 //! One connection to a database that runs batches, one at a time.
 
+use std::net::SocketAddr;
+
 use bytes::BytesMut;
-use dyketally::group::MemberStatus;
 use dyketally_protocol::{StatementBatch, TransactionStatus};
 use postgres_protocol::message::backend::{COMMAND_COMPLETE_TAG, Message};
 use postgres_protocol::message::frontend;
@@ -15,6 +16,8 @@
 
 const COPY_REFUSAL: &str = "COPY FROM STDIN is not supported through dyketally; use INSERT";
 
+const ROLLBACK: &str = "ROLLBACK";
+
 /// Commands that leave something on the connection which its next user must not find.
 const COMMANDS_THAT_CHANGE_THE_SESSION: [&str; 8] = [
     "SET",
@@ -34,6 +37,8 @@
     pub transaction: TransactionStatus,
     /// The SQLSTATE of the error that ended the batch, if one did.
     pub error: Option<String>,
+    /// Whether the batch did nothing but roll back.
+    pub rolled_back_only: bool,
 }
 
 /// A connection, logged in.
@@ -44,6 +49,8 @@
     plan: ReplyPlan,
     status_due: Option<StatusReader>,
     error: Option<String>,
+    commands: u32,
+    rollbacks: u32,
     phase: Phase,
     session_changed: bool,
 }
@@ -68,6 +75,8 @@
             plan: ReplyPlan::default(),
             status_due: None,
             error: None,
+            commands: 0,
+            rollbacks: 0,
             phase: Phase::Ready(TransactionStatus::Idle),
             session_changed: false,
         }
@@ -82,6 +91,16 @@
             && self.stream.is_quiet()
     }
 
+    /// Where the database accepts connections.
+    pub fn address(&self) -> SocketAddr {
+        self.stream.address()
+    }
+
+    /// Keeps the connection from being used by another session.
+    pub fn spoil(&mut self) {
+        self.session_changed = true;
+    }
+
     /// What cancels the running statement.
     pub fn cancel_request(&self) -> Option<CancelRequest> {
         self.stream.cancel_request()
@@ -95,6 +114,8 @@
         status_statement: Option<&str>,
     ) -> Result<(), EncodeError> {
         self.error = None;
+        self.commands = 0;
+        self.rollbacks = 0;
         let mut encoded = BytesMut::new();
         self.plan = encode_batch(batch, &mut self.statements, &mut encoded)?;
         if let Some(statement) = status_statement {
@@ -131,26 +152,35 @@
 
     /// Reads the answer to the status statement that was sent behind the batch.
     pub async fn read_status(&mut self) -> Result<StatusReply, BackendError> {
-        let Some(mut reader) = self.status_due.take() else {
-            return Ok(StatusReply::NotAsked);
-        };
-        loop {
+        while let Some(reader) = &mut self.status_due {
             let frame = self.stream.read_frame().await?;
             if let Some(reply) = reader.accept(frame)? {
+                self.status_due = None;
                 return Ok(reply);
             }
         }
+        Ok(StatusReply::NotAsked)
     }
 
     /// Asks for the status on a connection whose batch has ended.
-    pub async fn ask_status(
-        &mut self,
-        statement: &str,
-    ) -> Result<Option<MemberStatus>, BackendError> {
+    pub async fn ask_status(&mut self, statement: &str) -> Result<StatusReply, BackendError> {
         frontend::query(statement, &mut self.stream.outgoing)?;
         self.status_due = Some(StatusReader::default());
         self.stream.flush().await?;
-        Ok(self.read_status().await?.status())
+        self.read_status().await
+    }
+
+    /// Reads what is left of the reply and forgets it.
+    pub async fn discard_reply(&mut self) -> Result<(), BackendError> {
+        while self.phase == Phase::Replying {
+            let frame = self.stream.read_frame().await?;
+            while self.plan.made_up().is_some() {}
+            let disposition = self.plan.accept(frame.tag(), frame.first_body_byte())?;
+            if let Disposition::Ended(transaction) = disposition {
+                self.phase = Phase::Ready(transaction);
+            }
+        }
+        Ok(())
     }
 
     async fn accept(
@@ -181,8 +211,7 @@
             }
             Disposition::Ended(transaction) => {
                 self.phase = Phase::Ready(transaction);
-                let error = self.error.take();
-                return Ok(Some(BatchEnd { transaction, error }));
+                return Ok(Some(self.batch_end(transaction)));
             }
         }
         Ok(None)
@@ -193,12 +222,29 @@
         if frame.tag() == COMMAND_COMPLETE_TAG
             && let Message::CommandComplete(body) = frame.parse()?
         {
-            let command = body.tag()?.split(' ').next().unwrap_or_default();
-            self.session_changed |= COMMANDS_THAT_CHANGE_THE_SESSION.contains(&command);
+            self.note_command(body.tag()?);
         }
         Ok(())
     }
 
+    fn note_command(&mut self, tag: &str) {
+        let command = tag.split(' ').next().unwrap_or_default();
+        self.session_changed |= COMMANDS_THAT_CHANGE_THE_SESSION.contains(&command);
+        self.commands += 1;
+        self.rollbacks += u32::from(command == ROLLBACK);
+    }
+
+    fn batch_end(&mut self, transaction: TransactionStatus) -> BatchEnd {
+        let error = self.error.take();
+        BatchEnd {
+            transaction,
+            rolled_back_only: error.is_none()
+                && self.commands > 0
+                && self.commands == self.rollbacks,
+            error,
+        }
+    }
+
     fn pass_on_error(
         &mut self,
         frame: Frame,
--- a/crates/dyketally-proxy/src/home/counters.rs
+++ b/crates/dyketally-proxy/src/home/counters.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use dyketally_protocol::Completion;
+
 /// A number that only grows.
 #[derive(Debug, Default)]
 pub struct Counter(AtomicU64);
@@ -44,6 +46,19 @@
     pub value: u64,
 }
 
+impl HomeCounters {
+    /// Counts a request that is over.
+    pub fn count(&self, completion: &Completion) {
+        match completion {
+            Completion::Done { .. } => self.done.increment(),
+            Completion::NotRun { .. } => self.not_run.increment(),
+            Completion::Unknown { .. } => self.unknown.increment(),
+            Completion::Redirect { .. } => self.redirected.increment(),
+            Completion::RolledBack => self.rolled_back.increment(),
+        }
+    }
+}
+
 home_counters! {
     /// Requests taken.
     requests,
@@ -65,12 +80,6 @@
     writes_confirmed,
     /// Writes that the group did not confirm.
     writes_not_confirmed,
-    /// Connections opened to the database.
-    connections_opened,
-    /// Connections to the database closed or found broken.
-    connections_closed,
-    /// Connections that the database refused.
-    connections_refused,
     /// Cancel requests sent to the database.
     cancels,
     /// Transactions rolled back because their session ended or left them idle too long.
--- a/crates/dyketally-proxy/src/home/handle.rs
+++ b/crates/dyketally-proxy/src/home/handle.rs
@@ -6,6 +6,7 @@
 
 use dyketally::identifiers::{DatabaseName, SessionId};
 use dyketally::policy::PolicySet;
+use futures::FutureExt;
 use tokio::sync::watch;
 use tokio::time::{Instant, interval, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -47,16 +48,14 @@
         routes: AddressRoutes,
         options: HomeOptions,
     ) -> HomeHandle {
-        let shared = Arc::new(HomeShared::new(database, policies, routes, options));
         let stop = CancellationToken::new();
-        tokio::spawn(
-            stop.clone()
-                .run_until_cancelled_owned(keep_policy(Arc::clone(&shared))),
-        );
-        tokio::spawn(
-            stop.clone()
-                .run_until_cancelled_owned(sweep(Arc::clone(&shared))),
-        );
+        let shared = HomeShared::new(database, policies, routes, options, stop.clone());
+        let shared = Arc::new(shared);
+        let run = |task| tokio::spawn(stop.clone().run_until_cancelled_owned(task));
+        run(keep_policies(Arc::clone(&shared)).boxed());
+        run(sweep(Arc::clone(&shared)).boxed());
+        run(Arc::clone(&shared.dispatcher).keep().boxed());
+        run(Arc::clone(&shared.monitor).keep().boxed());
         HomeHandle {
             shared,
             _stop: Arc::new(StopGuard(stop)),
@@ -98,6 +97,12 @@
         self.shared.tasks.len() + self.shared.sessions().pins()
     }
 
+    /// The database is leaving, or takes work again: while it leaves, new work is refused.
+    pub fn set_database_leaving(&self, leaving: bool) {
+        self.shared.leaving.store(leaving, Ordering::Relaxed);
+        self.shared.dispatcher.set_leaving(leaving);
+    }
+
     /// The home as `/status` shows it.
     pub fn status(&self) -> HomeStatus {
         self.shared.status()
@@ -109,11 +114,12 @@
     }
 }
 
-async fn keep_policy(shared: Arc<HomeShared>) {
+async fn keep_policies(shared: Arc<HomeShared>) {
     let mut policies = shared.policies.clone();
+    policies.mark_changed();
     while policies.changed().await.is_ok() {
         policies.mark_unchanged();
-        shared.apply_policy();
+        shared.apply_policies();
     }
 }
 
--- a/crates/dyketally-proxy/src/home/mod.rs
+++ b/crates/dyketally-proxy/src/home/mod.rs
@@ -6,16 +6,22 @@
 
 pub mod backend;
 pub mod connection;
-pub mod connections;
 pub mod counters;
+pub mod dispatch;
 pub mod encode;
+pub mod grant;
 mod handle;
+pub mod monitor;
 pub mod output;
 pub mod plan;
+pub mod prober;
+mod route;
+mod run;
 mod serve;
 pub mod sessions;
 mod shared;
 pub mod statements;
+pub mod status_hint;
 pub mod status_reply;
 
 pub use backend::BackendLogin;
--- /dev/null
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -0,0 +1,323 @@
+//! Runs one batch on a connection and decides how the request ended.
+
+use std::time::Duration;
+
+use dyketally::group::{FinishedWrite, MemberStatus, Role, Term, Verdict};
+use dyketally::outcome::{NotRunReason, UnknownReason};
+use dyketally::policy::Access;
+use dyketally_protocol::{Completion, TransactionStatus};
+use tokio::sync::oneshot;
+use tokio::time::{MissedTickBehavior, interval_at, timeout};
+
+use super::backend::BackendError;
+use super::connection::BatchEnd;
+use super::grant::Slot;
+use super::output::{Delivery, ReplyOutput};
+use super::serve::{ServedRequest, not_run};
+use super::sessions::Pin;
+use super::status_hint::status_goes_behind;
+use super::status_reply::StatusReply;
+use crate::clock::now;
+
+/// SQLSTATE of a write that a replica refuses.
+const READ_ONLY_TRANSACTION: &str = "25006";
+
+/// A statement that runs for this long makes the home ask whether its database still leads.
+const SUSPICION: Duration = Duration::from_millis(50);
+
+/// Time that a database gets to answer what was sent before it was found to be replaced.
+const REPLACED_GRACE: Duration = Duration::from_millis(20);
+
+/// Time that a statement gets to end after it was given up on, before its connection is closed.
+const ABANDONED_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why a sent batch has no usable reply.
+enum Failure {
+    Broken,
+    DeadlinePassed,
+    Replaced,
+}
+
+impl From<BackendError> for Failure {
+    fn from(_: BackendError) -> Self {
+        Self::Broken
+    }
+}
+
+/// What a batch left behind it.
+struct Exchanged {
+    end: BatchEnd,
+    status: StatusReply,
+}
+
+impl ServedRequest<'_> {
+    /// Runs the batch. `confirm` is the term to confirm for a read that must be current.
+    pub(super) async fn run_on(
+        &self,
+        mut pin: Pin,
+        slot: Slot,
+        confirm: Option<Term>,
+        output: &mut ReplyOutput,
+    ) -> Completion {
+        let unconfirmed = confirm.is_some() || pin.leads_in.is_some();
+        output.set_delivery(match unconfirmed {
+            true => Delivery::Held,
+            false => Delivery::Streamed,
+        });
+        let behind = status_goes_behind(self.execute);
+        let statement = behind.then_some(self.policy.group.status_statement.as_str());
+        let prepared = pin.connection.get().prepare(&self.execute.batch, statement);
+        if let Err(error) = prepared {
+            log::debug!("a batch can't be sent: {error}");
+            pin.connection.get().spoil();
+            return not_run(NotRunReason::Refused);
+        }
+        let sent_at = now();
+        let verdict = confirm.map(|term| self.shared.monitor.confirm_read(term, self.deadline));
+        let exchanged = match timeout(self.time_left(), self.exchange(&mut pin, output)).await {
+            Ok(exchanged) => exchanged,
+            Err(_) => Err(Failure::DeadlinePassed),
+        };
+        match exchanged {
+            Ok(exchanged) => {
+                if let Some(status) = exchanged.status.status() {
+                    let database = &self.shared.database;
+                    self.shared.monitor.observe(database, status, sent_at);
+                }
+                drop(slot);
+                self.conclude(pin, exchanged, verdict, output).await
+            }
+            Err(failure) => {
+                let completion = self.failed(&pin, &failure, output);
+                self.abandon(pin, slot, failure);
+                completion
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        pin: &mut Pin,
+        output: &mut ReplyOutput,
+    ) -> Result<Exchanged, Failure> {
+        pin.connection.get().send().await?;
+        let end = self.read_reply(pin, output).await?;
+        if self.cancelled.is_cancelled() {
+            // A cancel request that arrives late must not hit the next session's statement.
+            pin.connection.get().spoil();
+        }
+        let connection = pin.connection.get();
+        let mut status = connection.read_status().await?;
+        let ended = end.transaction == TransactionStatus::Idle;
+        if ended && status == StatusReply::NotAsked && self.is_confirmed_as_write(pin, &end) {
+            let connection = pin.connection.get();
+            status = connection
+                .ask_status(&self.policy.group.status_statement)
+                .await?;
+        }
+        Ok(Exchanged { end, status })
+    }
+
+    async fn read_reply(
+        &self,
+        pin: &mut Pin,
+        output: &mut ReplyOutput,
+    ) -> Result<BatchEnd, Failure> {
+        let leads_in = pin.leads_in;
+        let monitor = &self.shared.monitor;
+        let mut cancelled = false;
+        let mut changes = monitor.changes();
+        let mut suspicion = interval_at(tokio::time::Instant::now() + SUSPICION, SUSPICION);
+        suspicion.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut replaced = false;
+        let cancel_request = pin.connection.get().cancel_request();
+        let reply = pin.connection.get().read_reply(output);
+        tokio::pin!(reply);
+        loop {
+            tokio::select! {
+                biased;
+                end = &mut reply => return Ok(end?),
+                () = self.cancelled.cancelled(), if !cancelled => {
+                    cancelled = true;
+                    self.cancel(cancel_request);
+                }
+                _ = changes.changed(), if leads_in.is_some() && !replaced => {
+                    replaced = monitor.view(|view| {
+                        leads_in.is_some_and(|term| view.highest_term() > term)
+                    });
+                }
+                () = tokio::time::sleep(REPLACED_GRACE), if replaced => {
+                    return Err(Failure::Replaced);
+                }
+                _ = suspicion.tick(), if leads_in.is_some() => monitor.ask_all(),
+            }
+        }
+    }
+
+    fn cancel(&self, request: Option<super::backend::CancelRequest>) {
+        if let Some(request) = request {
+            self.shared.counters.cancels.increment();
+            tokio::spawn(request.send());
+        }
+    }
+
+    /// True when the group must confirm the batch that ended the transaction.
+    fn is_confirmed_as_write(&self, pin: &Pin, end: &BatchEnd) -> bool {
+        let in_transaction = self.execute.transaction.is_some();
+        let at_primary = pin.leads_in.is_some() && in_transaction;
+        (pin.may_have_written || at_primary) && !end.rolled_back_only
+    }
+
+    async fn conclude(
+        &self,
+        pin: Pin,
+        exchanged: Exchanged,
+        verdict: Option<oneshot::Receiver<Verdict>>,
+        output: &mut ReplyOutput,
+    ) -> Completion {
+        let Exchanged { end, status } = exchanged;
+        if self.was_refused_as_replica(&end, &status) && !output.was_passed_on() {
+            output.discard();
+            return self.redirect();
+        }
+        if let Some(verdict) = verdict {
+            return self.conclude_read(pin, end, verdict, output).await;
+        }
+        if end.transaction != TransactionStatus::Idle {
+            return self.stay_open(pin, end.transaction);
+        }
+        if !self.is_confirmed_as_write(&pin, &end) {
+            return done(None, TransactionStatus::Idle);
+        }
+        let leads_in = pin.leads_in;
+        drop(pin);
+        self.conclude_write(leads_in, status.status(), output).await
+    }
+
+    fn was_refused_as_replica(&self, end: &BatchEnd, status: &StatusReply) -> bool {
+        let is_replica = status.status().is_some_and(|s| s.role == Role::Replica);
+        let refused = end.error.as_deref() == Some(READ_ONLY_TRANSACTION);
+        self.execute.transaction.is_none() && refused && is_replica
+    }
+
+    async fn conclude_read(
+        &self,
+        pin: Pin,
+        end: BatchEnd,
+        verdict: oneshot::Receiver<Verdict>,
+        output: &mut ReplyOutput,
+    ) -> Completion {
+        let kept = match end.transaction {
+            TransactionStatus::Idle => {
+                drop(pin);
+                None
+            }
+            _ => Some(pin),
+        };
+        match verdict.await {
+            Ok(Verdict::Confirmed(seen)) => {
+                self.shared.counters.primary_reads.increment();
+                match kept.map(|pin| self.keep_pin(pin)) {
+                    Some(Err(lost)) => lost,
+                    _ => done(Some(seen), end.transaction),
+                }
+            }
+            _ if output.was_passed_on() => Completion::Unknown {
+                reason: UnknownReason::NotConfirmed,
+            },
+            Ok(Verdict::Deposed { .. }) => {
+                output.discard();
+                self.redirect()
+            }
+            Ok(Verdict::NotConfirmed) | Err(_) => {
+                output.discard();
+                not_run(NotRunReason::NoPrimary)
+            }
+        }
+    }
+
+    fn stay_open(&self, pin: Pin, transaction: TransactionStatus) -> Completion {
+        match self.keep_pin(pin) {
+            Ok(()) => done(None, transaction),
+            Err(lost) => lost,
+        }
+    }
+
+    async fn conclude_write(
+        &self,
+        leads_in: Option<Term>,
+        behind: Option<MemberStatus>,
+        output: &mut ReplyOutput,
+    ) -> Completion {
+        let verdict = match (leads_in, behind) {
+            (Some(sent_in), Some(behind)) => {
+                let write = FinishedWrite {
+                    sent_in,
+                    behind,
+                    mode: self.tenant.confirmation,
+                    deadline: self.deadline,
+                };
+                self.shared.monitor.confirm_write(write).await
+            }
+            _ => Verdict::NotConfirmed,
+        };
+        match verdict {
+            Verdict::Confirmed(seen) => {
+                self.shared.counters.writes_confirmed.increment();
+                done(Some(seen), TransactionStatus::Idle)
+            }
+            Verdict::Deposed { .. } | Verdict::NotConfirmed => {
+                self.shared.counters.writes_not_confirmed.increment();
+                self.shared.monitor.watch_closely();
+                output.discard();
+                Completion::Unknown {
+                    reason: UnknownReason::NotConfirmed,
+                }
+            }
+        }
+    }
+
+    /// A read has no effect: while none of its reply was passed on, it counts as not run.
+    fn failed(&self, pin: &Pin, failure: &Failure, output: &mut ReplyOutput) -> Completion {
+        self.shared.monitor.watch_closely();
+        self.shared.monitor.ask_all();
+        output.discard();
+        let harmless = self.execute.access == Access::Read
+            && self.execute.transaction.is_none()
+            && !pin.may_have_written
+            && !output.was_passed_on();
+        match failure {
+            Failure::Broken if harmless => not_run(NotRunReason::Unreachable),
+            Failure::DeadlinePassed if harmless => not_run(NotRunReason::DeadlinePassed),
+            Failure::Replaced if harmless => self.redirect(),
+            Failure::Broken => unknown(UnknownReason::ConnectionLost),
+            Failure::DeadlinePassed => unknown(UnknownReason::DeadlinePassed),
+            Failure::Replaced => unknown(UnknownReason::NotConfirmed),
+        }
+    }
+
+    /// Stops the statement and closes its connection once it has ended; until then it keeps its
+    /// slot, as the database is busy with it.
+    fn abandon(&self, mut pin: Pin, slot: Slot, failure: Failure) {
+        pin.connection.get().spoil();
+        if matches!(failure, Failure::Broken) {
+            return;
+        }
+        self.cancel(pin.connection.get().cancel_request());
+        tokio::spawn(async move {
+            let ended = pin.connection.get().discard_reply();
+            // The connection is closed in any case.
+            let _ = timeout(ABANDONED_LIMIT, ended).await;
+            drop(pin);
+            drop(slot);
+        });
+    }
+}
+
+fn done(seen: Option<dyketally::group::LogPosition>, transaction: TransactionStatus) -> Completion {
+    Completion::Done { seen, transaction }
+}
+
+fn unknown(reason: UnknownReason) -> Completion {
+    Completion::Unknown { reason }
+}
--- a/crates/dyketally-proxy/src/home/serve.rs
+++ b/crates/dyketally-proxy/src/home/serve.rs
@@ -1,19 +1,21 @@
-//! The path of one request through its home.
+//! The path of one request through its home: routed, admitted, run, completed.
 
 use std::sync::Arc;
 
-use dyketally::outcome::{NotRunReason, UnknownReason};
-use dyketally::policy::Access;
-use dyketally_protocol::{Completion, ExecuteRequest, TransactionStatus};
-use tokio::time::{Instant, timeout_at};
+use dyketally::admission::Stage;
+use dyketally::outcome::NotRunReason;
+use dyketally::policy::{Access, TenantPolicy};
+use dyketally::pool::Refusal;
+use dyketally::time::Timestamp;
+use dyketally_protocol::{Completion, ExecuteRequest};
 use tokio_util::sync::CancellationToken;
 
-use super::backend::BackendError;
-use super::connection::BatchEnd;
-use super::connections::PooledConnection;
-use super::output::{Delivery, ReplyOutput};
+use super::dispatch::{AdmissionRequest, Reachability, TurnedAway};
+use super::grant::{Grant, PooledConnection};
+use super::output::ReplyOutput;
+use super::route::Permission;
 use super::sessions::{Arrival, Pin};
-use super::shared::HomeShared;
+use super::shared::{HomePolicy, HomeShared};
 use crate::clock::now;
 use crate::reply::HomeRequest;
 
@@ -25,159 +27,227 @@
         reply,
     } = request;
     let mut output = ReplyOutput::new(reply);
-    let served = ServedRequest {
-        shared: &shared,
-        deadline: Instant::now() + execute.time_left,
-        execute: &execute,
-        cancelled: &cancelled,
-        arrival,
-    };
-    let completion = served.run(&mut output).await;
-    served.count(&completion);
+    let completion = serve_configured(&shared, &execute, &cancelled, arrival, &mut output).await;
+    shared.counters.count(&completion);
     shared.sessions().finished(&execute.session);
     if output.finish(completion).await.is_err() {
         // A transaction without an owner is rolled back.
-        drop(shared.sessions().end(&execute.session));
+        let pin = shared.sessions().disown(&execute.session, arrival);
+        drop(pin);
     }
 }
 
-struct ServedRequest<'a> {
-    shared: &'a HomeShared,
-    execute: &'a ExecuteRequest,
-    cancelled: &'a CancellationToken,
+async fn serve_configured(
+    shared: &Arc<HomeShared>,
+    execute: &ExecuteRequest,
+    cancelled: &CancellationToken,
     arrival: Arrival,
-    deadline: Instant,
+    output: &mut ReplyOutput,
+) -> Completion {
+    let Some(policy) = shared.policy() else {
+        return not_run(NotRunReason::NotConfigured);
+    };
+    let Some(tenant) = policy.tenant(&execute.tenant) else {
+        return not_run(NotRunReason::NotConfigured);
+    };
+    let arrived_at = now();
+    let served = ServedRequest {
+        shared,
+        policy: &policy,
+        tenant,
+        execute,
+        cancelled,
+        arrival,
+        arrived_at,
+        deadline: arrived_at + execute.time_left,
+    };
+    match execute.transaction {
+        Some(number) => served.run_pinned(number, output).await,
+        None => served.run_unpinned(output).await,
+    }
 }
 
-impl ServedRequest<'_> {
-    async fn run(&self, output: &mut ReplyOutput) -> Completion {
-        match self.execute.transaction {
-            Some(number) => self.run_pinned(number, output).await,
-            None => self.run_unpinned(output).await,
-        }
+/// Why a request goes no further.
+pub(super) enum Stop {
+    /// It is over.
+    Complete(Completion),
+    /// What it relied on has changed before anything was sent: begin again.
+    Again,
+}
+
+impl From<NotRunReason> for Stop {
+    fn from(reason: NotRunReason) -> Self {
+        Self::Complete(not_run(reason))
     }
+}
 
+/// A request with what it needs on its way.
+pub(super) struct ServedRequest<'a> {
+    pub shared: &'a Arc<HomeShared>,
+    pub policy: &'a HomePolicy,
+    pub tenant: &'a TenantPolicy,
+    pub execute: &'a ExecuteRequest,
+    pub cancelled: &'a CancellationToken,
+    pub arrival: Arrival,
+    pub arrived_at: Timestamp,
+    pub deadline: Timestamp,
+}
+
+impl ServedRequest<'_> {
     async fn run_pinned(&self, number: u64, output: &mut ReplyOutput) -> Completion {
         let pin = {
             let mut sessions = self.shared.sessions();
             sessions.take_pin(&self.execute.session, number)
         };
-        match pin {
-            Some(pin) => self.run_on(pin, output).await,
-            None => Completion::RolledBack,
+        let Some(mut pin) = pin else {
+            return Completion::RolledBack;
+        };
+        let admission = self.admission(Stage::Continuation);
+        let admitted = tokio::select! {
+            admitted = self.shared.dispatcher.admit(admission) => admitted,
+            () = self.cancelled.cancelled() => Err(self.given_up()),
+        };
+        match admitted {
+            Ok(grant) => {
+                pin.may_have_written |= self.execute.access == Access::Write;
+                self.run_on(pin, grant.slot, None, output).await
+            }
+            Err(turned_away) => match self.keep_pin(pin) {
+                Ok(()) => turned_away.into(),
+                Err(lost) => lost,
+            },
         }
     }
 
     async fn run_unpinned(&self, output: &mut ReplyOutput) -> Completion {
-        if self.shared.is_draining() {
-            return not_run(NotRunReason::Leaving);
+        loop {
+            match self.attempt(output).await {
+                Ok(completion) | Err(Stop::Complete(completion)) => return completion,
+                Err(Stop::Again) => {}
+            }
         }
-        let acquired = timeout_at(self.deadline, self.shared.pool.acquire()).await;
-        let connection = match acquired {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(BackendError::Refused { .. })) => return not_run(NotRunReason::Refused),
-            Ok(Err(_)) => return not_run(NotRunReason::Unreachable),
-            Err(_) => return not_run(NotRunReason::DeadlinePassed),
+    }
+
+    async fn attempt(&self, output: &mut ReplyOutput) -> Result<Completion, Stop> {
+        self.check_open()?;
+        let permission = self.route(Timestamp::ZERO).await?;
+        let grant = self.admit(permission).await?;
+        let Some(connection) = grant.connection else {
+            return Err(Stop::Again);
         };
-        self.run_on(self.new_pin(connection), output).await
+        let permission = self.route(connection.opened_at()).await?;
+        let confirm = permission.confirm;
+        let pin = self.new_pin(connection, permission);
+        Ok(self.run_on(pin, grant.slot, confirm, output).await)
     }
 
-    fn new_pin(&self, connection: PooledConnection) -> Pin {
-        Pin {
-            connection,
-            opened_by: self.arrival,
-            number: None,
-            may_have_written: false,
-            idle_since: now(),
+    fn check_open(&self) -> Result<(), Stop> {
+        match self.shared.is_draining() || self.shared.is_leaving() {
+            true => Err(NotRunReason::Leaving.into()),
+            false => Ok(()),
         }
     }
 
-    async fn run_on(&self, mut pin: Pin, output: &mut ReplyOutput) -> Completion {
-        pin.may_have_written |= self.execute.access == Access::Write;
-        output.set_delivery(self.delivery());
-        let connection = pin.connection.get();
-        if connection.prepare(&self.execute.batch, None).is_err() {
-            return not_run(NotRunReason::Refused);
-        }
-        match timeout_at(self.deadline, self.exchange(&mut pin, output)).await {
-            Ok(Ok(end)) => self.done(pin, end),
-            Ok(Err(_)) => self.broken(UnknownReason::ConnectionLost, output),
-            Err(_) => self.broken(UnknownReason::DeadlinePassed, output),
+    /// Waits for a slot and a connection, for as long as the permission holds.
+    async fn admit(&self, permission: Permission) -> Result<Grant, Stop> {
+        let mut changes = self.shared.monitor.changes();
+        let mut reachability = self.shared.dispatcher.reachability();
+        let admission = self.admission(Stage::Fresh);
+        let admitted = self.shared.dispatcher.admit(admission);
+        tokio::pin!(admitted);
+        loop {
+            if !self.still_permitted(permission) {
+                return Err(Stop::Again);
+            }
+            if self.execute.access == Access::Read {
+                check_reachable(*reachability.borrow_and_update())?;
+            }
+            tokio::select! {
+                biased;
+                admitted = &mut admitted => {
+                    return admitted.map_err(|away| Stop::Complete(away.into()));
+                }
+                _ = changes.changed() => {}
+                _ = reachability.changed() => {}
+                () = self.cancelled.cancelled() => {
+                    return Err(Stop::Complete(self.given_up().into()));
+                }
+            }
         }
     }
 
-    fn delivery(&self) -> Delivery {
-        match self.execute.access {
-            Access::Read => Delivery::Streamed,
-            Access::Write => Delivery::Held,
+    fn admission(&self, stage: Stage) -> AdmissionRequest {
+        AdmissionRequest {
+            tenant: self.execute.tenant.clone(),
+            weight: self.tenant.weight,
+            queue_limit: self.tenant.queue_limit,
+            stage,
+            urgency: self.execute.urgency,
+            deadline: self.deadline,
         }
     }
 
-    async fn exchange(
-        &self,
-        pin: &mut Pin,
-        output: &mut ReplyOutput,
-    ) -> Result<BatchEnd, BackendError> {
-        let connection = pin.connection.get();
-        connection.send().await?;
-        let cancel_request = connection.cancel_request();
-        let reply = connection.read_reply(output);
-        tokio::pin!(reply);
-        tokio::select! {
-            biased;
-            end = &mut reply => return end,
-            () = self.cancelled.cancelled() => {}
-        }
-        if let Some(cancel_request) = cancel_request {
-            self.shared.counters.cancels.increment();
-            tokio::spawn(cancel_request.send());
+    fn new_pin(&self, connection: PooledConnection, permission: Permission) -> Pin {
+        Pin {
+            connection,
+            opened_by: self.arrival,
+            last_used_by: self.arrival,
+            number: None,
+            leads_in: permission.leads_in,
+            may_have_written: self.execute.access == Access::Write,
+            idle_since: now(),
         }
-        reply.await
     }
 
-    fn done(&self, mut pin: Pin, end: BatchEnd) -> Completion {
-        if end.transaction != TransactionStatus::Idle {
-            pin.idle_since = now();
-            let kept = self.shared.sessions().keep_pin(&self.execute.session, pin);
-            if kept.is_err() {
-                self.shared.counters.transactions_abandoned.increment();
-                return Completion::RolledBack;
-            }
-        }
-        Completion::Done {
-            seen: None,
-            transaction: end.transaction,
-        }
+    /// Keeps the connection for the session's next batch.
+    pub(super) fn keep_pin(&self, mut pin: Pin) -> Result<(), Completion> {
+        pin.idle_since = now();
+        pin.last_used_by = self.arrival;
+        pin.connection.pin();
+        let kept = self.shared.sessions().keep_pin(&self.execute.session, pin);
+        kept.map_err(|abandoned| {
+            self.shared.counters.transactions_abandoned.increment();
+            drop(abandoned);
+            Completion::RolledBack
+        })
     }
 
-    /// A read has no effect: while none of its reply was passed on, it counts as not run.
-    fn broken(&self, reason: UnknownReason, output: &mut ReplyOutput) -> Completion {
-        output.discard();
-        let harmless = self.execute.access == Access::Read
-            && self.execute.transaction.is_none()
-            && !output.was_passed_on();
-        match reason {
-            UnknownReason::DeadlinePassed if harmless => not_run(NotRunReason::DeadlinePassed),
-            _ if harmless => not_run(NotRunReason::Unreachable),
-            _ => Completion::Unknown { reason },
+    fn given_up(&self) -> TurnedAway {
+        TurnedAway {
+            reason: NotRunReason::DeadlinePassed,
+            retry_after: std::time::Duration::ZERO,
         }
     }
+}
 
-    fn count(&self, completion: &Completion) {
-        let counters = &self.shared.counters;
-        match completion {
-            Completion::Done { .. } => counters.done.increment(),
-            Completion::NotRun { .. } => counters.not_run.increment(),
-            Completion::Unknown { .. } => counters.unknown.increment(),
-            Completion::Redirect { .. } => counters.redirected.increment(),
-            Completion::RolledBack => counters.rolled_back.increment(),
+impl From<TurnedAway> for Completion {
+    fn from(turned_away: TurnedAway) -> Self {
+        Completion::NotRun {
+            reason: turned_away.reason,
+            retry_after: Some(turned_away.retry_after),
         }
     }
 }
 
-fn not_run(reason: NotRunReason) -> Completion {
+/// A read need not wait for a database that grants no connection: another one may serve it.
+fn check_reachable(reachability: Reachability) -> Result<(), Stop> {
+    match reachability {
+        Reachability::Granting => Ok(()),
+        Reachability::Refusing(Refusal::Unreachable) => Err(NotRunReason::Unreachable.into()),
+        Reachability::Refusing(_) => Err(NotRunReason::Refused.into()),
+    }
+}
+
+pub(super) fn not_run(reason: NotRunReason) -> Completion {
+    let retry_after = match reason {
+        NotRunReason::NotConfigured | NotRunReason::NotHome => None,
+        _ => Some(COME_BACK_SOON),
+    };
     Completion::NotRun {
         reason,
-        retry_after: None,
+        retry_after,
     }
 }
+
+/// When to come back after a refusal that says nothing about its length.
+const COME_BACK_SOON: std::time::Duration = std::time::Duration::from_millis(50);
--- a/crates/dyketally-proxy/src/home/sessions.rs
+++ b/crates/dyketally-proxy/src/home/sessions.rs
@@ -4,10 +4,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use dyketally::group::Term;
 use dyketally::identifiers::SessionId;
 use dyketally::time::Timestamp;
 
-use super::connections::PooledConnection;
+use super::grant::PooledConnection;
 
 /// Order in which requests arrived at the home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +23,10 @@
     pub opened_by: Arrival,
     /// The session's number for the transaction; known once the session goes on with it.
     pub number: Option<u64>,
+    /// The request that used the connection last.
+    pub last_used_by: Arrival,
+    /// The term in which the database was known to lead when the transaction was opened.
+    pub leads_in: Option<Term>,
     /// Whether a batch of the transaction may have written.
     pub may_have_written: bool,
     /// When its last batch ended.
@@ -65,20 +70,27 @@
 
     /// Keeps a connection for the session's next batch. Given back, to be rolled back, when the
     /// session has ended or has opened a later transaction.
-    pub fn keep_pin(&mut self, session: &SessionId, pin: Pin) -> Result<(), Pin> {
+    pub fn keep_pin(&mut self, session: &SessionId, pin: Pin) -> Result<(), Box<Pin>> {
         let Some(entry) = self.entries.get_mut(session).filter(|entry| !entry.ended) else {
-            return Err(pin);
+            return Err(Box::new(pin));
         };
-        match &entry.pin {
-            Some(newer) if newer.opened_by > pin.opened_by => Err(pin),
-            _ => match entry.pin.replace(pin) {
-                Some(older) => {
-                    drop(older);
-                    Ok(())
-                }
-                None => Ok(()),
-            },
+        let has_later = |held: &Pin| held.opened_by > pin.opened_by;
+        if entry.pin.as_ref().is_some_and(has_later) {
+            return Err(Box::new(pin));
         }
+        entry.pin = Some(pin);
+        Ok(())
+    }
+
+    /// Takes the pin that the request of `arrival` left: nobody knows of its transaction.
+    #[must_use]
+    pub fn disown(&mut self, session: &SessionId, arrival: Arrival) -> Option<Pin> {
+        let entry = self.entries.get_mut(session)?;
+        let pin = entry.pin.take_if(|pin| pin.last_used_by == arrival);
+        if entry.in_flight == 0 && entry.pin.is_none() {
+            self.entries.remove(session);
+        }
+        pin
     }
 
     /// A request of `session` is over.
--- a/crates/dyketally-proxy/src/home/shared.rs
+++ b/crates/dyketally-proxy/src/home/shared.rs
@@ -6,14 +6,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use dyketally::identifiers::DatabaseName;
-use dyketally::policy::{DatabasePolicy, PolicySet};
+use arc_swap::ArcSwapOption;
+use dyketally::admission::QueueStatus;
+use dyketally::group::{MemberStatus, Term};
+use dyketally::identifiers::{DatabaseName, TenantName};
+use dyketally::policy::{DatabasePolicy, GroupPolicy, PolicySet, TenantPolicy};
+use dyketally::pool::PoolStatus;
+use serde::Serialize;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::backend::BackendLogin;
-use super::connections::{ConnectionPool, PoolCounts, PoolSettings};
 use super::counters::HomeCounters;
+use super::dispatch::{DispatchSettings, Dispatcher};
+use super::monitor::GroupMonitor;
+use super::prober::ProbeTarget;
 use super::sessions::{Arrival, Sessions};
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -57,18 +65,28 @@
 }
 
 /// A home as `/status` shows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct HomeStatus {
     /// The database.
     pub database: DatabaseName,
+    /// The group's primary as this home knows it.
+    pub primary: Option<DatabaseName>,
+    /// The highest term that any member of the group reported.
+    pub highest_term: Term,
+    /// The database's own status, when it was last asked.
+    pub own: Option<MemberStatus>,
+    /// Its queue and slots.
+    pub queue: QueueStatus,
     /// Its connections.
-    pub connections: PoolCounts,
+    pub connections: PoolStatus,
     /// Connections with an open transaction that waits for its session.
     pub idle_transactions: usize,
+    /// Writes and reads that wait to be confirmed.
+    pub unconfirmed: usize,
     /// Requests in flight.
     pub in_flight: usize,
-    /// Whether the home refuses new work.
-    pub draining: bool,
+    /// Whether the home refuses new work, as it or its database is leaving.
+    pub leaving: bool,
 }
 
 /// The state of one home.
@@ -77,19 +95,44 @@
     pub database: DatabaseName,
     pub options: HomeOptions,
     pub policies: watch::Receiver<Arc<PolicySet>>,
-    pub pool: Arc<ConnectionPool>,
+    pub dispatcher: Arc<Dispatcher>,
+    pub monitor: Arc<GroupMonitor>,
     pub counters: Arc<HomeCounters>,
     pub tasks: TaskTracker,
     pub draining: AtomicBool,
+    pub leaving: AtomicBool,
+    policy: ArcSwapOption<HomePolicy>,
     sessions: Mutex<Sessions>,
     arrivals: AtomicU64,
     routes: AddressRoutes,
 }
 
-/// The configuration of a home's own database.
+/// The configuration in force, as it concerns one home.
 #[derive(Clone, Debug)]
 pub(super) struct HomePolicy {
+    pub group: GroupPolicy,
     pub database: DatabasePolicy,
+    policies: Arc<PolicySet>,
+}
+
+impl HomePolicy {
+    fn of(policies: Arc<PolicySet>, database: &DatabaseName) -> Option<Self> {
+        let (group, database) = policies.database(database)?;
+        Some(Self {
+            group: group.clone(),
+            database: database.clone(),
+            policies,
+        })
+    }
+
+    /// The tenant, if it may use the group.
+    pub fn tenant(&self, name: &TenantName) -> Option<&TenantPolicy> {
+        let tenant = self.policies.tenants.get(name)?;
+        let mut groups = tenant.databases.values();
+        groups
+            .any(|group| group == &self.group.name)
+            .then_some(tenant)
+    }
 }
 
 impl HomeShared {
@@ -98,32 +141,54 @@
         policies: watch::Receiver<Arc<PolicySet>>,
         routes: AddressRoutes,
         options: HomeOptions,
+        stop: CancellationToken,
     ) -> Self {
-        let counters = Arc::new(HomeCounters::default());
-        let policy = home_policy(&policies.borrow(), &database);
-        let settings = pool_settings(policy.as_ref(), &routes, &options);
-        Self {
-            database,
+        let settings = dispatch_settings(None, &routes, &options);
+        let shared = Self {
             options,
             policies,
-            pool: Arc::new(ConnectionPool::new(settings, Arc::clone(&counters))),
-            counters,
+            dispatcher: Arc::new(Dispatcher::new(settings)),
+            monitor: Arc::new(GroupMonitor::new(database.clone(), stop)),
+            counters: Arc::new(HomeCounters::default()),
             tasks: TaskTracker::new(),
             draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            policy: ArcSwapOption::empty(),
             sessions: Mutex::new(Sessions::default()),
             arrivals: AtomicU64::new(0),
             routes,
-        }
+            database,
+        };
+        shared.apply_policies();
+        shared
     }
 
-    pub fn policy(&self) -> Option<HomePolicy> {
-        home_policy(&self.policies.borrow(), &self.database)
+    /// The configuration in force; `None` when it doesn't name the database.
+    pub fn policy(&self) -> Option<Arc<HomePolicy>> {
+        self.policy.load_full()
     }
 
-    pub fn apply_policy(&self) {
-        let policy = self.policy();
-        let settings = pool_settings(policy.as_ref(), &self.routes, &self.options);
-        self.pool.update(settings);
+    /// Applies the newest configuration.
+    pub fn apply_policies(&self) {
+        let policies = Arc::clone(&self.policies.borrow());
+        let policy = HomePolicy::of(policies, &self.database).map(Arc::new);
+        let settings = dispatch_settings(policy.as_deref(), &self.routes, &self.options);
+        self.dispatcher.configure(settings);
+        let targets = policy.as_deref().map(|policy| self.probe_targets(policy));
+        self.monitor.set_members(targets.unwrap_or_default());
+        self.policy.store(policy);
+    }
+
+    fn probe_targets(&self, policy: &HomePolicy) -> Vec<ProbeTarget> {
+        let members = policy.group.members.iter();
+        members
+            .map(|member| ProbeTarget {
+                member: member.name.clone(),
+                address: self.routes.resolve(member.address),
+                login: self.options.login.clone(),
+                status_statement: policy.group.status_statement.clone(),
+            })
+            .collect()
     }
 
     pub fn next_arrival(&self) -> Arrival {
@@ -134,6 +199,14 @@
         self.sessions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Waits until no request is in flight and no transaction is open.
     pub async fn wait_until_empty(&self) {
         while !self.tasks.is_empty() || self.sessions().pins() > 0 {
@@ -141,39 +214,46 @@
         }
     }
 
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
-    }
-
     pub fn status(&self) -> HomeStatus {
+        let (primary, highest_term, own) = self.monitor.view(|view| {
+            let primary = view.primary().map(|(primary, _)| primary);
+            let own = view.status(&self.database).map(|seen| seen.status);
+            (primary, view.highest_term(), own)
+        });
         HomeStatus {
             database: self.database.clone(),
-            connections: self.pool.counts(),
+            primary,
+            highest_term,
+            own,
+            queue: self.dispatcher.queue_status(),
+            connections: self.dispatcher.pool_status(),
             idle_transactions: self.sessions().pins(),
+            unconfirmed: self.monitor.unconfirmed(),
             in_flight: self.tasks.len(),
-            draining: self.is_draining(),
+            leaving: self.is_draining() || self.is_leaving(),
         }
     }
 }
 
-fn home_policy(policies: &PolicySet, database: &DatabaseName) -> Option<HomePolicy> {
-    let (_, database) = policies.database(database)?;
-    Some(HomePolicy {
-        database: database.clone(),
-    })
-}
-
-/// Settings of the pool; without a policy no connection may be opened.
-fn pool_settings(
+/// What the dispatcher may use; without a policy no connection may be opened.
+fn dispatch_settings(
     policy: Option<&HomePolicy>,
     routes: &AddressRoutes,
     options: &HomeOptions,
-) -> PoolSettings {
+) -> DispatchSettings {
     let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
     let address = policy.map_or(unspecified, |policy| policy.database.address);
-    PoolSettings {
+    DispatchSettings {
         address: routes.resolve(address),
         login: options.login.clone(),
-        limit: policy.map_or(0, |policy| policy.database.connection_limit),
+        connection_limit: policy.map_or(0, connections_for_statements),
+        slots: policy.map_or(0, |policy| policy.database.slots),
     }
 }
+
+/// The home of each member holds a status connection to every member.
+fn connections_for_statements(policy: &HomePolicy) -> u32 {
+    let status_connections = u32::try_from(policy.group.members.len()).unwrap_or(u32::MAX);
+    let limit = policy.database.connection_limit;
+    limit.saturating_sub(status_connections).max(limit.min(1))
+}
