--- /dev/null
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -0,0 +1,7 @@
+//! Homes against a group of stand-in databases, in one process.
+
+mod pressure;
+mod reads;
+mod support;
+mod transactions;
+mod writes;
--- a/crates/dyketally-proxy/src/home/connection.rs
+++ b/crates/dyketally-proxy/src/home/connection.rs
@@ -30,6 +30,12 @@
     "LOAD",
 ];
 
+/// SQLSTATE classes of errors that say that nothing was done without telling of any row:
+/// invalid input, invalid transaction state, rollback, syntax or access, limits, intervention.
+const CLASSES_WITHOUT_EFFECT: [&str; 8] = ["0A", "22", "25", "40", "42", "53", "54", "57"];
+/// The exception among them: it can't be told whether the statement completed.
+const STATEMENT_COMPLETION_UNKNOWN: &str = "40003";
+
 /// How a batch ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BatchEnd {
@@ -37,8 +43,8 @@
     pub transaction: TransactionStatus,
     /// The SQLSTATE of the error that ended the batch, if one did.
     pub error: Option<String>,
-    /// Whether the batch did nothing but roll back.
-    pub rolled_back_only: bool,
+    /// Whether the batch certainly committed nothing, and its reply tells of no row.
+    pub without_effect: bool,
 }
 
 /// A connection, logged in.
@@ -236,12 +242,14 @@
 
     fn batch_end(&mut self, transaction: TransactionStatus) -> BatchEnd {
         let error = self.error.take();
+        let without_effect = match &error {
+            Some(sqlstate) => self.commands == 0 && refuses_without_effect(sqlstate),
+            None => self.commands > 0 && self.commands == self.rollbacks,
+        };
         BatchEnd {
             transaction,
-            rolled_back_only: error.is_none()
-                && self.commands > 0
-                && self.commands == self.rollbacks,
             error,
+            without_effect,
         }
     }
 
@@ -257,3 +265,8 @@
         Ok(())
     }
 }
+
+fn refuses_without_effect(sqlstate: &str) -> bool {
+    let class = sqlstate.get(..2).unwrap_or_default();
+    CLASSES_WITHOUT_EFFECT.contains(&class) && sqlstate != STATEMENT_COMPLETION_UNKNOWN
+}
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -165,7 +165,7 @@
     fn is_confirmed_as_write(&self, pin: &Pin, end: &BatchEnd) -> bool {
         let in_transaction = self.execute.transaction.is_some();
         let at_primary = pin.leads_in.is_some() && in_transaction;
-        (pin.may_have_written || at_primary) && !end.rolled_back_only
+        (pin.may_have_written || at_primary) && !end.without_effect
     }
 
     async fn conclude(
