Join membership, place homes on live members and answer operators

Cause: every node took itself for the home of every database. Change: membership runs with the node, placement follows its view, links to dead nodes are closed, status and metrics are served.

--- a/crates/dyketally-proxy/src/edge/counters.rs
+++ b/crates/dyketally-proxy/src/edge/counters.rs
@@ -32,6 +32,8 @@
 counters! {
     /// Callers that are connected now.
     callers,
+    /// Callers with an open transaction now.
+    in_transaction,
     /// Callers accepted since the start.
     callers_accepted,
     /// Callers refused: too many, unknown tenant or database, malformed token.
--- a/crates/dyketally-proxy/src/edge/session.rs
+++ b/crates/dyketally-proxy/src/edge/session.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use dyketally::identifiers::{SessionId, TenantName};
@@ -109,6 +110,7 @@
 
     /// Ends the session's transaction, if one is open.
     pub fn end(&mut self) {
+        self.set_transaction(TransactionStatus::Idle);
         if let Some(home) = self.pinned_home.take() {
             self.edge.homes.end_session(&home, &self.id);
         }
@@ -326,7 +328,7 @@
             Completion::Done { seen, transaction } => {
                 count(&counters.done);
                 self.session.done(database, seen, transaction);
-                self.transaction = transaction;
+                self.set_transaction(transaction);
                 let open = transaction != TransactionStatus::Idle;
                 self.pinned_home = if open {
                     self.pinned_home.take().or(home)
@@ -363,10 +365,20 @@
     /// The transaction is gone with its connection. Its home is told, in case it isn't yet.
     fn lose_transaction(&mut self) {
         self.session.transaction_lost();
-        self.transaction = TransactionStatus::Idle;
         self.end();
     }
 
+    fn set_transaction(&mut self, status: TransactionStatus) {
+        let was_open = self.in_transaction();
+        self.transaction = status;
+        let gauge = &self.edge.counters.in_transaction;
+        match (was_open, self.in_transaction()) {
+            (false, true) => gauge.fetch_add(1, Ordering::Relaxed),
+            (true, false) => gauge.fetch_sub(1, Ordering::Relaxed),
+            _ => return,
+        };
+    }
+
     fn freshness(&self, batch: &ClassifiedBatch) -> Freshness {
         if batch.describes_only {
             Freshness::Any
--- a/crates/dyketally-proxy/src/homes.rs
+++ b/crates/dyketally-proxy/src/homes.rs
@@ -35,16 +35,6 @@
     fn locate(&self, database: &DatabaseName, locality: &Locality) -> Option<HomeLocation>;
 }
 
-/// A node that stands alone: it is home to every database.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SingleNode;
-
-impl LocateHome for SingleNode {
-    fn locate(&self, _database: &DatabaseName, _locality: &Locality) -> Option<HomeLocation> {
-        Some(HomeLocation::Here)
-    }
-}
-
 /// The way from an edge to all homes, and the homes of this node.
 #[derive(Debug)]
 pub struct Homes {
@@ -99,6 +89,11 @@
         }
     }
 
+    /// Closes the link to a dead node, which accepted links at `configured`.
+    pub fn close_link(&self, configured: SocketAddr) {
+        self.links.close(self.routes.resolve(configured));
+    }
+
     /// Hands `request` to a home of this node. A node that is asked serves, even if its own view
     /// names another home: two homes of one database are kept apart by the database's own limits.
     pub fn submit_here(&self, request: HomeRequest) {
--- a/crates/dyketally-proxy/src/main.rs
+++ b/crates/dyketally-proxy/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use dyketally_proxy::node::{Node, StopSignal};
-use dyketally_proxy::settings;
+use dyketally_proxy::{logging, settings};
 
 /// Database proxy with session consistency.
 #[derive(Debug, Parser)]
@@ -40,6 +40,7 @@
 #[tokio::main]
 async fn serve(flags: &settings::Flags) -> eyre::Result<()> {
     let settings = settings::load(flags)?;
+    logging::start(&settings.logging)?;
     let mut stop = StopSignal::listen()?;
     let node = Node::start(settings).await?;
     stop.received().await;
--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -1,25 +1,32 @@
 //! One node: edge and homes, assembled from settings, from start to planned stop.
 
+mod placement;
 mod shutdown;
+mod status;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use dyketally::membership::Event;
 use dyketally::policy::PolicySet;
 use eyre::WrapErr;
 use tokio::net::TcpListener;
+use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use placement::MemberPlacement;
 pub use shutdown::{StopReport, StopSignal};
+use status::NodeReport;
 
 use crate::edge::{CancelRegistry, Edge, EdgeCounters, EdgeLimits, request_path, serve_callers};
 use crate::home::{AddressRoutes, HomeOptions};
-use crate::homes::{Homes, SingleNode};
+use crate::homes::Homes;
 use crate::link::{LinkPool, LinkServer, serve_links};
+use crate::peers::{Peers, PeersHandle, PeersSettings};
 use crate::settings::{Settings, load_configuration};
 
 /// The addresses that a node listens on, with the ports it was given.
@@ -29,6 +36,10 @@
     pub callers: SocketAddr,
     /// For links of other nodes.
     pub peers: SocketAddr,
+    /// For membership (UDP), as other nodes are told.
+    pub membership: SocketAddr,
+    /// For operators (HTTP).
+    pub admin: SocketAddr,
 }
 
 /// A node whose tasks run.
@@ -38,6 +49,7 @@
     addresses: BoundAddresses,
     edge: Edge,
     homes: Arc<Homes>,
+    membership: PeersHandle,
     sessions: TaskTracker,
     listeners: CancellationToken,
     links: CancellationToken,
@@ -62,19 +74,34 @@
         let (policy_sender, policies) = watch::channel(Arc::new(policies));
         let callers = bind(settings.listen.callers, "listen.callers").await?;
         let peers = bind(settings.listen.peers, "listen.peers").await?;
+        let admin = bind(settings.listen.admin, "listen.admin").await?;
+        let incarnation = incarnation();
+        let routes = address_routes(&settings);
+        let mut peers_settings = peers_settings(&settings, incarnation);
+        peers_settings.peers = advertised(settings.advertise.peers, &peers)?;
+        peers_settings.admin = admin.local_addr()?;
+        let membership = Peers::start(peers_settings).await?;
         let addresses = BoundAddresses {
             callers: callers.local_addr()?,
             peers: peers.local_addr()?,
+            membership: membership.address(),
+            admin: admin.local_addr()?,
         };
+        let placement = MemberPlacement::new(
+            settings.node.name.clone(),
+            membership.clone(),
+            routes.clone(),
+        );
         let homes = Arc::new(Homes::new(
             policies.clone(),
-            Arc::new(SingleNode),
+            Arc::new(placement),
             LinkPool::new(settings.node.name.clone()),
-            address_routes(&settings),
+            routes,
             HomeOptions::default(),
         ));
         let node = Self {
-            edge: edge(&settings, policies, homes.clone()),
+            edge: edge(&settings, incarnation, policies, homes.clone()),
+            membership,
             homes,
             sessions: TaskTracker::new(),
             listeners: CancellationToken::new(),
@@ -83,7 +110,8 @@
             settings,
             _policies: policy_sender,
         };
-        node.spawn_listeners(callers, peers);
+        node.spawn_listeners(callers, peers, admin);
+        node.spawn_link_closer();
         Ok(node)
     }
 
@@ -92,7 +120,12 @@
         self.addresses
     }
 
-    fn spawn_listeners(&self, callers: TcpListener, peers: TcpListener) {
+    /// Membership as this node takes part in it.
+    pub fn membership(&self) -> &PeersHandle {
+        &self.membership
+    }
+
+    fn spawn_listeners(&self, callers: TcpListener, peers: TcpListener, admin: TcpListener) {
         tokio::spawn(serve_callers(
             callers,
             self.edge.clone(),
@@ -104,13 +137,48 @@
             homes: self.homes.clone(),
         };
         tokio::spawn(serve_links(peers, server, self.links.clone()));
+        let report = Arc::new(NodeReport {
+            node: self.settings.node.name.clone(),
+            locality: self.settings.node.locality.clone(),
+            policies: self.edge.policies.clone(),
+            edge: self.edge.clone(),
+            homes: self.homes.clone(),
+            peers: self.membership.clone(),
+        });
+        tokio::spawn(crate::admin::serve(admin, report, self.links.clone()));
+    }
+
+    /// Closes links to nodes that membership declares dead, so that what waits there ends.
+    fn spawn_link_closer(&self) {
+        let mut events = self.membership.events();
+        let peers = self.membership.clone();
+        let homes = self.homes.clone();
+        tokio::spawn(async move {
+            loop {
+                match events.recv().await {
+                    Ok(Event::Died(node)) => {
+                        let view = peers.view();
+                        if let Some(member) = view.member(&node) {
+                            homes.close_link(member.addresses.peers);
+                        }
+                    }
+                    Ok(_) | Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => return,
+                }
+            }
+        });
     }
 }
 
-fn edge(settings: &Settings, policies: watch::Receiver<Arc<PolicySet>>, homes: Arc<Homes>) -> Edge {
+fn edge(
+    settings: &Settings,
+    incarnation: u64,
+    policies: watch::Receiver<Arc<PolicySet>>,
+    homes: Arc<Homes>,
+) -> Edge {
     Edge {
         node: settings.node.name.clone(),
-        incarnation: incarnation(),
+        incarnation,
         policies,
         path: request_path(settings.node.locality.clone(), homes.clone()),
         homes,
@@ -137,6 +205,23 @@
     }
 }
 
+fn peers_settings(settings: &Settings, incarnation: u64) -> PeersSettings {
+    let node = settings.node.name.clone();
+    let locality = settings.node.locality.clone();
+    let routes = settings.network.routes.iter();
+    PeersSettings {
+        listen: settings.listen.membership,
+        advertise: settings.advertise.membership,
+        seeds: settings.membership.seeds.clone(),
+        routes: routes.map(|route| (route.to, route.via)).collect(),
+        ..PeersSettings::on_loopback(node, locality, incarnation)
+    }
+}
+
+fn advertised(setting: Option<SocketAddr>, listener: &TcpListener) -> std::io::Result<SocketAddr> {
+    setting.map_or_else(|| listener.local_addr(), Ok)
+}
+
 async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address).await.wrap_err_with(|| {
         format!("can't listen on {address}; choose a free address of this machine in `{field}`")
--- a/crates/dyketally-proxy/src/node/shutdown.rs
+++ b/crates/dyketally-proxy/src/node/shutdown.rs
@@ -57,6 +57,8 @@
     pub async fn stop(self) -> StopReport {
         let deadline = Instant::now() + self.settings.limits.drain_deadline;
         log::info!("leaving: callers are turned away between two statements");
+        // Told first, so that other nodes place the homes of this one elsewhere.
+        self.membership.announce_leaving().await;
         self.edge.leaving.cancel();
         self.sessions.close();
         let sessions_ended = timeout_at(deadline, self.sessions.wait()).await;
@@ -68,6 +70,7 @@
             report.home_work += home.drain(deadline).await;
         }
         self.listeners.cancel();
+        self.membership.leave().await;
         self.links.cancel();
         report
     }
