--- a/crates/dyketally-proxy/src/home/dispatch.rs
+++ b/crates/dyketally-proxy/src/home/dispatch.rs
@@ -14,6 +14,7 @@
 use dyketally::pool::{
     ConnectionId, Pool, PoolAction, PoolSettings, PoolStatus, Refusal, ReleaseCondition,
 };
+use dyketally::retry::Backoff;
 use dyketally::time::Timestamp;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -25,6 +26,11 @@
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
+/// Pauses between attempts to connect. Short, as a write may wait for a primary that restarts.
+const RECONNECT: Backoff = Backoff {
+    first: Duration::from_millis(20),
+    longest: Duration::from_millis(250),
+};
 /// Longest time between two looks at what is due.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
@@ -427,7 +433,11 @@
 }
 
 fn pool_settings(settings: &DispatchSettings) -> PoolSettings {
-    PoolSettings::for_database(settings.connection_limit, settings.slots)
+    let usual = PoolSettings::for_database(settings.connection_limit, settings.slots);
+    PoolSettings {
+        backoff: RECONNECT,
+        ..usual
+    }
 }
 
 fn refusal_of(error: &BackendError) -> Refusal {
--- a/crates/dyketally-proxy/src/home/output.rs
+++ b/crates/dyketally-proxy/src/home/output.rs
@@ -54,6 +54,11 @@
         self.delivery = delivery;
     }
 
+    /// True while data waits until the reply is confirmed.
+    pub fn is_held(&self) -> bool {
+        self.delivery == Delivery::Held
+    }
+
     /// True once the edge has got part of the data.
     pub fn was_passed_on(&self) -> bool {
         self.passed_on
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -59,8 +59,7 @@
         confirm: Option<Term>,
         output: &mut ReplyOutput,
     ) -> Completion {
-        let unconfirmed = confirm.is_some() || pin.leads_in.is_some();
-        output.set_delivery(match unconfirmed {
+        output.set_delivery(match self.is_held(&pin, confirm) {
             true => Delivery::Held,
             false => Delivery::Streamed,
         });
@@ -95,6 +94,13 @@
         }
     }
 
+    /// True when the reply waits for a confirmation of the group.
+    fn is_held(&self, pin: &Pin, confirm: Option<Term>) -> bool {
+        let in_transaction = self.execute.transaction.is_some();
+        let at_primary = pin.leads_in.is_some() && in_transaction;
+        confirm.is_some() || pin.may_have_written || at_primary
+    }
+
     async fn exchange(
         &self,
         pin: &mut Pin,
@@ -123,7 +129,7 @@
         pin: &mut Pin,
         output: &mut ReplyOutput,
     ) -> Result<BatchEnd, Failure> {
-        let leads_in = pin.leads_in;
+        let leads_in = pin.leads_in.filter(|_| output.is_held());
         let monitor = &self.shared.monitor;
         let mut cancelled = false;
         let mut changes = monitor.changes();
--- a/crates/dyketally-proxy/src/home/serve.rs
+++ b/crates/dyketally-proxy/src/home/serve.rs
@@ -99,7 +99,7 @@
             let mut sessions = self.shared.sessions();
             sessions.take_pin(&self.execute.session, number)
         };
-        let Some(mut pin) = pin else {
+        let Some(mut pin) = pin.filter(|pin| !self.is_doomed(pin)) else {
             return Completion::RolledBack;
         };
         let admission = self.admission(Stage::Continuation);
@@ -119,6 +119,13 @@
         }
     }
 
+    /// A transaction that was opened at a primary which was replaced since can't commit any more.
+    fn is_doomed(&self, pin: &Pin) -> bool {
+        let primary = self.shared.monitor.view(|view| view.primary());
+        let replaced = |opened_in| primary.is_some_and(|(_, term)| term > opened_in);
+        pin.leads_in.is_some_and(replaced)
+    }
+
     async fn run_unpinned(&self, output: &mut ReplyOutput) -> Completion {
         loop {
             match self.attempt(output).await {
