Keep the configuration in a log that never goes back, and publish changes by one swap

Cause: nodes had no configuration and operators no way to change it.

A change carries several edits that take effect together, because a template and its tenants are often changed at once; ConfigurationLog applies only the very next revision and keeps the newest changes for peers that are behind. Publisher sends one transaction that compares the revision counter; after a lost reply it reads the change that follows the revision the operator saw and tells its own by the random identifier. While none follows, it sends the same transaction again, which the counter makes harmless. It ends as accepted, in conflict (with the winner) or unavailable, and the last says whether the change may have been accepted.

Ruled out: resolving a lost reply by the counter alone, since it doesn't tell whose change made it grow.

--- a/crates/dyketally/src/configuration.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Revisions of the operators' configuration: publishing, ordering and dissemination.
--- /dev/null
+++ b/crates/dyketally/src/configuration/mod.rs
@@ -0,0 +1,21 @@
+//! The operators' configuration: changes, their publication and their way to every node.
+//!
+//! A change is accepted when a compare-and-swap on one counter, the revision, takes effect at the
+//! platform's key-value service. Nodes apply changes in the order of their revisions and never go
+//! back, so that a late, repeated or reordered offer does no harm.
+
+mod change;
+mod log;
+mod publisher;
+mod snapshot;
+
+pub use change::{
+    Change, ChangeError, ChangeId, Document, DocumentEdit, LARGEST_CHANGE_BYTES, MOST_EDITS,
+    UnixMillis,
+};
+pub use log::{Applied, ConfigurationLog, Installed, Missing};
+pub use publisher::{
+    Observation, PublishOutcome, Publisher, PublisherAnswer, PublisherSettings, PublisherStep,
+    Winner,
+};
+pub use snapshot::Snapshot;
--- /dev/null
+++ b/crates/dyketally/tests/configuration/main.rs
@@ -0,0 +1,5 @@
+//! The operators' configuration: its log, its publication and its way to every node.
+
+mod log;
+mod publisher;
+mod sample;
