Bring the configuration to every node through relays and pulls between peers

Cause: 610 nodes can't all watch a rate-limited service, and a fresh node must start while the service is down.

Ruled out: pushing changes down a tree of relays; a lost push would need the pull anyway.

--- a/crates/dyketally/src/configuration/mod.rs
+++ b/crates/dyketally/src/configuration/mod.rs
@@ -8,6 +8,7 @@
 mod log;
 mod publisher;
 mod snapshot;
+pub mod sync;
 
 pub use change::{
     Change, ChangeError, ChangeId, Document, DocumentEdit, LARGEST_CHANGE_BYTES, MOST_EDITS,
--- a/crates/dyketally/tests/configuration/main.rs
+++ b/crates/dyketally/tests/configuration/main.rs
@@ -2,4 +2,6 @@
 
 mod log;
 mod publisher;
+mod relay;
 mod sample;
+mod sync;
--- a/crates/dyketally/tests/configuration/sample.rs
+++ b/crates/dyketally/tests/configuration/sample.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
-use dyketally::configuration::{Change, ChangeId, Document, DocumentEdit, UnixMillis};
+use dyketally::configuration::sync::{PullReply, SyncAction, SyncSettings, Synchronizer};
+use dyketally::configuration::{Change, ChangeId, Document, DocumentEdit, Snapshot, UnixMillis};
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
+use dyketally::time::Timestamp;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -41,3 +43,22 @@
 pub fn changes(revisions: impl IntoIterator<Item = u64>) -> Vec<Arc<Change>> {
     revisions.into_iter().map(change).collect()
 }
+
+/// A node that has applied the changes up to `revision`.
+pub fn node_at(name: &str, revision: u64, settings: SyncSettings) -> Synchronizer {
+    let mut node = Synchronizer::new(name.into(), settings, 1);
+    let reply = PullReply::Changes {
+        changes: changes(1..=revision),
+    };
+    node.pull_reply(&"origin".into(), reply, Timestamp::ZERO);
+    assert_eq!(node.revision(), Revision(revision));
+    node
+}
+
+pub fn in_force(actions: &[SyncAction]) -> Vec<Revision> {
+    let revisions = actions.iter().filter_map(|action| match action {
+        SyncAction::InForce(Snapshot { revision, .. }) => Some(*revision),
+        _ => None,
+    });
+    revisions.collect()
+}
