--- a/crates/dyketally-proxy/src/platform/key_value.rs
+++ b/crates/dyketally-proxy/src/platform/key_value.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    /// All keys that begin with `prefix`, whose last byte must be below 255.
+    /// All keys that begin with `prefix`, which isn't empty.
     pub fn prefix(prefix: &str) -> Self {
         let mut end = prefix.as_bytes().to_vec();
         if let Some(last) = end.last_mut() {
