Plan the stop of a node and the leaving of a database

A stop goes from telling peers (callers are served meanwhile, bounded by a wait) over turning callers away at the end of a statement or transaction to an exit once nothing is in flight and callers have read their answers. Callers without work get a while to send a statement, which is answered with the advice to connect elsewhere, before their connections are closed. The deadline bounds every step and names the work that it cut.

A database that is leaving gets no fresh statement from the first notice on; open transactions have until a deadline that later notices don't move.

--- /dev/null
+++ b/crates/dyketally/src/drain/node.rs
@@ -0,0 +1,242 @@
+//! Planned stop of a node.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::time::Timestamp;
+
+/// How long the steps of a planned stop may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeDrainSettings {
+    /// Longest time to wait until every peer knows; callers are served as usual meanwhile.
+    pub announce_wait: Duration,
+    /// Time that callers without work have to send a statement, which is answered with the
+    /// advice to connect elsewhere. After that their connections are closed.
+    pub idle_caller_wait: Duration,
+    /// Time from the start of the stop until the work that is left is cut off.
+    pub deadline: Duration,
+}
+
+impl Default for NodeDrainSettings {
+    fn default() -> Self {
+        NodeDrainSettings {
+            announce_wait: Duration::from_secs(1),
+            idle_caller_wait: Duration::from_secs(2),
+            deadline: Duration::from_secs(30),
+        }
+    }
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum NodeDrainPhase {
+    /// No stop is planned.
+    Serving,
+    /// Peers are being told; callers and peers are served as usual.
+    Announced,
+    /// No new work; what is in flight ends.
+    TurningAway,
+    /// Nothing is in flight. The process may exit.
+    Done,
+}
+
+/// What the owner of a drain has to do; each is asked for once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeDrainAction<W> {
+    /// Tell every peer that this node is leaving.
+    AnnounceLeaving,
+    /// Accept no new callers, and ask [`NodeDrain::at_boundary`] before each statement.
+    TurnCallersAway,
+    /// Close the connections of callers that have neither a statement nor a transaction.
+    CloseIdleCallers,
+    /// Cut off the work that is left, and log it.
+    Cut {
+        /// The work that did not end in time.
+        work: Vec<W>,
+    },
+    /// Exit.
+    Exit,
+}
+
+/// What to do with a caller that is about to send a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Boundary {
+    /// Serve the statement.
+    Serve,
+    /// Answer that it was not run because the node is leaving, and close the connection.
+    TurnAway,
+}
+
+/// The planned stop of a node as a state machine.
+#[derive(Debug)]
+pub struct NodeDrain<W> {
+    settings: NodeDrainSettings,
+    phase: NodeDrainPhase,
+    in_flight: BTreeSet<W>,
+    callers: usize,
+    stop_requested: Option<Timestamp>,
+    announced: bool,
+    peers_informed: bool,
+    turning_away_since: Timestamp,
+    idle_callers_closed: bool,
+    cut: Vec<W>,
+}
+
+impl<W: Clone + Ord> NodeDrain<W> {
+    /// A node that serves.
+    pub fn new(settings: NodeDrainSettings) -> Self {
+        NodeDrain {
+            settings,
+            phase: NodeDrainPhase::Serving,
+            in_flight: BTreeSet::new(),
+            callers: 0,
+            stop_requested: None,
+            announced: false,
+            peers_informed: false,
+            turning_away_since: Timestamp::ZERO,
+            idle_callers_closed: false,
+            cut: Vec::new(),
+        }
+    }
+
+    /// How far the stop has come.
+    pub fn phase(&self) -> NodeDrainPhase {
+        self.phase
+    }
+
+    /// Whether new callers and new work from peers are taken.
+    pub fn accepts_new_work(&self) -> bool {
+        self.phase <= NodeDrainPhase::Announced
+    }
+
+    /// What to do with a statement that a caller of this node is about to send. A transaction is
+    /// let to its end.
+    pub fn at_boundary(&self, in_transaction: bool) -> Boundary {
+        if self.accepts_new_work() || (in_transaction && self.phase < NodeDrainPhase::Done) {
+            Boundary::Serve
+        } else {
+            Boundary::TurnAway
+        }
+    }
+
+    /// A caller connected.
+    pub fn caller_joined(&mut self) {
+        self.callers += 1;
+    }
+
+    /// A caller's connection ended.
+    pub fn caller_left(&mut self) {
+        self.callers = self.callers.saturating_sub(1);
+    }
+
+    /// A request or a transaction began.
+    pub fn begin(&mut self, work: W) {
+        self.in_flight.insert(work);
+    }
+
+    /// A request or a transaction ended.
+    pub fn end(&mut self, work: &W) {
+        self.in_flight.remove(work);
+    }
+
+    /// A stop is planned. A second call changes nothing.
+    pub fn stop(&mut self, now: Timestamp) {
+        if self.phase == NodeDrainPhase::Serving {
+            self.phase = NodeDrainPhase::Announced;
+            self.stop_requested = Some(now);
+        }
+    }
+
+    /// Every peer has acknowledged that this node is leaving.
+    pub fn peers_informed(&mut self) {
+        self.peers_informed = true;
+    }
+
+    /// What to do now. Call after each event and at [`next_wakeup`](Self::next_wakeup).
+    pub fn poll(&mut self, now: Timestamp) -> Vec<NodeDrainAction<W>> {
+        let mut actions = Vec::new();
+        let Some(requested) = self.stop_requested else {
+            return actions;
+        };
+        if self.phase == NodeDrainPhase::Announced {
+            self.poll_announced(now, requested, &mut actions);
+        }
+        if self.phase == NodeDrainPhase::TurningAway {
+            self.poll_turning_away(now, requested, &mut actions);
+        }
+        actions
+    }
+
+    /// When [`poll`](Self::poll) has something to do without any other event.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let requested = self.stop_requested?;
+        let deadline = requested + self.settings.deadline;
+        match self.phase {
+            NodeDrainPhase::Serving | NodeDrainPhase::Done => None,
+            NodeDrainPhase::Announced => {
+                Some(deadline.min(requested + self.settings.announce_wait))
+            }
+            NodeDrainPhase::TurningAway if self.idle_callers_closed => Some(deadline),
+            NodeDrainPhase::TurningAway => Some(deadline.min(self.idle_callers_due())),
+        }
+    }
+
+    /// Work in flight, in order.
+    pub fn in_flight(&self) -> impl ExactSizeIterator<Item = &W> {
+        self.in_flight.iter()
+    }
+
+    /// The work that was cut off at the deadline.
+    pub fn cut(&self) -> &[W] {
+        &self.cut
+    }
+
+    fn poll_announced(
+        &mut self,
+        now: Timestamp,
+        requested: Timestamp,
+        actions: &mut Vec<NodeDrainAction<W>>,
+    ) {
+        if !self.announced {
+            self.announced = true;
+            actions.push(NodeDrainAction::AnnounceLeaving);
+        }
+        let longest_wait = self.settings.announce_wait.min(self.settings.deadline);
+        let waited = requested + longest_wait <= now;
+        if self.peers_informed || waited {
+            self.phase = NodeDrainPhase::TurningAway;
+            self.turning_away_since = now;
+            actions.push(NodeDrainAction::TurnCallersAway);
+        }
+    }
+
+    fn poll_turning_away(
+        &mut self,
+        now: Timestamp,
+        requested: Timestamp,
+        actions: &mut Vec<NodeDrainAction<W>>,
+    ) {
+        if !self.idle_callers_closed && self.idle_callers_due() <= now {
+            self.idle_callers_closed = true;
+            actions.push(NodeDrainAction::CloseIdleCallers);
+        }
+        let overdue = requested + self.settings.deadline <= now;
+        if overdue && !self.in_flight.is_empty() {
+            self.cut = self.in_flight.iter().cloned().collect();
+            self.in_flight.clear();
+            let work = self.cut.clone();
+            actions.push(NodeDrainAction::Cut { work });
+        }
+        let finished = self.in_flight.is_empty() && self.callers == 0;
+        if finished || overdue {
+            self.phase = NodeDrainPhase::Done;
+            actions.push(NodeDrainAction::Exit);
+        }
+    }
+
+    fn idle_callers_due(&self) -> Timestamp {
+        self.turning_away_since + self.settings.idle_caller_wait
+    }
+}
--- /dev/null
+++ b/crates/dyketally/tests/drain.rs
@@ -0,0 +1,156 @@
+//! Planned stop of a node and leaving of a database, case by case.
+
+use std::time::Duration;
+
+use dyketally::drain::{
+    Boundary, DatabaseDrain, DatabaseDrainAction, DatabaseDrainPhase, NodeDrain, NodeDrainAction,
+    NodeDrainPhase, NodeDrainSettings,
+};
+use dyketally::time::Timestamp;
+use rstest::rstest;
+
+const SETTINGS: NodeDrainSettings = NodeDrainSettings {
+    announce_wait: Duration::from_millis(100),
+    idle_caller_wait: Duration::from_millis(200),
+    deadline: Duration::from_millis(1_000),
+};
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn stopping() -> NodeDrain<&'static str> {
+    let mut drain = NodeDrain::new(SETTINGS);
+    drain.stop(at(0));
+    assert_eq!(drain.poll(at(0)), [NodeDrainAction::AnnounceLeaving]);
+    drain
+}
+
+#[test]
+fn a_node_without_work_stops_once_peers_know() {
+    let mut drain = stopping();
+    assert_eq!(drain.at_boundary(false), Boundary::Serve);
+    drain.peers_informed();
+    let expected = [NodeDrainAction::TurnCallersAway, NodeDrainAction::Exit];
+    assert_eq!(drain.poll(at(1)), expected);
+    assert_eq!(drain.phase(), NodeDrainPhase::Done);
+    assert_eq!(drain.next_wakeup(), None);
+    assert!(drain.poll(at(2_000)).is_empty());
+}
+
+#[test]
+fn silent_peers_don_t_hold_a_stop_up() {
+    let mut drain = stopping();
+    assert_eq!(drain.next_wakeup(), Some(at(100)));
+    assert!(drain.poll(at(99)).is_empty());
+    assert!(
+        drain
+            .poll(at(100))
+            .contains(&NodeDrainAction::TurnCallersAway)
+    );
+}
+
+#[test]
+fn the_deadline_holds_while_peers_are_silent() {
+    let mut drain = NodeDrain::<&str>::new(NodeDrainSettings {
+        announce_wait: Duration::from_secs(60),
+        ..SETTINGS
+    });
+    drain.stop(at(0));
+    drain.caller_joined();
+    assert!(drain.poll(at(1_000)).contains(&NodeDrainAction::Exit));
+}
+
+#[test]
+fn work_in_flight_ends_before_the_exit() {
+    let mut drain = NodeDrain::new(SETTINGS);
+    drain.caller_joined();
+    drain.begin("order");
+    drain.begin("transaction");
+    drain.stop(at(0));
+    drain.poll(at(100));
+    assert!(!drain.accepts_new_work());
+    assert_eq!(drain.at_boundary(false), Boundary::TurnAway);
+    assert_eq!(drain.at_boundary(true), Boundary::Serve);
+    drain.end(&"order");
+    assert!(drain.poll(at(200)).is_empty());
+    drain.end(&"transaction");
+    assert!(
+        drain.poll(at(250)).is_empty(),
+        "the caller may still read its answer"
+    );
+    drain.caller_left();
+    assert_eq!(drain.poll(at(260)), [NodeDrainAction::Exit]);
+    assert!(drain.cut().is_empty());
+}
+
+#[test]
+fn idle_callers_are_closed_after_a_while() {
+    let mut drain = NodeDrain::<&str>::new(SETTINGS);
+    drain.caller_joined();
+    drain.stop(at(0));
+    drain.poll(at(100));
+    assert_eq!(drain.next_wakeup(), Some(at(300)));
+    assert_eq!(drain.poll(at(300)), [NodeDrainAction::CloseIdleCallers]);
+    drain.caller_left();
+    assert_eq!(drain.poll(at(301)), [NodeDrainAction::Exit]);
+}
+
+#[test]
+fn the_deadline_names_what_was_cut() {
+    let mut drain = NodeDrain::new(SETTINGS);
+    drain.begin("slow");
+    drain.stop(at(0));
+    drain.poll(at(100));
+    drain.poll(at(300));
+    assert_eq!(drain.next_wakeup(), Some(at(1_000)));
+    let work = vec!["slow"];
+    let expected = [NodeDrainAction::Cut { work }, NodeDrainAction::Exit];
+    assert_eq!(drain.poll(at(1_000)), expected);
+    assert_eq!(drain.cut(), ["slow"]);
+    assert_eq!(drain.at_boundary(true), Boundary::TurnAway);
+}
+
+#[test]
+fn a_second_stop_does_not_move_the_deadline() {
+    let mut drain = NodeDrain::new(SETTINGS);
+    drain.begin("slow");
+    drain.stop(at(0));
+    drain.stop(at(900));
+    let actions = drain.poll(at(1_000));
+    assert!(actions.contains(&NodeDrainAction::Exit), "{actions:?}");
+}
+
+#[rstest]
+#[case::nothing_in_flight(&[], 0, vec![DatabaseDrainAction::CloseConnections])]
+#[case::before_the_deadline(&["pin"], 99, vec![])]
+#[case::at_the_deadline(&["pin"], 100, vec![DatabaseDrainAction::Cut { work: vec!["pin"] }, DatabaseDrainAction::CloseConnections])]
+fn a_database_leaves(
+    #[case] pins: &[&'static str],
+    #[case] milliseconds: u64,
+    #[case] expected: Vec<DatabaseDrainAction<&'static str>>,
+) {
+    let mut drain = DatabaseDrain::new(Duration::from_millis(100));
+    for pin in pins {
+        drain.begin(*pin);
+    }
+    assert!(drain.accepts_new_work());
+    assert!(drain.poll(at(0)).is_empty());
+    drain.notice(at(0));
+    drain.notice(at(50));
+    assert!(!drain.accepts_new_work());
+    assert_eq!(drain.poll(at(milliseconds)), expected);
+    assert!(drain.poll(at(milliseconds)).is_empty(), "asked for once");
+}
+
+#[test]
+fn a_database_that_comes_back_gets_work() {
+    let mut drain = DatabaseDrain::<&str>::new(Duration::from_millis(100));
+    drain.notice(at(0));
+    drain.poll(at(0));
+    assert_eq!(drain.phase(), DatabaseDrainPhase::Left);
+    drain.notice(at(5));
+    assert!(drain.poll(at(200)).is_empty(), "it has left already");
+    drain.readmit();
+    assert!(drain.accepts_new_work());
+}
