Let a tenant within its share pass a flood with a few statements

Without any, two statements that a steady tenant sends by chance together wait as if the tenant were beyond its share.

--- a/crates/dyketally/src/admission/mod.rs
+++ b/crates/dyketally/src/admission/mod.rs
@@ -4,7 +4,8 @@
 //! statements that wait for a slot and decides which tenant gets the next free one: the tenant
 //! with the least *busy slot time* divided by its weight. Statements are charged while they run,
 //! so a tenant with few long statements gets no more than a tenant with many short ones. A tenant
-//! that was idle starts level with the others; it neither saves up slot time nor owes any.
+//! that was idle starts level with the others: it owes nothing for slots that it used while nobody
+//! waited, and has saved up [`SAVED_SLOT_TIME`] at the most.
 
 mod average;
 mod drain_rate;
@@ -15,6 +16,7 @@
 mod tenant;
 
 pub use queue::FairQueue;
+pub use schedule::SAVED_SLOT_TIME;
 pub use status::{QueueStatus, TenantCounters, TenantStatus};
 pub use submission::{
     Admitted, Expired, Rejected, RejectionReason, Stage, Submission, Ticket, Withdrawn,
--- a/crates/dyketally/src/admission/schedule.rs
+++ b/crates/dyketally/src/admission/schedule.rs
@@ -10,11 +10,24 @@
 /// Units of virtual time in one microsecond of slot time at weight 1.
 const UNITS_PER_MICROSECOND: u64 = 1 << 10;
 
+/// Slot time, at weight 1, by which a tenant that begins to wait may be behind the others. It lets
+/// the few statements that a tenant within its share happens to send together pass those of
+/// tenants beyond their share, and is all that idle time can be saved up to.
+pub const SAVED_SLOT_TIME: Duration = Duration::from_millis(50);
+
 /// Slot time divided by weight. The tenant with the least is served next.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct VirtualTime(u64);
 
 impl VirtualTime {
+    fn more(self, slot_time: Duration, weight: u32) -> Self {
+        VirtualTime(self.0.saturating_add(Self::of(slot_time, weight).0))
+    }
+
+    fn less(self, slot_time: Duration, weight: u32) -> Self {
+        VirtualTime(self.0.saturating_sub(Self::of(slot_time, weight).0))
+    }
+
     fn of(slot_time: Duration, weight: u32) -> Self {
         let microseconds = u64::try_from(slot_time.as_micros()).unwrap_or(u64::MAX);
         VirtualTime(microseconds.saturating_mul(UNITS_PER_MICROSECOND) / u64::from(weight))
@@ -58,7 +71,8 @@
     accounts: BTreeMap<TenantName, Account>,
     waiting: BTreeSet<Place>,
     running: BTreeMap<Ticket, Running>,
-    /// Where a tenant that begins to wait starts at the least. Never goes back.
+    /// A tenant that begins to wait starts here, less [`SAVED_SLOT_TIME`] at the least. Never goes
+    /// back.
     level: VirtualTime,
     occasions: u64,
 }
@@ -88,7 +102,8 @@
                 virtual_time: VirtualTime::default(),
                 began_to_wait: None,
             });
-        account.virtual_time = account.virtual_time.max(self.level);
+        let least = self.level.less(SAVED_SLOT_TIME, 1);
+        account.virtual_time = account.virtual_time.max(least);
         account.began_to_wait = Some(self.occasions);
         self.occasions += 1;
         self.waiting.insert(account.place(tenant));
@@ -176,8 +191,8 @@
         self.accounts.remove(tenant);
     }
 
-    /// Moves the level up to the least virtual time of the tenants that wait or run, so that
-    /// neither idle time is saved up nor slots used while nobody waited are owed.
+    /// Moves the level up to the least virtual time of the tenants that wait, or run if none
+    /// waits, so that slots used while nobody else waited are not owed.
     fn raise_level(&mut self) {
         let waiting = self.waiting.first().map(|place| place.virtual_time);
         if let Some(waiting) = waiting {
@@ -205,14 +220,12 @@
     }
 
     fn charge(&mut self, waiting: &mut BTreeSet<Place>, tenant: &TenantName, time: Duration) {
-        let charge = VirtualTime::of(time, self.weight);
-        let virtual_time = VirtualTime(self.virtual_time.0.saturating_add(charge.0));
+        let virtual_time = self.virtual_time.more(time, self.weight);
         self.move_to(virtual_time, waiting, tenant);
     }
 
     fn refund(&mut self, waiting: &mut BTreeSet<Place>, tenant: &TenantName, time: Duration) {
-        let refund = VirtualTime::of(time, self.weight);
-        let virtual_time = VirtualTime(self.virtual_time.0.saturating_sub(refund.0));
+        let virtual_time = self.virtual_time.less(time, self.weight);
         self.move_to(virtual_time, waiting, tenant);
     }
 
