--- /dev/null
+++ b/crates/dyketally/tests/pool_model.rs
@@ -0,0 +1,314 @@
+//! Stateful fuzzing of the connection pool against a database with a connection limit.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dyketally::identifiers::TenantName;
+use dyketally::pool::{ConnectionId, Pool, PoolAction, PoolSettings, Refusal, ReleaseCondition};
+use dyketally::retry::Backoff;
+use dyketally::time::Timestamp;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const TENANTS: usize = 3;
+const LIMIT: u32 = 8;
+const RESERVE: u32 = 2;
+const SETTINGS: PoolSettings = PoolSettings {
+    connection_limit: LIMIT,
+    minimum_open: 2,
+    reserve: RESERVE,
+    idle_timeout: Duration::from_secs(2),
+    concurrent_connects: 4,
+    backoff: Backoff {
+        first: Duration::from_millis(20),
+        longest: Duration::from_secs(1),
+    },
+};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Acquire {
+        tenant: usize,
+    },
+    Pin(Index),
+    Release {
+        which: Index,
+        dirty: bool,
+    },
+    /// An attempt to connect ends: granted if the database has room and takes connections.
+    Connect {
+        which: Index,
+        takes: bool,
+    },
+    CloseEnds(Index),
+    Lose(Index),
+    Poll {
+        demand: u32,
+    },
+    Pass {
+        milliseconds: u64,
+    },
+    /// Connections that others hold at the database.
+    Others(u32),
+    Leave,
+    Readmit,
+}
+
+/// The steps alone: what follows from them is worked out next to the pool.
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        let release = (any::<Index>(), prop::bool::weighted(0.2));
+        let connect = (any::<Index>(), prop::bool::weighted(0.9));
+        prop_oneof![
+            6 => (0..TENANTS).prop_map(|tenant| Step::Acquire { tenant }),
+            2 => any::<Index>().prop_map(Step::Pin),
+            4 => release.prop_map(|(which, dirty)| Step::Release { which, dirty }),
+            5 => connect.prop_map(|(which, takes)| Step::Connect { which, takes }),
+            3 => any::<Index>().prop_map(Step::CloseEnds),
+            1 => any::<Index>().prop_map(Step::Lose),
+            4 => (0_u32..10).prop_map(|demand| Step::Poll { demand }),
+            3 => (0_u64..1_500).prop_map(|milliseconds| Step::Pass { milliseconds }),
+            1 => (0..LIMIT).prop_map(Step::Others),
+            1 => Just(Step::Leave),
+            2 => Just(Step::Readmit),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _: &Step) {
+        state
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seen {
+    Connecting,
+    Idle,
+    Held { tenant: usize },
+    Closing,
+}
+
+struct Harness {
+    pool: Pool,
+    random: StdRng,
+    now: Timestamp,
+    others: u32,
+    leaving: bool,
+    connections: BTreeMap<ConnectionId, Seen>,
+}
+
+fn name(tenant: usize) -> TenantName {
+    TenantName::new(format!("tenant-{tenant}"))
+}
+
+impl Harness {
+    fn count(&self, is: impl Fn(Seen) -> bool) -> u32 {
+        let matching = self.connections.values().filter(|seen| is(**seen));
+        matching.count() as u32
+    }
+
+    fn granted(&self) -> u32 {
+        self.count(|seen| seen != Seen::Connecting)
+    }
+
+    fn pick(&self, which: Index, is: impl Fn(Seen) -> bool) -> Option<ConnectionId> {
+        let matching = self.connections.iter().filter(|(_, seen)| is(**seen));
+        let matching: Vec<ConnectionId> = matching.map(|(connection, _)| *connection).collect();
+        (!matching.is_empty()).then(|| *which.get(&matching))
+    }
+
+    fn pick_held(&self, which: Index) -> Option<ConnectionId> {
+        self.pick(which, |seen| matches!(seen, Seen::Held { .. }))
+    }
+
+    fn acquire(&mut self, tenant: usize) {
+        let held = self.count(|seen| matches!(seen, Seen::Held { .. }));
+        let Some(connection) = self.pool.acquire(self.now, &name(tenant), 1) else {
+            let held_by_tenant = self.count(|seen| seen == Seen::Held { tenant });
+            let idle = self.count(|seen| seen == Seen::Idle);
+            let limit = self.pool.status().learned_limit;
+            let refusable = self.leaving || idle == 0 || held >= limit || held_by_tenant > 0;
+            assert!(
+                refusable,
+                "a tenant without connections was refused an idle one"
+            );
+            return;
+        };
+        assert!(!self.leaving, "a leaving database got new work");
+        let before = self.connections.insert(connection, Seen::Held { tenant });
+        assert_eq!(
+            before,
+            Some(Seen::Idle),
+            "only an idle connection is given out"
+        );
+    }
+
+    fn release(&mut self, connection: ConnectionId, dirty: bool) {
+        let condition = if dirty {
+            ReleaseCondition::Dirty
+        } else {
+            ReleaseCondition::Clean
+        };
+        let action = self.pool.release(self.now, connection, condition);
+        assert!(
+            !dirty || action.is_some(),
+            "a dirty connection must be closed"
+        );
+        self.settle(connection, action);
+    }
+
+    fn connect(&mut self, connection: ConnectionId, takes: bool) {
+        let room = self.granted() + self.others < LIMIT;
+        if takes && room {
+            let action = self.pool.connected(self.now, connection);
+            self.settle(connection, action);
+            return;
+        }
+        let refusal = if room {
+            Refusal::CannotConnectNow
+        } else {
+            Refusal::TooManyConnections
+        };
+        self.connections.remove(&connection);
+        self.pool
+            .refused(self.now, connection, refusal, &mut self.random);
+        let actions = self.pool.poll(self.now, LIMIT);
+        let opens = actions
+            .iter()
+            .any(|it| matches!(it, PoolAction::Open { .. }));
+        assert!(!opens, "connects again at once after a refusal");
+        self.perform(actions);
+    }
+
+    fn settle(&mut self, connection: ConnectionId, action: Option<PoolAction>) {
+        let seen = match action {
+            None => Seen::Idle,
+            Some(action) => {
+                assert_eq!(action, PoolAction::Close { connection });
+                Seen::Closing
+            }
+        };
+        self.connections.insert(connection, seen);
+    }
+
+    fn perform(&mut self, actions: Vec<PoolAction>) {
+        for action in actions {
+            match action {
+                PoolAction::Open { connection } => {
+                    assert!(!self.leaving, "a leaving database gets no connection");
+                    let before = self.connections.insert(connection, Seen::Connecting);
+                    assert_eq!(before, None);
+                }
+                PoolAction::Close { connection } => {
+                    let before = self.connections.insert(connection, Seen::Closing);
+                    assert_eq!(before, Some(Seen::Idle), "only idle ones are retired");
+                }
+            }
+        }
+    }
+}
+
+struct PoolTest;
+
+impl StateMachineTest for PoolTest {
+    type SystemUnderTest = Harness;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> Harness {
+        Harness {
+            pool: Pool::new(SETTINGS),
+            random: StdRng::seed_from_u64(1),
+            now: Timestamp::ZERO,
+            others: 0,
+            leaving: false,
+            connections: BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut harness: Harness, (): &(), step: Step) -> Harness {
+        match step {
+            Step::Acquire { tenant } => harness.acquire(tenant),
+            Step::Pin(which) => {
+                if let Some(connection) = harness.pick_held(which) {
+                    harness.pool.pin(connection);
+                }
+            }
+            Step::Release { which, dirty } => {
+                if let Some(connection) = harness.pick_held(which) {
+                    harness.release(connection, dirty);
+                }
+            }
+            Step::Connect { which, takes } => {
+                if let Some(connection) = harness.pick(which, |seen| seen == Seen::Connecting) {
+                    harness.connect(connection, takes);
+                }
+            }
+            Step::CloseEnds(which) => {
+                if let Some(connection) = harness.pick(which, |seen| seen == Seen::Closing) {
+                    harness.connections.remove(&connection);
+                    harness.pool.closed(connection);
+                }
+            }
+            Step::Lose(which) => {
+                if let Some(connection) = harness.pick(which, |seen| seen != Seen::Closing) {
+                    harness.connections.remove(&connection);
+                    harness.pool.closed(connection);
+                }
+            }
+            Step::Poll { demand } => {
+                let actions = harness.pool.poll(harness.now, demand);
+                harness.perform(actions);
+            }
+            Step::Pass { milliseconds } => {
+                harness.now = harness.now + Duration::from_millis(milliseconds);
+            }
+            Step::Others(others) => harness.others = others,
+            Step::Leave => {
+                harness.leaving = true;
+                harness.pool.leave();
+            }
+            Step::Readmit => {
+                harness.leaving = false;
+                harness.pool.readmit();
+            }
+        }
+        harness
+    }
+
+    fn check_invariants(harness: &Harness, (): &()) {
+        let status = harness.pool.status();
+        assert!(harness.connections.len() <= LIMIT as usize);
+        assert!((1..=LIMIT).contains(&status.learned_limit));
+        assert_eq!(
+            status.connecting,
+            harness.count(|seen| seen == Seen::Connecting)
+        );
+        assert_eq!(status.idle, harness.count(|seen| seen == Seen::Idle));
+        assert_eq!(status.closing, harness.count(|seen| seen == Seen::Closing));
+        let held = harness.count(|seen| matches!(seen, Seen::Held { .. }));
+        assert_eq!(status.busy + status.pinned, held);
+        assert_eq!(status.counters.unexpected_reports, 0);
+        for tenant in 0..TENANTS {
+            let seen = harness.count(|seen| seen == Seen::Held { tenant });
+            let counted = status.held.get(&name(tenant)).copied().unwrap_or_default();
+            assert_eq!(counted, seen);
+        }
+    }
+}
+
+prop_state_machine! {
+    #[test]
+    fn connections_are_counted_and_given_out_once(sequential 1..200 => PoolTest);
+}
