--- a/crates/dyketally/src/configuration/change.rs
+++ b/crates/dyketally/src/configuration/change.rs
@@ -65,7 +65,6 @@
 
 /// One document: a TOML text with its kind and name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Document {
     /// The kind.
     pub kind: DocumentKind,
@@ -106,6 +105,14 @@
         }
     }
 
+    /// The kind and the name of the document that is edited.
+    pub fn target(&self) -> (DocumentKind, &str) {
+        match self {
+            DocumentEdit::Put(document) => (document.kind, &document.name),
+            DocumentEdit::Remove { kind, name } => (*kind, name),
+        }
+    }
+
     /// Carries the edit out. Removing what doesn't exist changes nothing.
     pub fn apply(&self, documents: &mut Documents) {
         match self {
@@ -122,7 +129,6 @@
 
 /// A change of the configuration: its edits take effect together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Change {
     /// The revision that the change makes: one more than the one it was made on.
     pub revision: Revision,
