--- a/crates/dyketally-lab/tests/path/support.rs
+++ b/crates/dyketally-lab/tests/path/support.rs
@@ -56,7 +56,7 @@
 
 /// A node before a group.
 pub struct System {
-    pub databases: Vec<RunningDatabase>,
+    _databases: Vec<RunningDatabase>,
     pub node: Node,
 }
 
@@ -75,7 +75,10 @@
         let node = Node::start_with(settings, policies(&databases))
             .await
             .expect("node");
-        Self { databases, node }
+        Self {
+            _databases: databases,
+            node,
+        }
     }
 
     /// A driver that is connected to the node.
