Carry pulls of the configuration over TCP between peers

Revisions ride on every membership message; a node that is behind pulls from the peer that told it. A reply holds up to 64 KiB and a change up to 256 KiB, so datagrams would need fragments, repetition and pacing of their own; a short TCP connection to the peer's link port has all three. It is not shared with statements, so neither waits for the other.

A node whose revision grows tells three members at once instead of waiting for its next probe.

--- a/crates/dyketally-protocol/src/message.rs
+++ b/crates/dyketally-protocol/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::configuration::sync::{PullReply, PullRequest};
 use dyketally::group::{LogPosition, Term};
 use dyketally::identifiers::{DatabaseName, NodeName, RequestId, SessionId, TenantName};
 use dyketally::outcome::{NotRunReason, UnknownReason};
@@ -46,6 +47,8 @@
         /// The session that ended.
         session: SessionId,
     },
+    /// Asks for what the sender lacks of the configuration.
+    PullConfiguration(PullRequest),
 }
 
 /// Messages from a home to an edge.
@@ -60,6 +63,8 @@
         /// One or more encoded backend messages.
         messages: Bytes,
     },
+    /// Answers a pull of the configuration.
+    Configuration(PullReply),
     /// The request is over.
     Finished {
         /// The request this replies to.
--- a/crates/dyketally-proxy/src/link/client.rs
+++ b/crates/dyketally-proxy/src/link/client.rs
@@ -119,7 +119,7 @@
     }
 }
 
-async fn open(
+pub(super) async fn open(
     node: NodeName,
     address: SocketAddr,
 ) -> Result<Framed<TcpStream, EdgeCodec>, LinkError> {
@@ -260,7 +260,7 @@
 
     fn receive(&mut self, message: HomeMessage) -> Result<(), LinkError> {
         match message {
-            HomeMessage::Hello(_) => Err(LinkError::NoHello),
+            HomeMessage::Hello(_) | HomeMessage::Configuration(_) => Err(LinkError::NoHello),
             HomeMessage::Data { request, messages } => {
                 // An unknown request is one that the edge gave up: its data is dropped.
                 let Some(in_flight) = self.in_flight.get(&request) else {
--- a/crates/dyketally-proxy/src/link/mod.rs
+++ b/crates/dyketally-proxy/src/link/mod.rs
@@ -1,6 +1,7 @@
 //! Links between edges and homes: many requests in flight on one connection, replies in any order.
 
 mod client;
+mod pull;
 mod server;
 
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use dyketally_protocol::{EdgeMessage, FrameError, HomeMessage, LinkCodec, PROTOCOL_VERSION};
 
 pub use client::LinkPool;
+pub use pull::{pull_configuration, serve_pulls};
 pub use server::{LinkServer, serve_links};
 
 /// The edge's end of a link.
@@ -45,6 +47,9 @@
     /// The peer closed the link.
     #[error("the peer closed the link; it may be restarting")]
     Closed,
+    /// The peer has no configuration to pass on.
+    #[error("the peer keeps no configuration that others can pull; ask another node")]
+    NoConfiguration,
     /// The peer sent more data than it was allowed to.
     #[error(
         "the peer sent more reply data than was granted; check that it runs a compatible version"
--- a/crates/dyketally-proxy/src/link/server.rs
+++ b/crates/dyketally-proxy/src/link/server.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 
+use dyketally::configuration::sync::PullRequest;
 use dyketally::identifiers::{NodeName, RequestId, SessionId};
 use dyketally_protocol::{
     Completion, EdgeMessage, ExecuteRequest, FrameError, Hello, HomeMessage, PROTOCOL_VERSION,
@@ -14,8 +15,10 @@
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use super::pull::answer_pull;
 use super::{HANDSHAKE_TIMEOUT, HomeCodec, LinkError, check_version};
 use crate::homes::Homes;
+use crate::platform::dissemination::Dissemination;
 use crate::reply::{HomeRequest, REPLY_CHUNKS_IN_FLIGHT, ReplyReceiver, reply_channel};
 
 /// Messages that may wait for the connection's writer.
@@ -30,6 +33,8 @@
     pub node: NodeName,
     /// The homes that run requests.
     pub homes: Arc<Homes>,
+    /// What answers pulls of the configuration; `None` when it comes from a file.
+    pub configuration: Option<Dissemination>,
 }
 
 /// Accepts links until `stop` is cancelled.
@@ -80,6 +85,7 @@
     let writer = tokio::spawn(write_messages(outgoing, messages));
     let connection = Connection {
         homes: server.homes,
+        configuration: server.configuration,
         sender,
         running: Arc::default(),
         open_transactions: Arc::default(),
@@ -120,6 +126,7 @@
 #[derive(Clone)]
 struct Connection {
     homes: Arc<Homes>,
+    configuration: Option<Dissemination>,
     sender: mpsc::Sender<HomeMessage>,
     running: Arc<Mutex<HashMap<RequestId, Running>>>,
     open_transactions: Arc<Mutex<HashSet<SessionId>>>,
@@ -137,6 +144,7 @@
                 EdgeMessage::Consumed { request, chunks } => self.grant(request, chunks),
                 EdgeMessage::Cancel { request } => self.cancel(request),
                 EdgeMessage::EndSession { session } => self.end_session(session),
+                EdgeMessage::PullConfiguration(request) => self.answer_pull(request).await?,
             }
         }
         Err(LinkError::Closed)
@@ -203,6 +211,12 @@
         }
     }
 
+    async fn answer_pull(&self, request: PullRequest) -> Result<(), LinkError> {
+        let reply = answer_pull(self.configuration.as_ref(), request).await?;
+        let sent = self.sender.send(HomeMessage::Configuration(reply)).await;
+        sent.map_err(|_| LinkError::Closed)
+    }
+
     fn grant(&self, request: RequestId, chunks: u32) {
         if let Some(running) = lock(&self.running).get(&request) {
             let room = REPLY_CHUNKS_IN_FLIGHT.saturating_sub(running.window.available_permits());
--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -73,6 +73,7 @@
         let server = LinkServer {
             node: self.settings.node.name.clone(),
             homes: self.homes.clone(),
+            configuration: None,
         };
         tokio::spawn(serve_links(peers, server, self.links.clone()));
     }
--- a/crates/dyketally-proxy/src/peers/driver.rs
+++ b/crates/dyketally-proxy/src/peers/driver.rs
@@ -105,7 +105,10 @@
     fn obey(&mut self, command: Option<Command>) -> Step {
         let now = clock::now();
         match command {
-            Some(Command::SetRevision(revision)) => self.membership.set_revision(revision),
+            Some(Command::SetRevision(revision)) => {
+                let outputs = self.membership.set_revision(now, revision);
+                self.carry_out(outputs);
+            }
             Some(Command::SetContacts(contacts)) => self.membership.set_contacts(contacts),
             Some(Command::AnnounceLeaving(done)) => {
                 let outputs = self.membership.announce_leaving(now);
--- a/crates/dyketally-proxy/src/peers/view.rs
+++ b/crates/dyketally-proxy/src/peers/view.rs
@@ -124,9 +124,20 @@
             .collect()
     }
 
-    /// True when `node` is one of the relays of the zone at `locality`.
-    pub fn is_relay(&self, node: &NodeName, locality: &Locality) -> bool {
-        relays(locality, self.candidates(), RELAYS_PER_ZONE).contains(&node)
+    /// The relays of the zone at `locality`.
+    pub fn relays(&self, locality: &Locality) -> Vec<NodeName> {
+        let relays = relays(locality, self.candidates(), RELAYS_PER_ZONE);
+        relays.into_iter().cloned().collect()
+    }
+
+    /// Number of relays in all zones.
+    pub fn count_relays(&self) -> u32 {
+        let mut by_zone: HashMap<&Locality, usize> = HashMap::new();
+        for node in &self.nodes {
+            *by_zone.entry(&node.locality).or_default() += 1;
+        }
+        let relays = by_zone.values().map(|count| (*count).min(RELAYS_PER_ZONE));
+        relays.sum::<usize>() as u32
     }
 
     fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
--- a/crates/dyketally/src/membership/engine.rs
+++ b/crates/dyketally/src/membership/engine.rs
@@ -26,6 +26,9 @@
 /// Members that a node tells at once when it leaves.
 const TOLD_WHEN_LEAVING: usize = 6;
 
+/// Members that a node tells at once when its configuration has become newer.
+const TOLD_OF_REVISION: usize = 3;
+
 /// Where the node stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -109,13 +112,20 @@
         self.contacts.retain(|contact| Some(*contact) != own);
     }
 
-    /// Sets the configuration revision that this node tells others.
-    pub fn set_revision(&mut self, revision: Revision) {
+    /// Sets the configuration revision that this node tells others. A newer one is told to a few
+    /// members at once.
+    pub fn set_revision(&mut self, now: Timestamp, revision: Revision) -> Vec<Output> {
+        let is_newer = revision > self.revision;
         self.revision = revision;
         let own = self.own.clone();
         if self.table.set_revision(&own, revision) {
             self.revision_version += 1;
         }
+        let interval = self.config.probe_interval;
+        if is_newer && self.phase == Phase::Running && self.schedule.may_tell(interval, now) {
+            self.tell_some(now, TOLD_OF_REVISION);
+        }
+        std::mem::take(&mut self.outputs)
     }
 
     /// Takes a datagram that arrived from `from`; one that can't be read is counted.
@@ -160,7 +170,7 @@
     pub fn announce_leaving(&mut self, now: Timestamp) -> Vec<Output> {
         if self.phase == Phase::Running {
             self.renew_self(now, None, true);
-            self.tell_some(now);
+            self.tell_some(now, TOLD_WHEN_LEAVING);
         }
         std::mem::take(&mut self.outputs)
     }
@@ -383,15 +393,15 @@
             node: record.node.clone(),
             incarnation: record.incarnation,
         });
-        self.tell_some(now);
+        self.tell_some(now, TOLD_WHEN_LEAVING);
         self.table.put(record, Status::Left, now);
         self.state_version += 1;
         self.phase = Phase::Left;
     }
 
     /// Passes on what is new to a few members at once, without waiting for the next probes.
-    fn tell_some(&mut self, now: Timestamp) {
-        for _ in 0..TOLD_WHEN_LEAVING {
+    fn tell_some(&mut self, now: Timestamp, count: usize) {
+        for _ in 0..count {
             let size = self.region_size();
             let Some(peer) = self.rings.next_probe(&self.table, size, &mut self.rng) else {
                 return;
--- a/crates/dyketally/src/membership/schedule.rs
+++ b/crates/dyketally/src/membership/schedule.rs
@@ -33,6 +33,7 @@
 pub(super) struct Schedule {
     started: Timestamp,
     last_call: Timestamp,
+    may_tell_at: Timestamp,
     next_probe: Timestamp,
     next_contact: Timestamp,
     next_heal: Timestamp,
@@ -44,6 +45,7 @@
         Self {
             started: now,
             last_call: now,
+            may_tell_at: now,
             next_probe: now,
             next_contact: now,
             next_heal: now + config.heal_interval,
@@ -58,6 +60,15 @@
         gap
     }
 
+    /// True when members may be told something at once; not again within `interval`.
+    pub(super) fn may_tell(&mut self, interval: Duration, now: Timestamp) -> bool {
+        let may_tell = self.may_tell_at <= now;
+        if may_tell {
+            self.may_tell_at = now + interval;
+        }
+        may_tell
+    }
+
     /// Time since the start of this node.
     pub(super) fn age(&self, now: Timestamp) -> Duration {
         now.saturating_since(self.started)
--- a/crates/dyketally/tests/simulation/mod.rs
+++ b/crates/dyketally/tests/simulation/mod.rs
@@ -192,7 +192,9 @@
     }
 
     pub fn set_revision(&mut self, node: &NodeName, revision: u64) {
-        self.membership(node).set_revision(Revision(revision));
+        let now = self.now;
+        let outputs = self.membership(node).set_revision(now, Revision(revision));
+        self.take(node.clone(), outputs);
     }
 
     /// Loses everything from `from` to `to`.
