Record statements in the ledger, and move writes on from a database that leaves

A recorded batch runs in a transaction with the request's key, and its reply as the key's value. When its outcome is unclear, the home inserts the key again at the primary: that either bars the batch for good (not run), or fails, and the ledger holds the reply (done). Both are confirmed by a majority.

--- a/crates/dyketally-lab/tests/home/main.rs
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -2,6 +2,7 @@
 
 mod pressure;
 mod reads;
+mod recorded;
 mod support;
 mod transactions;
 mod writes;
--- a/crates/dyketally-lab/tests/home/pressure.rs
+++ b/crates/dyketally-lab/tests/home/pressure.rs
@@ -160,3 +160,29 @@
     assert!(fixture.run_next(&begin, 0, "COMMIT").await.is_done());
     assert_eq!(drained.await.unwrap(), 0);
 }
+
+#[tokio::test]
+async fn writes_move_on_from_a_primary_that_leaves() {
+    let fixture = Fixture::start().await;
+    let old = fixture.primary;
+    let home = &fixture.homes[old];
+    assert!(
+        fixture
+            .run(fixture.write(old, &insert("a")))
+            .await
+            .is_done()
+    );
+    home.set_database_leaving(true);
+    fixture.databases[old].control().leave().await.unwrap();
+    let answer = fixture.run(fixture.write(old, &insert("b"))).await;
+    let Completion::Redirect {
+        primary: Some(new), ..
+    } = answer.completion
+    else {
+        panic!("{answer:?}");
+    };
+    let new = (0..3).find(|member| fixture.name(*member) == new).unwrap();
+    assert_ne!(new, old);
+    let answer = fixture.run(fixture.write(new, &insert("b"))).await;
+    assert!(answer.is_done(), "{answer:?}");
+}
--- /dev/null
+++ b/crates/dyketally-lab/tests/home/recorded.rs
@@ -0,0 +1,201 @@
+//! Recorded statements: what became of them is found out in the ledger.
+
+use std::net::SocketAddr;
+
+use dyketally::policy::Repeat;
+use dyketally_lab::database::DatabaseSettings;
+use dyketally_protocol::{Completion, ExecuteRequest};
+use dyketally_proxy::home::{AddressRoutes, Home, HomeOptions};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::support::{Fixture, Setup, eventually, insert};
+
+fn recorded(fixture: &Fixture, text: &str) -> ExecuteRequest {
+    ExecuteRequest {
+        repeat: Repeat::Recorded,
+        ..fixture.write(fixture.primary, text)
+    }
+}
+
+async fn rows(fixture: &Fixture, member: usize, table: &str) -> usize {
+    let database = fixture
+        .databases
+        .iter()
+        .find(|database| database.settings.name == fixture.name(member));
+    let rows = database.expect("running").control().table(table).await;
+    rows.expect("control address").len()
+}
+
+/// The member that leads after the one that led at the start is gone.
+async fn next_primary(fixture: &Fixture) -> usize {
+    eventually("another primary", || async {
+        for member in fixture.replicas() {
+            let mut databases = fixture.databases.iter();
+            let database = databases.find(|held| held.settings.name == fixture.name(member))?;
+            if database.control().state().await.ok()?.is_primary() {
+                return Some(member);
+            }
+        }
+        None
+    })
+    .await
+}
+
+#[tokio::test]
+async fn records_a_statement_with_its_reply() {
+    let fixture = Fixture::start().await;
+    let answer = fixture.run(recorded(&fixture, &insert("a"))).await;
+    assert!(answer.is_done(), "{answer:?}");
+    assert_eq!(answer.tags(), "C");
+    assert!(answer.seen().offset > 0);
+    assert_eq!(rows(&fixture, fixture.primary, "orders").await, 1);
+    assert_eq!(rows(&fixture, fixture.primary, "ledger").await, 1);
+}
+
+#[tokio::test]
+async fn a_failed_statement_leaves_no_entry() {
+    let fixture = Fixture::start().await;
+    assert!(
+        fixture
+            .run(recorded(&fixture, &insert("a")))
+            .await
+            .is_done()
+    );
+    let answer = fixture.run(recorded(&fixture, &insert("a"))).await;
+    assert!(answer.is_done(), "{answer:?}");
+    assert_eq!(answer.sqlstate().as_deref(), Some("23505"));
+    assert_eq!(rows(&fixture, fixture.primary, "ledger").await, 1);
+}
+
+#[tokio::test]
+async fn sends_a_recorded_statement_on_from_a_replica() {
+    let fixture = Fixture::start().await;
+    let replica = fixture.replicas()[0];
+    let request = ExecuteRequest {
+        repeat: Repeat::Recorded,
+        ..fixture.write(replica, &insert("a"))
+    };
+    let answer = fixture.run(request).await;
+    assert!(matches!(answer.completion, Completion::Redirect { .. }));
+}
+
+#[tokio::test]
+async fn proves_that_an_interrupted_statement_was_not_run() {
+    let mut fixture = Fixture::start().await;
+    let primary = fixture.primary;
+    let pending = fixture.submit(recorded(&fixture, "SELECT pg_sleep(20)"));
+    eventually("the statement runs", || async {
+        let state = fixture.databases[primary].control().state().await.ok()?;
+        (state.busy_slots > 0).then_some(())
+    })
+    .await;
+    drop(fixture.databases.remove(primary));
+    let answer = pending.answer().await;
+    assert!(
+        matches!(answer.completion, Completion::NotRun { .. }),
+        "{answer:?}"
+    );
+    // The key that bars the statement.
+    let new = next_primary(&fixture).await;
+    assert_eq!(rows(&fixture, new, "ledger").await, 1);
+}
+
+#[tokio::test]
+async fn proves_that_a_statement_of_a_deposed_primary_was_not_run() {
+    let fixture = Fixture::start().await;
+    let primary = fixture.primary;
+    let control = fixture.databases[primary].control();
+    let others = fixture.replicas();
+    let others = others.iter().map(|other| fixture.name(*other)).collect();
+    control.set_stay_leading(true).await.unwrap();
+    control.cut(others).await.unwrap();
+    let answer = fixture.run(recorded(&fixture, &insert("a"))).await;
+    assert!(
+        matches!(
+            answer.completion,
+            Completion::NotRun { .. } | Completion::Redirect { .. }
+        ),
+        "{answer:?}"
+    );
+    let new = next_primary(&fixture).await;
+    assert_eq!(rows(&fixture, new, "orders").await, 0);
+}
+
+/// Passes bytes on; cuts the first connection that commits, before it can hear of it.
+async fn start_relay(target: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let mut armed = true;
+        let (tripped, mut trips) = tokio::sync::mpsc::unbounded_channel();
+        loop {
+            tokio::select! {
+                Ok((client, _)) = listener.accept() => {
+                    tokio::spawn(relay(client, target, armed.then(|| tripped.clone())));
+                }
+                Some(()) = trips.recv() => armed = false,
+            }
+        }
+    });
+    address
+}
+
+async fn relay(
+    client: TcpStream,
+    target: SocketAddr,
+    armed: Option<tokio::sync::mpsc::UnboundedSender<()>>,
+) -> std::io::Result<()> {
+    let server = TcpStream::connect(target).await?;
+    let (mut client_reader, mut client_writer) = client.into_split();
+    let (mut server_reader, mut server_writer) = server.into_split();
+    let back =
+        tokio::spawn(async move { tokio::io::copy(&mut server_reader, &mut client_writer).await });
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let read = client_reader.read(&mut buffer).await?;
+        if read == 0 {
+            return Ok(());
+        }
+        let commits = buffer[..read].windows(6).any(|word| word == b"COMMIT");
+        if let Some(tripped) = armed.as_ref().filter(|_| commits) {
+            back.abort();
+            let _ = back.await;
+            server_writer.write_all(&buffer[..read]).await?;
+            let _ = tripped.send(());
+            // The commit takes effect before the connection is seen to end.
+            tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+            return Ok(());
+        }
+        server_writer.write_all(&buffer[..read]).await?;
+    }
+}
+
+#[tokio::test]
+async fn answers_from_the_ledger_when_the_reply_was_lost() {
+    let setup = Setup {
+        database: DatabaseSettings {
+            slots: 1,
+            ..Setup::default().database
+        },
+        ..Setup::default()
+    };
+    let fixture = Fixture::start_with(setup).await;
+    let primary = fixture.primary;
+    let address = fixture.databases[primary].address();
+    let relay = start_relay(address).await;
+    let home = Home::start(
+        fixture.name(primary),
+        fixture.policies.subscribe(),
+        AddressRoutes::from_iter([(address, relay)]),
+        HomeOptions::default(),
+    );
+    let pending = Fixture::submit_at(&home, recorded(&fixture, &insert("a")));
+    let answer = pending.answer().await;
+    assert!(answer.is_done(), "{answer:?}");
+    assert_eq!(answer.tags(), "C");
+    assert_eq!(rows(&fixture, primary, "orders").await, 1);
+    assert_eq!(rows(&fixture, primary, "ledger").await, 1);
+    let resolved = home.counters().resolved_done.get();
+    assert_eq!(resolved, 1, "the reply was lost");
+}
--- a/crates/dyketally-lab/tests/home/support.rs
+++ b/crates/dyketally-lab/tests/home/support.rs
@@ -71,7 +71,7 @@
     pub databases: Vec<RunningDatabase>,
     pub homes: Vec<HomeHandle>,
     pub primary: usize,
-    policies: watch::Sender<Arc<PolicySet>>,
+    pub policies: watch::Sender<Arc<PolicySet>>,
 }
 
 impl Fixture {
--- a/crates/dyketally-proxy/src/home/connection.rs
+++ b/crates/dyketally-proxy/src/home/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a database that runs batches, one at a time.
 
+use std::io;
 use std::net::SocketAddr;
 
 use bytes::BytesMut;
@@ -8,6 +9,7 @@
 use postgres_protocol::message::frontend;
 
 use super::backend::{BackendError, BackendStream, CancelRequest, Frame, sqlstate};
+use super::command::{CommandReader, CommandReply};
 use super::encode::{EncodeError, encode_batch};
 use super::output::ReplyOutput;
 use super::plan::{Disposition, ReplyPlan};
@@ -58,6 +60,8 @@
     commands: u32,
     rollbacks: u32,
     phase: Phase,
+    /// Batches and commands whose replies aren't fully read.
+    replies_due: u32,
     session_changed: bool,
 }
 
@@ -84,6 +88,7 @@
             commands: 0,
             rollbacks: 0,
             phase: Phase::Ready(TransactionStatus::Idle),
+            replies_due: 0,
             session_changed: false,
         }
     }
@@ -92,6 +97,7 @@
     /// no transaction, and nothing came since.
     pub fn is_reusable(&mut self) -> bool {
         self.phase == Phase::Ready(TransactionStatus::Idle)
+            && self.replies_due == 0
             && self.status_due.is_none()
             && !self.session_changed
             && self.stream.is_quiet()
@@ -124,14 +130,40 @@
         self.rollbacks = 0;
         let mut encoded = BytesMut::new();
         self.plan = encode_batch(batch, &mut self.statements, &mut encoded)?;
+        self.stream.outgoing.unsplit(encoded);
+        self.replies_due += 1;
         if let Some(statement) = status_statement {
-            frontend::query(statement, &mut encoded)?;
-            self.status_due = Some(StatusReader::default());
+            self.queue_status(statement)?;
         }
-        self.stream.outgoing.unsplit(encoded);
         Ok(())
     }
 
+    /// Adds a statement of the home's own to what is sent next.
+    pub fn queue_command(&mut self, text: &str) -> Result<(), BackendError> {
+        frontend::query(text, &mut self.stream.outgoing)?;
+        self.replies_due += 1;
+        Ok(())
+    }
+
+    /// Adds the status statement to what is sent next. Its answer is read last.
+    pub fn queue_status(&mut self, statement: &str) -> io::Result<()> {
+        frontend::query(statement, &mut self.stream.outgoing)?;
+        self.status_due = Some(StatusReader::default());
+        Ok(())
+    }
+
+    /// Reads the reply to the next statement of the home's own.
+    pub async fn read_command(&mut self) -> Result<CommandReply, BackendError> {
+        let mut reader = CommandReader::default();
+        loop {
+            let frame = self.stream.read_frame().await?;
+            if let Some(transaction) = reader.accept(frame)? {
+                self.replied(transaction);
+                return Ok(reader.into_reply());
+            }
+        }
+    }
+
     /// Sends what was prepared.
     pub async fn send(&mut self) -> Result<(), BackendError> {
         self.phase = Phase::Sending;
@@ -170,8 +202,7 @@
 
     /// Asks for the status on a connection whose batch has ended.
     pub async fn ask_status(&mut self, statement: &str) -> Result<StatusReply, BackendError> {
-        frontend::query(statement, &mut self.stream.outgoing)?;
-        self.status_due = Some(StatusReader::default());
+        self.queue_status(statement)?;
         self.stream.flush().await?;
         self.read_status().await
     }
@@ -183,12 +214,19 @@
             while self.plan.made_up().is_some() {}
             let disposition = self.plan.accept(frame.tag(), frame.first_body_byte())?;
             if let Disposition::Ended(transaction) = disposition {
-                self.phase = Phase::Ready(transaction);
+                self.replied(transaction);
             }
         }
         Ok(())
     }
 
+    fn replied(&mut self, transaction: TransactionStatus) {
+        self.replies_due -= 1;
+        if self.replies_due == 0 {
+            self.phase = Phase::Ready(transaction);
+        }
+    }
+
     async fn accept(
         &mut self,
         frame: Frame,
@@ -216,7 +254,7 @@
                 self.stream.flush().await?;
             }
             Disposition::Ended(transaction) => {
-                self.phase = Phase::Ready(transaction);
+                self.replied(transaction);
                 return Ok(Some(self.batch_end(transaction)));
             }
         }
--- a/crates/dyketally-proxy/src/home/counters.rs
+++ b/crates/dyketally-proxy/src/home/counters.rs
@@ -80,6 +80,10 @@
     writes_confirmed,
     /// Writes that the group did not confirm.
     writes_not_confirmed,
+    /// Recorded requests of unclear outcome that were found to have been run.
+    resolved_done,
+    /// Recorded requests of unclear outcome that were found not to have been run.
+    resolved_not_run,
     /// Cancel requests sent to the database.
     cancels,
     /// Transactions rolled back because their session ended or left them idle too long.
--- a/crates/dyketally-proxy/src/home/dispatch.rs
+++ b/crates/dyketally-proxy/src/home/dispatch.rs
@@ -1,110 +1,33 @@
 //! Gives statements their slot and connection: the fair queue and the pool of one database,
 //! decided together, and the tasks that open connections.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use dyketally::admission::{
-    Admitted, Expired, FairQueue, QueueStatus, Rejected, RejectionReason, Stage, Submission, Ticket,
+    Expired, QueueStatus, Rejected, RejectionReason, Stage, Submission, Ticket,
 };
-use dyketally::identifiers::TenantName;
 use dyketally::outcome::NotRunReason;
-use dyketally::pool::{
-    ConnectionId, Pool, PoolAction, PoolSettings, PoolStatus, Refusal, ReleaseCondition,
-};
-use dyketally::retry::Backoff;
+use dyketally::pool::{ConnectionId, PoolStatus, Refusal, ReleaseCondition};
 use dyketally::time::Timestamp;
 use tokio::sync::{Notify, oneshot, watch};
 
-use super::backend::{BackendError, BackendLogin, BackendStream};
+use super::admission::{AdmissionRequest, DispatchSettings, Reachability, TurnedAway};
+use super::backend::{BackendError, BackendStream};
 use super::connection::Connection;
-use super::grant::{Grant, PooledConnection, Slot};
+use super::dispatch_state::{DispatchState, IdleConnection, Outcomes, Waiter};
+use super::grant::Grant;
 use crate::clock::now;
 
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
-/// Pauses between attempts to connect. Short, as a write may wait for a primary that restarts.
-const RECONNECT: Backoff = Backoff {
-    first: Duration::from_millis(20),
-    longest: Duration::from_millis(250),
-};
 /// Longest time between two looks at what is due.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 const TOO_MANY_CONNECTIONS: &str = "53300";
 const CANNOT_CONNECT_NOW: &str = "57P03";
 
-/// The database as the home last found it when it opened connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reachability {
-    /// It grants connections, or none was asked for yet.
-    Granting,
-    /// It refused the last connection, and none is open.
-    Refusing(Refusal),
-}
-
-/// Where a database is and what it grants.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DispatchSettings {
-    /// Where it accepts connections.
-    pub address: SocketAddr,
-    /// How to log in.
-    pub login: BackendLogin,
-    /// Connections it grants to statements.
-    pub connection_limit: u32,
-    /// Statements that it runs at one time.
-    pub slots: u32,
-}
-
-/// A statement that asks for a slot, and for a connection if it has none.
-#[derive(Clone, Debug)]
-pub struct AdmissionRequest {
-    /// On whose share it runs.
-    pub tenant: TenantName,
-    /// The tenant's share relative to other tenants.
-    pub weight: u32,
-    /// Statements of this tenant that may wait.
-    pub queue_limit: u32,
-    /// Whether it holds a connection already.
-    pub stage: Stage,
-    /// Order among the tenant's own statements.
-    pub urgency: dyketally::policy::Urgency,
-    /// When to give up.
-    pub deadline: Timestamp,
-}
-
-/// A statement that was turned away. It was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TurnedAway {
-    /// Why.
-    pub reason: NotRunReason,
-    /// When to come back.
-    pub retry_after: Duration,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    weight: u32,
-    answer: oneshot::Sender<Result<Grant, TurnedAway>>,
-}
-
-#[derive(Debug)]
-struct DispatchState {
-    settings: DispatchSettings,
-    queue: FairQueue<Waiter>,
-    pool: Pool,
-    idle: HashMap<ConnectionId, IdleConnection>,
-}
-
-#[derive(Debug)]
-pub(super) struct IdleConnection {
-    pub connection: Box<Connection>,
-    pub opened_at: Timestamp,
-}
-
 /// The queue and the connections of one database.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -113,25 +36,11 @@
     rescheduled: Notify,
 }
 
-/// What to do once the state is unlocked.
-#[derive(Default)]
-struct Outcomes {
-    granted: Vec<(Waiter, Grant)>,
-    open: Vec<ConnectionId>,
-    closed: Vec<IdleConnection>,
-}
-
 impl Dispatcher {
     /// A dispatcher without connections.
     pub fn new(settings: DispatchSettings) -> Self {
-        let state = DispatchState {
-            queue: FairQueue::new(settings.slots),
-            pool: Pool::new(pool_settings(&settings)),
-            idle: HashMap::new(),
-            settings,
-        };
         Self {
-            state: Mutex::new(state),
+            state: Mutex::new(DispatchState::new(settings)),
             reachability: watch::Sender::new(Reachability::Granting),
             rescheduled: Notify::new(),
         }
@@ -139,14 +48,7 @@
 
     /// Replaces the settings. Idle connections to another address are closed.
     pub fn configure(self: &Arc<Self>, settings: DispatchSettings) {
-        self.change(|state, outcomes| {
-            if state.settings.address != settings.address {
-                state.close_idle(outcomes);
-            }
-            state.queue.set_slots(settings.slots);
-            state.pool.configure(pool_settings(&settings));
-            state.settings = settings;
-        });
+        self.change(|state, outcomes| state.configure(settings, outcomes));
     }
 
     /// Waits for a slot, and for a connection unless the statement holds one. Dropping the
@@ -344,82 +246,6 @@
     }
 }
 
-impl DispatchState {
-    fn advance(&mut self, dispatcher: &Arc<Dispatcher>, outcomes: &mut Outcomes) {
-        let now = now();
-        while let Some(admitted) = self.next_admitted(now) {
-            let connection = match admitted.stage {
-                Stage::Continuation => None,
-                Stage::Fresh => self.take_connection(&admitted, dispatcher, outcomes),
-            };
-            let slot = Slot::new(Arc::clone(dispatcher), admitted.ticket);
-            let grant = Grant { connection, slot };
-            outcomes.granted.push((admitted.item, grant));
-        }
-        let demand = u32::try_from(self.queue.queued_fresh()).unwrap_or(u32::MAX);
-        let demand = demand.min(self.queue.free_slots());
-        for action in self.pool.poll(now, demand) {
-            match action {
-                PoolAction::Open { connection } => outcomes.open.push(connection),
-                PoolAction::Close { connection } => self.close(connection, outcomes),
-            }
-        }
-    }
-
-    fn next_admitted(&mut self, now: Timestamp) -> Option<Admitted<Waiter>> {
-        let pool = &self.pool;
-        self.queue.next_eligible(now, |tenant, stage| match stage {
-            Stage::Continuation => true,
-            Stage::Fresh => pool.can_acquire(tenant),
-        })
-    }
-
-    /// The next idle connection that still works.
-    fn take_connection(
-        &mut self,
-        admitted: &Admitted<Waiter>,
-        dispatcher: &Arc<Dispatcher>,
-        outcomes: &mut Outcomes,
-    ) -> Option<PooledConnection> {
-        let weight = admitted.item.weight;
-        while let Some(id) = self.pool.acquire(now(), &admitted.tenant, weight) {
-            if let Some(mut idle) = self.idle.remove(&id) {
-                if idle.connection.is_reusable() {
-                    return Some(PooledConnection::new(Arc::clone(dispatcher), id, idle));
-                }
-                outcomes.closed.push(idle);
-            }
-            self.pool.closed(id);
-        }
-        None
-    }
-
-    fn keep_or_close(
-        &mut self,
-        id: ConnectionId,
-        connection: IdleConnection,
-        action: Option<PoolAction>,
-        outcomes: &mut Outcomes,
-    ) {
-        self.idle.insert(id, connection);
-        if let Some(PoolAction::Close { connection }) = action {
-            self.close(connection, outcomes);
-        }
-    }
-
-    fn close(&mut self, id: ConnectionId, outcomes: &mut Outcomes) {
-        outcomes.closed.extend(self.idle.remove(&id));
-        self.pool.closed(id);
-    }
-
-    fn close_idle(&mut self, outcomes: &mut Outcomes) {
-        for (id, idle) in self.idle.drain() {
-            self.pool.closed(id);
-            outcomes.closed.push(idle);
-        }
-    }
-}
-
 /// A statement that waits; leaves the queue when it is dropped.
 struct QueuedPlace<'a> {
     dispatcher: &'a Arc<Dispatcher>,
@@ -432,14 +258,6 @@
     }
 }
 
-fn pool_settings(settings: &DispatchSettings) -> PoolSettings {
-    let usual = PoolSettings::for_database(settings.connection_limit, settings.slots);
-    PoolSettings {
-        backoff: RECONNECT,
-        ..usual
-    }
-}
-
 fn refusal_of(error: &BackendError) -> Refusal {
     match error {
         BackendError::Refused { sqlstate, .. } if sqlstate == TOO_MANY_CONNECTIONS => {
--- a/crates/dyketally-proxy/src/home/grant.rs
+++ b/crates/dyketally-proxy/src/home/grant.rs
@@ -7,7 +7,8 @@
 use dyketally::time::Timestamp;
 
 use super::connection::Connection;
-use super::dispatch::{Dispatcher, IdleConnection};
+use super::dispatch::Dispatcher;
+use super::dispatch_state::IdleConnection;
 
 /// A slot, and a connection for a statement that had none.
 #[derive(Debug)]
--- a/crates/dyketally-proxy/src/home/mod.rs
+++ b/crates/dyketally-proxy/src/home/mod.rs
@@ -4,17 +4,23 @@
 //! runs as a task of its own: it is admitted, takes a connection, sends its batch, passes the
 //! reply on and ends in exactly one completion.
 
+pub mod admission;
 pub mod backend;
+pub mod command;
 pub mod connection;
 pub mod counters;
 pub mod dispatch;
+mod dispatch_state;
 pub mod encode;
 pub mod grant;
 mod handle;
+pub mod ledger;
 pub mod monitor;
 pub mod output;
 pub mod plan;
 pub mod prober;
+mod recorded;
+mod resolve;
 mod route;
 mod run;
 mod serve;
--- a/crates/dyketally-proxy/src/home/output.rs
+++ b/crates/dyketally-proxy/src/home/output.rs
@@ -89,6 +89,20 @@
         }
     }
 
+    /// A copy of all data so far, if none was passed on and it is no longer than `longest`.
+    pub fn held(&self, longest: usize) -> Option<Vec<u8>> {
+        let length = self.sealed_bytes + self.open.len();
+        if self.passed_on || length > longest {
+            return None;
+        }
+        let mut data = Vec::with_capacity(length);
+        for chunk in &self.sealed {
+            data.extend_from_slice(chunk);
+        }
+        data.extend_from_slice(&self.open);
+        Some(data)
+    }
+
     /// Forgets the data that wasn't passed on.
     pub fn discard(&mut self) {
         self.sealed.clear();
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -20,7 +20,7 @@
 use crate::clock::now;
 
 /// SQLSTATE of a write that a replica refuses.
-const READ_ONLY_TRANSACTION: &str = "25006";
+pub(super) const READ_ONLY_TRANSACTION: &str = "25006";
 
 /// A statement that runs for this long makes the home ask whether its database still leads.
 const SUSPICION: Duration = Duration::from_millis(50);
@@ -32,7 +32,7 @@
 const ABANDONED_LIMIT: Duration = Duration::from_secs(2);
 
 /// Why a sent batch has no usable reply.
-enum Failure {
+pub(super) enum Failure {
     Broken,
     DeadlinePassed,
     Replaced,
@@ -44,6 +44,23 @@
     }
 }
 
+impl From<std::io::Error> for Failure {
+    fn from(_: std::io::Error) -> Self {
+        Self::Broken
+    }
+}
+
+impl Failure {
+    /// Why the outcome of what was sent can't be told.
+    pub fn reason(&self) -> UnknownReason {
+        match self {
+            Self::Broken => UnknownReason::ConnectionLost,
+            Self::DeadlinePassed => UnknownReason::DeadlinePassed,
+            Self::Replaced => UnknownReason::NotConfirmed,
+        }
+    }
+}
+
 /// What a batch left behind it.
 struct Exchanged {
     end: BatchEnd,
@@ -59,6 +76,9 @@
         confirm: Option<Term>,
         output: &mut ReplyOutput,
     ) -> Completion {
+        if self.is_recorded() {
+            return self.run_recorded(pin, slot, output).await;
+        }
         output.set_delivery(match self.is_held(&pin, confirm) {
             true => Delivery::Held,
             false => Delivery::Streamed,
@@ -124,7 +144,7 @@
         Ok(Exchanged { end, status })
     }
 
-    async fn read_reply(
+    pub(super) async fn read_reply(
         &self,
         pin: &mut Pin,
         output: &mut ReplyOutput,
@@ -296,15 +316,13 @@
             Failure::Broken if harmless => not_run(NotRunReason::Unreachable),
             Failure::DeadlinePassed if harmless => not_run(NotRunReason::DeadlinePassed),
             Failure::Replaced if harmless => self.redirect(),
-            Failure::Broken => unknown(UnknownReason::ConnectionLost),
-            Failure::DeadlinePassed => unknown(UnknownReason::DeadlinePassed),
-            Failure::Replaced => unknown(UnknownReason::NotConfirmed),
+            failure => unknown(failure.reason()),
         }
     }
 
     /// Stops the statement and closes its connection once it has ended; until then it keeps its
     /// slot, as the database is busy with it.
-    fn abandon(&self, mut pin: Pin, slot: Slot, failure: Failure) {
+    pub(super) fn abandon(&self, mut pin: Pin, slot: Slot, failure: Failure) {
         pin.connection.get().spoil();
         if matches!(failure, Failure::Broken) {
             return;
@@ -320,10 +338,13 @@
     }
 }
 
-fn done(seen: Option<dyketally::group::LogPosition>, transaction: TransactionStatus) -> Completion {
+pub(super) fn done(
+    seen: Option<dyketally::group::LogPosition>,
+    transaction: TransactionStatus,
+) -> Completion {
     Completion::Done { seen, transaction }
 }
 
-fn unknown(reason: UnknownReason) -> Completion {
+pub(super) fn unknown(reason: UnknownReason) -> Completion {
     Completion::Unknown { reason }
 }
--- a/crates/dyketally-proxy/src/home/serve.rs
+++ b/crates/dyketally-proxy/src/home/serve.rs
@@ -7,10 +7,10 @@
 use dyketally::policy::{Access, TenantPolicy};
 use dyketally::pool::Refusal;
 use dyketally::time::Timestamp;
-use dyketally_protocol::{Completion, ExecuteRequest};
+use dyketally_protocol::{Completion, ExecuteRequest, Freshness};
 use tokio_util::sync::CancellationToken;
 
-use super::dispatch::{AdmissionRequest, Reachability, TurnedAway};
+use super::admission::{AdmissionRequest, Reachability, TurnedAway};
 use super::grant::{Grant, PooledConnection};
 use super::output::ReplyOutput;
 use super::route::Permission;
@@ -136,7 +136,7 @@
     }
 
     async fn attempt(&self, output: &mut ReplyOutput) -> Result<Completion, Stop> {
-        self.check_open()?;
+        self.check_open().await?;
         let permission = self.route(Timestamp::ZERO).await?;
         let grant = self.admit(permission).await?;
         let Some(connection) = grant.connection else {
@@ -148,13 +148,36 @@
         Ok(self.run_on(pin, grant.slot, confirm, output).await)
     }
 
-    fn check_open(&self) -> Result<(), Stop> {
-        match self.shared.is_draining() || self.shared.is_leaving() {
-            true => Err(NotRunReason::Leaving.into()),
-            false => Ok(()),
+    /// While the database leaves, what needs the primary waits for the next one.
+    async fn check_open(&self) -> Result<(), Stop> {
+        if self.shared.is_draining() {
+            return Err(NotRunReason::Leaving.into());
+        }
+        if !self.shared.is_leaving() {
+            return Ok(());
+        }
+        let needs_primary =
+            self.execute.access == Access::Write || self.execute.freshness == Freshness::Current;
+        if !needs_primary {
+            return Err(NotRunReason::Leaving.into());
+        }
+        match self.redirect() {
+            Completion::Redirect { primary: None, .. } => self.wait_while_leaving().await,
+            elsewhere => Err(Stop::Complete(elsewhere)),
         }
     }
 
+    async fn wait_while_leaving(&self) -> Result<(), Stop> {
+        let mut changes = self.shared.monitor.changes();
+        let pause = LEAVING_POLL_INTERVAL.min(self.time_left());
+        if pause.is_zero() || self.cancelled.is_cancelled() {
+            return Err(NotRunReason::Leaving.into());
+        }
+        // Whether the database still leaves is looked up again either way.
+        let _ = tokio::time::timeout(pause, changes.changed()).await;
+        Err(Stop::Again)
+    }
+
     /// Waits for a slot and a connection, for as long as the permission holds.
     async fn admit(&self, permission: Permission) -> Result<Grant, Stop> {
         let mut changes = self.shared.monitor.changes();
@@ -240,8 +263,10 @@
 fn check_reachable(reachability: Reachability) -> Result<(), Stop> {
     match reachability {
         Reachability::Granting => Ok(()),
-        Reachability::Refusing(Refusal::Unreachable) => Err(NotRunReason::Unreachable.into()),
-        Reachability::Refusing(_) => Err(NotRunReason::Refused.into()),
+        Reachability::Refusing(Refusal::CannotConnectNow) => Err(NotRunReason::Leaving.into()),
+        Reachability::Refusing(Refusal::Unreachable | Refusal::TooManyConnections) => {
+            Err(NotRunReason::Unreachable.into())
+        }
     }
 }
 
@@ -256,5 +281,8 @@
     }
 }
 
+/// Time between two looks whether the database still leaves.
+const LEAVING_POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(50);
+
 /// When to come back after a refusal that says nothing about its length.
 const COME_BACK_SOON: std::time::Duration = std::time::Duration::from_millis(50);
--- a/crates/dyketally-proxy/src/home/shared.rs
+++ b/crates/dyketally-proxy/src/home/shared.rs
@@ -17,9 +17,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::admission::DispatchSettings;
 use super::backend::BackendLogin;
 use super::counters::HomeCounters;
-use super::dispatch::{DispatchSettings, Dispatcher};
+use super::dispatch::Dispatcher;
 use super::monitor::GroupMonitor;
 use super::prober::ProbeTarget;
 use super::sessions::{Arrival, Sessions};
@@ -179,7 +180,8 @@
         self.policy.store(policy);
     }
 
-    fn probe_targets(&self, policy: &HomePolicy) -> Vec<ProbeTarget> {
+    /// The members of the group and how to ask each for its status.
+    pub fn probe_targets(&self, policy: &HomePolicy) -> Vec<ProbeTarget> {
         let members = policy.group.members.iter();
         members
             .map(|member| ProbeTarget {
@@ -191,6 +193,12 @@
             .collect()
     }
 
+    /// Where `member` is and how to ask it.
+    pub fn probe_target(&self, policy: &HomePolicy, member: &DatabaseName) -> Option<ProbeTarget> {
+        let mut targets = self.probe_targets(policy).into_iter();
+        targets.find(|target| &target.member == member)
+    }
+
     pub fn next_arrival(&self) -> Arrival {
         Arrival(self.arrivals.fetch_add(1, Ordering::Relaxed))
     }
--- a/crates/dyketally-proxy/src/home/status_hint.rs
+++ b/crates/dyketally-proxy/src/home/status_hint.rs
@@ -13,14 +13,23 @@
 
 /// True when the batch is likely to end outside of a transaction after having written.
 pub fn status_goes_behind(execute: &ExecuteRequest) -> bool {
-    let text = first_statement(&execute.batch).unwrap_or_default();
-    let starts_with = |words: &[&str]| words.iter().any(|word| has_first_word(text, word));
     match execute.transaction {
-        Some(_) => starts_with(&ENDING_WORDS),
-        None => execute.access == Access::Write && !starts_with(&OPENING_WORDS),
+        Some(_) => ends_transaction(&execute.batch),
+        None => execute.access == Access::Write && !opens_transaction(&execute.batch),
     }
 }
 
+/// True when the batch is likely to begin a transaction that its caller controls.
+pub fn opens_transaction(batch: &StatementBatch) -> bool {
+    let text = first_statement(batch).unwrap_or_default();
+    OPENING_WORDS.iter().any(|word| has_first_word(text, word))
+}
+
+fn ends_transaction(batch: &StatementBatch) -> bool {
+    let text = first_statement(batch).unwrap_or_default();
+    ENDING_WORDS.iter().any(|word| has_first_word(text, word))
+}
+
 /// The text of the first statement that the batch runs.
 fn first_statement(batch: &StatementBatch) -> Option<&str> {
     batch.steps.iter().find_map(|step| match step {
