--- /dev/null
+++ b/crates/dyketally-cli/tests/command/main.rs
@@ -0,0 +1,8 @@
+//! The command as operators run it: a process against a stand-in of the platform or of a node.
+
+mod check;
+mod lossy;
+mod publish;
+mod reading;
+mod status;
+mod support;
--- a/crates/dyketally-proxy/src/settings/flags.rs
+++ b/crates/dyketally-proxy/src/settings/flags.rs
@@ -8,64 +8,64 @@
 #[derive(Clone, Debug, Default, PartialEq, clap::Args)]
 pub struct Flags {
     /// Settings file (TOML); see examples/dyketallyd.toml
-    #[arg(long, value_name = "FILE", env = "DYKETALLYD_SETTINGS")]
+    #[arg(global = true, long, value_name = "FILE", env = "DYKETALLYD_SETTINGS")]
     pub settings: Option<PathBuf>,
     /// Name of the node [node.name]
-    #[arg(long, value_name = "NAME")]
+    #[arg(global = true, long, value_name = "NAME")]
     pub node: Option<String>,
     /// Region the node runs in [node.region]
-    #[arg(long, value_name = "NAME")]
+    #[arg(global = true, long, value_name = "NAME")]
     pub region: Option<String>,
     /// Zone the node runs in [node.zone]
-    #[arg(long, value_name = "NAME")]
+    #[arg(global = true, long, value_name = "NAME")]
     pub zone: Option<String>,
     /// Where to listen for callers [listen.callers]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub listen_callers: Option<String>,
     /// Where to listen for other nodes' requests [listen.peers]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub listen_peers: Option<String>,
     /// Where to listen for membership [listen.membership]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub listen_membership: Option<String>,
     /// Where to listen for operators [listen.admin]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub listen_admin: Option<String>,
     /// Where callers reach the node [advertise.callers]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub advertise_callers: Option<String>,
     /// Where other nodes reach this one [advertise.peers]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub advertise_peers: Option<String>,
     /// Where other nodes reach this one for membership [advertise.membership]
-    #[arg(long, value_name = "IP:PORT")]
+    #[arg(global = true, long, value_name = "IP:PORT")]
     pub advertise_membership: Option<String>,
     /// Membership address of a node to join; may be repeated [membership.seeds]
-    #[arg(long = "seed", value_name = "IP:PORT")]
+    #[arg(global = true, long = "seed", value_name = "IP:PORT")]
     pub seeds: Vec<String>,
     /// URL of the key-value service [platform.key_value]
-    #[arg(long, value_name = "URL")]
+    #[arg(global = true, long, value_name = "URL")]
     pub key_value: Option<String>,
     /// URL of the machine list [platform.machines]
-    #[arg(long, value_name = "URL")]
+    #[arg(global = true, long, value_name = "URL")]
     pub machines: Option<String>,
     /// Translated address; may be repeated; added to the file's [network.routes]
-    #[arg(long = "route", value_name = "TO=VIA")]
+    #[arg(global = true, long = "route", value_name = "TO=VIA")]
     pub routes: Vec<String>,
     /// Time a planned stop may take [limits.drain_deadline]
-    #[arg(long, value_name = "DURATION")]
+    #[arg(global = true, long, value_name = "DURATION")]
     pub drain_deadline: Option<String>,
     /// Layout of log lines: human or json [logging.layout]
-    #[arg(long, value_name = "LAYOUT")]
+    #[arg(global = true, long, value_name = "LAYOUT")]
     pub log_layout: Option<String>,
     /// Least severe level to log [logging.level]
-    #[arg(long, value_name = "LEVEL")]
+    #[arg(global = true, long, value_name = "LEVEL")]
     pub log_level: Option<String>,
     /// File to append the log to [logging.file]
-    #[arg(long, value_name = "FILE")]
+    #[arg(global = true, long, value_name = "FILE")]
     pub log_file: Option<String>,
     /// Configuration file for a single node [configuration_file]
-    #[arg(long, value_name = "FILE")]
+    #[arg(global = true, long, value_name = "FILE")]
     pub configuration_file: Option<String>,
 }
 
