Publish and show documents and the state of nodes from the command line

Cause: operators had no tool.

`dyketally` checks templates without a service, publishes templates, tenants and groups by compare-and-swap on the revision that the operator saw, shows, lists and compares what is published, and shows nodes as tables or JSON. Each kind of failure has an exit code and a message with its remedy; a loser is told who published which revision and what it set, and how to go on.

`operations::wait_for_documents` is new beside the platform's publishing functions: the first read of a publication is as patient as the rest, so that the service's rate limit alone doesn't fail it.

--- a/crates/dyketally-cli/src/failure.rs
+++ b/crates/dyketally-cli/src/failure.rs
@@ -7,6 +7,7 @@
 use dyketally::document::FaultReport;
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
+use dyketally_proxy::platform::configuration_store::ConfigurationError;
 
 use crate::exit_status::ExitStatus;
 
@@ -51,13 +52,13 @@
     /// Another change was published first.
     #[error(
         "nothing was published: you expected revision {}, but {winner}; the configuration is at \
-         revision {} now. Look at the change by `dyketally template history` (and `dyketally \
-         template diff FILE`), then publish again with --expect-revision {}",
-        expected.0, current.0, current.0
+         revision {} now. Look at the changes by `dyketally template history`, then publish again \
+         with --expect-revision {}",
+        seen.0, current.0, current.0
     )]
     Conflict {
         /// The revision that the operator saw.
-        expected: Revision,
+        seen: Revision,
         /// Who published what, in words.
         winner: String,
         /// The newest revision.
@@ -65,40 +66,41 @@
     },
     /// The operator expects a revision that doesn't exist.
     #[error(
-        "nothing was published: revision {} is expected, but the service is at revision {} only. \
-         If the number is no slip, the service has lost accepted changes: restore its data before \
+        "nothing was published: revision {} is expected, but the service is at revision {}. If \
+         the number is no slip, the service has lost accepted changes: restore its data before \
          publishing; otherwise publish again with --expect-revision {}",
-        expected.0, current.0, current.0
+        seen.0, current.0, current.0
     )]
     ServiceBehind {
         /// The revision that the operator saw.
-        expected: Revision,
+        seen: Revision,
         /// The newest revision.
         current: Revision,
     },
-    /// The key-value service did not answer.
-    #[error("nothing was changed: {reason}")]
-    Unavailable {
-        /// What happened, and the remedy.
-        reason: String,
-    },
+    /// The configuration can't be read.
+    #[error("nothing was changed: {0}")]
+    Unavailable(#[source] ConfigurationError),
+    /// The key-value service did not take the change in time.
+    #[error(
+        "nothing was changed: the key-value service did not take the change in time; check that \
+         it runs, then publish again"
+    )]
+    NotTaken,
     /// Nodes did not answer.
     #[error("{}", lines(.0))]
     NodesUnavailable(Vec<UnansweredNode>),
     /// It can't be told whether the change was accepted.
     #[error(
-        "it is unknown whether change {change} is in force: {reason}. Look for it by `dyketally \
-         template history`; publishing again with --expect-revision {} is safe, it is refused if \
-         the change is in force",
-        expected.0
+        "it is unknown whether change {change_id} is in force: the key-value service stopped \
+         answering. Look for it by `dyketally template history`; publishing again with \
+         --expect-revision {} is safe, it is refused if the change is in force",
+        seen.0
     )]
     Unknown {
         /// The change's identifier.
-        change: ChangeId,
+        change_id: ChangeId,
         /// The revision that the operator saw.
-        expected: Revision,
-        /// What happened.
-        reason: String,
+        seen: Revision,
     },
     /// Standard output can't be written.
     #[error("the output can't be written: {0}; check where standard output leads")]
@@ -134,7 +136,9 @@
             | Failure::Output(_) => ExitStatus::CheckFailed,
             Failure::NoService | Failure::MalformedUrl { .. } => ExitStatus::Usage,
             Failure::Conflict { .. } | Failure::ServiceBehind { .. } => ExitStatus::Conflict,
-            Failure::Unavailable { .. } | Failure::NodesUnavailable(_) => ExitStatus::Unavailable,
+            Failure::Unavailable(_) | Failure::NotTaken | Failure::NodesUnavailable(_) => {
+                ExitStatus::Unavailable
+            }
             Failure::Unknown { .. } => ExitStatus::Unknown,
         }
     }
--- a/crates/dyketally-cli/src/listing.rs
+++ b/crates/dyketally-cli/src/listing.rs
@@ -1,5 +1,6 @@
 //! Shows published documents and the history of changes.
 
+use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 
 use dyketally::configuration::{Change, DocumentEdit, Snapshot, UnixMillis};
@@ -12,12 +13,24 @@
 use similar::TextDiff;
 use tabled::Tabled;
 
+use dyketally_proxy::platform::ConfigurationStore;
+use dyketally_proxy::platform::configuration_store::ConfigurationError;
+use dyketally_proxy::platform::operations;
+
 use crate::command_line::{HistoryArguments, OutputForm};
 use crate::document_file::read_document;
 use crate::failure::Failure;
 use crate::output::Output;
-use crate::publish::unavailable;
-use crate::service::ConfigurationService;
+
+/// A read failed: nothing was changed.
+pub(crate) fn unavailable(error: ConfigurationError) -> Failure {
+    Failure::Unavailable(error)
+}
+
+async fn read(store: &ConfigurationStore) -> Result<Snapshot, Failure> {
+    let read = operations::current_documents(store).await;
+    read.map_err(unavailable)
+}
 
 /// The text of a document that must exist.
 pub(crate) fn require<'a>(
@@ -52,11 +65,11 @@
 
 /// Prints a published template as it was written.
 pub(crate) async fn show(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     name: &str,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let snapshot = service.read().await.map_err(unavailable)?;
+    let snapshot = read(store).await?;
     let kind = DocumentKind::Template;
     let text = require(&snapshot, kind, name)?;
     let shown = ShownDocument {
@@ -78,12 +91,12 @@
 
 /// Compares a template file with the published template.
 pub(crate) async fn diff(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     file: &std::path::Path,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
     let document = read_document(DocumentKind::Template, file)?;
-    let snapshot = service.read().await.map_err(unavailable)?;
+    let snapshot = read(store).await?;
     let published = require(&snapshot, document.kind, &document.name)?;
     let difference = TextDiff::from_lines(published, &document.text);
     let from = format!("{} at revision {}", document.name, snapshot.revision.0);
@@ -114,23 +127,21 @@
 
 /// Lists the newest changes.
 pub(crate) async fn history(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     arguments: &HistoryArguments,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let changes = service
-        .history(arguments.limit)
-        .await
-        .map_err(unavailable)?;
-    let wanted = |change: &&Change| match &arguments.name {
+    let changes = operations::history(store, None, arguments.limit).await;
+    let changes = changes.map_err(unavailable)?;
+    let wanted = |change: &&Arc<Change>| match &arguments.name {
         Some(name) => edits_template(change, name),
         None => true,
     };
-    let changes: Vec<&Change> = changes.iter().filter(wanted).collect();
+    let changes: Vec<&Arc<Change>> = changes.iter().filter(wanted).collect();
     if output.form == OutputForm::Json {
         return output.json(&changes);
     }
-    let row = |change: &&Change| ChangeRow {
+    let row = |change: &&Arc<Change>| ChangeRow {
         revision: change.revision.0,
         published: time_in_words(change.published_at),
         author: change.author.clone(),
@@ -188,10 +199,10 @@
 
 /// Lists the tenants with their templates filled in.
 pub(crate) async fn list_tenants(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let (snapshot, policy) = read_resolved(service).await?;
+    let (snapshot, policy) = read_resolved(store).await?;
     let row = |tenant: &TenantPolicy| tenant_row(&snapshot, tenant);
     let rows: Vec<TenantRow> = policy.tenants.values().map(row).collect();
     print_rows("tenants", &rows, output)
@@ -237,10 +248,10 @@
 
 /// Lists the groups and their databases.
 pub(crate) async fn list_groups(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let (_, policy) = read_resolved(service).await?;
+    let (_, policy) = read_resolved(store).await?;
     let rows: Vec<DatabaseRow> = policy.groups.values().flat_map(database_rows).collect();
     print_rows("databases", &rows, output)
 }
@@ -258,10 +269,8 @@
     group.members.iter().map(row).collect()
 }
 
-async fn read_resolved(
-    service: &dyn ConfigurationService,
-) -> Result<(Snapshot, PolicySet), Failure> {
-    let snapshot = service.read().await.map_err(unavailable)?;
+async fn read_resolved(store: &ConfigurationStore) -> Result<(Snapshot, PolicySet), Failure> {
+    let snapshot = read(store).await?;
     let policy = resolve(&snapshot.documents).map_err(FaultReport)?;
     Ok((snapshot, policy))
 }
--- a/crates/dyketally-cli/src/publish.rs
+++ b/crates/dyketally-cli/src/publish.rs
@@ -3,22 +3,21 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use dyketally::configuration::{
-    Change, ChangeId, DocumentEdit, PublishOutcome, Snapshot, UnixMillis, Winner,
+    ChangeId, DocumentEdit, PublishOutcome, PublisherSettings, Snapshot, UnixMillis, Winner,
 };
-use dyketally::document::FaultReport;
 use dyketally::policy::Revision;
-use dyketally::template::{DocumentKind, resolve};
+use dyketally::template::DocumentKind;
+use dyketally_proxy::platform::ConfigurationStore;
+use dyketally_proxy::platform::operations::{self, PublishError, PublishRequest};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use serde::Serialize;
 
 use crate::command_line::{Publication, PublishArguments, RemoveArguments};
 use crate::document_file::read_document;
 use crate::failure::Failure;
-use crate::listing::{describe_edits, require};
+use crate::listing::{describe_edits, require, unavailable};
 use crate::output::Output;
-use crate::service::ConfigurationService;
-
-/// Changes that are searched for the one that won.
-const HISTORY_SEARCHED: u32 = 1_000;
 
 /// What became of a document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -42,57 +41,58 @@
 
 /// Publishes the document in a file.
 pub(crate) async fn publish(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     kind: DocumentKind,
     arguments: &PublishArguments,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
     let document = read_document(kind, &arguments.file)?;
     let name = document.name.clone();
-    let snapshot = read_expected(service, &arguments.publication).await?;
-    if snapshot.documents.of_kind(kind).get(&name) == Some(&document.text) {
+    let publisher = Publisher::new(store, &arguments.publication);
+    let snapshot = publisher.read().await?;
+    let seen = publisher.seen(&snapshot);
+    let same = snapshot.documents.of_kind(kind).get(&name) == Some(&document.text);
+    if same && seen == snapshot.revision {
         let report = Report {
             action: Action::Unchanged,
             kind,
             name: &name,
-            revision: snapshot.revision,
+            revision: seen,
             change: None,
         };
         return print(&report, output);
     }
-    let edit = DocumentEdit::Put(document);
-    let change = make_change(&snapshot, edit, &arguments.publication)?;
+    let accepted = publisher.send(seen, DocumentEdit::Put(document)).await?;
     let report = Report {
         action: Action::Published,
         kind,
         name: &name,
-        revision: change.revision,
-        change: Some(change.change_id),
+        revision: accepted.revision,
+        change: Some(accepted.change_id),
     };
-    send(service, change).await?;
     print(&report, output)
 }
 
 /// Publishes the removal of a document.
 pub(crate) async fn remove(
-    service: &dyn ConfigurationService,
+    store: &ConfigurationStore,
     kind: DocumentKind,
     arguments: &RemoveArguments,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let snapshot = read_expected(service, &arguments.publication).await?;
+    let publisher = Publisher::new(store, &arguments.publication);
+    let snapshot = publisher.read().await?;
     require(&snapshot, kind, &arguments.name)?;
     let name = arguments.name.clone();
     let edit = DocumentEdit::Remove { kind, name };
-    let change = make_change(&snapshot, edit, &arguments.publication)?;
+    let accepted = publisher.send(publisher.seen(&snapshot), edit).await?;
     let report = Report {
         action: Action::Removed,
         kind,
         name: &arguments.name,
-        revision: change.revision,
-        change: Some(change.change_id),
+        revision: accepted.revision,
+        change: Some(accepted.change_id),
     };
-    send(service, change).await?;
     print(&report, output)
 }
 
@@ -113,63 +113,94 @@
     output.result(report, &text)
 }
 
-/// The newest documents, provided that they are at the revision that the operator expects.
-async fn read_expected(
-    service: &dyn ConfigurationService,
-    publication: &Publication,
-) -> Result<Snapshot, Failure> {
-    let snapshot = service.read().await.map_err(unavailable)?;
-    let current = snapshot.revision;
-    let expected = publication.expect_revision.map_or(current, Revision);
-    if expected > current {
-        return Err(Failure::ServiceBehind { expected, current });
-    }
-    if expected < current {
-        let winner = find_winner(service, expected).await;
-        return Err(Failure::Conflict {
-            expected,
-            winner,
-            current,
-        });
-    }
-    Ok(snapshot)
+/// A change that is in force.
+struct Accepted {
+    revision: Revision,
+    change_id: ChangeId,
+}
+
+/// Publishes as one operator.
+struct Publisher<'a> {
+    store: &'a ConfigurationStore,
+    publication: &'a Publication,
+    settings: PublisherSettings,
 }
 
-/// Who published on top of `expected`, in words.
-async fn find_winner(service: &dyn ConfigurationService, expected: Revision) -> String {
-    let history = service.history(HISTORY_SEARCHED).await.unwrap_or_default();
-    let following = Revision(expected.0 + 1);
-    match history.iter().find(|change| change.revision == following) {
-        Some(change) => {
-            let edits = describe_edits(&change.edits);
-            winner_in_words(&change.author, following, Some(edits))
+impl<'a> Publisher<'a> {
+    fn new(store: &'a ConfigurationStore, publication: &'a Publication) -> Self {
+        let settings = PublisherSettings {
+            patience: publication.patience,
+            ..PublisherSettings::default()
+        };
+        Self {
+            store,
+            publication,
+            settings,
         }
-        None => "it is no longer the newest".to_owned(),
     }
-}
 
-fn winner_in_words(author: &str, revision: Revision, edits: Option<String>) -> String {
-    let edits = edits.map_or(String::new(), |edits| format!(" ({edits})"));
-    format!("{author} published revision {}{edits} first", revision.0)
-}
+    async fn read(&self) -> Result<Snapshot, Failure> {
+        let mut random = StdRng::from_os_rng();
+        let read = operations::wait_for_documents(self.store, self.settings, &mut random);
+        read.await.map_err(unavailable)
+    }
 
-fn make_change(
-    snapshot: &Snapshot,
-    edit: DocumentEdit,
-    publication: &Publication,
-) -> Result<Change, Failure> {
-    let mut documents = (*snapshot.documents).clone();
-    edit.apply(&mut documents);
-    resolve(&documents).map_err(FaultReport)?;
-    let change = Change {
-        revision: Revision(snapshot.revision.0 + 1),
-        change_id: ChangeId::random(&mut rand::rng()),
-        author: publication.author.clone(),
-        published_at: unix_millis(),
-        edits: vec![edit],
-    };
-    change.check_bounds()?;
-    Ok(change)
+    /// The revision that the operator saw: the one named, or else the newest one.
+    fn seen(&self, snapshot: &Snapshot) -> Revision {
+        let named = self.publication.expect_revision.map(Revision);
+        named.unwrap_or(snapshot.revision)
+    }
+
+    async fn send(&self, seen: Revision, edit: DocumentEdit) -> Result<Accepted, Failure> {
+        let request = PublishRequest {
+            seen,
+            author: self.publication.author.clone(),
+            published_at: unix_millis(),
+            edits: vec![edit],
+        };
+        let mut random = StdRng::from_os_rng();
+        let published = operations::publish(self.store, request, self.settings, &mut random);
+        let published = published.await.map_err(not_offered)?;
+        let change_id = published.change_id;
+        match published.outcome {
+            PublishOutcome::Accepted { revision } => Ok(Accepted {
+                revision,
+                change_id,
+            }),
+            PublishOutcome::Conflict { winner, current } => {
+                let winner = self.describe(winner).await;
+                Err(Failure::Conflict {
+                    seen,
+                    winner,
+                    current,
+                })
+            }
+            PublishOutcome::ServiceBehind { current } => {
+                Err(Failure::ServiceBehind { seen, current })
+            }
+            PublishOutcome::Unavailable {
+                may_be_accepted: true,
+            } => Err(Failure::Unknown { change_id, seen }),
+            PublishOutcome::Unavailable {
+                may_be_accepted: false,
+            } => Err(Failure::NotTaken),
+        }
+    }
+
+    /// Who published what, in words.
+    async fn describe(&self, winner: Winner) -> String {
+        let Winner {
+            author, revision, ..
+        } = winner;
+        let after = Revision(revision.0 + 1);
+        let history = operations::history(self.store, Some(after), 1).await;
+        // The author alone is enough when the service doesn't answer any more.
+        let change = history.ok().and_then(|changes| changes.first().cloned());
+        let edits = change.map_or(String::new(), |change| {
+            format!(" ({})", describe_edits(&change.edits))
+        });
+        format!("{author} published revision {}{edits} first", revision.0)
+    }
 }
 
 fn unix_millis() -> UnixMillis {
@@ -177,45 +208,10 @@
     UnixMillis(since_1970.unwrap_or_default().as_millis() as u64)
 }
 
-async fn send(service: &dyn ConfigurationService, change: Change) -> Result<(), Failure> {
-    let change_id = change.change_id;
-    let expected = Revision(change.revision.0 - 1);
-    let outcome = service.publish(change).await.map_err(unavailable)?;
-    match outcome {
-        PublishOutcome::Accepted { .. } => Ok(()),
-        PublishOutcome::Conflict { winner, current } => {
-            let Winner {
-                author, revision, ..
-            } = winner;
-            Err(Failure::Conflict {
-                expected,
-                winner: winner_in_words(&author, revision, None),
-                current,
-            })
-        }
-        PublishOutcome::ServiceBehind { current } => {
-            Err(Failure::ServiceBehind { expected, current })
-        }
-        PublishOutcome::Unavailable {
-            may_be_accepted: true,
-        } => Err(Failure::Unknown {
-            change: change_id,
-            expected,
-            reason: "the key-value service did not tell in time".to_owned(),
-        }),
-        PublishOutcome::Unavailable {
-            may_be_accepted: false,
-        } => Err(Failure::Unavailable {
-            reason: "the key-value service did not take the change in time; check that it runs, \
-                     then publish again"
-                .to_owned(),
-        }),
-    }
-}
-
-/// A read failed: whatever the reason, nothing was changed.
-pub(crate) fn unavailable(error: dyketally_proxy::platform::StoreError) -> Failure {
-    Failure::Unavailable {
-        reason: error.to_string(),
+fn not_offered(error: PublishError) -> Failure {
+    match error {
+        PublishError::Bounds(error) => Failure::Change(error),
+        PublishError::Faults(report) => Failure::Faults(report),
+        PublishError::Unreadable(error) => unavailable(error),
     }
 }
--- a/crates/dyketally-cli/src/run.rs
+++ b/crates/dyketally-cli/src/run.rs
@@ -1,16 +1,19 @@
 //! Carries out one command.
 
 use std::io::Write;
+use std::sync::Arc;
 
 use clap::CommandFactory;
 use dyketally::template::DocumentKind;
+use dyketally_proxy::platform::configuration_store::ConfigurationError;
+use dyketally_proxy::platform::{ConfigurationKeys, ConfigurationStore, EtcdGateway, EtcdSettings};
+use dyketally_proxy::settings::HttpUrl;
 
 use crate::command_line::{
     Command, CommandLine, GroupCommand, Options, TemplateCommand, TenantCommand,
 };
 use crate::failure::Failure;
 use crate::output::Output;
-use crate::service::ConfigurationService;
 use crate::{check, listing, publish, status};
 
 /// Carries out the command and prints to `writer`.
@@ -44,16 +47,15 @@
     if let TemplateCommand::Check { files } = command {
         return check::check(files, output);
     }
-    let service = connect(options)?;
-    let service = service.as_ref();
+    let store = connect(options)?;
     match command {
         TemplateCommand::Check { .. } => Ok(()),
         TemplateCommand::Publish(arguments) => {
-            publish::publish(service, DocumentKind::Template, arguments, output).await
+            publish::publish(&store, DocumentKind::Template, arguments, output).await
         }
-        TemplateCommand::Show { name } => listing::show(service, name, output).await,
-        TemplateCommand::History(arguments) => listing::history(service, arguments, output).await,
-        TemplateCommand::Diff { file } => listing::diff(service, file, output).await,
+        TemplateCommand::Show { name } => listing::show(&store, name, output).await,
+        TemplateCommand::History(arguments) => listing::history(&store, arguments, output).await,
+        TemplateCommand::Diff { file } => listing::diff(&store, file, output).await,
     }
 }
 
@@ -62,13 +64,12 @@
     options: &Options,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let service = connect(options)?;
-    let service = service.as_ref();
+    let store = connect(options)?;
     let kind = DocumentKind::Tenant;
     match command {
-        TenantCommand::Set(arguments) => publish::publish(service, kind, arguments, output).await,
-        TenantCommand::Remove(arguments) => publish::remove(service, kind, arguments, output).await,
-        TenantCommand::List => listing::list_tenants(service, output).await,
+        TenantCommand::Set(arguments) => publish::publish(&store, kind, arguments, output).await,
+        TenantCommand::Remove(arguments) => publish::remove(&store, kind, arguments, output).await,
+        TenantCommand::List => listing::list_tenants(&store, output).await,
     }
 }
 
@@ -77,16 +78,26 @@
     options: &Options,
     output: &mut Output<'_>,
 ) -> Result<(), Failure> {
-    let service = connect(options)?;
-    let service = service.as_ref();
+    let store = connect(options)?;
     let kind = DocumentKind::Group;
     match command {
-        GroupCommand::Set(arguments) => publish::publish(service, kind, arguments, output).await,
-        GroupCommand::Remove(arguments) => publish::remove(service, kind, arguments, output).await,
-        GroupCommand::List => listing::list_groups(service, output).await,
+        GroupCommand::Set(arguments) => publish::publish(&store, kind, arguments, output).await,
+        GroupCommand::Remove(arguments) => publish::remove(&store, kind, arguments, output).await,
+        GroupCommand::List => listing::list_groups(&store, output).await,
     }
 }
 
-fn connect(_options: &Options) -> Result<Box<dyn ConfigurationService>, Failure> {
-    todo!()
+fn connect(options: &Options) -> Result<ConfigurationStore, Failure> {
+    let url = options.key_value.as_deref().ok_or(Failure::NoService)?;
+    let Some(url) = HttpUrl::parse(url) else {
+        let url = url.to_owned();
+        return Err(Failure::MalformedUrl { url });
+    };
+    let settings = EtcdSettings::new(url.to_string());
+    let gateway = EtcdGateway::new(settings).map_err(ConfigurationError::from);
+    let gateway = Arc::new(gateway.map_err(Failure::Unavailable)?);
+    Ok(ConfigurationStore::new(
+        gateway,
+        ConfigurationKeys::default(),
+    ))
 }
--- a/crates/dyketally-cli/tests/command/publish.rs
+++ b/crates/dyketally-cli/tests/command/publish.rs
@@ -56,11 +56,11 @@
 async fn a_change_that_breaks_another_document_is_refused() {
     let platform = Platform::start().await;
     platform.publish_examples().await;
-    let renamed = changed_example("renamed", LOBBY, "group", "service");
-    let renamed = platform.run(&["template", "publish", &renamed]).await;
-    renamed
+    let required = changed_example("required", LOBBY, "default = 400\n", "");
+    let required = platform.run(&["template", "publish", &required]).await;
+    required
         .expect(CHECK_FAILED)
-        .stderr_has(&["tenant \"racers-erie\": parameters.service: is missing"]);
+        .stderr_has(&["tenant \"racers-erie\": parameters.queue_limit: is missing"]);
     let removed = platform.run(&["group", "remove", "lobby-1"]).await;
     removed
         .expect(CHECK_FAILED)
--- a/crates/dyketally-proxy/src/admin/status.rs
+++ b/crates/dyketally-proxy/src/admin/status.rs
@@ -66,6 +66,17 @@
     Leaving,
 }
 
+impl NodeState {
+    /// The state's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NodeState::Starting => "starting",
+            NodeState::Ready => "ready",
+            NodeState::Leaving => "leaving",
+        }
+    }
+}
+
 /// A node as another one sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NodeEntry {
@@ -99,6 +110,20 @@
     Left,
 }
 
+impl NodeEntryState {
+    /// The state's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NodeEntryState::Alive => "alive",
+            NodeEntryState::Leaving => "leaving",
+            NodeEntryState::Suspect => "suspect",
+            NodeEntryState::Unreachable => "unreachable",
+            NodeEntryState::Dead => "dead",
+            NodeEntryState::Left => "left",
+        }
+    }
+}
+
 /// The home of one database.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HomeStatus {
--- a/crates/dyketally-proxy/src/admin/status_metrics.rs
+++ b/crates/dyketally-proxy/src/admin/status_metrics.rs
@@ -33,22 +33,11 @@
         *counts.entry(entry.state).or_default() += 1;
     }
     for (state, count) in counts {
-        let labels = [Label::new("state", state_label(state))];
+        let labels = [Label::new("state", state.as_str())];
         metrics.gauge("members", "Nodes known, by state.", &labels, count);
     }
 }
 
-fn state_label(state: NodeEntryState) -> &'static str {
-    match state {
-        NodeEntryState::Alive => "alive",
-        NodeEntryState::Leaving => "leaving",
-        NodeEntryState::Suspect => "suspect",
-        NodeEntryState::Unreachable => "unreachable",
-        NodeEntryState::Dead => "dead",
-        NodeEntryState::Left => "left",
-    }
-}
-
 fn add_home(metrics: &mut Metrics, home: &HomeStatus) {
     let database = Label::new("database", home.database.as_str());
     let labels = [database];
--- a/crates/dyketally-proxy/src/platform/operations.rs
+++ b/crates/dyketally-proxy/src/platform/operations.rs
@@ -86,6 +86,19 @@
     Ok(store.current().await?.snapshot)
 }
 
+/// As [`current_documents`], but goes on trying while the service is down or limits the rate.
+///
+/// # Errors
+/// When the service still fails at the end of the publisher's patience, or a key can't be read.
+pub async fn wait_for_documents(
+    store: &ConfigurationStore,
+    settings: PublisherSettings,
+    random: &mut impl Rng,
+) -> Result<Snapshot, ConfigurationError> {
+    let patience = Patience::new(settings);
+    Ok(patience.read(store, random).await?.snapshot)
+}
+
 /// The newest `limit` changes, newest first; those before `before` if it is given.
 ///
 /// # Errors
--- a/crates/dyketally/src/template/tenant.rs
+++ b/crates/dyketally/src/template/tenant.rs
@@ -2,7 +2,7 @@
 
 use toml::Table;
 
-use crate::document::{FaultList, TableReader, parse_table};
+use crate::document::{Fault, FaultList, TableReader, parse_table};
 use crate::identifiers::{TemplateName, TenantName};
 
 const PARAMETERS: &str = "parameters";
@@ -19,8 +19,15 @@
 }
 
 impl TenantDocument {
+    /// Reads the document; its arguments are checked where it is resolved.
+    pub fn parse(document: &str, text: &str) -> Result<Self, Vec<Fault>> {
+        let faults = FaultList::new();
+        let tenant = Self::read(document, text, &faults);
+        faults.into_result(tenant)
+    }
+
     /// Reads the document and notes its faults, except those of its arguments.
-    pub fn read(document: &str, text: &str, faults: &FaultList) -> Option<Self> {
+    pub(super) fn read(document: &str, text: &str, faults: &FaultList) -> Option<Self> {
         let table = parse_table(document, text, faults)?;
         let reader = TableReader::new(document, &table, faults);
         let name = reader.required("name");
