--- a/crates/dyketally-proxy/src/platform/memory/state.rs
+++ b/crates/dyketally-proxy/src/platform/memory/state.rs
@@ -149,23 +149,15 @@
 
     fn end_lease(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
-        let all = RangeRequest::all(KeyRange::between("", "\u{10ffff}"));
-        let Ok(all) = self.versions.read(&all) else {
+        let held = self.versions.held_by(lease);
+        if held.is_empty() {
             return;
-        };
-        let revision = self.newest().next();
-        let held = all
-            .entries
-            .into_iter()
-            .filter(|entry| entry.lease == Some(lease));
-        let mut changed = false;
-        for entry in held {
-            self.versions.delete(&KeyRange::key(entry.key), revision);
-            changed = true;
         }
-        if changed {
-            self.versions.finish(revision);
+        let revision = self.newest().next();
+        for key in held {
+            self.versions.delete(&KeyRange::key(key), revision);
         }
+        self.versions.finish(revision);
     }
 
     fn check_lease(&self, lease: Option<LeaseId>) -> Result<(), StateError> {
