Take the configuration from the platform and the other nodes, and follow the machine list

Cause: a node knew only a configuration file. Change: the synchronizer runs with the node and feeds the request path with newer revisions only; the machine list names nodes to join and databases that leave.

--- a/crates/dyketally-proxy/src/homes.rs
+++ b/crates/dyketally-proxy/src/homes.rs
@@ -1,6 +1,6 @@
 //! Finds the home of a database and hands requests to it, in this process or behind a link.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -44,6 +44,7 @@
     routes: AddressRoutes,
     options: HomeOptions,
     here: Mutex<HashMap<DatabaseName, HomeHandle>>,
+    leaving: Mutex<HashSet<DatabaseName>>,
 }
 
 impl Homes {
@@ -63,6 +64,7 @@
             routes,
             options,
             here: Mutex::default(),
+            leaving: Mutex::default(),
         }
     }
 
@@ -110,6 +112,14 @@
         }
     }
 
+    /// Tells the homes which databases leave, by the platform's machine list.
+    pub fn set_leaving_databases(&self, databases: HashSet<DatabaseName>) {
+        for (database, home) in self.lock().iter() {
+            home.set_database_leaving(databases.contains(database));
+        }
+        *self.lock_leaving() = databases;
+    }
+
     /// The homes that this node runs.
     pub fn handles(&self) -> Vec<HomeHandle> {
         self.lock().values().cloned().collect()
@@ -127,10 +137,17 @@
             self.routes.clone(),
             self.options.clone(),
         );
+        home.set_database_leaving(self.lock_leaving().contains(database));
         here.insert(database.clone(), home.clone());
         Some(home)
     }
 
+    fn lock_leaving(&self) -> std::sync::MutexGuard<'_, HashSet<DatabaseName>> {
+        self.leaving
+            .lock()
+            .expect("no code panics while it holds this lock")
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<DatabaseName, HomeHandle>> {
         self.here
             .lock()
--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -1,5 +1,7 @@
 //! One node: edge and homes, assembled from settings, from start to planned stop.
 
+mod configuration;
+mod machines;
 mod placement;
 mod shutdown;
 mod status;
@@ -18,6 +20,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use configuration::NodeConfiguration;
+use machines::MachineFollower;
 use placement::MemberPlacement;
 pub use shutdown::{StopReport, StopSignal};
 use status::NodeReport;
@@ -27,7 +31,7 @@
 use crate::homes::Homes;
 use crate::link::{LinkPool, LinkServer, serve_links};
 use crate::peers::{Peers, PeersHandle, PeersSettings};
-use crate::settings::{Settings, load_configuration};
+use crate::settings::Settings;
 
 /// The addresses that a node listens on, with the ports it was given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +57,7 @@
     sessions: TaskTracker,
     listeners: CancellationToken,
     links: CancellationToken,
-    _policies: watch::Sender<Arc<PolicySet>>,
+    configuration: NodeConfiguration,
 }
 
 impl Node {
@@ -62,16 +66,23 @@
     /// # Errors
     /// An address can't be bound, or the configuration file is faulty.
     pub async fn start(settings: Settings) -> eyre::Result<Self> {
-        let policies = initial_policies(&settings)?;
-        Self::start_with(settings, policies).await
+        let configuration = NodeConfiguration::of(&settings)?;
+        Self::assemble(settings, configuration).await
     }
 
-    /// Like [`Node::start`], with a configuration to begin with.
+    /// Like [`Node::start`], with a fixed configuration.
     ///
     /// # Errors
     /// An address can't be bound.
     pub async fn start_with(settings: Settings, policies: PolicySet) -> eyre::Result<Self> {
-        let (policy_sender, policies) = watch::channel(Arc::new(policies));
+        Self::assemble(settings, NodeConfiguration::fixed(policies)).await
+    }
+
+    async fn assemble(
+        settings: Settings,
+        mut configuration: NodeConfiguration,
+    ) -> eyre::Result<Self> {
+        let policies = configuration.policies.clone();
         let callers = bind(settings.listen.callers, "listen.callers").await?;
         let peers = bind(settings.listen.peers, "listen.peers").await?;
         let admin = bind(settings.listen.admin, "listen.admin").await?;
@@ -81,6 +92,7 @@
         peers_settings.peers = advertised(settings.advertise.peers, &peers)?;
         peers_settings.admin = admin.local_addr()?;
         let membership = Peers::start(peers_settings).await?;
+        configuration.join(&settings, &membership);
         let addresses = BoundAddresses {
             callers: callers.local_addr()?,
             peers: peers.local_addr()?,
@@ -108,10 +120,11 @@
             links: CancellationToken::new(),
             addresses,
             settings,
-            _policies: policy_sender,
+            configuration,
         };
         node.spawn_listeners(callers, peers, admin);
         node.spawn_link_closer();
+        node.follow_machines()?;
         Ok(node)
     }
 
@@ -135,7 +148,7 @@
         let server = LinkServer {
             node: self.settings.node.name.clone(),
             homes: self.homes.clone(),
-            configuration: None,
+            configuration: self.configuration.dissemination.clone(),
         };
         tokio::spawn(serve_links(peers, server, self.links.clone()));
         let report = Arc::new(NodeReport {
@@ -149,6 +162,18 @@
         tokio::spawn(crate::admin::serve(admin, report, self.links.clone()));
     }
 
+    fn follow_machines(&self) -> eyre::Result<()> {
+        let Some(url) = &self.settings.platform.machines else {
+            return Ok(());
+        };
+        let follower = MachineFollower {
+            seeds: self.settings.membership.seeds.clone(),
+            peers: self.membership.clone(),
+            homes: self.homes.clone(),
+        };
+        follower.start(&url.to_string(), self.links.clone())
+    }
+
     /// Closes links to nodes that membership declares dead, so that what waits there ends.
     fn spawn_link_closer(&self) {
         let mut events = self.membership.events();
@@ -199,13 +224,6 @@
     routes.map(|route| (route.to, route.via)).collect()
 }
 
-fn initial_policies(settings: &Settings) -> eyre::Result<PolicySet> {
-    match &settings.configuration_file {
-        Some(file) => Ok(load_configuration(file)?),
-        None => Ok(PolicySet::default()),
-    }
-}
-
 fn peers_settings(settings: &Settings, incarnation: u64) -> PeersSettings {
     let node = settings.node.name.clone();
     let locality = settings.node.locality.clone();
