--- a/crates/dyketally-lab/tests/home/main.rs
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -3,6 +3,7 @@
 mod pressure;
 mod reads;
 mod recorded;
+mod relay;
 mod support;
 mod transactions;
 mod writes;
--- a/crates/dyketally-lab/tests/home/recorded.rs
+++ b/crates/dyketally-lab/tests/home/recorded.rs
@@ -1,14 +1,11 @@
 //! Recorded statements: what became of them is found out in the ledger.
 
-use std::net::SocketAddr;
-
 use dyketally::policy::Repeat;
 use dyketally_lab::database::DatabaseSettings;
 use dyketally_protocol::{Completion, ExecuteRequest};
 use dyketally_proxy::home::{AddressRoutes, Home, HomeOptions};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 
+use crate::relay::{Mode, Relay};
 use crate::support::{Fixture, Setup, eventually, insert};
 
 fn recorded(fixture: &Fixture, text: &str) -> ExecuteRequest {
@@ -122,55 +119,6 @@
     assert_eq!(rows(&fixture, new, "orders").await, 0);
 }
 
-/// Passes bytes on; cuts the first connection that commits, before it can hear of it.
-async fn start_relay(target: SocketAddr) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    tokio::spawn(async move {
-        let mut armed = true;
-        let (tripped, mut trips) = tokio::sync::mpsc::unbounded_channel();
-        loop {
-            tokio::select! {
-                Ok((client, _)) = listener.accept() => {
-                    tokio::spawn(relay(client, target, armed.then(|| tripped.clone())));
-                }
-                Some(()) = trips.recv() => armed = false,
-            }
-        }
-    });
-    address
-}
-
-async fn relay(
-    client: TcpStream,
-    target: SocketAddr,
-    armed: Option<tokio::sync::mpsc::UnboundedSender<()>>,
-) -> std::io::Result<()> {
-    let server = TcpStream::connect(target).await?;
-    let (mut client_reader, mut client_writer) = client.into_split();
-    let (mut server_reader, mut server_writer) = server.into_split();
-    let back =
-        tokio::spawn(async move { tokio::io::copy(&mut server_reader, &mut client_writer).await });
-    let mut buffer = vec![0; 64 * 1024];
-    loop {
-        let read = client_reader.read(&mut buffer).await?;
-        if read == 0 {
-            return Ok(());
-        }
-        let commits = buffer[..read].windows(6).any(|word| word == b"COMMIT");
-        if let Some(tripped) = armed.as_ref().filter(|_| commits) {
-            back.abort();
-            let _ = back.await;
-            server_writer.write_all(&buffer[..read]).await?;
-            let _ = tripped.send(());
-            // The commit takes effect before the connection is seen to end.
-            tokio::time::sleep(std::time::Duration::from_millis(300)).await;
-            return Ok(());
-        }
-        server_writer.write_all(&buffer[..read]).await?;
-    }
-}
-
 #[tokio::test]
 async fn answers_from_the_ledger_when_the_reply_was_lost() {
     let setup = Setup {
@@ -183,11 +131,11 @@
     let fixture = Fixture::start_with(setup).await;
     let primary = fixture.primary;
     let address = fixture.databases[primary].address();
-    let relay = start_relay(address).await;
+    let relay = Relay::start(address, Mode::LoseCommit).await;
     let home = Home::start(
         fixture.name(primary),
         fixture.policies.subscribe(),
-        AddressRoutes::from_iter([(address, relay)]),
+        AddressRoutes::from_iter([(address, relay.address)]),
         HomeOptions::default(),
     );
     let pending = Fixture::submit_at(&home, recorded(&fixture, &insert("a")));
--- a/crates/dyketally-lab/tests/home/writes.rs
+++ b/crates/dyketally-lab/tests/home/writes.rs
@@ -4,8 +4,10 @@
 
 use dyketally::outcome::{NotRunReason, UnknownReason};
 use dyketally_protocol::{Completion, ExecuteRequest, TransactionStatus};
+use dyketally_proxy::home::{AddressRoutes, Home, HomeOptions};
 use rstest::rstest;
 
+use crate::relay::{Mode, Relay};
 use crate::support::{Fixture, eventually, insert};
 
 #[tokio::test]
@@ -193,3 +195,37 @@
     let answer = pending.answer().await;
     assert_eq!(answer.sqlstate().as_deref(), Some("57014"), "{answer:?}");
 }
+
+#[tokio::test]
+async fn moves_on_from_a_primary_that_hangs() {
+    let fixture = Fixture::start().await;
+    let old = fixture.primary;
+    let address = fixture.databases[old].address();
+    let relay = Relay::start(address, Mode::Pass).await;
+    let home = Home::start(
+        fixture.name(old),
+        fixture.policies.subscribe(),
+        AddressRoutes::from_iter([(address, relay.address)]),
+        HomeOptions::default(),
+    );
+    let first = Fixture::submit_at(&home, fixture.write(old, &insert("a")));
+    assert!(first.answer().await.is_done());
+    relay.set(Mode::Stall);
+    let hanging = Fixture::submit_at(&home, fixture.write(old, &insert("b")));
+    let control = fixture.databases[old].control();
+    let others = fixture.replicas();
+    control.set_stay_leading(true).await.unwrap();
+    control
+        .cut(others.iter().map(|other| fixture.name(*other)).collect())
+        .await
+        .unwrap();
+    let answer = hanging.answer().await;
+    let unknown = matches!(answer.completion, Completion::Unknown { .. });
+    assert!(unknown, "{answer:?}");
+    let waiting = Fixture::submit_at(&home, fixture.write(old, &insert("c")));
+    let answer = waiting.answer().await;
+    let Completion::Redirect { primary, .. } = answer.completion else {
+        panic!("{answer:?}");
+    };
+    assert_ne!(primary, Some(fixture.name(old)));
+}
--- a/crates/dyketally-proxy/src/home/counters.rs
+++ b/crates/dyketally-proxy/src/home/counters.rs
@@ -84,6 +84,8 @@
     resolved_done,
     /// Recorded requests of unclear outcome that were found not to have been run.
     resolved_not_run,
+    /// Recorded requests refused because the ledger table takes no entry.
+    ledger_refusals,
     /// Cancel requests sent to the database.
     cancels,
     /// Transactions rolled back because their session ended or left them idle too long.
--- a/crates/dyketally-proxy/src/home/monitor.rs
+++ b/crates/dyketally-proxy/src/home/monitor.rs
@@ -35,6 +35,7 @@
     target: ProbeTarget,
     questions: mpsc::UnboundedSender<Asker>,
     lost: bool,
+    malformed: bool,
 }
 
 #[derive(Debug)]
@@ -211,7 +212,15 @@
         }
     }
 
+    /// `member` answers something that isn't a status.
     pub(super) fn malformed(&self, member: &DatabaseName, reply: &StatusReply) {
+        let first = self.lock().probers.get_mut(member).is_some_and(|prober| {
+            let known = std::mem::replace(&mut prober.malformed, true);
+            !known
+        });
+        if !first {
+            return;
+        }
         log::warn!(
             "{member} answers the status statement with {reply:?}; check `status_statement`: it \
              must yield role, term, log term and offset as one row of four text columns"
@@ -262,6 +271,7 @@
             target,
             questions,
             lost: false,
+            malformed: false,
         }
     }
 
@@ -320,6 +330,7 @@
     ) -> Vec<GroupEvent> {
         if let Some(prober) = self.probers.get_mut(member) {
             prober.lost = false;
+            prober.malformed = false;
         }
         self.view.observe(now(), member, status, asked_at)
     }
--- a/crates/dyketally-proxy/src/home/recorded.rs
+++ b/crates/dyketally-proxy/src/home/recorded.rs
@@ -134,7 +134,7 @@
         output: &mut ReplyOutput,
     ) -> Result<Recorded, Failure> {
         let Some(reply) = output.held(LONGEST_RECORDED_REPLY) else {
-            log::warn!(
+            log::debug!(
                 "a recorded statement was rolled back as its reply exceeds {LONGEST_RECORDED_REPLY} \
                  bytes; return fewer rows, or take `recorded` from its rule"
             );
@@ -172,7 +172,8 @@
             self.shared.monitor.ask_all();
             return self.redirect();
         }
-        log::warn!(
+        self.shared.counters.ledger_refusals.increment();
+        log::debug!(
             "the ledger table {} refuses entries with {sqlstate}; create it with the columns \
              `key text primary key, value text`",
             self.policy.group.ledger_table
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -305,7 +305,9 @@
 
     /// A read has no effect: while none of its reply was passed on, it counts as not run.
     fn failed(&self, pin: &Pin, failure: &Failure, output: &mut ReplyOutput) -> Completion {
-        self.shared.monitor.watch_closely();
+        if !matches!(failure, Failure::DeadlinePassed) {
+            self.shared.monitor.watch_closely();
+        }
         self.shared.monitor.ask_all();
         output.discard();
         let harmless = self.execute.access == Access::Read
