--- a/crates/dyketally-proxy/src/settings/check.rs
+++ b/crates/dyketally-proxy/src/settings/check.rs
@@ -18,7 +18,7 @@
 
 impl CheckReport {
     /// True when no fault was found: a node would start.
-    pub fn is_accepted(&self) -> bool {
+    pub fn is_clean(&self) -> bool {
         self.faults.is_empty()
     }
 }
--- a/crates/dyketally-proxy/tests/examples.rs
+++ b/crates/dyketally-proxy/tests/examples.rs
@@ -29,14 +29,14 @@
 }
 
 #[test]
-fn every_example_is_accepted() {
+fn every_example_is_clean() {
     let mut documents = Documents::default();
     for path in entries(&examples()) {
         let name = path.file_name().and_then(|name| name.to_str());
         match name.expect("file name") {
             "dyketallyd.toml" => {
                 let report = check(&path);
-                assert!(report.is_accepted(), "{report}");
+                assert!(report.is_clean(), "{report}");
             }
             "single-node.toml" => {
                 let policy = load_configuration(&path).unwrap_or_else(|report| panic!("{report}"));
--- a/crates/dyketally-proxy/tests/settings.rs
+++ b/crates/dyketally-proxy/tests/settings.rs
@@ -150,7 +150,7 @@
 #[test]
 fn a_missing_file_is_told_with_its_remedy() {
     let report = check(&PathBuf::from("no-such-file.toml"));
-    assert!(!report.is_accepted());
+    assert!(!report.is_clean());
     let text = report.to_string();
     assert!(text.contains("check that the file exists"), "{text}");
 }
