Give up early on statements that would end too late

The queues filled until every statement started shortly before its deadline and ended behind it. Now a statement is given up on at its latest start: the deadline less a busy time that few of the tenant's statements exceed (the average and four mean deviations), but at most half of the time left. And it is turned away on arrival if the statements before it would take longer at the measured drain rate; a stall in progress doesn't count, so writes still wait out a failover. Statements of transactions are never turned away.

The tests of deadlines check the new, earlier time; the fuzzed model works it out from the published estimates. The home asks the queue when a statement is given up on.

--- a/crates/dyketally-proxy/src/home/dispatch.rs
+++ b/crates/dyketally-proxy/src/home/dispatch.rs
@@ -153,8 +153,10 @@
             dispatcher: self,
             ticket,
         };
+        let latest_start = self.lock().queue.latest_start(ticket);
+        let give_up = latest_start.unwrap_or(deadline);
         loop {
-            let left = deadline.saturating_since(now());
+            let left = give_up.saturating_since(now());
             match tokio::time::timeout(left, &mut granted).await {
                 Ok(Ok(granted)) => return granted,
                 Ok(Err(_)) => return Err(dropped()),
@@ -444,7 +446,7 @@
 
 fn turned_away(rejected: Rejected<Waiter>) -> TurnedAway {
     let reason = match rejected.reason {
-        RejectionReason::QueueFull => NotRunReason::QueueFull,
+        RejectionReason::QueueFull | RejectionReason::WaitTooLong => NotRunReason::QueueFull,
         RejectionReason::DeadlinePassed => NotRunReason::DeadlinePassed,
     };
     TurnedAway {
--- a/crates/dyketally/examples/simulation/measures.rs
+++ b/crates/dyketally/examples/simulation/measures.rs
@@ -26,11 +26,22 @@
     pub busy: Duration,
 }
 
+/// What became of a statement.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// When its first attempt arrived.
+    pub arrived: Timestamp,
+    /// Whether it ended within its deadline.
+    pub in_time: bool,
+}
+
 /// Measures of a run, within a window that leaves out the start and the end of the load.
 #[derive(Clone, Debug)]
 pub struct Measures {
     /// By index of the tenant in the workload.
     pub tenants: Vec<TenantMeasures>,
+    /// When each statement arrived, also outside of the window, and whether it ended in time.
+    pub outcomes: Vec<Outcome>,
     window: (Timestamp, Timestamp),
     slots: u32,
     last: Timestamp,
@@ -43,6 +54,7 @@
     pub fn new(tenants: usize, slots: u32, window: (Timestamp, Timestamp)) -> Self {
         Measures {
             tenants: vec![TenantMeasures::default(); tenants],
+            outcomes: Vec::new(),
             window,
             slots,
             last: Timestamp::ZERO,
@@ -116,6 +128,10 @@
     pub fn finished(&mut self, started: Timestamp, now: Timestamp, job: &Job) {
         let busy = self.overlap(started, now);
         self.tenants[job.tenant].busy += busy;
+        self.outcomes.push(Outcome {
+            arrived: job.arrived,
+            in_time: now <= job.deadline,
+        });
         if !self.counts(job) {
             return;
         }
--- a/crates/dyketally/src/admission/average.rs
+++ b/crates/dyketally/src/admission/average.rs
@@ -1,4 +1,4 @@
-//! Exponentially weighted moving average of durations.
+//! Exponentially weighted moving averages of durations.
 
 use std::time::Duration;
 
@@ -26,3 +26,34 @@
         self.value
     }
 }
+
+/// Mean deviations above the average that few samples exceed, as for retransmission timers.
+const DEVIATIONS: u32 = 4;
+
+/// Average of a duration that varies, with a bound that few samples exceed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Estimate {
+    average: MovingAverage,
+    deviation: MovingAverage,
+}
+
+impl Estimate {
+    /// Adds a sample.
+    pub(super) fn record(&mut self, sample: Duration) {
+        if let Some(average) = self.average.value() {
+            self.deviation.record(average.abs_diff(sample));
+        }
+        self.average.record(sample);
+    }
+
+    /// The average, or `None` before the first sample.
+    pub(super) fn average(&self) -> Option<Duration> {
+        self.average.value()
+    }
+
+    /// A duration that few samples exceed; zero before the first sample.
+    pub(super) fn upper(&self) -> Duration {
+        let deviation = self.deviation.value().unwrap_or_default();
+        self.average.value().unwrap_or_default() + deviation * DEVIATIONS
+    }
+}
--- a/crates/dyketally/src/admission/drain_rate.rs
+++ b/crates/dyketally/src/admission/drain_rate.rs
@@ -41,6 +41,11 @@
         self.measured_from = None;
     }
 
+    /// Average time between two admissions, as measured so far.
+    pub(super) fn average(&self) -> Option<Duration> {
+        self.interval.value()
+    }
+
     /// Average time between two admissions. An interval in progress counts once it is longer
     /// than the average, so that a stall shows at once.
     pub(super) fn interval(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/dyketally/src/admission/queue.rs
+++ b/crates/dyketally/src/admission/queue.rs
@@ -21,13 +21,13 @@
 struct Location {
     tenant: TenantName,
     rank: Rank,
-    deadline: Timestamp,
+    latest_start: Timestamp,
 }
 
 /// The statements that wait for one of a database's slots, and those that hold one.
 ///
 /// Each statement that [`enqueue`](Self::enqueue) accepts leaves in exactly one of three ways:
-/// from [`next`](Self::next) with a slot, from [`expire`](Self::expire) at its deadline, or from
+/// from [`next`](Self::next) with a slot, from [`expire`](Self::expire) when it can't end in time, or from
 /// [`withdraw`](Self::withdraw).
 #[derive(Debug)]
 pub struct FairQueue<T> {
@@ -35,7 +35,7 @@
     tenants: BTreeMap<TenantName, Tenant<T>>,
     schedule: Schedule,
     locations: BTreeMap<Ticket, Location>,
-    deadlines: BTreeSet<(Timestamp, Ticket)>,
+    latest_starts: BTreeSet<(Timestamp, Ticket)>,
     queued_fresh: usize,
     next_ticket: u64,
     unknown_finished: u64,
@@ -49,7 +49,7 @@
             tenants: BTreeMap::new(),
             schedule: Schedule::default(),
             locations: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
+            latest_starts: BTreeSet::new(),
             queued_fresh: 0,
             next_ticket: 0,
             unknown_finished: 0,
@@ -74,7 +74,13 @@
             .entry(submission.tenant.clone())
             .or_insert_with(Tenant::new);
         tenant.set_weight(submission.weight);
-        if let Some(reason) = refusal(now, tenant, &submission) {
+        let rank = Rank {
+            stage: submission.stage,
+            urgency: Reverse(submission.urgency),
+            ticket: Ticket(self.next_ticket),
+        };
+        let latest_start = tenant.latest_start(now, submission.deadline);
+        if let Some(reason) = refusal(now, tenant, &submission, rank, latest_start) {
             tenant.counters.rejected += 1;
             return Err(Rejected {
                 reason,
@@ -82,7 +88,7 @@
                 item: submission.item,
             });
         }
-        Ok(self.accept(now, submission))
+        Ok(self.accept(now, submission, rank, latest_start))
     }
 
     /// Gives a free slot to the statement whose turn it is. Call until it yields `None`.
@@ -117,11 +123,11 @@
         true
     }
 
-    /// Gives up on the statements whose deadline has come.
+    /// Gives up on the statements that can no longer be expected to end in time.
     pub fn expire(&mut self, now: Timestamp, random: &mut impl Rng) -> Vec<Expired<T>> {
         let mut expired = Vec::new();
-        while let Some((deadline, ticket)) = self.deadlines.first().copied() {
-            if deadline > now {
+        while let Some((latest_start, ticket)) = self.latest_starts.first().copied() {
+            if latest_start > now {
                 break;
             }
             expired.extend(self.expire_one(now, ticket, random));
@@ -130,8 +136,16 @@
     }
 
     /// When [`expire`](Self::expire) has something to do next.
-    pub fn next_deadline(&self) -> Option<Timestamp> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        let first = self.latest_starts.first();
+        first.map(|(latest_start, _)| *latest_start)
+    }
+
+    /// When [`expire`](Self::expire) gives up on this statement. `None` when it doesn't wait any
+    /// more.
+    pub fn latest_start(&self, ticket: Ticket) -> Option<Timestamp> {
+        let location = self.locations.get(&ticket)?;
+        Some(location.latest_start)
     }
 
     /// Takes a waiting statement out. `None` when it doesn't wait any more.
@@ -203,33 +217,34 @@
         }
     }
 
-    fn accept(&mut self, now: Timestamp, submission: Submission<T>) -> Ticket {
-        let ticket = Ticket(self.next_ticket);
+    fn accept(
+        &mut self,
+        now: Timestamp,
+        submission: Submission<T>,
+        rank: Rank,
+        latest_start: Timestamp,
+    ) -> Ticket {
+        let ticket = rank.ticket;
         self.next_ticket += 1;
-        let rank = Rank {
-            stage: submission.stage,
-            urgency: Reverse(submission.urgency),
-            ticket,
-        };
-        let waiting = Waiting {
-            enqueued: now,
-            deadline: submission.deadline,
-            item: submission.item,
-        };
         self.schedule
             .begin_waiting(now, &submission.tenant, submission.weight);
-        let location = Location {
-            tenant: submission.tenant.clone(),
-            rank,
-            deadline: submission.deadline,
-        };
         self.queued_fresh += usize::from(rank.stage == Stage::Fresh);
-        self.locations.insert(ticket, location);
-        self.deadlines.insert((submission.deadline, ticket));
+        self.latest_starts.insert((latest_start, ticket));
         if let Some(tenant) = self.tenants.get_mut(&submission.tenant) {
             tenant.counters.enqueued += 1;
+            let waiting = Waiting {
+                enqueued: now,
+                latest_start,
+                item: submission.item,
+            };
             tenant.push(rank, waiting);
         }
+        let location = Location {
+            tenant: submission.tenant,
+            rank,
+            latest_start,
+        };
+        self.locations.insert(ticket, location);
         ticket
     }
 
@@ -283,7 +298,7 @@
     /// Removes a waiting statement from every index.
     fn take(&mut self, ticket: Ticket) -> Option<(Location, Waiting<T>)> {
         let location = self.locations.remove(&ticket)?;
-        self.deadlines.remove(&(location.deadline, ticket));
+        self.latest_starts.remove(&(location.latest_start, ticket));
         let tenant = self.tenants.get_mut(&location.tenant)?;
         let waiting = tenant.remove(location.rank)?;
         self.queued_fresh -= usize::from(location.rank.stage == Stage::Fresh);
@@ -300,12 +315,20 @@
     now: Timestamp,
     tenant: &Tenant<T>,
     submission: &Submission<T>,
+    rank: Rank,
+    latest_start: Timestamp,
 ) -> Option<RejectionReason> {
-    if submission.deadline <= now {
+    if latest_start <= now {
         return Some(RejectionReason::DeadlinePassed);
     }
-    let counts = submission.stage == Stage::Fresh;
-    (counts && tenant.is_full(submission.queue_limit)).then_some(RejectionReason::QueueFull)
+    if submission.stage == Stage::Continuation {
+        return None;
+    }
+    if tenant.is_full(submission.queue_limit) {
+        return Some(RejectionReason::QueueFull);
+    }
+    let too_long = tenant.expected_wait(rank) > latest_start.saturating_since(now);
+    too_long.then_some(RejectionReason::WaitTooLong)
 }
 
 /// Time until the tenant's queue as it is now has drained.
--- a/crates/dyketally/src/admission/status.rs
+++ b/crates/dyketally/src/admission/status.rs
@@ -12,13 +12,13 @@
 pub struct TenantCounters {
     /// Accepted into the queue.
     pub enqueued: u64,
-    /// Turned away because the queue was full or the deadline had passed.
+    /// Turned away on arrival.
     pub rejected: u64,
     /// Given a slot.
     pub admitted: u64,
     /// Slots given back.
     pub finished: u64,
-    /// Given up on at their deadline.
+    /// Given up on while they waited.
     pub expired: u64,
     /// Taken out of the queue by their owner.
     pub withdrawn: u64,
@@ -37,6 +37,10 @@
     pub running: usize,
     /// Average busy time of its statements; `None` before the first has finished.
     pub service_time: Option<Duration>,
+    /// Busy time that few of its statements exceed.
+    pub service_time_upper: Duration,
+    /// Average time between two admissions while others of its statements waited.
+    pub drain_interval: Option<Duration>,
     /// What became of its statements.
     pub counters: TenantCounters,
 }
--- a/crates/dyketally/src/admission/submission.rs
+++ b/crates/dyketally/src/admission/submission.rs
@@ -33,7 +33,8 @@
     pub stage: Stage,
     /// Order among the tenant's own statements.
     pub urgency: Urgency,
-    /// It is given up on unless a slot was found before this time.
+    /// When its caller stops waiting for the answer. It is given up on before that, once it can no
+    /// longer be expected to end in time.
     pub deadline: Timestamp,
     /// The statement itself, handed back unchanged.
     pub item: T,
@@ -61,6 +62,8 @@
     QueueFull,
     /// The deadline has already passed.
     DeadlinePassed,
+    /// At the rate at which the tenant's queue drains, the deadline would pass in the queue.
+    WaitTooLong,
 }
 
 /// A statement that was not queued. It was not run.
@@ -74,7 +77,7 @@
     pub item: T,
 }
 
-/// A statement that waited until its deadline. It was not run.
+/// A statement that waited until it could not be expected to end in time. It was not run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Expired<T> {
     /// The ticket it was queued under; no longer valid.
--- a/crates/dyketally/src/admission/tenant.rs
+++ b/crates/dyketally/src/admission/tenant.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::average::MovingAverage;
+use super::average::Estimate;
 use super::drain_rate::DrainRate;
 use super::status::{TenantCounters, TenantStatus};
 use super::submission::{Stage, Ticket};
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(super) struct Waiting<T> {
     pub(super) enqueued: Timestamp,
-    pub(super) deadline: Timestamp,
+    pub(super) latest_start: Timestamp,
     pub(super) item: T,
 }
 
@@ -36,7 +36,7 @@
     waiting: BTreeMap<Rank, Waiting<T>>,
     fresh: usize,
     pub(super) running: usize,
-    service_time: MovingAverage,
+    service_time: Estimate,
     pub(super) drain_rate: DrainRate,
     pub(super) counters: TenantCounters,
 }
@@ -48,7 +48,7 @@
             waiting: BTreeMap::new(),
             fresh: 0,
             running: 0,
-            service_time: MovingAverage::default(),
+            service_time: Estimate::default(),
             drain_rate: DrainRate::default(),
             counters: TenantCounters::default(),
         }
@@ -87,7 +87,7 @@
         Some(waiting)
     }
 
-    /// The first waiting statement that is of an eligible stage and not past its deadline.
+    /// The first waiting statement that is of an eligible stage and not past its latest start.
     pub(super) fn first(&self, now: Timestamp, eligible: impl Fn(Stage) -> bool) -> Option<Rank> {
         [Stage::Continuation, Stage::Fresh]
             .into_iter()
@@ -104,13 +104,29 @@
         self.waiting
             .range(lowest..)
             .take_while(|(rank, _)| rank.stage == stage)
-            .find(|(_, waiting)| waiting.deadline > now)
+            .find(|(_, waiting)| waiting.latest_start > now)
             .map(|(rank, _)| *rank)
     }
 
     /// Busy time to expect of the tenant's next statement.
     pub(super) fn estimate(&self) -> Duration {
-        self.service_time.value().unwrap_or(FIRST_ESTIMATE)
+        self.service_time.average().unwrap_or(FIRST_ESTIMATE)
+    }
+
+    /// When a statement that arrives now must start to end by `deadline`. At least half of the
+    /// time left may be spent waiting, however long the tenant's statements run.
+    pub(super) fn latest_start(&self, now: Timestamp, deadline: Timestamp) -> Timestamp {
+        let most = deadline.saturating_since(now) / 2;
+        deadline - self.service_time.upper().min(most)
+    }
+
+    /// Time until the statements that go before one of `rank` have been admitted, at the rate
+    /// measured so far. A stall in progress doesn't count: it may end at any time.
+    pub(super) fn expected_wait(&self, rank: Rank) -> Duration {
+        let ahead = self.waiting.range(..rank).count();
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let interval = self.drain_rate.average().unwrap_or_default();
+        interval.saturating_mul(ahead)
     }
 
     pub(super) fn finished(&mut self, busy: Duration) {
@@ -125,7 +141,9 @@
             weight: self.weight,
             queued: self.waiting.len(),
             running: self.running,
-            service_time: self.service_time.value(),
+            service_time: self.service_time.average(),
+            service_time_upper: self.service_time.upper(),
+            drain_interval: self.drain_rate.average(),
             counters: self.counters,
         }
     }
--- a/crates/dyketally/tests/admission.rs
+++ b/crates/dyketally/tests/admission.rs
@@ -212,7 +212,7 @@
     };
     enqueue(&mut queue, at(0), short);
     enqueue(&mut queue, at(0), statement("a", "patient"));
-    assert_eq!(queue.next_deadline(), Some(at(10)));
+    assert_eq!(queue.next_expiry(), Some(at(10)));
     assert!(queue.expire(at(9), &mut random).is_empty());
     let admitted = queue.next(at(10)).expect("one may still run");
     assert_eq!(admitted.item, "patient");
@@ -230,6 +230,61 @@
     assert_eq!(rejected.reason, RejectionReason::DeadlinePassed);
 }
 
+/// A queue whose tenant has run 20 statements of `busy` milliseconds, and the time.
+fn practised(busy: u64) -> (FairQueue<&'static str>, Timestamp) {
+    let mut queue = FairQueue::new(1);
+    for _ in 0..20 {
+        enqueue(&mut queue, at(0), statement("a", "x"));
+    }
+    drain(&mut queue, 0, busy);
+    (queue, at(20 * busy))
+}
+
+#[rstest]
+#[case::time_to_run_is_kept(20, 100, 80)]
+#[case::half_of_the_time_left_may_be_waited(80, 100, 50)]
+fn a_statement_is_given_up_while_it_could_not_end_in_time(
+    #[case] busy: u64,
+    #[case] lifetime: u64,
+    #[case] waits: u64,
+) {
+    let (mut queue, now) = practised(busy);
+    let short = Submission {
+        deadline: now + Duration::from_millis(lifetime),
+        ..statement("a", "short")
+    };
+    enqueue(&mut queue, now, short);
+    let latest_start = now + Duration::from_millis(waits);
+    assert_eq!(queue.next_expiry(), Some(latest_start));
+    let mut random = StdRng::seed_from_u64(SEED);
+    assert_eq!(queue.expire(latest_start, &mut random).len(), 1);
+}
+
+#[rstest]
+#[case::fresh_behind_four(Stage::Fresh, Urgency::Normal, false)]
+#[case::urgent_passes_them(Stage::Fresh, Urgency::Urgent, true)]
+#[case::transactions_always_wait(Stage::Continuation, Urgency::Normal, true)]
+fn a_statement_that_would_wait_too_long_is_turned_away_at_once(
+    #[case] stage: Stage,
+    #[case] urgency: Urgency,
+    #[case] accepted: bool,
+) {
+    let (mut queue, now) = practised(20);
+    for _ in 0..4 {
+        enqueue(&mut queue, now, statement("a", "patient"));
+    }
+    let mut random = StdRng::seed_from_u64(SEED);
+    let hurried = Submission {
+        stage,
+        urgency,
+        deadline: now + Duration::from_millis(80),
+        ..statement("a", "hurried")
+    };
+    let result = queue.enqueue(now, hurried, &mut random);
+    let reason = result.err().map(|rejected| rejected.reason);
+    assert_eq!(reason, (!accepted).then_some(RejectionReason::WaitTooLong));
+}
+
 #[test]
 fn a_statement_that_can_not_run_keeps_its_turn() {
     let mut queue = FairQueue::new(2);
--- a/crates/dyketally/tests/admission_model.rs
+++ b/crates/dyketally/tests/admission_model.rs
@@ -77,7 +77,7 @@
     tenant: usize,
     stage: Stage,
     urgency: Urgency,
-    deadline: Timestamp,
+    latest_start: Timestamp,
     number: u64,
 }
 
@@ -98,57 +98,72 @@
 
 impl Harness {
     fn enqueue(&mut self, tenant: usize, stage: Stage, urgency: Urgency, lifetime: u64) {
-        let deadline = self.now + Duration::from_millis(lifetime);
+        let lifetime = Duration::from_millis(lifetime);
         let submission = Submission {
             tenant: name(tenant),
             weight: 1 + tenant as u32,
             queue_limit: QUEUE_LIMIT,
             stage,
             urgency,
-            deadline,
+            deadline: self.now + lifetime,
             item: self.accepted,
         };
-        let expected = self.expected_refusal(tenant, stage, lifetime);
-        match self.queue.enqueue(self.now, submission, &mut self.random) {
-            Ok(ticket) => {
-                assert_eq!(expected, None);
+        let expected = self.expected(tenant, stage, urgency, lifetime);
+        let result = self.queue.enqueue(self.now, submission, &mut self.random);
+        match (result, expected) {
+            (Ok(ticket), Ok(latest_start)) => {
+                assert_eq!(self.queue.latest_start(ticket), Some(latest_start));
                 self.waiting.push(Waiting {
                     ticket,
                     tenant,
                     stage,
                     urgency,
-                    deadline,
+                    latest_start,
                     number: self.accepted,
                 });
                 self.accepted += 1;
             }
-            Err(rejected) => {
-                assert_eq!(expected, Some(rejected.reason));
+            (Err(rejected), Err(expected)) => {
+                assert_eq!(rejected.reason, expected);
                 check_retry_after(rejected.retry_after);
             }
+            (result, expected) => panic!("{result:?}, expected {expected:?}"),
         }
     }
 
-    fn expected_refusal(
+    /// The latest start of a statement that arrives now, or why it is turned away.
+    fn expected(
         &self,
         tenant: usize,
         stage: Stage,
-        lifetime: u64,
-    ) -> Option<RejectionReason> {
-        if lifetime == 0 {
-            return Some(RejectionReason::DeadlinePassed);
+        urgency: Urgency,
+        lifetime: Duration,
+    ) -> Result<Timestamp, RejectionReason> {
+        let status = self.queue.status().tenants.get(&name(tenant)).copied();
+        let service_time = status.map(|status| status.service_time_upper);
+        let to_run = service_time.unwrap_or_default().min(lifetime / 2);
+        let latest_start = self.now + lifetime - to_run;
+        let waiting_time = latest_start.saturating_since(self.now);
+        let own = || self.waiting.iter().filter(|it| it.tenant == tenant);
+        let fresh = own().filter(|it| it.stage == Stage::Fresh).count();
+        let rank = (stage, Reverse(urgency));
+        let ahead = own().filter(|it| (it.stage, Reverse(it.urgency)) <= rank);
+        let interval = status.and_then(|status| status.drain_interval);
+        let wait = interval.unwrap_or_default() * ahead.count() as u32;
+        if waiting_time.is_zero() {
+            Err(RejectionReason::DeadlinePassed)
+        } else if stage == Stage::Fresh && fresh >= QUEUE_LIMIT as usize {
+            Err(RejectionReason::QueueFull)
+        } else if stage == Stage::Fresh && wait > waiting_time {
+            Err(RejectionReason::WaitTooLong)
+        } else {
+            Ok(latest_start)
         }
-        let fresh = self
-            .waiting
-            .iter()
-            .filter(|waiting| waiting.tenant == tenant && waiting.stage == Stage::Fresh);
-        let full = stage == Stage::Fresh && fresh.count() >= QUEUE_LIMIT as usize;
-        full.then_some(RejectionReason::QueueFull)
     }
 
     fn next(&mut self, blocked: Option<usize>) {
         let runnable =
-            |waiting: &&Waiting| waiting.deadline > self.now && Some(waiting.tenant) != blocked;
+            |waiting: &&Waiting| waiting.latest_start > self.now && Some(waiting.tenant) != blocked;
         let free = self.running.len() < self.slots as usize;
         let one_can_run = free && self.waiting.iter().any(|waiting| runnable(&waiting));
         let blocked_name = blocked.map(name);
@@ -175,12 +190,12 @@
         let late = self
             .waiting
             .iter()
-            .filter(|waiting| waiting.deadline <= self.now);
+            .filter(|waiting| waiting.latest_start <= self.now);
         assert_eq!(late.count(), expired.len());
         for expired in expired {
             check_retry_after(expired.retry_after);
-            let deadline = self.forget(expired.ticket).deadline;
-            assert!(deadline <= self.now);
+            let latest_start = self.forget(expired.ticket).latest_start;
+            assert!(latest_start <= self.now);
         }
     }
 
@@ -258,8 +273,8 @@
             harness.accepted,
             harness.left + harness.waiting.len() as u64
         );
-        let earliest = harness.waiting.iter().map(|waiting| waiting.deadline);
-        assert_eq!(queue.next_deadline(), earliest.min());
+        let earliest = harness.waiting.iter().map(|waiting| waiting.latest_start);
+        assert_eq!(queue.next_expiry(), earliest.min());
         let fresh = |waiting: &&Waiting| waiting.stage == Stage::Fresh;
         assert_eq!(
             queue.queued_fresh(),
