--- a/crates/dyketally-proxy/src/peers/view.rs
+++ b/crates/dyketally-proxy/src/peers/view.rs
@@ -65,7 +65,8 @@
         })
     }
 
-    fn candidate(&self) -> Candidate<'_> {
+    /// The node as a candidate for placement.
+    pub fn candidate(&self) -> Candidate<'_> {
         Candidate {
             node: &self.node,
             locality: &self.locality,
