--- a/crates/dyketally-lab/tests/home/main.rs
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -2,6 +2,8 @@
 
 mod pressure;
 mod reads;
+mod recorded;
+mod relay;
 mod support;
 mod transactions;
 mod writes;
