--- /dev/null
+++ b/crates/dyketally-lab/src/bench/client.rs
@@ -0,0 +1,151 @@
+//! A caller's session: an ordinary driver's connection that carries the session token.
+
+use std::fmt;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Poll, ready};
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_postgres::tls::NoTlsStream;
+use tokio_postgres::types::ToSql;
+use tokio_postgres::{Client, Config, Connection, NoTls, Row};
+
+use super::reply::Reply;
+
+/// The parameter that carries the session token.
+const SESSION_PARAMETER: &str = "dyketally.session";
+
+/// Time to open a connection before it is given up.
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+
+type DriverConnection = Connection<TcpStream, NoTlsStream>;
+
+/// A session that could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// The address can't be reached.
+    #[error("nobody accepts connections at {0}; check that the proxy runs")]
+    Unreachable(SocketAddr),
+    /// The proxy refused the session.
+    #[error("the session was refused: {0}")]
+    Refused(#[from] tokio_postgres::Error),
+}
+
+/// One connection of a caller, to a proxy or straight to a database.
+pub struct SessionClient {
+    client: Client,
+    connection: Arc<Mutex<DriverConnection>>,
+    driver: JoinHandle<()>,
+}
+
+impl SessionClient {
+    /// Opens a session, with the token of an earlier one if it continues that.
+    ///
+    /// # Errors
+    /// When the address can't be reached or the session is refused.
+    pub async fn connect(
+        address: SocketAddr,
+        tenant: &str,
+        database: &str,
+        token: Option<&str>,
+    ) -> Result<Self, ConnectError> {
+        let opening = Self::open(address, tenant, database);
+        let session = tokio::time::timeout(CONNECT_LIMIT, opening)
+            .await
+            .map_err(|_| ConnectError::Unreachable(address))??;
+        if let Some(token) = token {
+            let statement = format!("SET {SESSION_PARAMETER} = '{token}'");
+            session.client.batch_execute(&statement).await?;
+        }
+        Ok(session)
+    }
+
+    async fn open(address: SocketAddr, tenant: &str, database: &str) -> Result<Self, ConnectError> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|_| ConnectError::Unreachable(address))?;
+        // Without this the driver's small messages wait for acknowledgements.
+        let _ = stream.set_nodelay(true);
+        let mut config = Config::new();
+        config.user(tenant).dbname(database);
+        let (client, connection) = config.connect_raw(stream, NoTls).await?;
+        let connection = Arc::new(Mutex::new(connection));
+        let driver = tokio::spawn(drive(Arc::clone(&connection)));
+        Ok(Self {
+            client,
+            connection,
+            driver,
+        })
+    }
+
+    /// The driver's client, for what this type has no method for.
+    pub fn driver(&self) -> &Client {
+        &self.client
+    }
+
+    /// The session token of the latest reply.
+    pub fn token(&self) -> Option<String> {
+        let connection = lock(&self.connection);
+        connection.parameter(SESSION_PARAMETER).map(str::to_owned)
+    }
+
+    /// True when the connection is over.
+    pub fn is_closed(&self) -> bool {
+        self.client.is_closed()
+    }
+
+    /// Runs a statement that changes rows; gives their number.
+    pub async fn execute(&self, statement: &str, parameters: &[&(dyn ToSql + Sync)]) -> Reply<u64> {
+        Reply::from_result(self.client.execute(statement, parameters).await)
+    }
+
+    /// Runs a statement that gives rows.
+    pub async fn query(
+        &self,
+        statement: &str,
+        parameters: &[&(dyn ToSql + Sync)],
+    ) -> Reply<Vec<Row>> {
+        Reply::from_result(self.client.query(statement, parameters).await)
+    }
+
+    /// Runs statements without parameters and drops what they give.
+    pub async fn run(&self, statements: &str) -> Reply<()> {
+        Reply::from_result(self.client.batch_execute(statements).await)
+    }
+}
+
+impl fmt::Debug for SessionClient {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("SessionClient")
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for SessionClient {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Passes messages until the connection ends. The lock is held only while messages are taken in,
+/// so a reply that the client has is never newer than the parameters that can be read.
+async fn drive(connection: Arc<Mutex<DriverConnection>>) {
+    poll_fn(|context| {
+        loop {
+            let message = ready!(lock(&connection).poll_message(context));
+            match message {
+                Some(Ok(_)) => {}
+                Some(Err(_)) | None => return Poll::Ready(()),
+            }
+        }
+    })
+    .await;
+}
+
+fn lock(connection: &Mutex<DriverConnection>) -> MutexGuard<'_, DriverConnection> {
+    connection.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/dyketally-lab/src/experiment/mod.rs
+++ b/crates/dyketally-lab/src/experiment/mod.rs
@@ -1,5 +1,11 @@
 //! Runs an experiment on the users' measures.
 
+mod plot;
+mod result;
+
+pub use plot::draw;
+pub use result::{ExperimentResult, Figure, Goal, Line, Plot, Point, quantile};
+
 /// Arguments of this command.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Arguments {}
--- a/crates/dyketally-lab/src/network/client.rs
+++ b/crates/dyketally-lab/src/network/client.rs
@@ -28,9 +28,11 @@
 impl ControlClient {
     /// A client of the network with this control address.
     pub fn new(control: SocketAddr) -> Self {
+        // Building can only fail with TLS, which these plain requests do without.
+        let http = reqwest::Client::builder().no_proxy().build();
         Self {
             base: format!("http://{control}"),
-            http: reqwest::Client::new(),
+            http: http.unwrap_or_default(),
         }
     }
 
