Add histories of runs and the checker that judges them

A write that was told not-run may not have been committed by any database, not even on a side that lost its tail; recorded writes are excepted, as they can be proved absent later.

--- /dev/null
+++ b/crates/dyketally/src/history/check.rs
@@ -0,0 +1,299 @@
+//! The checker: what a history shows to be broken.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+use super::{
+    Digest, Event, Key, LookupAnswer, LookupBegan, LookupEnded, RequestNumber, SessionName,
+    Statement, TransactionEnd, TransactionName, Violation, WriteBegan, WriteEnded, WriteOutcome,
+};
+use crate::identifiers::{DatabaseName, NodeName};
+use crate::policy::{Repeat, Revision};
+use crate::time::Timestamp;
+
+/// Times that the checker allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CheckSettings {
+    /// How long after its announcement a leaving database may still receive new work.
+    pub leaving_grace: Duration,
+}
+
+impl Default for CheckSettings {
+    fn default() -> Self {
+        Self {
+            leaving_grace: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Returns every promise that the history of a whole run, with its final entries, shows to be
+/// broken, in the order in which it shows.
+pub fn check(history: &[Event], settings: CheckSettings) -> Vec<Violation> {
+    let mut checker = Checker {
+        settings,
+        ..Checker::default()
+    };
+    for event in history {
+        checker.take(event);
+    }
+    checker.finish()
+}
+
+#[derive(Default)]
+struct Checker {
+    settings: CheckSettings,
+    violations: Vec<Violation>,
+    writes: BTreeMap<RequestNumber, (WriteBegan, Option<WriteOutcome>)>,
+    /// Lookups that wait for their answer.
+    lookups: BTreeMap<RequestNumber, Lookup>,
+    /// The values that were ever sent under a key.
+    values: HashMap<Key, BTreeSet<String>>,
+    own_writes: HashMap<SessionName, HashSet<Key>>,
+    open: HashMap<(DatabaseName, u64), TransactionName>,
+    begun: HashSet<TransactionName>,
+    runs: HashMap<RequestNumber, u64>,
+    leaving: HashMap<DatabaseName, Timestamp>,
+    contents: HashMap<Revision, Digest>,
+    accepted: Revision,
+    in_force: HashMap<NodeName, Revision>,
+    final_entries: BTreeMap<Key, u64>,
+    /// Keys of which at least one request was not told not-run.
+    possibly_run: HashSet<Key>,
+    /// Keys of writes that may run more than once.
+    repeatable: HashSet<Key>,
+}
+
+struct Lookup {
+    began: LookupBegan,
+    must_find: bool,
+}
+
+impl Checker {
+    fn take(&mut self, event: &Event) {
+        match event {
+            Event::WriteBegan(write) => self.write_began(write),
+            Event::WriteEnded(ended) => self.write_ended(ended),
+            Event::LookupBegan(lookup) => self.lookup_began(lookup),
+            Event::LookupEnded(ended) => self.lookup_ended(ended),
+            Event::Statement(statement) => self.statement(statement),
+            Event::ConnectionClosed {
+                database,
+                connection,
+            } => {
+                self.open.remove(&(database.clone(), *connection));
+            }
+            Event::Leaving { database, at } => {
+                self.leaving.entry(database.clone()).or_insert(*at);
+            }
+            Event::Stopped { node, cut_off } => self.stopped(node, *cut_off),
+            Event::Accepted { revision, digest } => self.accepted(*revision, *digest),
+            Event::InForce {
+                node,
+                revision,
+                digest,
+            } => self.in_force(node, *revision, *digest),
+            Event::FinalConfiguration { node, revision } => {
+                self.final_configuration(node, *revision)
+            }
+            Event::FinalEntry { key, value, times } => self.final_entry(key, value, *times),
+        }
+    }
+
+    fn report(&mut self, violation: Violation) {
+        self.violations.push(violation);
+    }
+
+    fn write_began(&mut self, write: &WriteBegan) {
+        for entry in &write.entries {
+            let values = self.values.entry(entry.key.clone()).or_default();
+            values.insert(entry.value.clone());
+        }
+        self.writes.insert(write.request, (write.clone(), None));
+    }
+
+    fn write_ended(&mut self, ended: &WriteEnded) {
+        let request = ended.request;
+        let Some((write, outcome @ None)) = self.writes.get_mut(&request) else {
+            return self.report(Violation::UnexpectedReply { request });
+        };
+        *outcome = Some(ended.outcome);
+        if ended.outcome == WriteOutcome::Acknowledged {
+            let own = self.own_writes.entry(write.session.clone()).or_default();
+            own.extend(write.entries.iter().map(|entry| entry.key.clone()));
+        }
+    }
+
+    fn lookup_began(&mut self, began: &LookupBegan) {
+        let own = self.own_writes.get(&began.session);
+        let lookup = Lookup {
+            began: began.clone(),
+            must_find: own.is_some_and(|keys| keys.contains(&began.key)),
+        };
+        self.lookups.insert(began.request, lookup);
+    }
+
+    fn lookup_ended(&mut self, ended: &LookupEnded) {
+        let request = ended.request;
+        let Some(waiting) = self.lookups.remove(&request) else {
+            return self.report(Violation::UnexpectedReply { request });
+        };
+        let (lookup, must_find) = (waiting.began, waiting.must_find);
+        match ended.answer.clone() {
+            LookupAnswer::Absent if must_find => {
+                self.report(Violation::OwnWriteNotRead { lookup });
+            }
+            LookupAnswer::Found(value) if !self.was_written(&lookup.key, &value) => {
+                self.report(Violation::ForeignAnswer { lookup, value });
+            }
+            _ => {}
+        }
+    }
+
+    fn was_written(&self, key: &Key, value: &str) -> bool {
+        self.values
+            .get(key)
+            .is_some_and(|values| values.contains(value))
+    }
+
+    fn statement(&mut self, statement: &Statement) {
+        let transaction = &statement.transaction;
+        let place = (statement.database.clone(), statement.connection);
+        match self.open.get(&place) {
+            Some(open) if open == transaction => {}
+            Some(open) => self.report(Violation::TransactionsMixed {
+                open: open.clone(),
+                statement: statement.clone(),
+            }),
+            None => self.transaction_begins(statement),
+        }
+        if statement.end.is_none() {
+            self.open.insert(place, transaction.clone());
+            return;
+        }
+        self.open.remove(&place);
+        if let (Some(request), Some(TransactionEnd::Committed)) = (statement.write, statement.end) {
+            *self.runs.entry(request).or_default() += 1;
+        }
+    }
+
+    fn transaction_begins(&mut self, statement: &Statement) {
+        if !self.begun.insert(statement.transaction.clone()) {
+            let statement = statement.clone();
+            self.report(Violation::TransactionMoved { statement });
+        }
+        let leaving = self.leaving.get(&statement.database);
+        if leaving.is_some_and(|at| statement.at > *at + self.settings.leaving_grace) {
+            let statement = statement.clone();
+            self.report(Violation::WorkAfterLeaving { statement });
+        }
+    }
+
+    fn stopped(&mut self, node: &NodeName, cut_off: u64) {
+        if cut_off > 0 {
+            let node = node.clone();
+            self.report(Violation::StopCutOff { node, cut_off });
+        }
+    }
+
+    fn accepted(&mut self, revision: Revision, digest: Digest) {
+        self.accepted = self.accepted.max(revision);
+        self.content(revision, digest);
+    }
+
+    fn in_force(&mut self, node: &NodeName, revision: Revision, digest: Digest) {
+        let held = self.in_force.get(node).copied().unwrap_or_default();
+        if revision < held {
+            self.report(Violation::ConfigurationReverted {
+                node: node.clone(),
+                from: held,
+                to: revision,
+            });
+        }
+        self.in_force.insert(node.clone(), revision.max(held));
+        self.content(revision, digest);
+    }
+
+    fn content(&mut self, revision: Revision, digest: Digest) {
+        if *self.contents.entry(revision).or_insert(digest) != digest {
+            self.report(Violation::ConfigurationForked { revision });
+        }
+    }
+
+    fn final_configuration(&mut self, node: &NodeName, revision: Revision) {
+        if revision != self.accepted {
+            self.report(Violation::ConfigurationMissed {
+                node: node.clone(),
+                revision,
+                accepted: self.accepted,
+            });
+        }
+    }
+
+    fn final_entry(&mut self, key: &Key, value: &str, times: u64) {
+        if !self.was_written(key, value) {
+            let key = key.clone();
+            self.report(Violation::ForeignEntry { key });
+        }
+        *self.final_entries.entry(key.clone()).or_default() += times;
+    }
+
+    fn finish(mut self) -> Vec<Violation> {
+        for request in std::mem::take(&mut self.lookups).into_keys() {
+            self.report(Violation::Unanswered { request });
+        }
+        for (write, outcome) in std::mem::take(&mut self.writes).into_values() {
+            self.judge_write(&write, outcome);
+        }
+        self.judge_final_entries();
+        self.violations
+    }
+
+    fn judge_write(&mut self, write: &WriteBegan, outcome: Option<WriteOutcome>) {
+        let request = write.request;
+        let runs = self.runs.get(&request).copied().unwrap_or_default();
+        if write.repeat == Repeat::Never && runs > 1 {
+            self.report(Violation::RunTwice { request });
+        }
+        let kept = write.entries.iter();
+        let kept = kept.filter(|entry| self.final_entries.contains_key(&entry.key));
+        let kept = kept.count();
+        match outcome {
+            None => self.report(Violation::Unanswered { request }),
+            // A recorded write can be proved absent after a run that the group did not keep.
+            Some(WriteOutcome::NotRun) if runs > 0 && write.repeat != Repeat::Recorded => {
+                self.report(Violation::NotRunWasCommitted { request });
+            }
+            Some(WriteOutcome::Acknowledged) if kept < write.entries.len() => {
+                self.report(Violation::AcknowledgedWriteLost { request });
+            }
+            Some(_) if (1..write.entries.len()).contains(&kept) => {
+                self.report(Violation::AppliedInPart { request });
+            }
+            Some(_) => {}
+        }
+        self.note_key_outcomes(write, outcome);
+    }
+
+    fn note_key_outcomes(&mut self, write: &WriteBegan, outcome: Option<WriteOutcome>) {
+        for entry in &write.entries {
+            if outcome != Some(WriteOutcome::NotRun) {
+                self.possibly_run.insert(entry.key.clone());
+            }
+            if write.repeat == Repeat::Repeatable {
+                self.repeatable.insert(entry.key.clone());
+            }
+        }
+    }
+
+    fn judge_final_entries(&mut self) {
+        for (key, times) in std::mem::take(&mut self.final_entries) {
+            if times > 1 && !self.repeatable.contains(&key) {
+                let key = key.clone();
+                self.report(Violation::AppliedTwice { key, times });
+            }
+            if self.values.contains_key(&key) && !self.possibly_run.contains(&key) {
+                self.report(Violation::NotRunWasApplied { key });
+            }
+        }
+    }
+}
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod drain;
 pub mod group;
+pub mod history;
 pub mod identifiers;
 pub mod membership;
 pub mod outcome;
