--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod drain;
 pub mod group;
+pub mod history;
 pub mod identifiers;
 pub mod membership;
 pub mod outcome;
