--- a/crates/dyketally-lab/src/bench/caller.rs
+++ b/crates/dyketally-lab/src/bench/caller.rs
@@ -105,6 +105,16 @@
         self.settle(reply.ok())
     }
 
+    /// Runs statements without parameters; gives the first column of each row as text.
+    pub async fn texts(&mut self, statements: &str) -> Reply<Vec<String>> {
+        let patience = self.settings.patience;
+        let Ok(session) = self.session().await else {
+            return Reply::NotRun { retry_after: None };
+        };
+        let reply = timeout(patience, session.texts(statements)).await;
+        self.settle(reply.ok())
+    }
+
     /// Runs statements without parameters and drops what they give.
     pub async fn run(&mut self, statements: &str) -> Reply<()> {
         let patience = self.settings.patience;
--- a/crates/dyketally-lab/src/bench/client.rs
+++ b/crates/dyketally-lab/src/bench/client.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio_postgres::tls::NoTlsStream;
 use tokio_postgres::types::ToSql;
-use tokio_postgres::{Client, Config, Connection, NoTls, Row};
+use tokio_postgres::{Client, Config, Connection, NoTls, Row, SimpleQueryMessage};
 
 use super::reply::Reply;
 
@@ -111,6 +111,12 @@
         Reply::from_result(self.client.query(statement, parameters).await)
     }
 
+    /// Runs statements without parameters; gives the first column of each row as text.
+    pub async fn texts(&self, statements: &str) -> Reply<Vec<String>> {
+        let result = self.client.simple_query(statements).await;
+        Reply::from_result(result.map(|messages| first_columns(&messages)))
+    }
+
     /// Runs statements without parameters and drops what they give.
     pub async fn run(&self, statements: &str) -> Reply<()> {
         Reply::from_result(self.client.batch_execute(statements).await)
@@ -131,6 +137,14 @@
     }
 }
 
+fn first_columns(messages: &[SimpleQueryMessage]) -> Vec<String> {
+    let column = |message: &SimpleQueryMessage| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+        _ => None,
+    };
+    messages.iter().filter_map(column).collect()
+}
+
 /// Passes messages until the connection ends. The lock is held only while messages are taken in,
 /// so a reply that the client has is never newer than the parameters that can be read.
 async fn drive(connection: Arc<Mutex<DriverConnection>>) {
--- a/crates/dyketally-lab/src/bench/documents.rs
+++ b/crates/dyketally-lab/src/bench/documents.rs
@@ -1,39 +1,29 @@
 //! The operators' documents of a site: its groups, the template and the tenants.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
 
+use dyketally::policy::Confirmation;
+use toml::{Table, Value};
+
+use super::plan::{DatabasePlan, Plan};
 use super::site::{DATABASE, Site, Tenant};
 
 /// The template that all tenants of the lab fill in.
 pub const TEMPLATE_NAME: &str = "lab";
 
-/// One member of a group, as the operators name it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct MemberDocument {
-    /// The database's name.
-    pub name: String,
-    /// Its zone.
-    pub zone: String,
-    /// Where it accepts callers.
-    pub address: SocketAddr,
-}
-
 /// The document of a group.
-pub fn group_document(site: &Site, name: &str, members: &[MemberDocument]) -> String {
+pub fn group_document(site: &Site, plan: &Plan, name: &str) -> String {
     let mut document = format!("name = \"{name}\"\n");
-    for member in members {
+    for member in plan.group(name) {
+        let DatabasePlan {
+            name, zone, listen, ..
+        } = member;
         // Writing to a string can't fail.
         let _ = write!(
             document,
-            "\n[[members]]\nname = \"{}\"\naddress = \"{}\"\nregion = \"{}\"\nzone = \"{}\"\n\
-             connection_limit = {}\nslots = {}\n",
-            member.name,
-            member.address,
-            site.region,
-            member.zone,
-            site.database.connection_limit,
-            site.database.slots,
+            "\n[[members]]\nname = \"{name}\"\naddress = \"{listen}\"\nregion = \"{}\"\n\
+             zone = \"{zone}\"\nconnection_limit = {}\nslots = {}\n",
+            site.region, site.database.connection_limit, site.database.slots,
         );
     }
     document
@@ -88,13 +78,44 @@
         group,
         weight,
         queue_limit,
+        confirmation,
     } = tenant;
+    let confirmation = match confirmation {
+        Confirmation::MajorityPosition => "majority-position",
+        Confirmation::MajorityTerm => "majority-term",
+    };
     format!(
         "name = \"{name}\"\ntemplate = \"{TEMPLATE_NAME}\"\n\n[parameters]\n\
-         group = \"{group}\"\nweight = {weight}\nqueue_limit = {queue_limit}\n"
+         group = \"{group}\"\nweight = {weight}\nqueue_limit = {queue_limit}\n\
+         confirmation = \"{confirmation}\"\n"
     )
 }
 
+/// All documents of a site in one file, for proxies that don't ask the platform.
+///
+/// # Errors
+/// When a document is not valid TOML.
+pub fn configuration_file(site: &Site, plan: &Plan) -> eyre::Result<String> {
+    let groups = site.groups.iter();
+    let groups: Vec<String> = groups
+        .map(|group| group_document(site, plan, group))
+        .collect();
+    let tenants: Vec<String> = site.tenants.iter().map(tenant_document).collect();
+    let mut file = Table::new();
+    file.insert("groups".to_owned(), tables(&groups)?);
+    file.insert("templates".to_owned(), tables(&[template_document()])?);
+    file.insert("tenants".to_owned(), tables(&tenants)?);
+    Ok(toml::to_string(&file)?)
+}
+
+fn tables(documents: &[String]) -> eyre::Result<Value> {
+    let tables = documents.iter().map(|document| document.parse::<Table>());
+    let tables: Result<Vec<Table>, _> = tables.collect();
+    Ok(Value::Array(
+        tables?.into_iter().map(Value::Table).collect(),
+    ))
+}
+
 struct Rule {
     prefix: &'static str,
     access: &'static str,
--- a/crates/dyketally-lab/src/bench/mod.rs
+++ b/crates/dyketally-lab/src/bench/mod.rs
@@ -1,25 +1,39 @@
 //! Orchestration of processes, workloads and histories, shared by the lab commands.
 
+mod admin;
 mod caller;
 mod client;
+mod database;
 mod documents;
+mod group;
 mod plan;
 mod ports;
 mod process;
+mod proxy;
 mod readiness;
+mod recorder;
 mod reply;
 mod site;
 mod steps;
+mod topology;
+mod workload;
 
+pub use admin::{AdminClient, MetricsText};
 pub use caller::{Caller, CallerSettings, Parameters};
 pub use client::{ConnectError, SessionClient};
 pub use documents::{
-    MemberDocument, TEMPLATE_NAME, group_document, template_document, tenant_document,
+    TEMPLATE_NAME, configuration_file, group_document, template_document, tenant_document,
 };
+pub use group::{Group, Member};
 pub use plan::{CALLERS, DatabasePlan, PLATFORM, Plan, ProxyPlan, Routes};
 pub use ports::free_addresses;
 pub use process::{ChildProcess, LaunchError, Launcher, Program, Signal};
 pub use readiness::{NotReady, accepts_connections, poll_until};
+pub use recorder::{OpenRequest, Recorder, RequestKind, Sample, SampleOutcome};
 pub use reply::Reply;
-pub use site::{DATABASE, DatabaseProperties, Site, Tenant};
+pub use site::{Configuration, DATABASE, DatabaseProperties, Site, Tenant};
 pub use steps::Steps;
+pub use topology::{START_LIMIT, Topology};
+pub use workload::{
+    InitialRows, Mix, STOCK_ROWS, STOCK_VALUE, Workload, WorkloadCaller, history_key,
+};
--- a/crates/dyketally-lab/src/bench/reply.rs
+++ b/crates/dyketally-lab/src/bench/reply.rs
@@ -61,6 +61,22 @@
         }
     }
 
+    /// The answer.
+    ///
+    /// # Errors
+    /// When there is none, with what was told instead.
+    pub fn done(self) -> eyre::Result<T> {
+        match self {
+            Reply::Done(value) => Ok(value),
+            Reply::NotRun { retry_after } => {
+                eyre::bail!("told that it was not run, come back after {retry_after:?}")
+            }
+            Reply::RolledBack => eyre::bail!("told that it was rolled back"),
+            Reply::Unknown => eyre::bail!("told that it may or may not have been run"),
+            Reply::Refused { state, message } => eyre::bail!("refused with {state}: {message}"),
+        }
+    }
+
     /// True when the database refused the statement because the key is there already.
     pub fn is_duplicate(&self) -> bool {
         let duplicate = SqlState::UNIQUE_VIOLATION;
--- a/crates/dyketally-lab/src/bench/site.rs
+++ b/crates/dyketally-lab/src/bench/site.rs
@@ -1,5 +1,6 @@
 //! A site of the lab: its zones, databases, proxies and tenants.
 
+use dyketally::policy::Confirmation;
 use serde::{Deserialize, Serialize};
 
 /// Everything that the lab needs to set up a site.
@@ -18,6 +19,8 @@
     pub caller_delay_ms: f64,
     /// Whether processes talk through relays, which add the delays and cut links.
     pub relays: bool,
+    /// Where the proxies get the operators' documents from.
+    pub configuration: Configuration,
     /// Names of the database groups.
     pub groups: Vec<String>,
     /// Properties of each database.
@@ -26,6 +29,17 @@
     pub tenants: Vec<Tenant>,
 }
 
+/// Where the proxies get the operators' documents from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Configuration {
+    /// From a file beside their settings.
+    #[default]
+    File,
+    /// From the platform, where the operators' command publishes them.
+    Platform,
+}
+
 /// Properties of each database of a site.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -58,6 +72,8 @@
     pub weight: u32,
     /// Statements that may wait at one home.
     pub queue_limit: u32,
+    /// How writes are confirmed before they are acknowledged.
+    pub confirmation: Confirmation,
 }
 
 /// The name by which all tenants of the lab call their database.
@@ -73,6 +89,7 @@
             zone_delay_ms: 1.5,
             caller_delay_ms: 3.0,
             relays: true,
+            configuration: Configuration::default(),
             groups: names(&["ledger-1", "ledger-2", "ledger-3"]),
             database: DatabaseProperties {
                 connection_limit: 40,
@@ -95,6 +112,7 @@
             zone_delay_ms: 0.5,
             caller_delay_ms: 3.0,
             relays: true,
+            configuration: Configuration::default(),
             groups: names(&["lobby-1", "lobby-2", "lobby-3"]),
             database: DatabaseProperties {
                 connection_limit: 100,
@@ -131,6 +149,7 @@
             group: group.to_owned(),
             weight: 1,
             queue_limit: DEFAULT_QUEUE_LIMIT,
+            confirmation: Confirmation::default(),
         }
     }
 }
