--- a/crates/dyketally-lab/src/demo/failures.rs
+++ b/crates/dyketally-lab/src/demo/failures.rs
@@ -40,7 +40,9 @@
     let mut caller = stage.caller(SECOND_TENANT, 0);
     caller.execute(INSERT, &[&"season", &"0"]).await.done()?;
     let homes = stage.admin.homes_of(&primary.name).await;
-    let home = *homes.first().ok_or_eyre("no proxy is home to the primary")?;
+    let home = *homes
+        .first()
+        .ok_or_eyre("no proxy is home to the primary")?;
     let edge = (home + 1) % stage.topology.proxies.len();
     caller.roam(edge);
     caller.session().await?;
@@ -166,7 +168,11 @@
         .filter(|sample| sample.outcome == SampleOutcome::Unknown)
         .count();
     ensure!(status.success(), "the proxy ended with {status}");
-    ensure!(unknown == 0, "{unknown} of {} requests were cut off", samples.len());
+    ensure!(
+        unknown == 0,
+        "{unknown} of {} requests were cut off",
+        samples.len()
+    );
     Ok(format!(
         "proxy {} ended with {status}, none of {} requests cut off",
         proxy + 1,
--- a/crates/dyketally-lab/src/demo/mod.rs
+++ b/crates/dyketally-lab/src/demo/mod.rs
@@ -37,7 +37,10 @@
 async fn run_steps(steps: &mut Steps, stage: &mut Stage) {
     steps.record("write", sessions::write_through_first_proxy(stage).await);
     steps.record("roam", sessions::read_from_replica(stage).await);
-    steps.record("lagging replicas", sessions::read_while_lagging(stage).await);
+    steps.record(
+        "lagging replicas",
+        sessions::read_while_lagging(stage).await,
+    );
     steps.record("transaction", sessions::commit_and_roll_back(stage).await);
     steps.record("duplicate", sessions::refuse_duplicate(stage).await);
     steps.record("strangers", sessions::refuse_strangers(stage).await);
--- a/crates/dyketally-lab/src/demo/sessions.rs
+++ b/crates/dyketally-lab/src/demo/sessions.rs
@@ -119,15 +119,27 @@
     let session = &mut stage.session;
     let insert = "INSERT INTO orders (key, value) VALUES ($1, $2)";
     session.run("BEGIN").await.done()?;
-    session.execute(insert, &[&"order-2", &"kept"]).await.done()?;
+    session
+        .execute(insert, &[&"order-2", &"kept"])
+        .await
+        .done()?;
     session.run("COMMIT").await.done()?;
     session.run("BEGIN").await.done()?;
-    session.execute(insert, &[&"order-3", &"dropped"]).await.done()?;
+    session
+        .execute(insert, &[&"order-3", &"dropped"])
+        .await
+        .done()?;
     session.run("ROLLBACK").await.done()?;
     let kept = value_of(session, "order-2").await?;
     let dropped = value_of(session, "order-3").await?;
-    ensure!(kept.as_deref() == Some("kept"), "the committed row is {kept:?}");
-    ensure!(dropped.is_none(), "the row that was rolled back is {dropped:?}");
+    ensure!(
+        kept.as_deref() == Some("kept"),
+        "the committed row is {kept:?}"
+    );
+    ensure!(
+        dropped.is_none(),
+        "the row that was rolled back is {dropped:?}"
+    );
     Ok(String::from("the committed row is there, the other is not"))
 }
 
@@ -157,7 +169,9 @@
         matches!(unclassified, Reply::Refused { .. }),
         "instead of a refusal: {unclassified:?}"
     );
-    Ok(format!("unknown tenant ({refusal}), malformed token, unclassified statement"))
+    Ok(format!(
+        "unknown tenant ({refusal}), malformed token, unclassified statement"
+    ))
 }
 
 async fn value_of(caller: &mut Caller, key: &str) -> eyre::Result<Option<String>> {
@@ -167,6 +181,8 @@
 }
 
 fn token(caller: &Caller) -> eyre::Result<SessionToken> {
-    let token = caller.token().ok_or_eyre("the reply held no session token")?;
+    let token = caller
+        .token()
+        .ok_or_eyre("the reply held no session token")?;
     Ok(token.parse()?)
 }
