--- a/crates/dyketally-lab/src/bench/caller.rs
+++ b/crates/dyketally-lab/src/bench/caller.rs
@@ -88,8 +88,9 @@
     /// Runs a statement that changes rows.
     pub async fn execute(&mut self, statement: &str, parameters: Parameters<'_>) -> Reply<u64> {
         let patience = self.settings.patience;
-        let Ok(session) = self.session().await else {
-            return Reply::NotRun { retry_after: None };
+        let session = match self.session().await {
+            Ok(session) => session,
+            Err(error) => return not_connected(&error),
         };
         let reply = timeout(patience, session.execute(statement, parameters)).await;
         self.settle(reply.ok())
@@ -98,8 +99,9 @@
     /// Runs a statement that gives rows.
     pub async fn query(&mut self, statement: &str, parameters: Parameters<'_>) -> Reply<Vec<Row>> {
         let patience = self.settings.patience;
-        let Ok(session) = self.session().await else {
-            return Reply::NotRun { retry_after: None };
+        let session = match self.session().await {
+            Ok(session) => session,
+            Err(error) => return not_connected(&error),
         };
         let reply = timeout(patience, session.query(statement, parameters)).await;
         self.settle(reply.ok())
@@ -108,8 +110,9 @@
     /// Runs statements without parameters; gives the first column of each row as text.
     pub async fn texts(&mut self, statements: &str) -> Reply<Vec<String>> {
         let patience = self.settings.patience;
-        let Ok(session) = self.session().await else {
-            return Reply::NotRun { retry_after: None };
+        let session = match self.session().await {
+            Ok(session) => session,
+            Err(error) => return not_connected(&error),
         };
         let reply = timeout(patience, session.texts(statements)).await;
         self.settle(reply.ok())
@@ -118,8 +121,9 @@
     /// Runs statements without parameters and drops what they give.
     pub async fn run(&mut self, statements: &str) -> Reply<()> {
         let patience = self.settings.patience;
-        let Ok(session) = self.session().await else {
-            return Reply::NotRun { retry_after: None };
+        let session = match self.session().await {
+            Ok(session) => session,
+            Err(error) => return not_connected(&error),
         };
         let reply = timeout(patience, session.run(statements)).await;
         self.settle(reply.ok())
@@ -148,3 +152,8 @@
         SessionClient::connect(self.address(), tenant, database, self.token()).await
     }
 }
+
+fn not_connected<T>(error: &ConnectError) -> Reply<T> {
+    let reason = error.to_string();
+    Reply::NotConnected { reason }
+}
--- a/crates/dyketally-lab/src/bench/client.rs
+++ b/crates/dyketally-lab/src/bench/client.rs
@@ -30,10 +30,16 @@
     #[error("nobody accepts connections at {0}; check that the proxy runs")]
     Unreachable(SocketAddr),
     /// The proxy refused the session.
-    #[error("the session was refused: {0}")]
+    #[error("the session was refused: {}", error_text(.0))]
     Refused(#[from] tokio_postgres::Error),
 }
 
+/// The message of the proxy, if it sent one; the driver's own text leaves it out.
+fn error_text(error: &tokio_postgres::Error) -> String {
+    let message = error.as_db_error().map(|error| error.message().to_owned());
+    message.unwrap_or_else(|| error.to_string())
+}
+
 /// One connection of a caller, to a proxy or straight to a database.
 pub struct SessionClient {
     client: Client,
--- a/crates/dyketally-lab/src/bench/recorder.rs
+++ b/crates/dyketally-lab/src/bench/recorder.rs
@@ -100,9 +100,10 @@
         let (outcome, sampled) = match reply {
             Reply::Done(_) => (WriteOutcome::Acknowledged, SampleOutcome::Done),
             Reply::Unknown => (WriteOutcome::Unknown, SampleOutcome::Unknown),
-            Reply::NotRun { .. } | Reply::RolledBack | Reply::Refused { .. } => {
-                (WriteOutcome::NotRun, SampleOutcome::NotRun)
-            }
+            Reply::NotRun { .. }
+            | Reply::NotConnected { .. }
+            | Reply::RolledBack
+            | Reply::Refused { .. } => (WriteOutcome::NotRun, SampleOutcome::NotRun),
         };
         let event = Event::WriteEnded(WriteEnded {
             request: open.number,
--- a/crates/dyketally-lab/src/bench/reply.rs
+++ b/crates/dyketally-lab/src/bench/reply.rs
@@ -21,6 +21,13 @@
     NotRun {
         /// When to come back, if the reply said so.
         retry_after: Option<Duration>,
+        /// The error's message.
+        message: String,
+    },
+    /// No session could be opened, so nothing was sent.
+    NotConnected {
+        /// Why.
+        reason: String,
     },
     /// The transaction was rolled back.
     RolledBack,
@@ -53,6 +60,7 @@
             ROLLED_BACK => Reply::RolledBack,
             NOT_RUN => Reply::NotRun {
                 retry_after: error.detail().and_then(retry_after),
+                message: error.message().to_owned(),
             },
             state => Reply::Refused {
                 state: state.to_owned(),
@@ -68,9 +76,11 @@
     pub fn done(self) -> eyre::Result<T> {
         match self {
             Reply::Done(value) => Ok(value),
-            Reply::NotRun { retry_after } => {
-                eyre::bail!("told that it was not run, come back after {retry_after:?}")
-            }
+            Reply::NotRun {
+                retry_after,
+                message,
+            } => eyre::bail!("not run, come back after {retry_after:?}: {message}"),
+            Reply::NotConnected { reason } => eyre::bail!("no session: {reason}"),
             Reply::RolledBack => eyre::bail!("told that it was rolled back"),
             Reply::Unknown => eyre::bail!("told that it may or may not have been run"),
             Reply::Refused { state, message } => eyre::bail!("refused with {state}: {message}"),
--- a/crates/dyketally-lab/src/demo/failures.rs
+++ b/crates/dyketally-lab/src/demo/failures.rs
@@ -75,7 +75,10 @@
     let is_allowed = match reply {
         Reply::Done(_) => value == "1",
         Reply::Unknown => value == "0" || value == "1",
-        Reply::NotRun { .. } | Reply::RolledBack | Reply::Refused { .. } => value == "0",
+        Reply::NotRun { .. }
+        | Reply::NotConnected { .. }
+        | Reply::RolledBack
+        | Reply::Refused { .. } => value == "0",
     };
     ensure!(
         is_allowed,
@@ -89,6 +92,7 @@
     match reply {
         Reply::Done(_) => "done",
         Reply::NotRun { .. } => "not run",
+        Reply::NotConnected { .. } => "not connected",
         Reply::RolledBack => "rolled back",
         Reply::Unknown => "unknown (08007)",
         Reply::Refused { .. } => "refused",
