Run the whole path as processes with one line a step

Six databases in two groups and three zones, the platform, the relays and three proxies run as processes; ordinary tokio-postgres clients write, roam, read from a replica and from the primary while replicas lag, commit and roll back, and go on while a home, a primary and the key-value service fail and while a proxy is stopped as planned.

The first runs reported that every read came from the primary. It did not: texts with several statements are treated as writes, and the homes' counter of replica reads was never raised for reads that are served by their position. Now both kinds of such reads are counted, and the demo reads one statement at a time. Another early fault was the lab's own: each proxy's start wrote the configuration file anew, and a proxy could read it half written; it is written once now.

--- a/crates/dyketally-lab/src/bench/mod.rs
+++ b/crates/dyketally-lab/src/bench/mod.rs
@@ -6,6 +6,7 @@
 mod database;
 mod documents;
 mod group;
+mod operator;
 mod plan;
 mod ports;
 mod process;
@@ -25,6 +26,7 @@
     TEMPLATE_NAME, configuration_file, group_document, template_document, tenant_document,
 };
 pub use group::{Group, Member};
+pub use operator::{CONFLICT, CommandResult, Operator};
 pub use plan::{CALLERS, DatabasePlan, PLATFORM, Plan, ProxyPlan, Routes};
 pub use ports::free_addresses;
 pub use process::{ChildProcess, LaunchError, Launcher, Program, Signal};
--- a/crates/dyketally-lab/src/bench/proxy.rs
+++ b/crates/dyketally-lab/src/bench/proxy.rs
@@ -77,7 +77,7 @@
     proxy: &ProxyPlan,
 ) -> eyre::Result<ChildProcess> {
     let settings = ProxySettings {
-        configuration_file: write_configuration(launcher, site, plan)?,
+        configuration_file: configuration_path(launcher, site),
         node: NodeSection {
             name: proxy.name.clone(),
             region: site.region.clone(),
@@ -104,17 +104,21 @@
     Ok(launcher.start(&proxy.name, Program::Daemon, &arguments)?)
 }
 
-fn write_configuration(
+/// Writes the operators' documents where proxies that don't ask the platform read them.
+pub(super) fn write_configuration(
     launcher: &Launcher,
     site: &Site,
     plan: &Plan,
-) -> eyre::Result<Option<PathBuf>> {
-    if site.configuration == Configuration::Platform {
-        return Ok(None);
+) -> eyre::Result<()> {
+    if let Some(path) = configuration_path(launcher, site) {
+        fs::write(path, configuration_file(site, plan)?)?;
     }
-    let path = launcher.logs().join("configuration.toml");
-    fs::write(&path, configuration_file(site, plan)?)?;
-    Ok(Some(path))
+    Ok(())
+}
+
+fn configuration_path(launcher: &Launcher, site: &Site) -> Option<PathBuf> {
+    let from_file = site.configuration == Configuration::File;
+    from_file.then(|| launcher.logs().join("configuration.toml"))
 }
 
 fn seeds(plan: &Plan, proxy: &ProxyPlan) -> Vec<SocketAddr> {
--- a/crates/dyketally-lab/src/bench/topology.rs
+++ b/crates/dyketally-lab/src/bench/topology.rs
@@ -13,7 +13,7 @@
 use super::group::Group;
 use super::plan::{CALLERS, DatabasePlan, Plan, ProxyPlan, Routes};
 use super::process::{ChildProcess, Launcher, Program};
-use super::proxy::start_proxy;
+use super::proxy::{start_proxy, write_configuration};
 use super::readiness::{accepts_connections, poll_until};
 use super::site::{DATABASE, Site};
 
@@ -88,6 +88,7 @@
     /// # Errors
     /// When one can't be started or does not become ready.
     pub async fn start_proxies(&mut self) -> eyre::Result<()> {
+        write_configuration(&self.launcher, &self.site, &self.plan)?;
         for proxy in &self.plan.proxies {
             let process = self.launch_proxy(proxy)?;
             self.proxies.push(process);
--- a/crates/dyketally-lab/src/demo/sessions.rs
+++ b/crates/dyketally-lab/src/demo/sessions.rs
@@ -4,8 +4,9 @@
 
 use dyketally::session::SessionToken;
 use eyre::{OptionExt, ensure};
+use tokio::time::sleep;
 
-use crate::bench::{Caller, DATABASE, Reply, SessionClient, poll_until};
+use crate::bench::{AdminClient, Caller, DATABASE, Reply, SessionClient};
 
 use super::stage::{FIRST_TENANT, Stage, TERM_TENANT};
 
@@ -15,25 +16,29 @@
 /// The value that is written while replicas are behind.
 const CHANGED: &str = "three crates";
 
-/// Time that a replica has to serve a session's own write.
-const REPLICA_LIMIT: Duration = Duration::from_secs(5);
+/// The homes' counter of reads that replicas served.
+const REPLICA_READS: &str = "dyketally_home_replica_reads_total";
 
-/// Tells the row and, from the same database, its role.
-const READ_WITH_ROLE: &str = "SELECT value FROM orders WHERE key = 'order-1'; \
-                              SELECT role FROM dyketally_status";
+/// Reads until a replica serves one.
+const READS_AT_MOST: u32 = 50;
 
-/// What one read gave.
+/// Time between two of them.
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
+/// What one read gave, and which kind of database served it.
 struct Observed {
     value: Option<String>,
-    role: String,
+    from_replica: bool,
 }
 
-async fn read_with_role(caller: &mut Caller) -> eyre::Result<Observed> {
-    let mut texts = caller.texts(READ_WITH_ROLE).await.done()?;
-    let role = texts.pop().ok_or_eyre("the read gave no role")?;
+/// Reads the first order; the homes' counters tell whether a replica served it.
+async fn read_order(admin: &AdminClient, caller: &mut Caller) -> eyre::Result<Observed> {
+    let before = admin.sum(REPLICA_READS).await;
+    let value = value_of(caller, "order-1").await?;
+    let after = admin.sum(REPLICA_READS).await;
     Ok(Observed {
-        value: texts.pop(),
-        role,
+        value,
+        from_replica: after > before,
     })
 }
 
@@ -52,32 +57,29 @@
     Ok(format!("1 row through proxy 1, session token {token}"))
 }
 
-/// The session roams to the second proxy and reads its own write from a replica.
+/// The session roams to another proxy and reads its own write from a replica.
+///
+/// A home that has just started may send the first reads on to the primary.
 pub async fn read_from_replica(stage: &mut Stage) -> eyre::Result<String> {
     stage.first_group().caught_up().await?;
     stage.session.roam(1);
-    let expected = stage.written.clone();
-    let session = tokio::sync::Mutex::new(&mut stage.session);
-    let limit = REPLICA_LIMIT;
-    let observed = poll_until("a replica to serve the session", limit, || async {
-        let mut session = session.lock().await;
-        let observed = read_with_role(&mut session).await;
-        match &observed {
-            Ok(seen) if seen.value == expected && seen.role == "primary" => None,
-            _ => Some(observed),
+    for reads in 1..=READS_AT_MOST {
+        let observed = read_order(&stage.admin, &mut stage.session).await?;
+        ensure!(
+            observed.value == stage.written,
+            "read {:?} instead of {:?}",
+            observed.value,
+            stage.written
+        );
+        if observed.from_replica {
+            let value = observed.value.unwrap_or_default();
+            return Ok(format!(
+                "{value:?} read through proxy 2, from a replica at read {reads}"
+            ));
         }
-    })
-    .await??;
-    ensure!(
-        observed.value == expected,
-        "read {:?} instead of {expected:?}",
-        observed.value
-    );
-    Ok(format!(
-        "proxy 2 read {:?} from a {}",
-        observed.value.unwrap_or_default(),
-        observed.role
-    ))
+        sleep(READ_PAUSE).await;
+    }
+    eyre::bail!("the primary served {READS_AT_MOST} reads though replicas had caught up")
 }
 
 /// While replicas lag, a session reads its own write from the primary.
@@ -88,15 +90,14 @@
     let group = stage.first_group();
     let mut caller = stage.caller(TERM_TENANT, 1);
     group.set_lag(LAG_MILLISECONDS).await?;
-    let read = write_roam_and_read(&mut caller).await;
+    let read = write_roam_and_read(&stage.admin, &mut caller).await;
     group.set_lag(0).await?;
     let observed = read?;
     let value = observed.value.unwrap_or_default();
     ensure!(value == CHANGED, "read {value:?} instead of {CHANGED:?}");
     ensure!(
-        observed.role == "primary",
-        "a {} that is behind served the read",
-        observed.role
+        !observed.from_replica,
+        "a replica that is behind served the read"
     );
     stage.written = Some(CHANGED.to_owned());
     Ok(format!(
@@ -104,13 +105,13 @@
     ))
 }
 
-async fn write_roam_and_read(caller: &mut Caller) -> eyre::Result<Observed> {
+async fn write_roam_and_read(admin: &AdminClient, caller: &mut Caller) -> eyre::Result<Observed> {
     let statement = "UPDATE orders SET value = $2 WHERE key = $1";
     let rows = caller.execute(statement, &[&"order-1", &CHANGED]).await;
     let rows = rows.done()?;
     ensure!(rows == 1, "{rows} rows were changed instead of 1");
     caller.roam(2);
-    read_with_role(caller).await
+    read_order(admin, caller).await
 }
 
 /// One transaction commits, another is rolled back.
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -5,7 +5,7 @@
 use dyketally::group::{FinishedWrite, MemberStatus, Role, Term, Verdict};
 use dyketally::outcome::{NotRunReason, UnknownReason};
 use dyketally::policy::Access;
-use dyketally_protocol::{Completion, TransactionStatus};
+use dyketally_protocol::{Completion, Freshness, TransactionStatus};
 use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval_at, timeout};
 
@@ -213,6 +213,7 @@
             return self.stay_open(pin, end.transaction);
         }
         if !self.is_confirmed_as_write(&pin, &end) {
+            self.count_unconfirmed_read(&pin);
             return done(None, TransactionStatus::Idle);
         }
         let leads_in = pin.leads_in;
@@ -226,6 +227,16 @@
         self.execute.transaction.is_none() && refused && is_replica
     }
 
+    /// Counts a read that was served by its position; one that was confirmed is counted there.
+    fn count_unconfirmed_read(&self, pin: &Pin) {
+        let counters = &self.shared.counters;
+        match (self.execute.freshness, pin.leads_in) {
+            (Freshness::AtLeast(_), None) => counters.replica_reads.increment(),
+            (Freshness::AtLeast(_), Some(_)) => counters.primary_reads.increment(),
+            (Freshness::Current | Freshness::Any, _) => {}
+        }
+    }
+
     async fn conclude_read(
         &self,
         pin: Pin,
