--- a/crates/dyketally-proxy/src/home/monitor.rs
+++ b/crates/dyketally-proxy/src/home/monitor.rs
@@ -35,6 +35,7 @@
     target: ProbeTarget,
     questions: mpsc::UnboundedSender<Asker>,
     lost: bool,
+    silent: bool,
     malformed: bool,
 }
 
@@ -204,9 +205,22 @@
         }
     }
 
+    /// True when `member` has left a question unanswered for long, or its connection is lost.
+    pub fn is_silent(&self, member: &DatabaseName) -> bool {
+        let state = self.lock();
+        let prober = state.probers.get(member);
+        prober.is_some_and(|prober| prober.silent || prober.lost)
+    }
+
     /// `member` leaves a question unanswered. A replica that does so is no cause for alarm.
     pub(super) fn member_silent(&self, member: &DatabaseName) {
-        let primary = self.view(GroupView::primary);
+        let primary = {
+            let mut state = self.lock();
+            if let Some(prober) = state.probers.get_mut(member) {
+                prober.silent = true;
+            }
+            state.view.primary()
+        };
         if primary.is_none_or(|(primary, _)| &primary == member) {
             self.watch_closely();
         }
@@ -271,6 +285,7 @@
             target,
             questions,
             lost: false,
+            silent: false,
             malformed: false,
         }
     }
@@ -330,6 +345,7 @@
     ) -> Vec<GroupEvent> {
         if let Some(prober) = self.probers.get_mut(member) {
             prober.lost = false;
+            prober.silent = false;
             prober.malformed = false;
         }
         self.view.observe(now(), member, status, asked_at)
--- a/crates/dyketally-proxy/src/home/route.rs
+++ b/crates/dyketally-proxy/src/home/route.rs
@@ -49,7 +49,7 @@
                 ServeDecision::AskStatus => self.ask_own_status().await?,
                 ServeDecision::WaitUntil(at) => self.sleep_until(at).await?,
                 ServeDecision::Redirect { primary, term } => {
-                    if !std::mem::replace(&mut asked, true) && !self.is_status_recent() {
+                    if !std::mem::replace(&mut asked, true) && self.may_lead_unheard() {
                         self.refresh_own_status().await;
                     } else if primary.is_some() {
                         return Err(Stop::Complete(Completion::Redirect { primary, term }));
@@ -107,6 +107,11 @@
         seen.is_some_and(|seen| seen.asked_at >= self.arrived_at)
     }
 
+    /// An election that the database won is worth asking about, unless it doesn't answer anyway.
+    fn may_lead_unheard(&self) -> bool {
+        !self.is_status_recent() && !self.shared.monitor.is_silent(&self.shared.database)
+    }
+
     async fn ask_own_status(&self) -> Result<(), Stop> {
         let answered = self.shared.monitor.ask(&self.shared.database);
         match timeout(self.time_left(), answered).await {
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -172,7 +172,7 @@
                         leads_in.is_some_and(|term| view.highest_term() > term)
                     });
                 }
-                () = tokio::time::sleep(REPLACED_GRACE), if replaced => {
+                () = tokio::time::sleep(self.replaced_grace()), if replaced => {
                     return Err(Failure::Replaced);
                 }
                 _ = suspicion.tick(), if leads_in.is_some() => monitor.ask_all(),
@@ -180,6 +180,14 @@
         }
     }
 
+    /// A database that answers at all may yet answer what was sent.
+    fn replaced_grace(&self) -> Duration {
+        match self.shared.monitor.is_silent(&self.shared.database) {
+            true => Duration::ZERO,
+            false => REPLACED_GRACE,
+        }
+    }
+
     fn cancel(&self, request: Option<super::backend::CancelRequest>) {
         if let Some(request) = request {
             self.shared.counters.cancels.increment();
