--- a/crates/dyketally-cli/src/lib.rs
+++ b/crates/dyketally-cli/src/lib.rs
@@ -8,11 +8,14 @@
 mod document_file;
 mod exit_status;
 mod failure;
+mod history;
 mod listing;
 mod output;
 mod publish;
 mod run;
+mod show;
 mod status;
+mod stored;
 
 pub use exit_status::ExitStatus;
 pub use failure::{Failure, UnansweredNode};
--- a/crates/dyketally-cli/src/publish.rs
+++ b/crates/dyketally-cli/src/publish.rs
@@ -16,8 +16,9 @@
 use crate::command_line::{Publication, PublishArguments, RemoveArguments};
 use crate::document_file::read_document;
 use crate::failure::Failure;
-use crate::listing::{describe_edits, require, unavailable};
+use crate::history::describe_edits;
 use crate::output::Output;
+use crate::stored::{require, unavailable};
 
 /// What became of a document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
--- a/crates/dyketally-cli/src/run.rs
+++ b/crates/dyketally-cli/src/run.rs
@@ -14,7 +14,7 @@
 };
 use crate::failure::Failure;
 use crate::output::Output;
-use crate::{check, listing, publish, status};
+use crate::{check, history, listing, publish, show, status};
 
 /// Carries out the command and prints to `writer`.
 pub async fn run(
@@ -53,9 +53,9 @@
         TemplateCommand::Publish(arguments) => {
             publish::publish(&store, DocumentKind::Template, arguments, output).await
         }
-        TemplateCommand::Show { name } => listing::show(&store, name, output).await,
-        TemplateCommand::History(arguments) => listing::history(&store, arguments, output).await,
-        TemplateCommand::Diff { file } => listing::diff(&store, file, output).await,
+        TemplateCommand::Show { name } => show::show(&store, name, output).await,
+        TemplateCommand::History(arguments) => history::history(&store, arguments, output).await,
+        TemplateCommand::Diff { file } => show::diff(&store, file, output).await,
     }
 }
 
--- a/crates/dyketally-proxy/src/settings/configuration_file.rs
+++ b/crates/dyketally-proxy/src/settings/configuration_file.rs
@@ -31,13 +31,21 @@
         }])
     })?;
     let documents = read_documents(&document, &text)?;
-    let policy = resolve(&documents).map_err(FaultReport)?;
+    let policy = resolve(&documents).map_err(|faults| in_file(&document, faults))?;
     Ok(PolicySet {
         revision: FILE_REVISION,
         ..policy
     })
 }
 
+/// Names the file in faults of the documents within it.
+fn in_file(file: &str, mut faults: Vec<Fault>) -> FaultReport {
+    for fault in &mut faults {
+        fault.document = format!("{file}: {}", fault.document);
+    }
+    FaultReport(faults)
+}
+
 /// Splits a text with `[[groups]]`, `[[templates]]` and `[[tenants]]` into documents.
 pub fn read_documents(document: &str, text: &str) -> Result<Documents, FaultReport> {
     let faults = FaultList::new();
