--- a/crates/dyketally/examples/fair_queue/main.rs
+++ b/crates/dyketally/examples/fair_queue/main.rs
@@ -1,7 +1,8 @@
 //! Compares the fair queue at a database's home with other ways to divide its slots.
 //!
 //! One tenant floods, one is bursty, eight are steady and stay under their share; five slots.
-//! Prints one table for each of two floods: many short statements, and long ones.
+//! Prints one table for each of three floods: short statements, long ones, and short ones that
+//! all come through one proxy.
 
 #[path = "../simulation/mod.rs"]
 #[allow(dead_code, reason = "each example uses a part of the simulation")]
@@ -23,6 +24,8 @@
 const SLOTS: u32 = 5;
 const PROXIES: usize = 5;
 const STEADY_TENANTS: usize = 8;
+/// The flooding tenant's place in the workload.
+const FLOOD: usize = 0;
 const QUEUE_LIMIT: u32 = 100;
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=9;
 const LENGTH: Duration = Duration::from_secs(60);
@@ -80,21 +83,23 @@
 fn main() {
     let short = ServiceTimes::constant(Duration::from_millis(5));
     let long = ServiceTimes::constant(Duration::from_millis(50));
-    compare("flood of short statements (5 ms)", short);
-    compare("flood of long statements (50 ms)", long);
+    compare("flood of short statements (5 ms)", &workload(short));
+    compare("flood of long statements (50 ms)", &workload(long));
+    let mut through_one = workload(short);
+    through_one[FLOOD].through = Some(0);
+    compare("flood of short statements through one proxy", &through_one);
 }
 
-fn compare(title: &str, flood: ServiceTimes) {
-    let loads = workload(flood);
+fn compare(title: &str, loads: &[TenantLoad]) {
     println!("{title}; {SLOTS} slots, {PROXIES} proxies, medians of seeds {SEEDS:?} (worst)");
     println!(
         "{:38} {:>18} {:>18} {:>12} {:>15} {:>13}",
         "", "steady wait p99", "response p99/alone", "turned away", "fairness", "slots busy"
     );
-    let alone = median(SEEDS.map(|seed| steady_alone(&loads, seed)).collect());
+    let alone = median(SEEDS.map(|seed| steady_alone(loads, seed)).collect());
     for contestant in &CONTESTANTS {
         let figures: Vec<Figures> = SEEDS
-            .map(|seed| evaluate(&(contestant.run)(&loads, seed), &loads))
+            .map(|seed| evaluate(&(contestant.run)(loads, seed), loads))
             .collect();
         print_row(contestant.name, &figures, alone);
     }
@@ -141,6 +146,7 @@
         },
         service,
         deadline: Duration::from_secs(1),
+        through: None,
     };
     let mut loads = vec![
         tenant("flood".to_owned(), flood).with_demand(2.0 * f64::from(SLOTS)),
--- a/crates/dyketally/examples/overload/main.rs
+++ b/crates/dyketally/examples/overload/main.rs
@@ -43,8 +43,8 @@
 struct Figures {
     /// Statements in a second that ended in time during the surge.
     goodput: f64,
-    /// Share of the slot time of the surge that went to statements that ended too late.
-    wasted: f64,
+    /// Share of the statements of the surge that ran and ended past their deadline.
+    late: f64,
     /// Attempts for each statement sent.
     attempts: f64,
     /// From the end of the surge until statements end in time again.
@@ -86,7 +86,7 @@
         println!("\noffered {surge} times the capacity for 10 s; medians (worst)");
         println!(
             "{:41} {:>18} {:>16} {:>10} {:>22}",
-            "", "goodput/capacity", "wasted slots", "attempts", "recovered after"
+            "", "goodput/capacity", "ended late", "attempts", "recovered after"
         );
         for contestant in &CONTESTANTS {
             let figures = SEEDS.map(|seed| evaluate(contestant, surge, seed));
@@ -105,7 +105,7 @@
         values.sort_by(f64::total_cmp);
         values
     };
-    let (goodput, wasted) = (column(|run| run.goodput), column(|run| run.wasted));
+    let (goodput, late) = (column(|run| run.goodput), column(|run| run.late));
     let attempts = column(|run| run.attempts);
     let recovery = column(|run| run.recovery.as_secs_f64());
     let (middle, last) = (figures.len() / 2, figures.len() - 1);
@@ -113,8 +113,8 @@
         "{name:41} {:>8.1} ({:>5.1})% {:>7.1} ({:>4.1})% {:>10.2} {:>11.1} ({:>4.1}) s",
         goodput[middle] / capacity * 100.0,
         goodput[0] / capacity * 100.0,
-        wasted[middle] * 100.0,
-        wasted[last] * 100.0,
+        late[middle] * 100.0,
+        late[last] * 100.0,
         attempts[middle],
         recovery[middle],
         recovery[last],
@@ -132,7 +132,7 @@
     let late: usize = tenants.map(|tenant| tenant.late).sum();
     Figures {
         goodput: measures.goodput(),
-        wasted: late as f64 / ended.max(1) as f64,
+        late: late as f64 / ended.max(1) as f64,
         attempts: (turned_away + ended) as f64 / sent as f64,
         recovery: recovery(&measures, &jobs),
     }
@@ -190,6 +190,7 @@
             arrivals: Arrivals::Random { per_second: 1.0 },
             service: SERVICE,
             deadline: DEADLINE,
+            through: None,
         };
         tenant.with_demand(demand)
     });
--- a/crates/dyketally/examples/simulation/workload.rs
+++ b/crates/dyketally/examples/simulation/workload.rs
@@ -77,6 +77,8 @@
     pub service: ServiceTimes,
     /// Time from arrival to the caller's deadline.
     pub deadline: Duration,
+    /// The proxy that all its callers use; `None` for any.
+    pub through: Option<usize>,
 }
 
 impl TenantLoad {
@@ -104,10 +106,11 @@
         let stream = seed.wrapping_mul(1_000_003).wrapping_add(tenant as u64);
         let mut random = StdRng::seed_from_u64(stream);
         for arrived in arrivals(load.arrivals, length, &mut random) {
+            let any = random.random_range(0..proxies);
             jobs.push(Job {
                 number: 0,
                 tenant,
-                proxy: random.random_range(0..proxies),
+                proxy: load.through.unwrap_or(any),
                 attempt: 1,
                 arrived,
                 deadline: arrived + load.deadline,
--- a/crates/dyketally/tests/fairness.rs
+++ b/crates/dyketally/tests/fairness.rs
@@ -30,6 +30,7 @@
         arrivals: Arrivals::Random { per_second: 1.0 },
         service,
         deadline: Duration::from_secs(60),
+        through: None,
     };
     load.with_demand(demand)
 }
