Fuzz the stand-in's replication and hold write replies back on demand

Cause: the proofs to come rest on this group, so its own safety must be shown. The members are fuzzed as state machines on a simulated network and clock: a term has one primary, and a write that a majority reported with no higher term is in every later primary's log, whatever is dropped, delayed or restarted empty (one member at a time).

Ruled out: remembering a vote for the primary when joining ends. It was tried, no test could tell it from its absence, and the primary's first entry makes it needless.

New setting reply_delay_us: a write takes effect, its reply is held back, so that a kill in between leaves an outcome nobody was told.

--- a/crates/dyketally-lab/src/database/control.rs
+++ b/crates/dyketally-lab/src/database/control.rs
@@ -1,6 +1,7 @@
 //! The control address: sets faults and reads state over HTTP.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
@@ -24,6 +25,8 @@
     pub replication_lag_ms: Option<u64>,
     /// Time that a statement holds its slot, in microseconds.
     pub service_time_us: Option<u64>,
+    /// Time between a write's effect and its reply, in microseconds.
+    pub reply_delay_us: Option<u64>,
 }
 
 /// Messages to drop between this member and a peer. Both directions must be cut for a full cut.
@@ -194,9 +197,12 @@
         database.set_replication_lag(milliseconds);
     }
     if let Some(microseconds) = settings.service_time_us {
-        let service_time = std::time::Duration::from_micros(microseconds);
+        let service_time = Duration::from_micros(microseconds);
         database.slots.set_service_time(service_time);
     }
+    if let Some(microseconds) = settings.reply_delay_us {
+        database.set_reply_delay(microseconds);
+    }
     StatusCode::NO_CONTENT
 }
 
--- a/crates/dyketally-lab/src/database/control_client.rs
+++ b/crates/dyketally-lab/src/database/control_client.rs
@@ -74,6 +74,18 @@
         self.post("settings", &settings).await
     }
 
+    /// Sets the time between a write's effect and its reply, in microseconds.
+    ///
+    /// # Errors
+    /// When the database can't be reached.
+    pub async fn set_reply_delay(&self, microseconds: u64) -> reqwest::Result<()> {
+        let settings = ControlSettings {
+            reply_delay_us: Some(microseconds),
+            ..ControlSettings::default()
+        };
+        self.post("settings", &settings).await
+    }
+
     /// Drops messages from and to peers. One call suffices for a cut both ways.
     ///
     /// # Errors
--- a/crates/dyketally-lab/src/database/mod.rs
+++ b/crates/dyketally-lab/src/database/mod.rs
@@ -13,7 +13,7 @@
 //!
 //! Transactions read what is committed; a row that another transaction changed since the
 //! transaction first wrote it fails the commit with 40001. Members of a group elect a primary
-//! and copy its log, see [`replication`].
+//! and copy its log, see [`replication`]. The log is kept whole, in memory.
 
 mod connection;
 mod control;
@@ -27,6 +27,7 @@
 mod session;
 mod settings;
 mod slots;
+mod sql;
 mod statement;
 mod store;
 mod sync;
--- a/crates/dyketally-lab/src/database/replication/election.rs
+++ b/crates/dyketally-lab/src/database/replication/election.rs
@@ -149,6 +149,8 @@
     ///
     /// A vote that the member gave before it lost its log was part of a majority. With this many
     /// peers heard from, at least one other voter of that majority is among them.
+    /// A second vote in the primary's own term is ruled out by the primary's first entry, which no
+    /// other candidate of that term can hold.
     pub(super) fn end_joining_when_caught_up(&mut self, primary_end: u64) {
         let Some(heard) = &self.joining else {
             return;
--- a/crates/dyketally-lab/src/database/replication/log_copy.rs
+++ b/crates/dyketally-lab/src/database/replication/log_copy.rs
@@ -137,6 +137,8 @@
             progress.matched = progress.matched.max(reply.offset);
             return;
         }
+        // A replica that was restarted holds less than it once did.
+        progress.matched = progress.matched.min(reply.offset);
         if reply.sequence < progress.first_valid_sequence {
             return;
         }
--- a/crates/dyketally-lab/src/database/server.rs
+++ b/crates/dyketally-lab/src/database/server.rs
@@ -44,6 +44,7 @@
     leaving: watch::Sender<bool>,
     cuts: Mutex<BTreeMap<DatabaseName, Cut>>,
     replication_lag_ms: AtomicU64,
+    reply_delay_us: AtomicU64,
     started_at: Instant,
 }
 
@@ -69,6 +70,7 @@
             leaving: watch::Sender::new(false),
             cuts: Mutex::new(BTreeMap::new()),
             replication_lag_ms: AtomicU64::new(settings.replication_lag_ms),
+            reply_delay_us: AtomicU64::new(settings.reply_delay_us),
             started_at: Instant::now(),
             settings,
         }
@@ -152,6 +154,16 @@
             .store(milliseconds, Ordering::Relaxed);
     }
 
+    /// Time between a write's effect and its reply.
+    pub fn reply_delay(&self) -> Duration {
+        Duration::from_micros(self.reply_delay_us.load(Ordering::Relaxed))
+    }
+
+    /// Sets the time between a write's effect and its reply.
+    pub fn set_reply_delay(&self, microseconds: u64) {
+        self.reply_delay_us.store(microseconds, Ordering::Relaxed);
+    }
+
     /// Admits a new connection.
     ///
     /// # Errors
--- a/crates/dyketally-lab/src/database/settings.rs
+++ b/crates/dyketally-lab/src/database/settings.rs
@@ -42,6 +42,9 @@
     pub connect_cost_ms: u64,
     /// Time that a statement holds its slot, in microseconds.
     pub service_time_us: u64,
+    /// Time between a write's effect and its reply, in microseconds. A database that is killed in
+    /// this time has made the write without a word.
+    pub reply_delay_us: u64,
     /// Time by which this member applies what its primary sends late, in milliseconds.
     pub replication_lag_ms: u64,
     /// Shortest time without a primary before an election, in milliseconds. The actual time is
@@ -70,6 +73,7 @@
             slots: 5,
             connect_cost_ms: 12,
             service_time_us: 0,
+            reply_delay_us: 0,
             replication_lag_ms: 0,
             election_timeout_ms: 300,
             heartbeat_ms: 50,
@@ -130,6 +134,9 @@
     /// Time that a statement holds its slot, in microseconds.
     #[arg(long)]
     service_time_us: Option<u64>,
+    /// Time between a write's effect and its reply, in microseconds.
+    #[arg(long)]
+    reply_delay_us: Option<u64>,
     /// Replication lag of this member, in milliseconds.
     #[arg(long)]
     replication_lag_ms: Option<u64>,
@@ -182,6 +189,7 @@
         set(&mut settings.slots, self.slots);
         set(&mut settings.connect_cost_ms, self.connect_cost_ms);
         set(&mut settings.service_time_us, self.service_time_us);
+        set(&mut settings.reply_delay_us, self.reply_delay_us);
         set(&mut settings.replication_lag_ms, self.replication_lag_ms);
         set(&mut settings.election_timeout_ms, self.election_timeout_ms);
         if !self.peers.is_empty() {
--- a/crates/dyketally-lab/src/database/wire.rs
+++ b/crates/dyketally-lab/src/database/wire.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Debug;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_trait::async_trait;
 use futures::future::{Either, select};
@@ -23,6 +24,7 @@
     RandomPidSecretKeyGenerator, Type,
 };
 use pgwire::error::{ErrorInfo, PgWireError, PgWireResult};
+use pgwire::messages::extendedquery::Execute;
 use pgwire::messages::response::{EmptyQueryResponse, TransactionStatus};
 use pgwire::messages::simplequery::Query;
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
@@ -31,7 +33,8 @@
 use super::execution::{Cell, ChangeCommand, ColumnType, ResultColumn, StatementResult};
 use super::server::Database;
 use super::session::Session;
-use super::statement::{Statement, parse};
+use super::sql::parse;
+use super::statement::Statement;
 
 impl From<SqlError> for ErrorInfo {
     fn from(error: SqlError) -> Self {
@@ -95,7 +98,10 @@
 
 /// Runs the statements of one connection.
 pub struct Statements {
+    database: Arc<Database>,
     session: Session,
+    /// A write took effect whose reply is still held back.
+    reply_held: AtomicBool,
     parser: Arc<StatementParser>,
 }
 
@@ -103,7 +109,9 @@
     /// For one connection to `database`.
     pub fn new(database: Arc<Database>) -> Self {
         Self {
-            session: Session::new(database),
+            session: Session::new(database.clone()),
+            database,
+            reply_held: AtomicBool::new(false),
             parser: Arc::new(StatementParser),
         }
     }
@@ -123,9 +131,21 @@
         } else if result == Ok(StatementResult::Began) {
             client.set_transaction_status(TransactionStatus::Transaction);
         }
+        if result.is_ok() && (statement.writes() || *statement == Statement::Commit) {
+            self.reply_held.store(true, Ordering::Relaxed);
+        }
         result
     }
 
+    /// Holds the reply of a write back. Can't be cancelled, as the write has taken effect.
+    async fn delay_reply(&self) {
+        let held = self.reply_held.swap(false, Ordering::Relaxed);
+        let delay = self.database.reply_delay();
+        if held && !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
     async fn execute_cancellable<C: ClientInfo>(
         &self,
         client: &mut C,
@@ -161,6 +181,7 @@
         }
         for statement in &statements {
             let result = self.execute_cancellable(client, statement).await?;
+            self.delay_reply().await;
             match response(statement, result, &Format::UnifiedText)? {
                 Response::Query(rows) => send_query_response(client, rows, true).await?,
                 Response::Execution(tag)
@@ -194,6 +215,18 @@
         self.parser.clone()
     }
 
+    async fn on_execute<C>(&self, client: &mut C, message: Execute) -> PgWireResult<()>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = Statement>,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let executed = self._on_execute(client, message).await;
+        self.delay_reply().await;
+        executed
+    }
+
     async fn do_query<C>(
         &self,
         client: &mut C,
--- a/crates/dyketally-lab/tests/database/limits.rs
+++ b/crates/dyketally-lab/tests/database/limits.rs
@@ -90,6 +90,26 @@
     wait_for_state(&database, "a free slot", |state| state.busy_slots == 0).await;
 }
 
+#[tokio::test]
+async fn a_held_back_reply_belongs_to_a_write_that_took_effect() {
+    let settings = DatabaseSettings {
+        reply_delay_us: 3_600_000_000,
+        ..fast_settings()
+    };
+    let database = single(settings).await;
+    let before = database.control().state().await.expect("state").log_offset;
+    let writer = connect(&database).await;
+    let insert = "INSERT INTO t VALUES ('a', '1')";
+    let reply = tokio::spawn(async move { writer.execute(insert, &[]).await });
+    wait_for_state(&database, "the write", |state| state.log_offset > before).await;
+    assert!(!reply.is_finished());
+    drop(database);
+    assert!(
+        reply.await.expect("task").is_err(),
+        "cut off without a reply"
+    );
+}
+
 #[tokio::test]
 async fn a_leaving_database_finishes_transactions_and_takes_no_connections() {
     let database = single(fast_settings()).await;
--- a/crates/dyketally-lab/tests/database/main.rs
+++ b/crates/dyketally-lab/tests/database/main.rs
@@ -2,6 +2,9 @@
 
 mod failover;
 mod limits;
+mod process;
+mod replication;
+mod settings;
 mod statements;
 mod support;
 mod wire;
