--- a/crates/dyketally-lab/src/bench/database.rs
+++ b/crates/dyketally-lab/src/bench/database.rs
@@ -31,6 +31,7 @@
         slots: properties.slots,
         connect_cost_ms: properties.connect_cost_ms,
         service_time_us: properties.service_time_us,
+        reply_delay_us: 0,
         replication_lag_ms: properties.replication_lag_ms,
         election_timeout_ms: properties.election_timeout_ms,
         heartbeat_ms: properties.heartbeat_ms,
