--- a/crates/dyketally-lab/src/database/running.rs
+++ b/crates/dyketally-lab/src/database/running.rs
@@ -19,7 +19,6 @@
 pub struct RunningDatabase {
     /// The settings, with the addresses that were bound.
     pub settings: DatabaseSettings,
-    stopped: CancellationToken,
     _stop_on_drop: DropGuard,
 }
 
@@ -43,11 +42,6 @@
             address.port()
         )
     }
-
-    /// Waits until the database has been told to stop.
-    pub async fn stopped(&self) {
-        self.stopped.cancelled().await;
-    }
 }
 
 struct Listeners {
@@ -98,7 +92,6 @@
     tokio::spawn(control);
     Ok(RunningDatabase {
         settings,
-        stopped: stopped.clone(),
         _stop_on_drop: stopped.drop_guard(),
     })
 }
