Check homes under random faults against what they tell

Eight sessions write, read their own writes, read current data and run transactions through homes, while primaries are cut off or step down, members stall or lag, and replies to commits are lost. In the end each acknowledged key must be there, each key told not run must be absent, transactions be whole.

--- a/crates/dyketally-lab/tests/home/main.rs
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -1,6 +1,7 @@
 //! Homes against a group of stand-in databases, in one process.
 
 mod pressure;
+mod random_faults;
 mod reads;
 mod recorded;
 mod relay;
