End idle homes that were placed elsewhere, and stop a node that was replaced

A second process of one name was told to stop by membership, but nobody listened. Change: homes idle for a look interval and placed elsewhere end; the daemon stops on a newer incarnation.

--- a/crates/dyketally-lab/tests/path/sessions.rs
+++ b/crates/dyketally-lab/tests/path/sessions.rs
@@ -55,6 +55,20 @@
     assert_eq!(token(&client).await, "");
 }
 
+#[tokio::test]
+async fn a_token_from_the_future_is_judged_by_the_primary() {
+    let system = System::start().await;
+    let client = system.client().await;
+    client
+        .batch_execute("SET dyketally.session = 'v1:store:999:999999'")
+        .await
+        .expect("set");
+    client
+        .simple_query("SELECT count(*) FROM items")
+        .await
+        .expect("read at the primary");
+}
+
 #[tokio::test]
 async fn a_cancel_request_ends_the_running_statement() {
     let system = System::start().await;
--- a/crates/dyketally-proxy/src/main.rs
+++ b/crates/dyketally-proxy/src/main.rs
@@ -43,7 +43,10 @@
     logging::start(&settings.logging)?;
     let mut stop = StopSignal::listen()?;
     let node = Node::start(settings).await?;
-    stop.received().await;
+    tokio::select! {
+        () = stop.received() => {}
+        () = node.replaced() => {}
+    }
     let report = node.stop().await;
     if report.is_clean() {
         log::info!("stopped: nothing was cut off");
--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -2,7 +2,9 @@
 
 mod configuration;
 mod machines;
+mod membership_watcher;
 mod placement;
+mod retire;
 mod shutdown;
 mod status;
 
@@ -11,18 +13,18 @@
 use std::sync::atomic::AtomicU64;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use dyketally::membership::Event;
 use dyketally::policy::PolicySet;
 use eyre::WrapErr;
 use tokio::net::TcpListener;
-use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use configuration::NodeConfiguration;
 use machines::MachineFollower;
+use membership_watcher::MembershipWatcher;
 use placement::MemberPlacement;
+use retire::retire_idle_homes;
 pub use shutdown::{StopReport, StopSignal};
 use status::NodeReport;
 
@@ -57,6 +59,7 @@
     sessions: TaskTracker,
     listeners: CancellationToken,
     links: CancellationToken,
+    replaced: CancellationToken,
     configuration: NodeConfiguration,
 }
 
@@ -118,12 +121,14 @@
             sessions: TaskTracker::new(),
             listeners: CancellationToken::new(),
             links: CancellationToken::new(),
+            replaced: CancellationToken::new(),
             addresses,
             settings,
             configuration,
         };
         node.spawn_listeners(callers, peers, admin);
-        node.spawn_link_closer();
+        tokio::spawn(retire_idle_homes(node.homes.clone(), node.links.clone()));
+        node.spawn_membership_watcher();
         node.follow_machines()?;
         Ok(node)
     }
@@ -174,25 +179,18 @@
         follower.start(&url.to_string(), self.links.clone())
     }
 
-    /// Closes links to nodes that membership declares dead, so that what waits there ends.
-    fn spawn_link_closer(&self) {
-        let mut events = self.membership.events();
-        let peers = self.membership.clone();
-        let homes = self.homes.clone();
-        tokio::spawn(async move {
-            loop {
-                match events.recv().await {
-                    Ok(Event::Died(node)) => {
-                        let view = peers.view();
-                        if let Some(member) = view.member(&node) {
-                            homes.close_link(member.addresses.peers);
-                        }
-                    }
-                    Ok(_) | Err(RecvError::Lagged(_)) => {}
-                    Err(RecvError::Closed) => return,
-                }
-            }
-        });
+    /// Waits until a newer process runs under this node's name: this one must stop.
+    pub async fn replaced(&self) {
+        self.replaced.cancelled().await;
+    }
+
+    fn spawn_membership_watcher(&self) {
+        let watcher = MembershipWatcher {
+            peers: self.membership.clone(),
+            homes: self.homes.clone(),
+            replaced: self.replaced.clone(),
+        };
+        tokio::spawn(watcher.run());
     }
 }
 
