--- a/crates/dyketally-lab/src/bench/plan.rs
+++ b/crates/dyketally-lab/src/bench/plan.rs
@@ -67,8 +67,9 @@
     /// # Errors
     /// When no free addresses can be had.
     pub fn new(site: &Site) -> io::Result<Self> {
-        let (zones, groups) = (site.zones.len(), site.groups.len());
-        let count = FIXED_ADDRESSES + ADDRESSES_EACH * zones * (groups + 1);
+        let databases = site.zones.len() * site.groups.len();
+        let proxies = site.proxy_zones().count();
+        let count = FIXED_ADDRESSES + ADDRESSES_EACH * (databases + proxies);
         let mut addresses = free_addresses(count)?.into_iter();
         let mut next = || addresses.next().ok_or(io::ErrorKind::AddrNotAvailable);
         let mut plan = Self {
@@ -90,7 +91,7 @@
                 });
             }
         }
-        for (zone, number) in site.zones.iter().zip(1..) {
+        for (zone, number) in site.proxy_zones().zip(1..) {
             plan.proxies.push(ProxyPlan {
                 name: format!("proxy-{number}"),
                 zone: zone.clone(),
@@ -146,12 +147,13 @@
 
 fn delays(site: &Site) -> Vec<Delay> {
     let mut delays = Vec::new();
-    for (index, zone) in site.zones.iter().enumerate() {
+    let zones: Vec<&String> = site.proxy_zones().collect();
+    for (index, &zone) in zones.iter().enumerate() {
         delays.push(Delay {
             between: [CALLERS.to_owned(), zone.clone()],
             one_way_ms: site.caller_delay_ms,
         });
-        for other in &site.zones[index + 1..] {
+        for &other in &zones[index + 1..] {
             delays.push(Delay {
                 between: [zone.clone(), other.clone()],
                 one_way_ms: site.zone_delay_ms,
--- a/crates/dyketally-lab/src/bench/site.rs
+++ b/crates/dyketally-lab/src/bench/site.rs
@@ -13,6 +13,9 @@
     pub region: String,
     /// Its zones; each holds one proxy and one database of each group.
     pub zones: Vec<String>,
+    /// Further zones, each with one proxy and no database.
+    #[serde(default)]
+    pub edge_zones: Vec<String>,
     /// One-way delay between zones, in milliseconds.
     pub zone_delay_ms: f64,
     /// One-way delay between callers and proxies, in milliseconds.
@@ -86,6 +89,7 @@
             name: String::from("huber"),
             region: String::from("alps"),
             zones: names(&["rosenheim", "nuremberg", "salzburg"]),
+            edge_zones: Vec::new(),
             zone_delay_ms: 1.5,
             caller_delay_ms: 3.0,
             relays: true,
@@ -109,6 +113,7 @@
             name: String::from("lakeshore"),
             region: String::from("lakes"),
             zones: names(&["erie", "huron", "superior"]),
+            edge_zones: Vec::new(),
             zone_delay_ms: 0.5,
             caller_delay_ms: 3.0,
             relays: true,
@@ -154,6 +159,13 @@
     }
 }
 
+impl Site {
+    /// All zones, in the order of their proxies.
+    pub fn proxy_zones(&self) -> impl Iterator<Item = &String> {
+        self.zones.iter().chain(&self.edge_zones)
+    }
+}
+
 const DEFAULT_QUEUE_LIMIT: u32 = 200;
 
 fn names(texts: &[&str]) -> Vec<String> {
--- a/crates/dyketally-lab/src/demo/mod.rs
+++ b/crates/dyketally-lab/src/demo/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the whole path as processes and prints what was seen, one step a line.
 
 mod failures;
+mod operators;
 mod sessions;
 mod stage;
 
@@ -35,6 +36,8 @@
 }
 
 async fn run_steps(steps: &mut Steps, stage: &mut Stage) {
+    steps.record("operators", operators::publish(stage).await);
+    steps.record("two operators", operators::conflict(stage).await);
     steps.record("write", sessions::write_through_first_proxy(stage).await);
     steps.record("roam", sessions::read_from_replica(stage).await);
     steps.record(
--- a/crates/dyketally-lab/src/demo/sessions.rs
+++ b/crates/dyketally-lab/src/demo/sessions.rs
@@ -62,7 +62,8 @@
 /// A home that has just started may send the first reads on to the primary.
 pub async fn read_from_replica(stage: &mut Stage) -> eyre::Result<String> {
     stage.first_group().caught_up().await?;
-    stage.session.roam(1);
+    let proxy = proxy_beside_replica(stage).await?;
+    stage.session.roam(proxy);
     for reads in 1..=READS_AT_MOST {
         let observed = read_order(&stage.admin, &mut stage.session).await?;
         ensure!(
@@ -74,7 +75,8 @@
         if observed.from_replica {
             let value = observed.value.unwrap_or_default();
             return Ok(format!(
-                "{value:?} read through proxy 2, from a replica at read {reads}"
+                "{value:?} read through proxy {}, from a replica at read {reads}",
+                proxy + 1
             ));
         }
         sleep(READ_PAUSE).await;
@@ -82,6 +84,17 @@
     eyre::bail!("the primary served {READS_AT_MOST} reads though replicas had caught up")
 }
 
+/// The number of a proxy, not the first, whose zone holds a replica of the first group.
+async fn proxy_beside_replica(stage: &Stage) -> eyre::Result<usize> {
+    let group = stage.first_group();
+    let primary = group.primary().await?;
+    let members = group.members.iter().map(|member| &member.name);
+    let replica = (0..).zip(members).skip(1);
+    let mut replica = replica.filter(|(_, name)| **name != primary.name);
+    let (number, _) = replica.next().ok_or_eyre("the group has no replicas")?;
+    Ok(number)
+}
+
 /// While replicas lag, a session reads its own write from the primary.
 ///
 /// Its tenant has writes confirmed by the majority's term alone: a majority can't hold the
--- a/crates/dyketally-lab/src/demo/stage.rs
+++ b/crates/dyketally-lab/src/demo/stage.rs
@@ -5,7 +5,7 @@
 
 use dyketally::policy::Confirmation;
 
-use crate::bench::{AdminClient, Caller, Group, Site, Tenant, Topology};
+use crate::bench::{AdminClient, Caller, Configuration, Group, Site, Tenant, Topology};
 
 /// Time after which a caller of the demo gives up on a statement.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -87,6 +87,7 @@
 fn site() -> Site {
     let mut site = Site::huber();
     site.name = String::from("demo");
+    site.configuration = Configuration::Platform;
     site.groups.truncate(2);
     site.tenants.truncate(2);
     for (tenant, group) in site.tenants.iter_mut().zip(&site.groups) {
--- a/crates/dyketally-lab/src/experiment/mod.rs
+++ b/crates/dyketally-lab/src/experiment/mod.rs
@@ -1,10 +1,14 @@
 //! Runs an experiment on the users' measures.
 
 mod plot;
+mod progress;
 mod result;
+mod table;
 
 pub use plot::draw;
+pub use progress::{Progress, now_seconds};
 pub use result::{ExperimentResult, Figure, Goal, Line, Plot, Point, quantile};
+pub use table::figure_table;
 
 /// Arguments of this command.
 #[derive(Clone, Debug, clap::Args)]
--- /dev/null
+++ b/crates/dyketally-lab/src/experiment/progress.rs
@@ -0,0 +1,44 @@
+//! The progress line of a running experiment.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use indicatif::{ProgressBar, ProgressStyle};
+
+const TEMPLATE: &str = "{prefix} [{bar:30}] {pos}/{len} {elapsed} {msg}";
+
+/// Shows how far an experiment is. Nothing is shown where there is no terminal.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    bar: ProgressBar,
+}
+
+impl Progress {
+    /// Progress of the experiment `name` in this many steps.
+    pub fn new(name: &str, steps: u64) -> Self {
+        let bar = ProgressBar::new(steps);
+        if let Ok(style) = ProgressStyle::with_template(TEMPLATE) {
+            bar.set_style(style);
+        }
+        bar.set_prefix(name.to_owned());
+        bar.tick();
+        Self { bar }
+    }
+
+    /// One more step is done.
+    pub fn step(&self, message: &str) {
+        self.bar.set_message(message.to_owned());
+        self.bar.inc(1);
+    }
+}
+
+impl Drop for Progress {
+    fn drop(&mut self) {
+        self.bar.finish_and_clear();
+    }
+}
+
+/// Seconds since 1970.
+pub fn now_seconds() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_secs())
+}
--- a/crates/dyketally-proxy/src/main.rs
+++ b/crates/dyketally-proxy/src/main.rs
@@ -31,7 +31,7 @@
 fn check(flags: &settings::Flags) -> eyre::Result<()> {
     let report = settings::check_flags(flags);
     println!("{report}");
-    if !report.is_accepted() {
+    if !report.is_clean() {
         std::process::exit(1);
     }
     Ok(())
