--- a/crates/dyketally-protocol/src/message.rs
+++ b/crates/dyketally-protocol/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::configuration::sync::{PullReply, PullRequest};
 use dyketally::group::{LogPosition, Term};
 use dyketally::identifiers::{DatabaseName, NodeName, RequestId, SessionId, TenantName};
 use dyketally::outcome::{NotRunReason, UnknownReason};
@@ -29,12 +30,12 @@
     Hello(Hello),
     /// Run a batch of statements.
     Execute(ExecuteRequest),
-    /// The edge has passed on this many bytes of reply data; the home may send as many more.
+    /// The edge has passed on this many `Data` messages; the home may send as many more.
     Consumed {
         /// The request whose data was passed on.
         request: RequestId,
-        /// Bytes passed on since the last such message.
-        bytes: u32,
+        /// `Data` messages passed on since the last such message.
+        chunks: u32,
     },
     /// The caller no longer waits; stop the request if that is safe.
     Cancel {
@@ -46,6 +47,8 @@
         /// The session that ended.
         session: SessionId,
     },
+    /// Asks for what the sender lacks of the configuration.
+    PullConfiguration(PullRequest),
 }
 
 /// Messages from a home to an edge.
@@ -60,6 +63,8 @@
         /// One or more encoded backend messages.
         messages: Bytes,
     },
+    /// Answers a pull of the configuration.
+    Configuration(PullReply),
     /// The request is over.
     Finished {
         /// The request this replies to.
--- a/crates/dyketally/src/membership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Membership between nodes: failure detection and dissemination.
