Tell an unknown outcome though a later attempt was not run

Cause: the retry layer passed on the reply of the last attempt. A repeatable write whose first attempt ended unknown and whose second was refused (queue full, no primary) was reported as not run, though the first may have run it. The fuzzer's switch `EarlierAttemptForgotten` shows the same fault in the model.

Ruled out: trying again after the refusal, which would spend the budget on a queue that has just said when to come back; the same rule for reads, which change nothing, so that "not run" is true enough to act on.

--- a/crates/dyketally-proxy/src/edge/retry.rs
+++ b/crates/dyketally-proxy/src/edge/retry.rs
@@ -85,9 +85,13 @@
 {
     lock(&retrier).fresh();
     let mut attempts = 0;
+    let mut in_doubt = None;
     loop {
         let Ok(service) = inner.ready().await;
         let Ok(reply) = service.call(request.clone()).await;
+        if let Some(in_doubt) = in_doubt.take_if(|_| !may_have_run(&reply)) {
+            return in_doubt;
+        }
         if !may_run_again(&request, &reply) {
             return reply;
         }
@@ -102,9 +106,21 @@
             () = pause => {}
             () = request.cancelled.cancelled() => return reply,
         }
+        if !request.is_plain_read() {
+            in_doubt = Some(reply);
+        }
     }
 }
 
+/// False when the attempt was certainly not run. That says nothing of an earlier attempt.
+fn may_have_run(reply: &StatementReply) -> bool {
+    matches!(
+        &reply.start,
+        ReplyStart::Data { .. }
+            | ReplyStart::Ended(Completion::Done { .. } | Completion::Unknown { .. })
+    )
+}
+
 /// Only a reply that has not started and whose outcome is unknown. Past the deadline there is no
 /// time left, and a statement of a transaction can't be run without the rest of it.
 fn may_run_again(request: &StatementRequest, reply: &StatementReply) -> bool {
