--- a/crates/dyketally/src/pool/holdings.rs
+++ b/crates/dyketally/src/pool/holdings.rs
@@ -47,16 +47,16 @@
     }
 
     /// Whether the tenant may hold another connection: up to its share by weight among the
-    /// contenders, and beyond it while more than the reserve is left for the others.
+    /// contenders, and beyond it while more than the reserve is left for the others. The last
+    /// half of the reserve is for tenants that hold fewer than are left.
     pub(super) fn may_hold_another(&self, tenant: &TenantName, supply: Supply) -> bool {
         let left = supply.limit.saturating_sub(self.total_held);
-        if left == 0 {
-            return false;
-        }
         let Some(holding) = self.tenants.get(tenant) else {
-            return true;
+            return left > 0;
         };
-        holding.held < self.share(holding, supply) || left > supply.reserve
+        let kept = holding.held.min(supply.reserve / 2);
+        let within_share = holding.held < self.share(holding, supply);
+        (within_share && left > kept) || left > supply.reserve
     }
 
     /// The tenant holds one connection more.
--- a/crates/dyketally/tests/pool.rs
+++ b/crates/dyketally/tests/pool.rs
@@ -246,6 +246,19 @@
     );
 }
 
+#[test]
+fn tenants_that_pin_all_they_can_leave_some_to_the_next() {
+    let mut pool = warm(settings(40, 0, 5), 40);
+    for name in ["first", "second", "third", "fourth"] {
+        let mut held = 0;
+        while let Some(connection) = take(&mut pool, name) {
+            pool.pin(connection);
+            held += 1;
+        }
+        assert!(held > 0, "{name} found none");
+    }
+}
+
 #[test]
 fn a_leaving_database_gets_nothing_new() {
     let mut pool = warm(settings(40, 5, 0), 5);
