Forget questions to a member that nobody reports on

Cause: when a prober is replaced, its unanswered questions are neither answered nor reported as failed, and each takes one of the four places that a member has; after four, the member is left out of all rounds for ever. Found by reading the home's monitor against the contract of a round.

Ruled out: trusting the contract alone, as a break of it stays unnoticed until a majority can't be reached.

--- a/crates/dyketally/src/group/confirmation.rs
+++ b/crates/dyketally/src/group/confirmation/mod.rs
@@ -11,8 +11,14 @@
 //! a member with a lower term (one that lags far behind, or that was restarted empty and forgot
 //! its vote) proves nothing.
 
+mod item;
+mod member;
+
 use std::time::Duration;
 
+use item::Waiting;
+use member::{Member, Question};
+
 use super::{LogPosition, MemberStatus, Role, Term};
 use crate::identifiers::DatabaseName;
 use crate::policy::Confirmation;
@@ -42,6 +48,9 @@
     pub in_flight: usize,
     /// Least time between two questions about the same item to one member.
     pub repeat_interval: Duration,
+    /// A question that was neither answered nor reported as failed for so long is forgotten, so
+    /// that a lost report doesn't keep a member out of rounds for ever.
+    pub forget_after: Duration,
 }
 
 impl Default for ProbePacing {
@@ -49,6 +58,7 @@
         Self {
             in_flight: 4,
             repeat_interval: Duration::from_millis(1),
+            forget_after: Duration::from_secs(5),
         }
     }
 }
@@ -89,110 +99,6 @@
     pub verdict: Verdict,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting<Item> {
-    item: Item,
-    term: Term,
-    /// What another member's log must hold; `None` when the term is enough.
-    offset: Option<u64>,
-    /// What the session will have seen; for a read, known once the primary has answered.
-    seen: Option<LogPosition>,
-    /// Rounds before this one began too early to say anything about the item.
-    first_round: RoundNumber,
-    deadline: Timestamp,
-    supporters: Vec<DatabaseName>,
-    opponents: Vec<DatabaseName>,
-    higher_term: Term,
-    deposed: bool,
-}
-
-impl<Item> Waiting<Item> {
-    fn verdict(&self, members: usize) -> Option<Verdict> {
-        let majority = members / 2 + 1;
-        if let Some(seen) = self.seen
-            && self.supporters.len() >= majority
-        {
-            return Some(Verdict::Confirmed(seen));
-        }
-        let out_of_reach = self.opponents.len() + majority > members;
-        let higher_term = self.higher_term;
-        (self.deposed || out_of_reach).then_some(Verdict::Deposed { higher_term })
-    }
-
-    fn has_judged(&self, member: &DatabaseName) -> bool {
-        self.supporters.contains(member) || self.opponents.contains(member)
-    }
-
-    fn judge(&mut self, member: &DatabaseName, is_primary: bool, status: MemberStatus) {
-        if status.term > self.term {
-            self.oppose(member, is_primary, status);
-        } else if status.term == self.term {
-            self.support(member, is_primary, status);
-        }
-    }
-
-    fn oppose(&mut self, member: &DatabaseName, is_primary: bool, status: MemberStatus) {
-        self.higher_term = self.higher_term.max(status.term);
-        self.deposed |= is_primary || status.role == Role::Primary;
-        if !self.has_judged(member) {
-            self.opponents.push(member.clone());
-        }
-    }
-
-    fn support(&mut self, member: &DatabaseName, is_primary: bool, status: MemberStatus) {
-        if is_primary && status.role != Role::Primary {
-            self.deposed = true;
-            return;
-        }
-        if is_primary && self.seen.is_none() {
-            self.seen = Some(status.log);
-        }
-        // The log's last entry must be of this term, too: entries of earlier terms on a majority
-        // may still be overwritten by a member whose log ends in a term between.
-        let holds = self
-            .offset
-            .is_none_or(|offset| status.log.term == self.term && status.log.offset >= offset);
-        if holds && !self.supporters.contains(member) {
-            self.supporters.push(member.clone());
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Member {
-    name: DatabaseName,
-    outstanding: Vec<RoundNumber>,
-    last_asked: Option<(RoundNumber, Timestamp)>,
-}
-
-impl Member {
-    fn new(name: DatabaseName) -> Self {
-        Self {
-            name,
-            outstanding: Vec::new(),
-            last_asked: None,
-        }
-    }
-
-    /// When this member may next be asked about `item`; `None` while there is nothing to ask.
-    fn ask_at<Item>(
-        &self,
-        item: &Waiting<Item>,
-        pacing: ProbePacing,
-        now: Timestamp,
-    ) -> Option<Timestamp> {
-        let full = self.outstanding.len() >= pacing.in_flight;
-        let asked = self.outstanding.last() >= Some(&item.first_round);
-        if full || asked || item.has_judged(&self.name) {
-            return None;
-        }
-        match self.last_asked {
-            Some((round, at)) if round >= item.first_round => Some(at + pacing.repeat_interval),
-            _ => Some(now),
-        }
-    }
-}
-
 /// Confirms the writes and reads of one member that claims to be the primary.
 ///
 /// `Item` is the home's handle of a write or read that waits.
@@ -281,13 +187,20 @@
         let number = self.next_round;
         let mut asked = Vec::new();
         for member in &mut self.members {
+            member
+                .outstanding
+                .retain(|question| question.asked_at + self.pacing.forget_after > now);
             let due = self.waiting.iter().any(|item| {
                 member
                     .ask_at(item, self.pacing, now)
                     .is_some_and(|at| at <= now)
             });
             if due {
-                member.outstanding.push(number);
+                let asked_at = now;
+                member.outstanding.push(Question {
+                    round: number,
+                    asked_at,
+                });
                 member.last_asked = Some((number, now));
                 asked.push(member.name.clone());
             }
@@ -372,7 +285,10 @@
         let Some(member) = member else {
             return false;
         };
-        let open = member.outstanding.iter().position(|open| *open == round);
+        let open = member
+            .outstanding
+            .iter()
+            .position(|open| open.round == round);
         open.map(|position| member.outstanding.remove(position))
             .is_some()
     }
--- a/crates/dyketally/tests/group.rs
+++ b/crates/dyketally/tests/group.rs
@@ -217,6 +217,25 @@
     }
 }
 
+#[test]
+fn a_question_without_any_report_is_forgotten_in_time() {
+    let mut confirmations = confirmations();
+    let pacing = ProbePacing::default();
+    for item in 0..pacing.in_flight as u32 {
+        confirmations.read_arrived(item, Term(2), at(20_000));
+        round(&mut confirmations, at(1));
+    }
+    confirmations.read_arrived(9, Term(2), at(20_000));
+    assert_eq!(confirmations.start_round(at(2)), None, "all are busy");
+    let later = at(1) + pacing.forget_after;
+    let late = round(&mut confirmations, later);
+    assert_eq!(late.members, three());
+    let early = dyketally::group::RoundNumber(0);
+    confirmations.answered(early, &name("a"), leads(2, (2, 10)));
+    confirmations.answered(early, &name("b"), follows(2, (2, 10)));
+    assert_eq!(verdicts(&mut confirmations, later), vec![], "forgotten");
+}
+
 #[rstest]
 #[case::confirmed(&[("a", leads(2, (2, 10))), ("b", follows(2, (2, 4)))], Some(Verdict::Confirmed(position(2, 10))))]
 #[case::primary_unheard(&[("b", follows(2, (2, 10))), ("c", follows(2, (2, 10)))], None)]
