Fuzz publication and dissemination against the list of accepted changes

Cause: the tables hold one fault each; the users' faults come together.

Operators, nodes and the service are simulated with lost, late and repeated messages, outages, replaced nodes, moving relays and garbage. After each step every node holds exactly the oracle's documents of its revision and no operator was told anything untrue; healed, all nodes converge.

Two made tests loop for ever; those loops are bounded now, and a missing case (the first part repeated late) was added.

--- a/crates/dyketally/tests/configuration/main.rs
+++ b/crates/dyketally/tests/configuration/main.rs
@@ -4,4 +4,5 @@
 mod publisher;
 mod relay;
 mod sample;
+mod stateful;
 mod sync;
--- a/crates/dyketally/tests/configuration/relay.rs
+++ b/crates/dyketally/tests/configuration/relay.rs
@@ -15,6 +15,9 @@
 
 const TICK: Duration = Duration::from_millis(50);
 
+/// Longer than any wait of a relay.
+const AN_HOUR: Duration = Duration::from_secs(3600);
+
 fn relay(settings: RelaySettings) -> Synchronizer {
     relay_among(settings, 1, 1)
 }
@@ -32,8 +35,10 @@
 
 /// Ticks until a watch is opened.
 fn open(node: &mut Synchronizer, now: &mut Timestamp) -> WatchId {
+    let end = *now + AN_HOUR;
     loop {
         *now = *now + TICK;
+        assert!(*now < end, "no watch is opened");
         for action in node.tick(*now) {
             if let SyncAction::OpenWatch { watch, .. } = action {
                 return watch;
--- a/crates/dyketally/tests/configuration/sync.rs
+++ b/crates/dyketally/tests/configuration/sync.rs
@@ -135,6 +135,16 @@
     9,
     &["a", "b"]
 )]
+#[case::first_part_again_later(
+    vec![
+        part(9, None, false, &["a"]),
+        part(9, Some("a"), false, &["b"]),
+        part(9, None, false, &["a"]),
+        part(9, Some("b"), true, &["c"]),
+    ],
+    9,
+    &["a", "b", "c"]
+)]
 #[case::parts_of_two_revisions_are_not_mixed(
     vec![part(8, None, false, &["a"]), part(9, Some("a"), true, &["b"])],
     3,
@@ -194,6 +204,7 @@
     while let Some((asked, request)) = request(&actions) {
         let peer = [&large, &small][turn % 2];
         turn += 1;
+        assert!(turn < 1000, "the node never has enough");
         actions = node.pull_reply(&asked, peer.pull_request(request), NOW);
     }
     assert!(turn > 2);
@@ -247,6 +258,7 @@
     let mut asked = 0;
     while let Some((peer, _)) = request(&actions) {
         asked += 1;
+        assert_eq!(asked, 1);
         let reply = PullReply::Changes {
             changes: Vec::new(),
         };
