--- /dev/null
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -0,0 +1,9 @@
+//! Homes against a group of stand-in databases, in one process.
+
+mod pressure;
+mod reads;
+mod recorded;
+mod relay;
+mod support;
+mod transactions;
+mod writes;
--- a/crates/dyketally-proxy/src/home/output.rs
+++ b/crates/dyketally-proxy/src/home/output.rs
@@ -54,6 +54,11 @@
         self.delivery = delivery;
     }
 
+    /// True while data waits until the reply is confirmed.
+    pub fn is_held(&self) -> bool {
+        self.delivery == Delivery::Held
+    }
+
     /// True once the edge has got part of the data.
     pub fn was_passed_on(&self) -> bool {
         self.passed_on
@@ -84,6 +89,20 @@
         }
     }
 
+    /// A copy of all data so far, if none was passed on and it is no longer than `longest`.
+    pub fn held(&self, longest: usize) -> Option<Vec<u8>> {
+        let length = self.sealed_bytes + self.open.len();
+        if self.passed_on || length > longest {
+            return None;
+        }
+        let mut data = Vec::with_capacity(length);
+        for chunk in &self.sealed {
+            data.extend_from_slice(chunk);
+        }
+        data.extend_from_slice(&self.open);
+        Some(data)
+    }
+
     /// Forgets the data that wasn't passed on.
     pub fn discard(&mut self) {
         self.sealed.clear();
--- a/crates/dyketally-proxy/src/homes.rs
+++ b/crates/dyketally-proxy/src/homes.rs
@@ -1,6 +1,6 @@
 //! Finds the home of a database and hands requests to it, in this process or behind a link.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -35,16 +35,6 @@
     fn locate(&self, database: &DatabaseName, locality: &Locality) -> Option<HomeLocation>;
 }
 
-/// A node that stands alone: it is home to every database.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SingleNode;
-
-impl LocateHome for SingleNode {
-    fn locate(&self, _database: &DatabaseName, _locality: &Locality) -> Option<HomeLocation> {
-        Some(HomeLocation::Here)
-    }
-}
-
 /// The way from an edge to all homes, and the homes of this node.
 #[derive(Debug)]
 pub struct Homes {
@@ -54,6 +44,7 @@
     routes: AddressRoutes,
     options: HomeOptions,
     here: Mutex<HashMap<DatabaseName, HomeHandle>>,
+    leaving: Mutex<HashSet<DatabaseName>>,
 }
 
 impl Homes {
@@ -73,6 +64,7 @@
             routes,
             options,
             here: Mutex::default(),
+            leaving: Mutex::default(),
         }
     }
 
@@ -99,6 +91,11 @@
         }
     }
 
+    /// Closes the link to a dead node, which accepted links at `configured`.
+    pub fn close_link(&self, configured: SocketAddr) {
+        self.links.close(self.routes.resolve(configured));
+    }
+
     /// Hands `request` to a home of this node. A node that is asked serves, even if its own view
     /// names another home: two homes of one database are kept apart by the database's own limits.
     pub fn submit_here(&self, request: HomeRequest) {
@@ -115,6 +112,14 @@
         }
     }
 
+    /// Tells the homes which databases leave, by the platform's machine list.
+    pub fn set_leaving_databases(&self, databases: HashSet<DatabaseName>) {
+        for (database, home) in self.lock().iter() {
+            home.set_database_leaving(databases.contains(database));
+        }
+        *self.lock_leaving() = databases;
+    }
+
     /// The homes that this node runs.
     pub fn handles(&self) -> Vec<HomeHandle> {
         self.lock().values().cloned().collect()
@@ -132,10 +137,17 @@
             self.routes.clone(),
             self.options.clone(),
         );
+        home.set_database_leaving(self.lock_leaving().contains(database));
         here.insert(database.clone(), home.clone());
         Some(home)
     }
 
+    fn lock_leaving(&self) -> std::sync::MutexGuard<'_, HashSet<DatabaseName>> {
+        self.leaving
+            .lock()
+            .expect("no code panics while it holds this lock")
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<DatabaseName, HomeHandle>> {
         self.here
             .lock()
--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -1,36 +1,63 @@
 //! One node: edge and homes, assembled from settings, from start to planned stop.
 
+mod configuration;
+mod machines;
+mod placement;
 mod shutdown;
+mod status;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use dyketally::membership::Event;
 use dyketally::policy::PolicySet;
 use eyre::WrapErr;
 use tokio::net::TcpListener;
+use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use configuration::NodeConfiguration;
+use machines::MachineFollower;
+use placement::MemberPlacement;
 pub use shutdown::{StopReport, StopSignal};
+use status::NodeReport;
 
 use crate::edge::{CancelRegistry, Edge, EdgeCounters, EdgeLimits, request_path, serve_callers};
 use crate::home::{AddressRoutes, HomeOptions};
-use crate::homes::{Homes, SingleNode};
+use crate::homes::Homes;
 use crate::link::{LinkPool, LinkServer, serve_links};
-use crate::settings::{Settings, load_configuration};
+use crate::peers::{Peers, PeersHandle, PeersSettings};
+use crate::settings::Settings;
+
+/// The addresses that a node listens on, with the ports it was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For links of other nodes.
+    pub peers: SocketAddr,
+    /// For membership (UDP), as other nodes are told.
+    pub membership: SocketAddr,
+    /// For operators (HTTP).
+    pub admin: SocketAddr,
+}
 
 /// A node whose tasks run.
 #[derive(Debug)]
 pub struct Node {
     settings: Settings,
+    addresses: BoundAddresses,
     edge: Edge,
     homes: Arc<Homes>,
+    membership: PeersHandle,
     sessions: TaskTracker,
     listeners: CancellationToken,
     links: CancellationToken,
-    _policies: watch::Sender<Arc<PolicySet>>,
+    configuration: NodeConfiguration,
 }
 
 impl Node {
@@ -39,31 +66,79 @@
     /// # Errors
     /// An address can't be bound, or the configuration file is faulty.
     pub async fn start(settings: Settings) -> eyre::Result<Self> {
-        let policies = initial_policies(&settings)?;
-        let (policy_sender, policies) = watch::channel(Arc::new(policies));
+        let configuration = NodeConfiguration::of(&settings)?;
+        Self::assemble(settings, configuration).await
+    }
+
+    /// Like [`Node::start`], with a fixed configuration.
+    ///
+    /// # Errors
+    /// An address can't be bound.
+    pub async fn start_with(settings: Settings, policies: PolicySet) -> eyre::Result<Self> {
+        Self::assemble(settings, NodeConfiguration::fixed(policies)).await
+    }
+
+    async fn assemble(
+        settings: Settings,
+        mut configuration: NodeConfiguration,
+    ) -> eyre::Result<Self> {
+        let policies = configuration.policies.clone();
         let callers = bind(settings.listen.callers, "listen.callers").await?;
         let peers = bind(settings.listen.peers, "listen.peers").await?;
+        let admin = bind(settings.listen.admin, "listen.admin").await?;
+        let incarnation = incarnation();
+        let routes = address_routes(&settings);
+        let mut peers_settings = peers_settings(&settings, incarnation);
+        peers_settings.peers = advertised(settings.advertise.peers, &peers)?;
+        peers_settings.admin = admin.local_addr()?;
+        let membership = Peers::start(peers_settings).await?;
+        configuration.join(&settings, &membership);
+        let addresses = BoundAddresses {
+            callers: callers.local_addr()?,
+            peers: peers.local_addr()?,
+            membership: membership.address(),
+            admin: admin.local_addr()?,
+        };
+        let placement = MemberPlacement::new(
+            settings.node.name.clone(),
+            membership.clone(),
+            routes.clone(),
+        );
         let homes = Arc::new(Homes::new(
             policies.clone(),
-            Arc::new(SingleNode),
+            Arc::new(placement),
             LinkPool::new(settings.node.name.clone()),
-            address_routes(&settings),
+            routes,
             HomeOptions::default(),
         ));
         let node = Self {
-            edge: edge(&settings, policies, homes.clone()),
+            edge: edge(&settings, incarnation, policies, homes.clone()),
+            membership,
             homes,
             sessions: TaskTracker::new(),
             listeners: CancellationToken::new(),
             links: CancellationToken::new(),
+            addresses,
             settings,
-            _policies: policy_sender,
+            configuration,
         };
-        node.spawn_listeners(callers, peers);
+        node.spawn_listeners(callers, peers, admin);
+        node.spawn_link_closer();
+        node.follow_machines()?;
         Ok(node)
     }
 
-    fn spawn_listeners(&self, callers: TcpListener, peers: TcpListener) {
+    /// The addresses that the node listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.addresses
+    }
+
+    /// Membership as this node takes part in it.
+    pub fn membership(&self) -> &PeersHandle {
+        &self.membership
+    }
+
+    fn spawn_listeners(&self, callers: TcpListener, peers: TcpListener, admin: TcpListener) {
         tokio::spawn(serve_callers(
             callers,
             self.edge.clone(),
@@ -73,15 +148,63 @@
         let server = LinkServer {
             node: self.settings.node.name.clone(),
             homes: self.homes.clone(),
+            configuration: self.configuration.dissemination.clone(),
         };
         tokio::spawn(serve_links(peers, server, self.links.clone()));
+        let report = Arc::new(NodeReport {
+            node: self.settings.node.name.clone(),
+            locality: self.settings.node.locality.clone(),
+            policies: self.edge.policies.clone(),
+            edge: self.edge.clone(),
+            homes: self.homes.clone(),
+            peers: self.membership.clone(),
+        });
+        tokio::spawn(crate::admin::serve(admin, report, self.links.clone()));
+    }
+
+    fn follow_machines(&self) -> eyre::Result<()> {
+        let Some(url) = &self.settings.platform.machines else {
+            return Ok(());
+        };
+        let follower = MachineFollower {
+            seeds: self.settings.membership.seeds.clone(),
+            peers: self.membership.clone(),
+            homes: self.homes.clone(),
+        };
+        follower.start(&url.to_string(), self.links.clone())
+    }
+
+    /// Closes links to nodes that membership declares dead, so that what waits there ends.
+    fn spawn_link_closer(&self) {
+        let mut events = self.membership.events();
+        let peers = self.membership.clone();
+        let homes = self.homes.clone();
+        tokio::spawn(async move {
+            loop {
+                match events.recv().await {
+                    Ok(Event::Died(node)) => {
+                        let view = peers.view();
+                        if let Some(member) = view.member(&node) {
+                            homes.close_link(member.addresses.peers);
+                        }
+                    }
+                    Ok(_) | Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => return,
+                }
+            }
+        });
     }
 }
 
-fn edge(settings: &Settings, policies: watch::Receiver<Arc<PolicySet>>, homes: Arc<Homes>) -> Edge {
+fn edge(
+    settings: &Settings,
+    incarnation: u64,
+    policies: watch::Receiver<Arc<PolicySet>>,
+    homes: Arc<Homes>,
+) -> Edge {
     Edge {
         node: settings.node.name.clone(),
-        incarnation: incarnation(),
+        incarnation,
         policies,
         path: request_path(settings.node.locality.clone(), homes.clone()),
         homes,
@@ -101,14 +224,24 @@
     routes.map(|route| (route.to, route.via)).collect()
 }
 
-fn initial_policies(settings: &Settings) -> eyre::Result<PolicySet> {
-    match &settings.configuration_file {
-        Some(file) => Ok(load_configuration(file)?),
-        None => Ok(PolicySet::default()),
+fn peers_settings(settings: &Settings, incarnation: u64) -> PeersSettings {
+    let node = settings.node.name.clone();
+    let locality = settings.node.locality.clone();
+    let routes = settings.network.routes.iter();
+    PeersSettings {
+        listen: settings.listen.membership,
+        advertise: settings.advertise.membership,
+        seeds: settings.membership.seeds.clone(),
+        routes: routes.map(|route| (route.to, route.via)).collect(),
+        ..PeersSettings::on_loopback(node, locality, incarnation)
     }
 }
 
-async fn bind(address: std::net::SocketAddr, field: &str) -> eyre::Result<TcpListener> {
+fn advertised(setting: Option<SocketAddr>, listener: &TcpListener) -> std::io::Result<SocketAddr> {
+    setting.map_or_else(|| listener.local_addr(), Ok)
+}
+
+async fn bind(address: SocketAddr, field: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address).await.wrap_err_with(|| {
         format!("can't listen on {address}; choose a free address of this machine in `{field}`")
     })
