--- a/crates/dyketally-proxy/tests/examples.rs
+++ b/crates/dyketally-proxy/tests/examples.rs
@@ -45,6 +45,7 @@
             "groups" => add_documents(&mut documents, DocumentKind::Group, &path),
             "templates" => add_documents(&mut documents, DocumentKind::Template, &path),
             "tenants" => add_documents(&mut documents, DocumentKind::Tenant, &path),
+            "lab" => assert_checked_by_the_lab(&path),
             other => panic!("examples/{other} is not checked; add a check of it here"),
         }
     }
@@ -53,6 +54,13 @@
     assert_eq!(policy.tenants.len(), documents.tenants.len());
 }
 
+/// The lab reads its own examples in its tests; a file that they don't know is refused here.
+fn assert_checked_by_the_lab(directory: &Path) {
+    for path in entries(directory) {
+        assert!(path.ends_with("database.toml"), "{path:?} is not checked");
+    }
+}
+
 /// Fields that the example shows commented out exist, and together they are accepted too.
 #[test]
 fn commented_fields_of_the_example_exist() {
