Give each tenant a retry budget of its own

All sessions of an edge shared one budget, so a tenant whose repeatable statements all fail used up the retries of the others. RetryLayer::new takes the same retrier as before and gives each tenant a copy.

--- a/crates/dyketally-proxy/src/edge/retry.rs
+++ b/crates/dyketally-proxy/src/edge/retry.rs
@@ -7,7 +7,7 @@
 
 use dyketally::outcome::UnknownReason;
 use dyketally::policy::Repeat;
-use dyketally::retry::{Attempt, Decision, Retrier};
+use dyketally::retry::{Attempt, Decision, Retrier, TenantRetriers};
 use dyketally::time::Timestamp;
 use dyketally_protocol::Completion;
 use futures::future::BoxFuture;
@@ -17,19 +17,19 @@
 use super::request::{ReplyStart, StatementReply, StatementRequest};
 use crate::clock;
 
-/// Adds retries to a service. All sessions of an edge share one budget.
+/// Adds retries to a service. All sessions of a tenant share one budget.
 #[derive(Clone, Debug)]
 pub struct RetryLayer {
-    retrier: SharedRetrier,
+    retriers: SharedRetriers,
 }
 
-type SharedRetrier = Arc<Mutex<Retrier>>;
+type SharedRetriers = Arc<Mutex<TenantRetriers>>;
 
 impl RetryLayer {
-    /// Retries as `retrier` decides.
+    /// Retries as `retrier` decides, of which each tenant gets a copy of its own.
     pub fn new(retrier: Retrier) -> Self {
         Self {
-            retrier: Arc::new(Mutex::new(retrier)),
+            retriers: Arc::new(Mutex::new(TenantRetriers::new(retrier))),
         }
     }
 }
@@ -39,7 +39,7 @@
 
     fn layer(&self, inner: Inner) -> Retry<Inner> {
         Retry {
-            retrier: self.retrier.clone(),
+            retriers: self.retriers.clone(),
             inner,
         }
     }
@@ -48,7 +48,7 @@
 /// See [`RetryLayer`].
 #[derive(Clone, Debug)]
 pub struct Retry<Inner> {
-    retrier: SharedRetrier,
+    retriers: SharedRetriers,
     inner: Inner,
 }
 
@@ -70,20 +70,20 @@
 
     fn call(&mut self, request: StatementRequest) -> Self::Future {
         let inner = self.inner.clone();
-        let retrier = self.retrier.clone();
-        Box::pin(async move { Ok(retry(retrier, inner, request).await) })
+        let retriers = self.retriers.clone();
+        Box::pin(async move { Ok(retry(retriers, inner, request).await) })
     }
 }
 
 async fn retry<Inner>(
-    retrier: SharedRetrier,
+    retriers: SharedRetriers,
     mut inner: Inner,
     request: StatementRequest,
 ) -> StatementReply
 where
     Inner: Service<StatementRequest, Response = StatementReply, Error = Infallible>,
 {
-    lock(&retrier).fresh();
+    lock(&retriers).tenant(&request.tenant).fresh();
     let mut attempts = 0;
     loop {
         let Ok(service) = inner.ready().await;
@@ -93,7 +93,11 @@
         }
         attempts += 1;
         let attempt = attempt(&request, attempts);
-        let decision = lock(&retrier).decide(clock::now(), &attempt, &mut rand::rng());
+        let decision = lock(&retriers).tenant(&request.tenant).decide(
+            clock::now(),
+            &attempt,
+            &mut rand::rng(),
+        );
         let Decision::RetryAt(at) = decision else {
             return reply;
         };
@@ -137,8 +141,8 @@
     clock::now() + left
 }
 
-fn lock(retrier: &SharedRetrier) -> MutexGuard<'_, Retrier> {
-    retrier
+fn lock(retriers: &SharedRetriers) -> MutexGuard<'_, TenantRetriers> {
+    retriers
         .lock()
         .expect("no code panics while it holds this lock")
 }
--- a/crates/dyketally/src/retry/mod.rs
+++ b/crates/dyketally/src/retry/mod.rs
@@ -5,8 +5,10 @@
 
 mod backoff;
 mod budget;
+mod by_tenant;
 mod retrier;
 
 pub use backoff::Backoff;
 pub use budget::RetryBudget;
+pub use by_tenant::TenantRetriers;
 pub use retrier::{Attempt, Decision, GiveUpReason, Retrier, RetryCounters, RetrySettings};
--- a/crates/dyketally/tests/retry.rs
+++ b/crates/dyketally/tests/retry.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use dyketally::identifiers::TenantName;
 use dyketally::policy::Repeat;
-use dyketally::retry::{Attempt, Backoff, Decision, GiveUpReason, Retrier, RetrySettings};
+use dyketally::retry::{
+    Attempt, Backoff, Decision, GiveUpReason, Retrier, RetrySettings, TenantRetriers,
+};
 use dyketally::time::Timestamp;
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -79,6 +82,23 @@
     assert!(matches!(decision, Decision::RetryAt(_)), "{decision:?}");
 }
 
+#[test]
+fn a_tenant_that_fails_leaves_the_budget_of_others() {
+    let mut retriers = TenantRetriers::new(Retrier::new(settings(10, 2)));
+    let mut random = StdRng::seed_from_u64(SEED);
+    let (failing, other) = (TenantName::from("failing"), TenantName::from("other"));
+    for _ in 0..5 {
+        retriers
+            .tenant(&failing)
+            .decide(NOW, &attempt(), &mut random);
+    }
+    assert_eq!(retriers.counters()[&failing].budget_spent, 3);
+    let decision = retriers.tenant(&other).decide(NOW, &attempt(), &mut random);
+    assert!(matches!(decision, Decision::RetryAt(_)), "{decision:?}");
+    retriers.retain_tenants(|tenant| *tenant == other);
+    assert_eq!(retriers.counters().len(), 1);
+}
+
 proptest! {
     #[test]
     fn retries_stay_a_share_of_fresh_work(
