--- a/crates/dyketally-lab/src/bench/database.rs
+++ b/crates/dyketally-lab/src/bench/database.rs
@@ -30,6 +30,7 @@
         connection_limit: properties.connection_limit,
         slots: properties.slots,
         connect_cost_ms: properties.connect_cost_ms,
+        reply_delay_us: 0,
         service_time_us: properties.service_time_us,
         replication_lag_ms: properties.replication_lag_ms,
         election_timeout_ms: properties.election_timeout_ms,
