--- a/crates/dyketally-lab/tests/home/reads.rs
+++ b/crates/dyketally-lab/tests/home/reads.rs
@@ -138,6 +138,22 @@
     assert_eq!(reason, NotRunReason::Unreachable);
 }
 
+#[tokio::test]
+async fn refuses_a_row_that_is_too_long_to_be_passed_on() {
+    const TOO_LONG: usize = 5 * 1024 * 1024;
+    let fixture = Fixture::start().await;
+    let primary = fixture.primary;
+    let value = "v".repeat(TOO_LONG);
+    let text = format!("INSERT INTO parts (key, value) VALUES ('a', '{value}')");
+    assert!(fixture.run(fixture.write(primary, &text)).await.is_done());
+    let text = "SELECT value FROM parts WHERE key = 'a'";
+    let answer = fixture
+        .run(fixture.read(primary, Freshness::Current, text))
+        .await;
+    assert!(answer.is_done(), "{:?}", answer.completion);
+    assert_eq!(answer.sqlstate().as_deref(), Some("54000"));
+}
+
 #[tokio::test]
 async fn streams_a_reply_that_is_larger_than_the_bound() {
     const ROWS: usize = 3000;
--- a/crates/dyketally-proxy/src/home/output.rs
+++ b/crates/dyketally-proxy/src/home/output.rs
@@ -4,6 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use dyketally_protocol::Completion;
+use pgwire::error::ErrorInfo;
+use pgwire::messages::Message;
+use pgwire::messages::response::ErrorResponse;
 
 use crate::reply::{EdgeGone, ReplySender};
 
@@ -14,6 +17,8 @@
 /// only the end of the reply is held.
 pub const HELD_BYTES: usize = 256 * 1024;
 
+const ERROR_SEVERITY: &str = "ERROR";
+
 /// When reply data is passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -72,6 +77,20 @@
         self.open.extend_from_slice(message);
     }
 
+    /// Adds an error of the home's own.
+    pub fn push_error(&mut self, sqlstate: &str, message: &str) {
+        let error = ErrorInfo::new(
+            ERROR_SEVERITY.to_owned(),
+            sqlstate.to_owned(),
+            message.to_owned(),
+        );
+        let mut encoded = BytesMut::new();
+        match ErrorResponse::from(error).encode(&mut encoded) {
+            Ok(()) => self.push(&encoded),
+            Err(error) => log::error!("an error reply can't be encoded: {error}; report this"),
+        }
+    }
+
     /// True when so much data waits that `relay` should be called before more is read.
     pub fn is_full(&self) -> bool {
         match self.delivery {
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -22,6 +22,9 @@
 /// SQLSTATE of a write that a replica refuses.
 pub(super) const READ_ONLY_TRANSACTION: &str = "25006";
 
+/// SQLSTATE of a reply that is too long to be passed on.
+const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
+
 /// A statement that runs for this long makes the home ask whether its database still leads.
 const SUSPICION: Duration = Duration::from_millis(50);
 
@@ -36,11 +39,16 @@
     Broken,
     DeadlinePassed,
     Replaced,
+    /// A message of the reply is too long to be passed on.
+    TooLong(BackendError),
 }
 
 impl From<BackendError> for Failure {
-    fn from(_: BackendError) -> Self {
-        Self::Broken
+    fn from(error: BackendError) -> Self {
+        match error {
+            BackendError::TooLong(_) => Self::TooLong(error),
+            _ => Self::Broken,
+        }
     }
 }
 
@@ -54,7 +62,7 @@
     /// Why the outcome of what was sent can't be told.
     pub fn reason(&self) -> UnknownReason {
         match self {
-            Self::Broken => UnknownReason::ConnectionLost,
+            Self::Broken | Self::TooLong(_) => UnknownReason::ConnectionLost,
             Self::DeadlinePassed => UnknownReason::DeadlinePassed,
             Self::Replaced => UnknownReason::NotConfirmed,
         }
@@ -324,15 +332,20 @@
 
     /// A read has no effect: while none of its reply was passed on, it counts as not run.
     fn failed(&self, pin: &Pin, failure: &Failure, output: &mut ReplyOutput) -> Completion {
+        let plain_read = self.execute.access == Access::Read
+            && self.execute.transaction.is_none()
+            && !pin.may_have_written;
+        if let (true, Failure::TooLong(error)) = (plain_read, failure) {
+            output.discard();
+            output.push_error(PROGRAM_LIMIT_EXCEEDED, &error.to_string());
+            return done(None, TransactionStatus::Idle);
+        }
         if !matches!(failure, Failure::DeadlinePassed) {
             self.shared.monitor.watch_closely();
         }
         self.shared.monitor.ask_all();
         output.discard();
-        let harmless = self.execute.access == Access::Read
-            && self.execute.transaction.is_none()
-            && !pin.may_have_written
-            && !output.was_passed_on();
+        let harmless = plain_read && !output.was_passed_on();
         match failure {
             Failure::Broken if harmless => not_run(NotRunReason::Unreachable),
             Failure::DeadlinePassed if harmless => not_run(NotRunReason::DeadlinePassed),
