Let requests share the answer to one status question

Above 32 unanswered questions a request was told that its database could not be reached: 300 reads at once behind one write failed the new test that way.

--- a/crates/dyketally-lab/tests/home/reads.rs
+++ b/crates/dyketally-lab/tests/home/reads.rs
@@ -6,7 +6,7 @@
 use dyketally::outcome::NotRunReason;
 use dyketally_protocol::{Completion, ExecuteRequest, Freshness};
 
-use crate::support::{Fixture, insert, select};
+use crate::support::{Fixture, Setup, insert, select};
 
 const REPLICATION_LAG_MS: u64 = 60_000;
 
@@ -171,3 +171,26 @@
     assert!(answer.is_done());
     assert_eq!(answer.values().len(), ROWS);
 }
+
+#[tokio::test]
+async fn many_reads_at_once_wait_for_the_same_status() {
+    const READS: usize = 300;
+    let setup = Setup {
+        queue_limit: READS as u32,
+        ..Setup::default()
+    };
+    let fixture = Fixture::start_with(setup).await;
+    let replica = fixture.replicas()[0];
+    let written = fixture
+        .run(fixture.write(fixture.primary, &insert("a")))
+        .await;
+    let freshness = Freshness::AtLeast(written.seen());
+    let reads = (0..READS).map(|_| fixture.submit(fixture.read(replica, freshness, &select("a"))));
+    let reads: Vec<_> = reads.collect();
+    for read in reads {
+        let answer = read.answer().await;
+        let served = answer.is_done() && answer.values() == ["1"];
+        let behind = matches!(answer.completion, Completion::Redirect { .. });
+        assert!(served || behind, "{answer:?}");
+    }
+}
--- a/crates/dyketally-proxy/src/home/monitor.rs
+++ b/crates/dyketally-proxy/src/home/monitor.rs
@@ -175,11 +175,10 @@
         round: RoundNumber,
         member: &DatabaseName,
         status: MemberStatus,
-        asked_at: Timestamp,
     ) {
         self.change(|state| {
             state.confirmations.answered(round, member, status);
-            state.observe(member, status, asked_at)
+            Vec::new()
         });
     }
 
--- a/crates/dyketally-proxy/src/home/prober.rs
+++ b/crates/dyketally-proxy/src/home/prober.rs
@@ -26,8 +26,9 @@
 const SILENT_AFTER: Duration = Duration::from_millis(60);
 /// A question unanswered for this long ends the connection.
 const LOST_AFTER: Duration = Duration::from_secs(1);
-/// Questions that may wait for an answer on one connection.
-const QUESTIONS_IN_FLIGHT: usize = 32;
+/// Questions that may wait for an answer on one connection. Further askers wait for the next
+/// question and share its answer.
+const QUESTIONS_IN_FLIGHT: usize = 4;
 const RECONNECT: Backoff = Backoff {
     first: Duration::from_millis(10),
     longest: Duration::from_millis(250),
@@ -59,7 +60,7 @@
 
 #[derive(Debug)]
 struct PendingQuestion {
-    asker: Asker,
+    askers: Vec<Asker>,
     asked_at: Timestamp,
     sent: Instant,
     reported_silent: bool,
@@ -72,6 +73,8 @@
     monitor: Arc<GroupMonitor>,
     questions: mpsc::UnboundedReceiver<Asker>,
     pending: VecDeque<PendingQuestion>,
+    /// Askers of the next question.
+    backlog: Vec<Asker>,
 }
 
 /// Why a status connection ended.
@@ -98,6 +101,7 @@
             monitor,
             questions,
             pending: VecDeque::new(),
+            backlog: Vec::new(),
         }
     }
 
@@ -139,16 +143,21 @@
                 biased;
                 frame = stream.read_frame() => {
                     if let Some(reply) = reader.accept(frame?)? {
-                        self.answered(reply);
+                        self.answered(&reply);
                         next_pace = Instant::now() + self.monitor.pace();
+                        self.ask(stream).await?;
                     }
                 }
                 asker = self.questions.recv() => match asker {
-                    Some(asker) => self.ask(stream, asker).await?,
+                    Some(asker) => {
+                        self.backlog.push(asker);
+                        self.ask(stream).await?;
+                    }
                     None => return Err(Ended::Stopped),
                 },
                 () = sleep_until(next_pace), if self.pending.is_empty() => {
-                    self.ask(stream, Asker::Pace).await?;
+                    self.backlog.push(Asker::Pace);
+                    self.ask(stream).await?;
                 }
                 () = sleep_until(silence_due), if !self.pending.is_empty() => {
                     self.note_silence()?;
@@ -160,15 +169,15 @@
         }
     }
 
-    async fn ask(&mut self, stream: &mut BackendStream, asker: Asker) -> Result<(), BackendError> {
-        if self.pending.len() >= QUESTIONS_IN_FLIGHT {
-            self.unanswered(asker);
+    /// Puts one question for all who wait, unless too many are unanswered.
+    async fn ask(&mut self, stream: &mut BackendStream) -> Result<(), BackendError> {
+        if self.backlog.is_empty() || self.pending.len() >= QUESTIONS_IN_FLIGHT {
             return Ok(());
         }
         let asked_at = now();
         frontend::query(&self.target.status_statement, &mut stream.outgoing)?;
         self.pending.push_back(PendingQuestion {
-            asker,
+            askers: std::mem::take(&mut self.backlog),
             asked_at,
             sent: Instant::now(),
             reported_silent: false,
@@ -177,26 +186,29 @@
         Ok(())
     }
 
-    fn answered(&mut self, reply: StatusReply) {
+    fn answered(&mut self, reply: &StatusReply) {
         let Some(question) = self.pending.pop_front() else {
             return;
         };
+        let member = &self.target.member;
         let Some(status) = reply.status() else {
-            self.monitor.malformed(&self.target.member, &reply);
-            self.unanswered(question.asker);
+            self.monitor.malformed(member, reply);
+            question
+                .askers
+                .into_iter()
+                .for_each(|asker| self.unanswered(asker));
             return;
         };
-        let member = &self.target.member;
-        match question.asker {
-            Asker::Round(round) => {
-                self.monitor
-                    .round_answered(round, member, status, question.asked_at);
-            }
-            Asker::Request(answered) => {
-                self.monitor.observe(member, status, question.asked_at);
-                let _ = answered.send(true);
+        self.monitor.observe(member, status, question.asked_at);
+        for asker in question.askers {
+            match asker {
+                Asker::Round(round) => self.monitor.round_answered(round, member, status),
+                Asker::Request(answered) => {
+                    // A request that has gone needs no answer.
+                    let _ = answered.send(true);
+                }
+                Asker::Pace => {}
             }
-            Asker::Pace => self.monitor.observe(member, status, question.asked_at),
         }
     }
 
@@ -204,6 +216,7 @@
         match asker {
             Asker::Round(round) => self.monitor.round_failed(round, &self.target.member),
             Asker::Request(answered) => {
+                // A request that has gone needs no answer.
                 let _ = answered.send(false);
             }
             Asker::Pace => {}
@@ -211,9 +224,9 @@
     }
 
     fn leave_unanswered(&mut self) {
-        while let Some(question) = self.pending.pop_front() {
-            self.unanswered(question.asker);
-        }
+        let pending = self.pending.drain(..).flat_map(|question| question.askers);
+        let askers: Vec<_> = pending.chain(self.backlog.drain(..)).collect();
+        askers.into_iter().for_each(|asker| self.unanswered(asker));
     }
 
     /// When the oldest question has been unanswered for too long.
