--- a/crates/dyketally-lab/src/bench/database.rs
+++ b/crates/dyketally-lab/src/bench/database.rs
@@ -30,7 +30,6 @@
         connection_limit: properties.connection_limit,
         slots: properties.slots,
         connect_cost_ms: properties.connect_cost_ms,
-        reply_delay_us: 0,
         service_time_us: properties.service_time_us,
         reply_delay_us: 0,
         replication_lag_ms: properties.replication_lag_ms,
--- a/crates/dyketally-lab/tests/home/reads.rs
+++ b/crates/dyketally-lab/tests/home/reads.rs
@@ -5,7 +5,9 @@
 use dyketally::group::LogPosition;
 use dyketally::outcome::NotRunReason;
 use dyketally_protocol::{Completion, ExecuteRequest, Freshness};
+use dyketally_proxy::home::{AddressRoutes, Home, HomeOptions};
 
+use crate::relay::{Mode, Relay};
 use crate::support::{Fixture, Setup, insert, select};
 
 const REPLICATION_LAG_MS: u64 = 60_000;
@@ -194,3 +196,25 @@
         assert!(served || behind, "{answer:?}");
     }
 }
+
+#[tokio::test]
+async fn a_read_moves_on_from_a_replica_that_hangs() {
+    let fixture = Fixture::start().await;
+    let replica = fixture.replicas()[0];
+    let address = fixture.databases[replica].address();
+    let relay = Relay::start(address, Mode::Pass).await;
+    let home = Home::start(
+        fixture.name(replica),
+        fixture.policies.subscribe(),
+        AddressRoutes::from_iter([(address, relay.address)]),
+        HomeOptions::default(),
+    );
+    let read = || fixture.read(replica, Freshness::Any, &select("a"));
+    assert!(Fixture::submit_at(&home, read()).answer().await.is_done());
+    relay.set(Mode::Stall);
+    let answer = Fixture::submit_at(&home, read()).answer().await;
+    let Completion::NotRun { reason, .. } = answer.completion else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(reason, NotRunReason::Unreachable);
+}
--- a/crates/dyketally-proxy/src/home/monitor.rs
+++ b/crates/dyketally-proxy/src/home/monitor.rs
@@ -211,6 +211,12 @@
         prober.is_some_and(|prober| prober.silent || prober.lost)
     }
 
+    /// True when the status connection to `member` is lost.
+    pub fn is_lost(&self, member: &DatabaseName) -> bool {
+        let state = self.lock();
+        state.probers.get(member).is_some_and(|prober| prober.lost)
+    }
+
     /// `member` leaves a question unanswered. A replica that does so is no cause for alarm.
     pub(super) fn member_silent(&self, member: &DatabaseName) {
         let primary = {
--- a/crates/dyketally-proxy/src/home/route.rs
+++ b/crates/dyketally-proxy/src/home/route.rs
@@ -113,7 +113,11 @@
     }
 
     async fn ask_own_status(&self) -> Result<(), Stop> {
-        let answered = self.shared.monitor.ask(&self.shared.database);
+        let database = &self.shared.database;
+        if self.shared.monitor.is_lost(database) {
+            return Err(NotRunReason::Unreachable.into());
+        }
+        let answered = self.shared.monitor.ask(database);
         match timeout(self.time_left(), answered).await {
             Ok(true) => Ok(()),
             Ok(false) => Err(NotRunReason::Unreachable.into()),
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -28,6 +28,9 @@
 /// A statement that runs for this long makes the home ask whether its database still leads.
 const SUSPICION: Duration = Duration::from_millis(50);
 
+/// Suspicions after which a read moves on from a database that answers nothing at all.
+const TICKS_FOR_SILENCE: u32 = 5;
+
 /// Time that a database gets to answer what was sent before it was found to be replaced.
 const REPLACED_GRACE: Duration = Duration::from_millis(20);
 
@@ -115,7 +118,7 @@
                 self.conclude(pin, exchanged, verdict, output).await
             }
             Err(failure) => {
-                let completion = self.failed(&pin, &failure, output);
+                let completion = self.failed(&failure, output);
                 self.abandon(pin, slot, failure);
                 completion
             }
@@ -164,6 +167,7 @@
         let mut suspicion = interval_at(tokio::time::Instant::now() + SUSPICION, SUSPICION);
         suspicion.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut replaced = false;
+        let mut ticks = 0;
         let cancel_request = pin.connection.get().cancel_request();
         let reply = pin.connection.get().read_reply(output);
         tokio::pin!(reply);
@@ -183,11 +187,26 @@
                 () = tokio::time::sleep(self.replaced_grace()), if replaced => {
                     return Err(Failure::Replaced);
                 }
-                _ = suspicion.tick(), if leads_in.is_some() => monitor.ask_all(),
+                _ = suspicion.tick() => {
+                    ticks += 1;
+                    if ticks >= TICKS_FOR_SILENCE && self.should_move_on() {
+                        return Err(Failure::Broken);
+                    }
+                    monitor.ask_all();
+                }
             }
         }
     }
 
+    /// A plain read need not wait for a database that answers nothing at all.
+    fn should_move_on(&self) -> bool {
+        self.is_plain_read() && self.shared.monitor.is_silent(&self.shared.database)
+    }
+
+    fn is_plain_read(&self) -> bool {
+        self.execute.access == Access::Read && self.execute.transaction.is_none()
+    }
+
     /// A database that answers at all may yet answer what was sent.
     fn replaced_grace(&self) -> Duration {
         match self.shared.monitor.is_silent(&self.shared.database) {
@@ -331,10 +350,8 @@
     }
 
     /// A read has no effect: while none of its reply was passed on, it counts as not run.
-    fn failed(&self, pin: &Pin, failure: &Failure, output: &mut ReplyOutput) -> Completion {
-        let plain_read = self.execute.access == Access::Read
-            && self.execute.transaction.is_none()
-            && !pin.may_have_written;
+    fn failed(&self, failure: &Failure, output: &mut ReplyOutput) -> Completion {
+        let plain_read = self.is_plain_read();
         if let (true, Failure::TooLong(error)) = (plain_read, failure) {
             output.discard();
             output.push_error(PROGRAM_LIMIT_EXCEEDED, &error.to_string());
