Refuse a batch that isn't whole before any of it is sent

A batch without its end would wait for its reply until the deadline, and a message hidden behind a Bind would be answered on a connection that the next session may use.

--- a/crates/dyketally-proxy/src/home/encode.rs
+++ b/crates/dyketally-proxy/src/home/encode.rs
@@ -12,6 +12,8 @@
 
 const STATEMENT_VARIANT: u8 = b'S';
 const PORTAL_VARIANT: u8 = b'P';
+const BIND_TAG: u8 = b'B';
+const LENGTH_BYTES: usize = 4;
 
 /// A batch that can't be sent.
 #[derive(Debug, thiserror::Error)]
@@ -19,6 +21,12 @@
     /// A text holds a zero byte or is too long for the protocol.
     #[error("a statement can't be encoded ({0}); remove zero bytes from its text")]
     Text(#[from] io::Error),
+    /// The batch doesn't end with its only `Query` or `Sync`.
+    #[error("the batch does not end where its only Query or Sync is; check the edge's version")]
+    NotEnded,
+    /// A step that is sent as it is isn't one whole `Bind` message.
+    #[error("a step is not one whole Bind message; check the edge's version")]
+    MalformedBind,
     /// A step refers to a statement that the batch doesn't list.
     #[error("the batch refers to the statement {0:?}, which it doesn't list; prepare it again")]
     UnlistedStatement(StatementName),
@@ -69,6 +77,7 @@
             batch_start,
             plan: ReplyPlan::default(),
         };
+        check_end(&batch.steps)?;
         for step in &batch.steps {
             encoder.check(step)?;
         }
@@ -77,9 +86,9 @@
 
     fn check(&self, step: &Step) -> Result<(), EncodeError> {
         let statement = match step {
-            Step::Parse(statement)
-            | Step::Bind { statement, .. }
-            | Step::DescribeStatement(statement) => statement,
+            Step::Bind { statement, encoded } if is_one_bind(encoded) => statement,
+            Step::Bind { .. } => return Err(EncodeError::MalformedBind),
+            Step::Parse(statement) | Step::DescribeStatement(statement) => statement,
             _ => return Ok(()),
         };
         self.listed(statement).map(|_| ())
@@ -161,3 +170,22 @@
         Ok(())
     }
 }
+
+fn check_end(steps: &[Step]) -> Result<(), EncodeError> {
+    let ends = |step: &Step| matches!(step, Step::Query(_) | Step::Sync);
+    match steps.split_last() {
+        Some((Step::Query(_), [])) => Ok(()),
+        Some((Step::Sync, others)) if !others.iter().any(ends) => Ok(()),
+        _ => Err(EncodeError::NotEnded),
+    }
+}
+
+fn is_one_bind(encoded: &[u8]) -> bool {
+    let Some((tag, rest)) = encoded.split_first() else {
+        return false;
+    };
+    let Some(length) = rest.first_chunk::<LENGTH_BYTES>() else {
+        return false;
+    };
+    *tag == BIND_TAG && u32::from_be_bytes(*length) as usize == rest.len()
+}
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -166,7 +166,11 @@
         let mut changes = monitor.changes();
         let mut suspicion = interval_at(tokio::time::Instant::now() + SUSPICION, SUSPICION);
         suspicion.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut replaced = false;
+        let is_replaced = || {
+            let highest_term = monitor.view(|view| view.highest_term());
+            leads_in.is_some_and(|term| highest_term > term)
+        };
+        let mut replaced = is_replaced();
         let mut ticks = 0;
         let cancel_request = pin.connection.get().cancel_request();
         let reply = pin.connection.get().read_reply(output);
@@ -180,9 +184,7 @@
                     self.cancel(cancel_request);
                 }
                 _ = changes.changed(), if leads_in.is_some() && !replaced => {
-                    replaced = monitor.view(|view| {
-                        leads_in.is_some_and(|term| view.highest_term() > term)
-                    });
+                    replaced = is_replaced();
                 }
                 () = tokio::time::sleep(self.replaced_grace()), if replaced => {
                     return Err(Failure::Replaced);
--- a/crates/dyketally-proxy/tests/home_plan.rs
+++ b/crates/dyketally-proxy/tests/home_plan.rs
@@ -200,8 +200,32 @@
     assert_eq!(ended, Ok(Disposition::Ended(status)));
 }
 
+fn smuggled() -> Step {
+    let Step::Bind { statement, encoded } = bind("a") else {
+        unreachable!("bind makes a Bind");
+    };
+    let encoded = [&encoded[..], b"Q\0\0\0\x05\0"].concat().into();
+    Step::Bind { statement, encoded }
+}
+
+#[rstest]
+#[case::unlisted(vec![bind("a"), execute(), bind("b"), execute(), Step::Sync])]
+#[case::empty(vec![])]
+#[case::without_an_end(vec![bind("a"), execute()])]
+#[case::two_ends(vec![bind("a"), execute(), Step::Sync, Step::Sync])]
+#[case::query_behind_others(vec![bind("a"), Step::Query("x".into())])]
+#[case::query_before_others(vec![Step::Query("x".into()), Step::Sync])]
+#[case::message_behind_a_bind(vec![smuggled(), execute(), Step::Sync])]
+#[case::zero_byte(vec![Step::Query("a\0b".into())])]
+fn refuses_a_batch_whole(#[case] steps: Vec<Step>) {
+    let mut cache = cache(&["a"]);
+    let mut output = BytesMut::new();
+    let refused = encode_batch(&batch(&["a"], steps), &mut cache, &mut output);
+    assert!(refused.is_err());
+}
+
 #[rstest]
-fn refuses_unlisted_statements_before_anything_is_encoded() {
+fn names_the_unlisted_statement() {
     let mut output = BytesMut::new();
     let steps = vec![bind("a"), execute(), bind("b"), execute(), Step::Sync];
     let refused = encode_batch(&batch(&["a"], steps), &mut cache(&["a"]), &mut output);
