Give up the connections of a home that is not used

A node that was the home of a database kept as many connections as the database has slots, and three status connections, for good; with nodes replaced at any time these add up to the database's limit.

--- a/crates/dyketally-lab/tests/home/pressure.rs
+++ b/crates/dyketally-lab/tests/home/pressure.rs
@@ -5,6 +5,7 @@
 use dyketally::outcome::NotRunReason;
 use dyketally_lab::database::DatabaseSettings;
 use dyketally_protocol::{Completion, Freshness};
+use dyketally_proxy::home::HomeOptions;
 use tokio::time::Instant;
 
 use crate::support::{Fixture, LONG, Setup, eventually, insert, select};
@@ -186,3 +187,26 @@
     let answer = fixture.run(fixture.write(new, &insert("b"))).await;
     assert!(answer.is_done(), "{answer:?}");
 }
+
+#[tokio::test]
+async fn an_unused_home_gives_up_its_connections_until_the_next_request() {
+    let setup = Setup {
+        options: HomeOptions {
+            standby_after: Duration::from_millis(1),
+            ..HomeOptions::default()
+        },
+        ..Setup::default()
+    };
+    let fixture = Fixture::start_with(setup).await;
+    let primary = fixture.primary;
+    for key in ["a", "b"] {
+        let answer = fixture.run(fixture.write(primary, &insert(key))).await;
+        assert!(answer.is_done(), "{answer:?}");
+        eventually("no connection is left", || async {
+            let standby = fixture.homes.iter().all(|home| home.status().standby);
+            let state = fixture.state(primary).await;
+            (standby && state.connections == 0).then_some(())
+        })
+        .await;
+    }
+}
--- a/crates/dyketally-proxy/src/home/handle.rs
+++ b/crates/dyketally-proxy/src/home/handle.rs
@@ -66,6 +66,7 @@
 impl HomeHandle {
     /// Runs a request. Its reply channel gets the answer.
     pub fn submit(&self, request: HomeRequest) {
+        self.shared.note_request();
         let arrival = self.shared.next_arrival();
         let execute = &request.execute;
         let stale = {
@@ -132,5 +133,6 @@
         for _pin in expired {
             shared.counters.transactions_abandoned.increment();
         }
+        shared.rest_if_unused();
     }
 }
--- a/crates/dyketally-proxy/src/home/monitor.rs
+++ b/crates/dyketally-proxy/src/home/monitor.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    /// Replaces the members; probers of members that stay as they are go on.
+    /// Replaces the members; probers of members that stay as they are go on. Without members the
+    /// group isn't watched.
     pub fn set_members(self: &Arc<Self>, targets: Vec<ProbeTarget>) {
         let names: Vec<_> = targets.iter().map(|target| target.member.clone()).collect();
         self.change(|state| {
@@ -308,7 +309,7 @@
     }
 
     fn announce(&self, events: &[GroupEvent]) {
-        if events.is_empty() {
+        if events.is_empty() || !self.is_watching() {
             return;
         }
         for event in events {
@@ -329,6 +330,10 @@
         self.changes.send_modify(|version| *version += 1);
     }
 
+    fn is_watching(&self) -> bool {
+        !self.lock().probers.is_empty()
+    }
+
     fn lock(&self) -> MutexGuard<'_, MonitorState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/dyketally-proxy/src/home/shared.rs
+++ b/crates/dyketally-proxy/src/home/shared.rs
@@ -12,6 +12,7 @@
 use dyketally::identifiers::{DatabaseName, TenantName};
 use dyketally::policy::{DatabasePolicy, GroupPolicy, PolicySet, TenantPolicy};
 use dyketally::pool::PoolStatus;
+use dyketally::time::Timestamp;
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -24,6 +25,7 @@
 use super::monitor::GroupMonitor;
 use super::prober::ProbeTarget;
 use super::sessions::{Arrival, Sessions};
+use crate::clock::now;
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -51,6 +53,9 @@
     pub login: BackendLogin,
     /// How long a transaction may be idle between two batches before it is rolled back.
     pub idle_transaction_limit: Duration,
+    /// A home without requests for this long gives up its connections until the next one, as
+    /// another node may have become the home of its database.
+    pub standby_after: Duration,
 }
 
 impl Default for HomeOptions {
@@ -61,6 +66,7 @@
                 database: "dyketally".to_owned(),
             },
             idle_transaction_limit: Duration::from_secs(30),
+            standby_after: Duration::from_secs(30),
         }
     }
 }
@@ -86,6 +92,8 @@
     pub unconfirmed: usize,
     /// Requests in flight.
     pub in_flight: usize,
+    /// Whether the home has given up its connections until the next request.
+    pub standby: bool,
     /// Whether the home refuses new work, as it or its database is leaving.
     pub leaving: bool,
 }
@@ -103,11 +111,20 @@
     pub draining: AtomicBool,
     pub leaving: AtomicBool,
     policy: ArcSwapOption<HomePolicy>,
+    activity: Mutex<Activity>,
     sessions: Mutex<Sessions>,
     arrivals: AtomicU64,
     routes: AddressRoutes,
 }
 
+/// When the home was last used, and whether it keeps connections. Changed under one lock, so that
+/// no request finds a home that is about to give its connections up.
+#[derive(Debug)]
+struct Activity {
+    last_request: Timestamp,
+    standby: bool,
+}
+
 /// The configuration in force, as it concerns one home.
 #[derive(Clone, Debug)]
 pub(super) struct HomePolicy {
@@ -155,6 +172,10 @@
             draining: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             policy: ArcSwapOption::empty(),
+            activity: Mutex::new(Activity {
+                last_request: now(),
+                standby: false,
+            }),
             sessions: Mutex::new(Sessions::default()),
             arrivals: AtomicU64::new(0),
             routes,
@@ -171,13 +192,50 @@
 
     /// Applies the newest configuration.
     pub fn apply_policies(&self) {
+        let activity = self.activity();
         let policies = Arc::clone(&self.policies.borrow());
         let policy = HomePolicy::of(policies, &self.database).map(Arc::new);
-        let settings = dispatch_settings(policy.as_deref(), &self.routes, &self.options);
+        self.policy.store(policy);
+        if !activity.standby {
+            self.connect();
+        }
+    }
+
+    /// A request arrived: the home keeps connections from now on.
+    pub fn note_request(&self) {
+        let mut activity = self.activity();
+        activity.last_request = now();
+        if std::mem::replace(&mut activity.standby, false) {
+            self.connect();
+        }
+    }
+
+    /// Gives up all connections if the home has been unused for long.
+    pub fn rest_if_unused(&self) {
+        let mut activity = self.activity();
+        let unused_for = now().saturating_since(activity.last_request);
+        let is_empty = self.tasks.is_empty() && self.sessions().pins() == 0;
+        if activity.standby || !is_empty || unused_for < self.options.standby_after {
+            return;
+        }
+        activity.standby = true;
+        let settings = dispatch_settings(None, &self.routes, &self.options);
+        self.dispatcher.configure(settings);
+        self.monitor.set_members(Vec::new());
+    }
+
+    /// Keeps the connections that the configuration grants.
+    fn connect(&self) {
+        let policy = self.policy();
+        let policy = policy.as_deref();
+        let settings = dispatch_settings(policy, &self.routes, &self.options);
         self.dispatcher.configure(settings);
-        let targets = policy.as_deref().map(|policy| self.probe_targets(policy));
+        let targets = policy.map(|policy| self.probe_targets(policy));
         self.monitor.set_members(targets.unwrap_or_default());
-        self.policy.store(policy);
+    }
+
+    fn activity(&self) -> MutexGuard<'_, Activity> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The members of the group and how to ask each for its status.
@@ -238,6 +296,7 @@
             idle_transactions: self.sessions().pins(),
             unconfirmed: self.monitor.unconfirmed(),
             in_flight: self.tasks.len(),
+            standby: self.activity().standby,
             leaving: self.is_draining() || self.is_leaving(),
         }
     }
