Measure failover and replica reads on separate processes

failover lets the primary be killed, frozen and cut off in turn under write load, and splits the gap at the moment when a member first says that it leads; callers that try all databases one after the other run beside it as the baseline. replica-reads compares the share of reads that replicas serve with what was possible by the positions that the members told, at five lags, beside sessions whose reads all go to the primary.

--- a/crates/dyketally-lab/src/experiment/mod.rs
+++ b/crates/dyketally-lab/src/experiment/mod.rs
@@ -1,23 +1,34 @@
 //! Runs an experiment on the users' measures.
 
+mod failover;
 mod plot;
 mod progress;
+mod replica_reads;
 mod result;
+mod settings;
 mod table;
 
 pub use plot::draw;
 pub use progress::{Progress, now_seconds};
 pub use result::{ExperimentResult, Figure, Goal, Line, Plot, Point, quantile};
+pub use settings::{Arguments, Experiment, ExperimentSettings};
 pub use table::figure_table;
 
-/// Arguments of this command.
-#[derive(Clone, Debug, clap::Args)]
-pub struct Arguments {}
-
-/// Runs the command.
+/// Runs one experiment, prints its figures and writes its result and plot.
 ///
 /// # Errors
-/// Always, until the command is built.
-pub async fn run(_arguments: Arguments) -> eyre::Result<()> {
-    eyre::bail!("this command is not built yet; see docs/PROOFS.md for what is left")
+/// When the site can't be started or the experiment could not be run to its end.
+pub async fn run(arguments: Arguments) -> eyre::Result<()> {
+    let settings = ExperimentSettings::read(&arguments)?;
+    let mut result = match arguments.name {
+        Experiment::Failover => failover::run(&settings).await?,
+        Experiment::ReplicaReads => replica_reads::run(&settings).await?,
+    };
+    result.commit = arguments.commit;
+    let path = result.write(&arguments.out)?;
+    let plot = path.with_extension("svg");
+    draw(&result.plot, &plot)?;
+    println!("{}", figure_table(&result.figures));
+    println!("{}: result in {}", result.name, path.display());
+    Ok(())
 }
