Fuzz the configuration with the rest: operators, service, watches, peers

The simulation gains the key-value service (an outage is a cut, freeze or kill of it), two operators that publish at once through `Publisher`, and a `Synchronizer` on each node, fed by watches and by datagrams that may be lost, delayed, doubled and reordered.

The checker learns of changes that an operator was told to be refused: such a change must not be in force. A node may end past the newest revision that was told as accepted, as the operator may have died before it was told; the check asked for equality before, which no test relied on.

Found by it, in the model: a node whose planned stop ended after the healing was judged before it had caught up; the end of a case now waits for it.

The model's files that had grown are split.

--- a/crates/dyketally/src/history/event.rs
+++ b/crates/dyketally/src/history/event.rs
@@ -190,6 +190,11 @@
         /// The content of that revision.
         digest: Digest,
     },
+    /// An operator was told that a change was not accepted and never will be.
+    Refused {
+        /// The content of the revision that it would have made.
+        digest: Digest,
+    },
     /// A node puts a configuration in force.
     InForce {
         /// The node, with its incarnation.
--- a/crates/dyketally/src/history/violation.rs
+++ b/crates/dyketally/src/history/violation.rs
@@ -121,8 +121,14 @@
         /// The revision.
         revision: Revision,
     },
-    /// A node did not end with the newest accepted configuration.
-    #[error("{node} ended with revision {revision:?}, not with {accepted:?}, the newest accepted")]
+    /// A change that was told to be refused is in force.
+    #[error("revision {revision:?} is in force, though its operator was told that it was refused")]
+    RefusedInForce {
+        /// The revision.
+        revision: Revision,
+    },
+    /// A node did not get the newest accepted configuration.
+    #[error("{node} ended with revision {revision:?}, short of {accepted:?}, the newest accepted")]
     ConfigurationMissed {
         /// The node.
         node: NodeName,
--- a/crates/dyketally/tests/fuzz/actions.rs
+++ b/crates/dyketally/tests/fuzz/actions.rs
@@ -5,7 +5,7 @@
 use proptest_state_machine::ReferenceStateMachine;
 
 use crate::callers::CALLERS;
-use crate::environment::{MEMBERS, NODES, PLACES, Place};
+use crate::environment::{MEMBERS, NODES, OPERATORS, PLACES, Place};
 
 #[derive(Clone, Copy, Debug)]
 pub enum LookupTarget {
@@ -57,6 +57,8 @@
     },
     StopNode(Place),
     LeaveDatabase(usize),
+    /// An operator publishes a change of the configuration.
+    Publish(usize),
     /// So many milliseconds.
     Wait(u64),
 }
@@ -120,6 +122,7 @@
         2 => (0..CALLERS).prop_map(Action::Again),
         4 => (0..CALLERS, target()).prop_map(|(caller, target)| Action::Lookup(caller, target)),
         1 => movement().prop_map(Action::Roam),
+        2 => (0..OPERATORS).prop_map(Action::Publish),
         2 => movement().prop_map(Action::RoamAndLookUp),
     ]
 }
--- /dev/null
+++ b/crates/dyketally/tests/fuzz/database_home/confirming.rs
@@ -0,0 +1,124 @@
+//! Status lines and confirmation rounds.
+
+use super::*;
+
+impl DatabaseHome {
+    pub(super) fn take_status_answer(
+        &mut self,
+        environment: &mut Environment,
+        answer: crate::status_lines::StatusAnswer,
+    ) {
+        let now = environment.now(self.place);
+        let member = member_name(answer.member);
+        self.view
+            .observe(now, &member, answer.status, answer.asked_at);
+        if let Some(round) = answer.round {
+            let status = self.judged_status(environment, answer.status);
+            self.confirmations.answered(round, &member, status);
+        }
+        self.run_rounds(environment);
+    }
+
+    pub(super) fn judged_status(
+        &self,
+        environment: &Environment,
+        mut status: MemberStatus,
+    ) -> MemberStatus {
+        if environment.has(Switch::OffsetOnly) {
+            status.log.term = status.term;
+        }
+        status
+    }
+
+    pub(super) fn lose_lines(&mut self, lost: Vec<crate::status_lines::LostLine>) {
+        for line in lost {
+            let member = member_name(line.member);
+            self.view.lost(&member);
+            for round in line.rounds {
+                self.confirmations.failed(round, &member);
+            }
+        }
+    }
+
+    pub(super) fn run_rounds(&mut self, environment: &mut Environment) {
+        let now = environment.now(self.place);
+        while let Some(round) = self.confirmations.start_round(now) {
+            for member in round.members {
+                if !self
+                    .lines
+                    .ask(environment, now, member_of(&member), Some(round.number))
+                {
+                    self.confirmations.failed(round.number, &member);
+                }
+            }
+        }
+        for resolved in self.confirmations.tick(now) {
+            self.resolve(environment, resolved);
+        }
+    }
+
+    pub(super) fn resolve(&mut self, environment: &mut Environment, resolved: Resolved<JobId>) {
+        let id = resolved.item;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let reads = matches!(job.execute.operation, Operation::Lookup { .. });
+        match resolved.verdict {
+            Verdict::Confirmed(seen) => {
+                job.unconfirmed = false;
+                job.seen = Some(seen);
+                self.complete(environment, id);
+            }
+            Verdict::Deposed { higher_term } if reads => {
+                let term = higher_term;
+                self.finish(
+                    environment,
+                    id,
+                    Completion::Redirect {
+                        primary: None,
+                        term,
+                    },
+                );
+            }
+            Verdict::Deposed { .. } | Verdict::NotConfirmed => {
+                self.finish(environment, id, Completion::Unknown);
+            }
+        }
+    }
+
+    pub(super) fn take_status_behind(
+        &mut self,
+        environment: &mut Environment,
+        id: JobId,
+        behind: MemberStatus,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match job.reply {
+            Some(Reply::ReadOnly) => return self.redirect_elsewhere(environment, id),
+            Some(Reply::RolledBack) => return self.finish(environment, id, Completion::RolledBack),
+            _ => {}
+        }
+        let mode = match environment.has(Switch::TermOnly) {
+            true => Confirmation::MajorityTerm,
+            false => Confirmation::MajorityPosition,
+        };
+        let any_term = environment.has(Switch::AnyTermBehind) && behind.role == Role::Primary;
+        let write = FinishedWrite {
+            sent_in: if any_term { behind.term } else { job.sent_in },
+            behind: self.judged_status(environment, behind),
+            mode,
+            deadline: self.jobs[&id].deadline,
+        };
+        self.release(environment, id);
+        if environment.has(Switch::NoConfirmation) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.seen = Some(behind.log);
+            }
+            return self.complete(environment, id);
+        }
+        self.confirmations.write_finished(id, write);
+        self.run_rounds(environment);
+    }
+}
--- /dev/null
+++ b/crates/dyketally/tests/fuzz/database_home/running.rs
@@ -0,0 +1,234 @@
+//! What a job does on its connection.
+
+use super::*;
+
+impl DatabaseHome {
+    /// Begins or goes on with a job that has a connection.
+    pub(super) fn begin(&mut self, environment: &mut Environment, id: JobId) {
+        let now = environment.now(self.place);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.wake_at = None;
+        if matches!(
+            job.execute.operation,
+            Operation::Add { .. } | Operation::Commit
+        ) {
+            job.sent_in = self
+                .view
+                .primary()
+                .map(|(_, term)| term)
+                .unwrap_or_default();
+            return self.send_operation(environment, id);
+        }
+        let access = match job.execute.operation {
+            Operation::Lookup { .. } => Access::Read,
+            _ => Access::Write,
+        };
+        let wire = job.wire.and_then(|wire| self.wires.get(&wire));
+        let request = ServeRequest {
+            database: &self.name,
+            access,
+            freshness: job.execute.freshness,
+            arrived_at: job.arrived_at,
+            connection_opened_at: wire.and_then(|wire| wire.opened_at),
+        };
+        let mut decision = decide(&self.view, request, ServeSettings::default(), now);
+        if environment.has(Switch::ServeUnchecked) && access == Access::Read {
+            decision = ServeDecision::Serve;
+        }
+        match decision {
+            ServeDecision::Serve => {
+                job.sent_in = self
+                    .view
+                    .primary()
+                    .map(|(_, term)| term)
+                    .unwrap_or_default();
+                self.send_operation(environment, id);
+            }
+            ServeDecision::ServeConfirmed { term } => {
+                let deadline = job.deadline;
+                if !self.confirmed_early(environment, term) {
+                    self.jobs.entry(id).and_modify(|job| job.unconfirmed = true);
+                    self.confirmations.read_arrived(id, term, deadline);
+                }
+                self.send_operation(environment, id);
+                self.run_rounds(environment);
+            }
+            ServeDecision::AskStatus => self.ask_status(environment, id, now),
+            ServeDecision::WaitUntil(at) => job.wake_at = Some(at),
+            ServeDecision::Redirect { primary, term } => {
+                let primary = primary.as_ref().map(member_of);
+                self.finish(environment, id, Completion::Redirect { primary, term });
+            }
+        }
+    }
+
+    /// With the switch: whether answers from before the read make a majority.
+    pub(super) fn confirmed_early(&self, environment: &Environment, term: Term) -> bool {
+        let in_term = self.view.members().filter(|member| {
+            let seen = self.view.status(member);
+            seen.is_some_and(|seen| seen.status.term == term)
+        });
+        environment.has(Switch::EarlyRound) && in_term.count() >= self.view.majority()
+    }
+
+    pub(super) fn ask_status(
+        &mut self,
+        environment: &mut Environment,
+        id: JobId,
+        asked_at: Timestamp,
+    ) {
+        let labelled = Labelled {
+            statement: Statement::Status,
+            transaction_name: String::new(),
+            write: None,
+        };
+        self.send(
+            environment,
+            id,
+            labelled,
+            Expected::Status { job: id, asked_at },
+        );
+    }
+
+    pub(super) fn send_operation(&mut self, environment: &mut Environment, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.sent = true;
+        let execute = &job.execute;
+        let (statement, behind) = match execute.operation.clone() {
+            Operation::Lookup { key } => (Statement::Lookup { key }, false),
+            Operation::Write { entries, recorded } => {
+                (Statement::Write { entries, recorded }, true)
+            }
+            Operation::Begin => (Statement::Begin, false),
+            Operation::Add { entry } => (Statement::Add { entry }, false),
+            Operation::Commit => (Statement::Commit, true),
+        };
+        let single = matches!(
+            statement,
+            Statement::Lookup { .. } | Statement::Write { .. }
+        );
+        let transaction_name = match single {
+            true => format!("single-{}", environment.unique()),
+            false => execute.transaction_name.clone(),
+        };
+        let labelled = Labelled {
+            statement,
+            transaction_name,
+            write: execute.write.filter(|_| behind),
+        };
+        self.send(environment, id, labelled, Expected::Result { job: id });
+        if behind {
+            let asked_at = environment.now(self.place);
+            let labelled = Labelled {
+                statement: Statement::Status,
+                transaction_name: String::new(),
+                write: None,
+            };
+            self.send(
+                environment,
+                id,
+                labelled,
+                Expected::Behind { job: id, asked_at },
+            );
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        environment: &mut Environment,
+        id: JobId,
+        labelled: Labelled,
+        expected: Expected,
+    ) {
+        let wire_id = self.jobs.get(&id).and_then(|job| job.wire);
+        let Some(wire_id) = wire_id else {
+            return self.finish(
+                environment,
+                id,
+                Completion::NotRun(NotRunReason::Unreachable),
+            );
+        };
+        if let Some(wire) = self.wires.get_mut(&wire_id) {
+            wire.expected.push(expected);
+            environment.send(wire_id, Side::Client, Payload::Run(Box::new(labelled)));
+        }
+    }
+
+    /// Answers a job whose reply has come and is confirmed, if that was needed.
+    pub(super) fn complete(&mut self, environment: &mut Environment, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.unconfirmed {
+            return;
+        }
+        let (idle, open) = (TransactionStatus::Idle, TransactionStatus::Open);
+        let answer = |answer: LookupAnswer| Some(answer);
+        let seen = job.seen;
+        let done = |transaction, answer| Completion::Done {
+            seen,
+            transaction,
+            answer,
+        };
+        let Some(reply) = job.reply.clone() else {
+            return;
+        };
+        let completion = match reply {
+            Reply::Lookup(found) => done(idle, answer(found)),
+            Reply::Applied => done(idle, None),
+            Reply::Begun => {
+                self.pin(id);
+                done(open, None)
+            }
+            Reply::Added => done(open, None),
+            Reply::ReadOnly => return self.redirect_elsewhere(environment, id),
+            Reply::RolledBack => {
+                if let Some(wire) = job.wire {
+                    self.close_wire(environment, wire);
+                }
+                Completion::RolledBack
+            }
+            // Only possible with a connection that was returned while busy.
+            Reply::Status(_) => Completion::Unknown,
+        };
+        self.finish(environment, id, completion);
+    }
+
+    pub(super) fn pin(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let (session, link) = (job.execute.session, job.link);
+        let wire = job.wire.and_then(|wire| self.wires.get_mut(&wire));
+        if let Some(wire) = wire {
+            wire.pinned = Some(Pin {
+                session,
+                link,
+                transaction: None,
+            });
+            self.pool.pin(wire.pooled);
+        }
+    }
+
+    pub(super) fn redirect_elsewhere(&mut self, environment: &mut Environment, id: JobId) {
+        let primary = self
+            .view
+            .primary()
+            .filter(|(primary, _)| primary != &self.name);
+        let completion = match primary {
+            Some((primary, term)) => Completion::Redirect {
+                primary: Some(member_of(&primary)),
+                term,
+            },
+            None => Completion::Redirect {
+                primary: None,
+                term: self.view.highest_term(),
+            },
+        };
+        self.finish(environment, id, completion);
+    }
+}
--- a/crates/dyketally/tests/fuzz/main.rs
+++ b/crates/dyketally/tests/fuzz/main.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod callers;
+mod configuration;
 mod database;
 mod database_home;
 mod edge;
@@ -144,6 +145,9 @@
 #[case(Switch::EarlierAttemptForgotten, shows!(Violation::NotRunWasApplied { .. }))]
 #[case(Switch::RepliesMatchedByOrder, shows!(Violation::AcknowledgedWriteLost { .. } | Violation::ForeignAnswer { .. }))]
 #[case(Switch::StopWithoutDrain, shows!(Violation::StopCutOff { .. }))]
+#[case(Switch::OldRevisionApplied, shows!(Violation::ConfigurationReverted { .. }))]
+#[case(Switch::CompareIgnored, shows!(Violation::ConfigurationForked { .. }))]
+#[case(Switch::LostReplyTakenAsRefusal, shows!(Violation::RefusedInForce { .. }))]
 #[case(Switch::LeavingIgnored, shows!(Violation::WorkAfterLeaving { .. }))]
 fn a_missing_mechanism_is_noticed(#[case] switch: Switch, #[case] expected: Expected) {
     must_be_noticed::<Plan>(switch, 2, 20..60, expected);
--- a/crates/dyketally/tests/fuzz/messages.rs
+++ b/crates/dyketally/tests/fuzz/messages.rs
@@ -5,6 +5,7 @@
 use dyketally::outcome::NotRunReason;
 use dyketally::session::{Freshness, SessionToken, TransactionStatus};
 
+use crate::configuration::ServiceMessage;
 use crate::database::LogEntry;
 use crate::environment::Place;
 
@@ -111,6 +112,8 @@
     EndSession {
         session: SessionKey,
     },
+    /// To and from the key-value service.
+    Service(Box<ServiceMessage>),
     Closed,
 }
 
--- a/crates/dyketally/tests/fuzz/switches.rs
+++ b/crates/dyketally/tests/fuzz/switches.rs
@@ -33,6 +33,12 @@
     RepliesMatchedByOrder,
     /// A planned stop exits at once.
     StopWithoutDrain,
+    /// A node puts any configuration in force that it is offered.
+    OldRevisionApplied,
+    /// The service takes a change though the revision is not the one it was made on.
+    CompareIgnored,
+    /// An operator takes a lost reply for a refusal.
+    LostReplyTakenAsRefusal,
     /// A home goes on using a database that is leaving.
     LeavingIgnored,
 }
--- a/crates/dyketally/tests/history.rs
+++ b/crates/dyketally/tests/history.rs
@@ -45,8 +45,11 @@
 const IN_FORCE: &str = "{'event':'in-force','node':'n','revision':4,'digest':44}";
 const IN_FORCE_OLDER: &str = "{'event':'in-force','node':'n','revision':3,'digest':33}";
 const IN_FORCE_OTHER: &str = "{'event':'in-force','node':'m','revision':4,'digest':45}";
+const IN_FORCE_NEXT: &str = "{'event':'in-force','node':'n','revision':5,'digest':55}";
+const ENDS_NEXT: &str = "{'event':'final-configuration','node':'n','revision':5}";
 const ENDS_NEWEST: &str = "{'event':'final-configuration','node':'n','revision':4}";
 const ENDS_OLDER: &str = "{'event':'final-configuration','node':'n','revision':3}";
+const REFUSED: &str = "{'event':'refused','digest':44}";
 const CUT_OFF: &str = "{'event':'stopped','node':'n','cut_off':2}";
 const CUT_NONE: &str = "{'event':'stopped','node':'n','cut_off':0}";
 
@@ -66,6 +69,8 @@
 #[case::closed_in_transaction(&[BEGIN, CLOSED, OTHER])]
 #[case::leaving_in_time(&[LEAVING, IN_TIME, LATE])]
 #[case::configuration(&[ACCEPTED, IN_FORCE_OLDER, IN_FORCE, ENDS_NEWEST])]
+#[case::refused(&[REFUSED, IN_FORCE_OLDER])]
+#[case::ends_past_the_newest_known(&[ACCEPTED, IN_FORCE_NEXT, ENDS_NEXT])]
 #[case::clean_stop(&[CUT_NONE])]
 fn good_histories_pass(#[case] history: &[&str]) {
     assert_eq!(violations(history), vec![]);
@@ -104,6 +109,7 @@
 #[case::reverted(&[IN_FORCE, IN_FORCE_OLDER], finds!(Violation::ConfigurationReverted { .. }))]
 #[case::two_accepted(&[ACCEPTED, ACCEPTED_OTHER], finds!(Violation::ConfigurationForked { .. }))]
 #[case::forked(&[ACCEPTED, IN_FORCE, IN_FORCE_OTHER], finds!(Violation::ConfigurationForked { .. }))]
+#[case::refused_in_force(&[REFUSED, IN_FORCE], finds!(Violation::RefusedInForce { .. }))]
 #[case::missed(&[ACCEPTED, ENDS_OLDER], finds!(Violation::ConfigurationMissed { .. }))]
 fn bad_histories_are_found(#[case] history: &[&str], #[case] expected: fn(&Violation) -> bool) {
     let violations = violations(history);
