--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,28 @@
+# What a developer runs. Everything needs cargo and the crates registry, nothing else.
+
+CARGO ?= cargo
 # Seconds that `make fuzz` runs for.
 TIME ?= 60
 
-.PHONY: fuzz
-fuzz: ## Fuzz the library's parts for TIME seconds, from a fresh seed or from DYKETALLY_FUZZ_SEED
-	DYKETALLY_FUZZ_SECONDS=$(TIME) cargo test -p dyketally --test fuzz -- \
+.PHONY: build test demo faults fuzz
+
+# All programs, for development.
+build:
+	$(CARGO) build --workspace --bins
+
+# All tests. Programs first: tests that start processes use them.
+test: build
+	$(CARGO) test --workspace
+
+# The whole path as separate processes, one line a step. Logs go to target/demo.
+demo: build
+	target/debug/dyketally-lab demo
+
+# Faults on real processes, judged by the history checker. Logs go to target/faults.
+faults: build
+	target/debug/dyketally-lab faults
+
+# Fuzzes the library's parts for TIME seconds, from a fresh seed or from DYKETALLY_FUZZ_SEED.
+fuzz:
+	DYKETALLY_FUZZ_SECONDS=$(TIME) $(CARGO) test -p dyketally --test fuzz -- \
 		--ignored --nocapture for_a_chosen_time
