Let news die out, confirm suspicions out of turn and probe twice as often

A simulated fleet of 610 that started at once still spent 4.3 KB/s a node a minute later: the news of 610 starts went round 15 times each. News is now dropped after 10 s; tables that still differ are compared anyway. At rest a node spends 0.6 KB/s (sent and received, IP and UDP headers included).

A death took 7.0 s to be known everywhere. Ruled out: a shorter suspicion alone, which trades the time against false deaths. Instead about six nodes of the region probe a suspected node out of turn, so that independent confirmation comes sooner, and the interval is 250 ms with 256 bytes of news a datagram.

--- a/crates/dyketally/src/membership/apply.rs
+++ b/crates/dyketally/src/membership/apply.rs
@@ -53,7 +53,7 @@
             self.sync.changed(now);
             self.state_version += 1;
             if spread {
-                self.rumors.add(update);
+                self.rumors.add(now, update);
             }
         }
         applied
@@ -72,7 +72,7 @@
         } else {
             Update::Alive(record.clone())
         };
-        self.rumors.add(update);
+        self.rumors.add(now, update);
         self.table.put(record, Status::Alive, now);
         self.state_version += 1;
     }
@@ -207,6 +207,10 @@
         record.incarnation = incarnation;
         self.table.put(record, Status::Suspect, now);
         self.suspicions.open(node, incarnation, by, now);
+        if *by != self.own {
+            let size = self.region_size();
+            self.rings.suspect(node, size, &mut self.rng);
+        }
         self.emit(Event::Suspected(node.clone()));
         Applied::New
     }
--- a/crates/dyketally/src/membership/config.rs
+++ b/crates/dyketally/src/membership/config.rs
@@ -40,14 +40,14 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            probe_interval: Duration::from_millis(500),
-            direct_timeout: Duration::from_millis(200),
-            probe_timeout: Duration::from_millis(700),
+            probe_interval: Duration::from_millis(250),
+            direct_timeout: Duration::from_millis(150),
+            probe_timeout: Duration::from_millis(500),
             helpers: 3,
             shortest_suspicion: Duration::from_millis(1_500),
-            longest_suspicion: Duration::from_secs(5),
+            longest_suspicion: Duration::from_secs(4),
             confirmations: 3,
-            update_bytes: 480,
+            update_bytes: 256,
             sync_pages_per_second: 6,
             region_timeout: Duration::from_secs(8),
             heal_interval: Duration::from_secs(5),
--- a/crates/dyketally/src/membership/engine.rs
+++ b/crates/dyketally/src/membership/engine.rs
@@ -98,7 +98,7 @@
             outputs: Vec::new(),
             config,
         };
-        membership.rumors.add(Update::Alive(own.clone()));
+        membership.rumors.add(now, Update::Alive(own.clone()));
         membership.table.put(own, Status::Alive, now);
         Ok(membership)
     }
@@ -284,11 +284,11 @@
         body: Body,
     ) {
         let near = peer.is_some_and(|peer| self.is_of_own_region(peer));
-        let mut updates = self
-            .rumors
-            .take(self.config.update_bytes, self.table.live(), |update| {
-                near || !matches!(update, Update::Suspected { .. })
-            });
+        let mut updates =
+            self.rumors
+                .take(now, self.config.update_bytes, self.table.live(), |update| {
+                    near || !matches!(update, Update::Suspected { .. })
+                });
         updates.extend(peer.and_then(|peer| self.claim_about(peer)));
         self.send_with(now, to, near, body, updates);
     }
@@ -389,10 +389,13 @@
         let Some(record) = self.own_entry().map(|entry| entry.record.clone()) else {
             return;
         };
-        self.rumors.add(Update::Left {
-            node: record.node.clone(),
-            incarnation: record.incarnation,
-        });
+        self.rumors.add(
+            now,
+            Update::Left {
+                node: record.node.clone(),
+                incarnation: record.incarnation,
+            },
+        );
         self.tell_some(now, TOLD_WHEN_LEAVING);
         self.table.put(record, Status::Left, now);
         self.state_version += 1;
--- a/crates/dyketally/src/membership/receive.rs
+++ b/crates/dyketally/src/membership/receive.rs
@@ -67,15 +67,15 @@
             let node = update.node().clone();
             let applied = self.apply(now, update, spread);
             if is_page && applied == Applied::Outdated {
-                self.correct(&node);
+                self.correct(now, &node);
             }
         }
     }
 
     /// Passes on what is held about a member of whom a peer has an older view.
-    fn correct(&mut self, node: &NodeName) {
+    fn correct(&mut self, now: Timestamp, node: &NodeName) {
         if let Some(entry) = self.table.get(node) {
-            self.rumors.add(update_of(entry));
+            self.rumors.add(now, update_of(entry));
         }
     }
 
@@ -168,15 +168,27 @@
 
     fn finish_page(&mut self, now: Timestamp, from: SocketAddr, sender: &NodeName, more: bool) {
         if !more {
-            self.sync.joined = true;
+            self.note_joined(now);
         } else if !self.sync.joined {
             self.request_sync(now, from, sender);
         }
     }
 
+    /// The table of another node has been received whole. This node tells of itself once more,
+    /// now that it knows how many have to hear it.
+    fn note_joined(&mut self, now: Timestamp) {
+        if self.sync.joined || self.table.live() < 2 {
+            return;
+        }
+        self.sync.joined = true;
+        let own = self.own_entry().map(update_of);
+        own.into_iter()
+            .for_each(|update| self.rumors.add(now, update));
+    }
+
     fn compare_digests(&mut self, now: Timestamp, from: SocketAddr, header: &Header) {
         if header.digest == self.digest() {
-            self.sync.joined |= self.table.live() > 1;
+            self.note_joined(now);
         } else {
             self.request_sync(now, from, &header.sender);
         }
--- a/crates/dyketally/src/membership/rings.rs
+++ b/crates/dyketally/src/membership/rings.rs
@@ -20,6 +20,9 @@
 /// above allow.
 const CROSS_REGION_PROBES: f64 = 2.0;
 
+/// Nodes of the region that probe a suspected member out of turn, on average.
+const CONFIRMING_PROBES: f64 = 6.0;
+
 /// What a ring holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Scope {
@@ -46,6 +49,10 @@
     helpers: Ring,
     dead: Ring,
     any: Ring,
+    /// Suspected members to probe out of turn.
+    suspects: VecDeque<NodeName>,
+    /// The last probe was out of turn; the next one is not.
+    out_of_turn: bool,
     others: BTreeMap<RegionName, Ring>,
     last_region: Option<RegionName>,
 }
@@ -60,6 +67,8 @@
             helpers: Ring::default(),
             dead: Ring::default(),
             any: Ring::default(),
+            suspects: VecDeque::new(),
+            out_of_turn: false,
             others: BTreeMap::new(),
             last_region: None,
         }
@@ -85,6 +94,9 @@
         region_size: usize,
         rng: &mut impl Rng,
     ) -> Option<NodeName> {
+        if let Some(suspect) = self.next_suspect(table) {
+            return Some(suspect);
+        }
         let cross = rng.random_bool(self.cross_region_share(region_size));
         if cross {
             let other = self.next_of_other_region(table, rng);
@@ -94,6 +106,33 @@
         own.or_else(|| self.next_of_other_region(table, rng))
     }
 
+    /// A member of this region was suspected by another node. A few nodes, drawn at random, probe
+    /// it out of turn, so that it is either confirmed dead soon or known to be reachable.
+    pub(super) fn suspect(&mut self, node: &NodeName, region_size: usize, rng: &mut impl Rng) {
+        let share = CONFIRMING_PROBES / region_size.max(1) as f64;
+        if rng.random_bool(share.min(1.0)) {
+            self.suspects.push_back(node.clone());
+        }
+    }
+
+    /// Every other probe may be out of turn, so that a wave of suspicions hides no other death.
+    fn next_suspect(&mut self, table: &Table) -> Option<NodeName> {
+        self.out_of_turn = !self.out_of_turn;
+        if !self.out_of_turn {
+            return None;
+        }
+        let is_open = |node: &NodeName| {
+            let entry = table.get(node);
+            entry.is_some_and(|entry| entry.status == Status::Suspect)
+        };
+        while let Some(node) = self.suspects.pop_front() {
+            if is_open(&node) {
+                return Some(node);
+            }
+        }
+        None
+    }
+
     /// Up to `count` members of this region other than `target`.
     pub(super) fn helpers(
         &mut self,
--- a/crates/dyketally/src/membership/sync.rs
+++ b/crates/dyketally/src/membership/sync.rs
@@ -20,16 +20,22 @@
 /// Least time between two requests of a node that has joined.
 const REQUEST_INTERVAL: Duration = Duration::from_secs(2);
 
+/// For this long after the start a node asks at this interval whether or not updates are on their
+/// way: in a fleet that starts at once, whom it joined through knew little.
+const SETTLING_TIME: Duration = Duration::from_secs(30);
+const SETTLING_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Updates on their way make tables differ for a while: a node asks once nothing has changed for
 /// this long, or when it has not asked for [`LONGEST_WAIT`].
 const QUIET_TIME: Duration = Duration::from_secs(3);
-const LONGEST_WAIT: Duration = Duration::from_secs(15);
+const LONGEST_WAIT: Duration = Duration::from_secs(6);
 
 /// When to ask and how much to answer.
 #[derive(Debug)]
 pub(super) struct SyncPace {
     /// The whole table has been received once.
     pub(super) joined: bool,
+    started: Timestamp,
     last_request: Timestamp,
     last_change: Timestamp,
     allowance: f64,
@@ -40,6 +46,7 @@
     pub(super) fn new(now: Timestamp) -> Self {
         Self {
             joined: false,
+            started: now,
             last_request: now - REQUEST_INTERVAL,
             last_change: now,
             allowance: PAGES_PER_ANSWER as f64,
@@ -60,11 +67,15 @@
     /// True when a request may be sent now; it then counts as sent.
     pub(super) fn take_request(&mut self, now: Timestamp) -> bool {
         let since_request = now.saturating_since(self.last_request);
-        let due = if self.joined {
-            let quiet = now.saturating_since(self.last_change) >= QUIET_TIME;
-            since_request >= REQUEST_INTERVAL && (quiet || since_request >= LONGEST_WAIT)
-        } else {
+        let since_change = now.saturating_since(self.last_change);
+        let is_settling = now.saturating_since(self.started) < SETTLING_TIME;
+        let due = if !self.joined {
             since_request >= JOINING_INTERVAL
+        } else if is_settling {
+            since_request >= SETTLING_INTERVAL
+        } else {
+            let quiet = since_change >= QUIET_TIME || since_request >= LONGEST_WAIT;
+            since_request >= REQUEST_INTERVAL && quiet
         };
         if due {
             self.last_request = now;
--- a/crates/dyketally/tests/simulation/mod.rs
+++ b/crates/dyketally/tests/simulation/mod.rs
@@ -32,9 +32,12 @@
 pub struct Node {
     pub membership: Membership,
     pub locality: Locality,
+    address: SocketAddr,
+    due: Option<Timestamp>,
     pub process: Process,
     pub events: Vec<(Timestamp, Event)>,
     pub bytes_sent: usize,
+    pub bytes_received: usize,
     pub longest_datagram: usize,
     buffer: Vec<(SocketAddr, Vec<u8>)>,
 }
@@ -57,6 +60,8 @@
     in_flight: BTreeMap<(Timestamp, u64), Datagram>,
     sequence: u64,
     by_address: BTreeMap<SocketAddr, NodeName>,
+    /// When each running node is due, in order.
+    due: BTreeSet<(Timestamp, NodeName)>,
     cut: BTreeSet<(NodeName, NodeName)>,
     next_port: u16,
 }
@@ -86,6 +91,7 @@
             in_flight: BTreeMap::new(),
             sequence: 0,
             by_address: BTreeMap::new(),
+            due: BTreeSet::new(),
             cut: BTreeSet::new(),
             next_port: 1,
         }
@@ -129,13 +135,17 @@
         let state = Node {
             membership,
             locality,
+            address,
+            due: None,
             process: Process::Running,
             events: Vec::new(),
             bytes_sent: 0,
+            bytes_received: 0,
             longest_datagram: 0,
             buffer: Vec::new(),
         };
-        self.nodes.insert(node, state);
+        self.nodes.insert(node.clone(), state);
+        self.reschedule(&node);
     }
 
     fn contacts(&self) -> Vec<SocketAddr> {
@@ -155,6 +165,7 @@
         state.process = Process::Killed;
         state.buffer.clear();
         self.by_address.retain(|_, name| name != node);
+        self.reschedule(node);
     }
 
     pub fn freeze(&mut self, node: &NodeName) {
@@ -162,6 +173,7 @@
         if state.process == Process::Running {
             state.process = Process::Frozen;
         }
+        self.reschedule(node);
     }
 
     /// Lets a frozen process go on: it first reads what its socket has kept.
@@ -172,6 +184,7 @@
         }
         state.process = Process::Running;
         let buffer = std::mem::take(&mut state.buffer);
+        self.reschedule(node);
         for (from, bytes) in buffer {
             self.deliver_to(node.clone(), from, &bytes);
         }
@@ -243,16 +256,22 @@
 
     fn next_time(&self) -> Option<Timestamp> {
         let arrival = self.in_flight.keys().next().map(|(at, _)| *at);
-        let running = self
-            .nodes
-            .values()
-            .filter(|node| node.process == Process::Running);
-        let deadline = running
-            .filter_map(|node| node.membership.next_deadline())
-            .min();
+        let deadline = self.due.first().map(|(at, _)| *at);
         arrival.into_iter().chain(deadline).min()
     }
 
+    /// Notes anew when a node is due.
+    fn reschedule(&mut self, node: &NodeName) {
+        let state = self.nodes.get_mut(node).expect("known node");
+        if let Some(due) = state.due.take() {
+            self.due.remove(&(due, node.clone()));
+        }
+        if state.process == Process::Running {
+            state.due = state.membership.next_deadline();
+        }
+        self.due.extend(state.due.map(|due| (due, node.clone())));
+    }
+
     fn deliver_due(&mut self) {
         while let Some(entry) = self.in_flight.first_entry() {
             if entry.key().0 > self.now {
@@ -269,6 +288,7 @@
         let state = self.nodes.get_mut(&node).expect("known node");
         match state.process {
             Process::Running => {
+                state.bytes_received += bytes.len();
                 let outputs = state.membership.handle_datagram(self.now, from, bytes);
                 self.take(node, outputs.unwrap_or_default());
             }
@@ -280,17 +300,10 @@
     }
 
     fn tick_due(&mut self) {
-        let is_due = |node: &Node| {
-            let deadline = node.membership.next_deadline();
-            node.process == Process::Running && deadline.is_some_and(|at| at <= self.now)
-        };
-        let due: Vec<_> = self
-            .nodes
-            .iter()
-            .filter(|(_, node)| is_due(node))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for node in due {
+        while let Some((due, node)) = self.due.first().cloned() {
+            if due > self.now {
+                return;
+            }
             let now = self.now;
             let outputs = self.membership(&node).tick(now);
             self.take(node, outputs);
@@ -310,18 +323,14 @@
                 }
             }
         }
+        self.reschedule(&node);
     }
 
     fn send(&mut self, from: &NodeName, to: SocketAddr, bytes: Vec<u8>) {
         let state = self.nodes.get_mut(from).expect("known node");
         state.bytes_sent += bytes.len();
         state.longest_datagram = state.longest_datagram.max(bytes.len());
-        let source = state
-            .membership
-            .members()
-            .into_iter()
-            .find(|member| member.node == *from);
-        let source = source.expect("own entry").addresses.membership;
+        let source = state.address;
         let Some(target) = self.by_address.get(&to).cloned() else {
             return;
         };
