Hold the stand-in's gateway to what the real service answers

Cause: client and stand-in share their message types, so agreement between them proves little.

Three answers of the stand-in differed and are mended, with a case each or a stricter one: it let a transaction write one key twice, read at a revision not reached yet, and refused a watch of a compacted revision before it confirmed it. The configuration's own transactions were right already, as they leave the earlier edit of a document out.

The client needed no change. Not tried: a cluster of several members, authentication, and the real service under overload or while it elects a leader.

--- a/crates/dyketally-proxy/src/platform/memory/store.rs
+++ b/crates/dyketally-proxy/src/platform/memory/store.rs
@@ -255,6 +255,9 @@
     }
     completed.result.map_err(|error| match error {
         StateError::Compacted => StoreError::Compacted,
+        StateError::FutureRevision | StateError::DuplicateKey => StoreError::Rejected {
+            reason: error.to_string(),
+        },
         StateError::LeaseLapsed(lease) => StoreError::LeaseLapsed { lease },
     })
 }
@@ -344,13 +347,17 @@
     }
 
     fn poll(&mut self) -> Result<Option<WatchBatch>, StoreError> {
-        let changes = self.store.lock().state.changes_since(&self.request);
-        let mut batch = changes.map_err(|_| StoreError::Compacted)?;
+        let store = self.store.lock();
         if !self.established {
             self.established = true;
-            batch.events.clear();
-            return Ok(Some(batch));
+            // The real service confirms a watch before it finds its revision compacted.
+            return Ok(Some(WatchBatch {
+                store_revision: store.state.newest(),
+                events: Vec::new(),
+            }));
         }
+        let changes = store.state.changes_since(&self.request);
+        let batch = changes.map_err(|_| StoreError::Compacted)?;
         if batch.events.is_empty() {
             return Ok(None);
         }
