--- a/crates/dyketally-lab/src/bench/mod.rs
+++ b/crates/dyketally-lab/src/bench/mod.rs
@@ -35,7 +35,7 @@
 pub use reply::Reply;
 pub use site::{Configuration, DATABASE, DatabaseProperties, Site, Tenant};
 pub use steps::Steps;
-pub use topology::{START_LIMIT, Topology};
+pub use topology::{Row, START_LIMIT, Topology};
 pub use workload::{
     InitialRows, Mix, STOCK_ROWS, STOCK_VALUE, Workload, WorkloadCaller, history_key,
 };
--- a/crates/dyketally-lab/src/bench/operator.rs
+++ b/crates/dyketally-lab/src/bench/operator.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 use std::process::{Output, Stdio};
 
+use dyketally::policy::Revision;
 use eyre::{WrapErr, ensure};
+use serde::Deserialize;
 use tokio::process::Command;
 
 use super::documents::{TEMPLATE_NAME, group_document, template_document, tenant_document};
@@ -48,6 +50,21 @@
         );
         Ok(self.output)
     }
+
+    /// The revision that a publication made.
+    ///
+    /// # Errors
+    /// When the command failed or told no revision.
+    pub fn revision(self) -> eyre::Result<Revision> {
+        let output = self.succeeded()?;
+        let published: Published = serde_json::from_str(&output)?;
+        Ok(published.revision)
+    }
+}
+
+#[derive(Deserialize)]
+struct Published {
+    revision: Revision,
 }
 
 impl Operator {
@@ -74,7 +91,7 @@
             stdout,
             stderr,
         } = Command::new(&self.binary)
-            .arg("--key-value")
+            .args(["--output", "json", "--key-value"])
             .arg(&self.key_value)
             .args(arguments)
             .stdin(Stdio::null())
@@ -111,11 +128,11 @@
         self.run(&arguments).await
     }
 
-    /// Publishes all documents of a site.
+    /// Publishes all documents of a site; gives the revision that holds them all.
     ///
     /// # Errors
     /// When one is refused.
-    pub async fn publish_site(&self, topology: &Topology) -> eyre::Result<()> {
+    pub async fn publish_site(&self, topology: &Topology) -> eyre::Result<Revision> {
         let Topology { site, plan, .. } = topology;
         for group in &site.groups {
             let document = group_document(site, plan, group);
@@ -125,11 +142,12 @@
         let template = template_document();
         let published = self.publish(["template", "publish"], TEMPLATE_NAME, &template, None);
         published.await?.succeeded()?;
+        let mut revision = Revision::default();
         for tenant in &site.tenants {
             let document = tenant_document(tenant);
             let published = self.publish(["tenant", "set"], &tenant.name, &document, None);
-            published.await?.succeeded()?;
+            revision = published.await?.revision()?;
         }
-        Ok(())
+        Ok(revision)
     }
 }
--- a/crates/dyketally-lab/src/bench/recorder.rs
+++ b/crates/dyketally-lab/src/bench/recorder.rs
@@ -25,10 +25,14 @@
 pub enum SampleOutcome {
     /// It was answered.
     Done,
-    /// It was not run, or rolled back.
+    /// It was not run.
     NotRun,
     /// It may have been run.
     Unknown,
+    /// The transaction was rolled back.
+    RolledBack,
+    /// It was refused with an error.
+    Refused,
 }
 
 /// One request as it was measured.
@@ -100,10 +104,11 @@
         let (outcome, sampled) = match reply {
             Reply::Done(_) => (WriteOutcome::Acknowledged, SampleOutcome::Done),
             Reply::Unknown => (WriteOutcome::Unknown, SampleOutcome::Unknown),
-            Reply::NotRun { .. }
-            | Reply::NotConnected { .. }
-            | Reply::RolledBack
-            | Reply::Refused { .. } => (WriteOutcome::NotRun, SampleOutcome::NotRun),
+            Reply::NotRun { .. } | Reply::NotConnected { .. } => {
+                (WriteOutcome::NotRun, SampleOutcome::NotRun)
+            }
+            Reply::RolledBack => (WriteOutcome::NotRun, SampleOutcome::RolledBack),
+            Reply::Refused { .. } => (WriteOutcome::NotRun, SampleOutcome::Refused),
         };
         let event = Event::WriteEnded(WriteEnded {
             request: open.number,
--- a/crates/dyketally-lab/src/bench/topology.rs
+++ b/crates/dyketally-lab/src/bench/topology.rs
@@ -8,7 +8,9 @@
 
 use crate::{network, platform};
 
+use super::admin::AdminClient;
 use super::caller::CallerSettings;
+use super::client::SessionClient;
 use super::database::start_database;
 use super::group::Group;
 use super::plan::{CALLERS, DatabasePlan, Plan, ProxyPlan, Routes};
@@ -20,6 +22,15 @@
 /// Time that a process has to become ready.
 pub const START_LIMIT: Duration = Duration::from_secs(15);
 
+/// A row to insert.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row<'a> {
+    /// Its key.
+    pub key: &'a str,
+    /// Its value.
+    pub value: &'a str,
+}
+
 /// A running site.
 #[derive(Debug)]
 pub struct Topology {
@@ -106,7 +117,19 @@
     pub async fn restart_proxy(&mut self, number: usize) -> eyre::Result<()> {
         let proxy = &self.plan.proxies[number];
         self.proxies[number] = self.launch_proxy(proxy)?;
+        self.proxy_ready(number).await
+    }
+
+    /// Waits until the proxy with this number takes callers.
+    ///
+    /// # Errors
+    /// When it does not in time.
+    pub async fn proxy_ready(&self, number: usize) -> eyre::Result<()> {
+        let proxy = &self.plan.proxies[number];
         accepts_connections(&proxy.name, proxy.listen, START_LIMIT).await?;
+        let admin = AdminClient::new(&self.plan)?;
+        let ready = || async { admin.is_ready(number).await.then_some(()) };
+        poll_until(&proxy.name, START_LIMIT, ready).await?;
         Ok(())
     }
 
@@ -161,6 +184,26 @@
         &self.platform
     }
 
+    /// Inserts rows straight into a group's primary.
+    ///
+    /// # Errors
+    /// When there is no primary or it refuses a row.
+    pub async fn insert(&self, group: &str, table: &str, rows: &[Row<'_>]) -> eyre::Result<()> {
+        let primary = self.group(group).primary().await?;
+        let number = self.database_number(&primary.name)?;
+        let address = self.plan.databases[number].listen;
+        let session = SessionClient::connect(address, "lab", DATABASE, None).await?;
+        let statement = format!("INSERT INTO {table} (key, value) VALUES ($1, $2)");
+        let statement = session.driver().prepare(&statement).await?;
+        let client = session.driver();
+        let inserts = rows.iter().map(|row| async {
+            let Row { key, value } = row;
+            client.execute(&statement, &[key, value]).await
+        });
+        futures::future::try_join_all(inserts).await?;
+        Ok(())
+    }
+
     /// How callers of a tenant reach the proxies.
     pub fn callers(&self, tenant: &str, patience: Duration) -> CallerSettings {
         let via = |proxy: &ProxyPlan| self.routes.via(CALLERS, proxy.listen);
--- a/crates/dyketally-lab/src/bench/workload.rs
+++ b/crates/dyketally-lab/src/bench/workload.rs
@@ -209,8 +209,10 @@
 
     async fn transaction(&mut self, key: &str) -> Reply<()> {
         let begun = self.caller.run("BEGIN").await;
-        if !matches!(begun, Reply::Done(())) {
-            return self.abandon().await;
+        match begun {
+            Reply::Done(()) => {}
+            Reply::NotRun { .. } | Reply::NotConnected { .. } => return begun,
+            _ => return self.abandon().await,
         }
         for table in ["orders", "payments"] {
             let statement = format!("INSERT INTO {table} (key, value) VALUES ($1, $2)");
--- a/crates/dyketally-lab/src/database/control.rs
+++ b/crates/dyketally-lab/src/database/control.rs
@@ -78,6 +78,8 @@
     pub busy_slots: u64,
     /// The most slots that were taken at one time.
     pub most_busy_slots: u64,
+    /// Statements that have started so far; the status statement does not count.
+    pub started_statements: u64,
     /// Replication lag, in milliseconds.
     pub replication_lag_ms: u64,
     /// Service time, in microseconds.
@@ -155,6 +157,7 @@
         refused_connections: database.connections.refused(),
         busy_slots: database.slots.busy(),
         most_busy_slots: database.slots.most_busy(),
+        started_statements: database.slots.started(),
         replication_lag_ms: u64::try_from(milliseconds).unwrap_or(u64::MAX),
         service_time_us: u64::try_from(microseconds).unwrap_or(u64::MAX),
     })
--- a/crates/dyketally-lab/src/database/slots.rs
+++ b/crates/dyketally-lab/src/database/slots.rs
@@ -19,6 +19,7 @@
     count: u32,
     service_time_us: AtomicU64,
     most_busy: AtomicU64,
+    started: AtomicU64,
     /// What each idle slot has slept too long; the timer's resolution is a millisecond.
     credits: Mutex<Vec<Duration>>,
 }
@@ -39,6 +40,7 @@
             count,
             service_time_us: AtomicU64::new(0),
             most_busy: AtomicU64::new(0),
+            started: AtomicU64::new(0),
             credits: Mutex::new(Vec::new()),
         };
         slots.set_service_time(service_time);
@@ -66,11 +68,17 @@
         self.most_busy.load(Ordering::Relaxed)
     }
 
+    /// Statements that have got a slot so far.
+    pub fn started(&self) -> u64 {
+        self.started.load(Ordering::Relaxed)
+    }
+
     /// Waits for a slot.
     pub async fn take(&self) -> Slot<'_> {
         let permit = self.permits.acquire().await;
         // The semaphore is never closed.
         let permit = permit.expect("the semaphore of the slots is open");
+        self.started.fetch_add(1, Ordering::Relaxed);
         self.most_busy.fetch_max(self.busy(), Ordering::Relaxed);
         Slot {
             slots: self,
