Drop a broken driver connection so that its caller is told at once

Callers of the lab held on to the driver's side of a connection that had ended, so requests waiting on it were not told and sat out the caller's patience: edge-killed showed a write gap of 1747 ms from four callers that waited 5 s each. The longest write gap is now measured until the callers are stopped, and samples of each case are kept beside its history.

--- a/crates/dyketally-lab/src/bench/client.rs
+++ b/crates/dyketally-lab/src/bench/client.rs
@@ -43,10 +43,28 @@
 /// One connection of a caller, to a proxy or straight to a database.
 pub struct SessionClient {
     client: Client,
-    connection: Arc<Mutex<DriverConnection>>,
+    connection: Arc<Mutex<ConnectionState>>,
     driver: JoinHandle<()>,
 }
 
+/// The driver's side of a connection.
+enum ConnectionState {
+    Open(Box<DriverConnection>),
+    /// The connection is over. It was dropped, so that requests that wait are told.
+    Ended {
+        token: Option<String>,
+    },
+}
+
+impl ConnectionState {
+    fn token(&self) -> Option<String> {
+        match self {
+            Self::Open(connection) => connection.parameter(SESSION_PARAMETER).map(str::to_owned),
+            Self::Ended { token } => token.clone(),
+        }
+    }
+}
+
 impl SessionClient {
     /// Opens a session, with the token of an earlier one if it continues that.
     ///
@@ -78,6 +96,7 @@
         let mut config = Config::new();
         config.user(tenant).dbname(database);
         let (client, connection) = config.connect_raw(stream, NoTls).await?;
+        let connection = ConnectionState::Open(Box::new(connection));
         let connection = Arc::new(Mutex::new(connection));
         let driver = tokio::spawn(drive(Arc::clone(&connection)));
         Ok(Self {
@@ -94,8 +113,7 @@
 
     /// The session token of the latest reply.
     pub fn token(&self) -> Option<String> {
-        let connection = lock(&self.connection);
-        connection.parameter(SESSION_PARAMETER).map(str::to_owned)
+        lock(&self.connection).token()
     }
 
     /// True when the connection is over.
@@ -153,19 +171,25 @@
 
 /// Passes messages until the connection ends. The lock is held only while messages are taken in,
 /// so a reply that the client has is never newer than the parameters that can be read.
-async fn drive(connection: Arc<Mutex<DriverConnection>>) {
+async fn drive(connection: Arc<Mutex<ConnectionState>>) {
     poll_fn(|context| {
         loop {
-            let message = ready!(lock(&connection).poll_message(context));
-            match message {
+            let mut state = lock(&connection);
+            let ConnectionState::Open(open) = &mut *state else {
+                return Poll::Ready(());
+            };
+            match ready!(open.poll_message(context)) {
                 Some(Ok(_)) => {}
-                Some(Err(_)) | None => return Poll::Ready(()),
+                Some(Err(_)) | None => {
+                    let token = state.token();
+                    *state = ConnectionState::Ended { token };
+                }
             }
         }
     })
     .await;
 }
 
-fn lock(connection: &Mutex<DriverConnection>) -> MutexGuard<'_, DriverConnection> {
+fn lock(connection: &Mutex<ConnectionState>) -> MutexGuard<'_, ConnectionState> {
     connection.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/dyketally-lab/src/faults/history_file.rs
+++ b/crates/dyketally-lab/src/faults/history_file.rs
@@ -5,6 +5,8 @@
 use dyketally::history::{CheckSettings, Event, Violation, check, read_lines, write_line};
 use eyre::WrapErr;
 
+use crate::bench::Sample;
+
 /// Writes a history.
 ///
 /// # Errors
@@ -18,6 +20,20 @@
     std::fs::write(path, text).wrap_err_with(|| format!("{} can't be written", path.display()))
 }
 
+/// Writes measured requests, one a line: kind, outcome, begin and end in milliseconds.
+///
+/// # Errors
+/// When the file can't be written.
+pub fn write_samples(path: &Path, samples: &[Sample]) -> eyre::Result<()> {
+    let mut text = String::from("kind,outcome,began_ms,ended_ms\n");
+    for sample in samples {
+        let Sample { kind, outcome, .. } = sample;
+        let (began, ended) = (sample.began.as_millis(), sample.ended.as_millis());
+        text.push_str(&format!("{kind:?},{outcome:?},{began},{ended}\n"));
+    }
+    std::fs::write(path, text).wrap_err_with(|| format!("{} can't be written", path.display()))
+}
+
 /// Reads a history.
 ///
 /// # Errors
--- a/crates/dyketally-lab/src/faults/inject.rs
+++ b/crates/dyketally-lab/src/faults/inject.rs
@@ -1,6 +1,6 @@
 //! Carries out the scripts of fault cases.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use dyketally::history::Event;
 use dyketally::identifiers::DatabaseName;
@@ -37,7 +37,6 @@
     gone: Vec<Victim>,
     frozen: Vec<Victim>,
     publication: Option<JoinHandle<eyre::Result<CommandResult>>>,
-    started: Instant,
 }
 
 impl Injector {
@@ -56,7 +55,6 @@
             gone: Vec::new(),
             frozen: Vec::new(),
             publication: None,
-            started: Instant::now(),
         }
     }
 
@@ -311,7 +309,7 @@
     }
 
     fn note(&mut self, what: String) {
-        let seconds = self.started.elapsed().as_secs_f64();
+        let seconds = self.stage.recorder.now().as_secs_f64();
         self.struck.push(format!("{seconds:.1} s {what}"));
     }
 }
--- a/crates/dyketally-lab/src/faults/mod.rs
+++ b/crates/dyketally-lab/src/faults/mod.rs
@@ -22,9 +22,10 @@
 use crate::bench::Steps;
 
 pub use case::{Action, Direction, FaultCase, Target, User};
-pub use history_file::{judge_file, read_history, write_history};
+pub use history_file::{judge_file, read_history, write_history, write_samples};
 pub use outcomes::Outcomes;
 pub use run::{CaseReport, CaseSettings, run_case};
+pub use settle::log_events;
 pub use table::CASES;
 
 /// Arguments of this command.
--- a/crates/dyketally-lab/src/faults/outcomes.rs
+++ b/crates/dyketally-lab/src/faults/outcomes.rs
@@ -22,28 +22,37 @@
     pub writes_done: usize,
     /// The longest time without an acknowledged write.
     pub longest_write_gap: Duration,
+    /// When it began, since the start of the history.
+    pub gap_began: Duration,
 }
 
 impl Outcomes {
-    /// Counts samples, which are in the order in which they ended.
-    pub fn of_samples(samples: &[Sample]) -> Self {
+    /// Counts samples, which are in the order in which they ended. The callers were stopped at
+    /// `stopped`; what ends later is counted, but makes no gap.
+    pub fn of_samples(samples: &[Sample], stopped: Duration) -> Self {
         let mut outcomes = Self::default();
-        let mut last_write = Duration::ZERO;
+        let mut last_write = samples.iter().map(|sample| sample.began).min();
         for sample in samples {
             outcomes.count(sample.outcome);
             if is_acknowledged_write(sample) {
                 outcomes.writes_done += 1;
-                let gap = sample.ended.saturating_sub(last_write);
-                outcomes.longest_write_gap = outcomes.longest_write_gap.max(gap);
-                last_write = sample.ended;
+                outcomes.note_gap(last_write, sample.ended.min(stopped));
+                last_write = Some(sample.ended);
             }
         }
-        let end = samples.last().map(|sample| sample.ended);
-        let gap = end.unwrap_or_default().saturating_sub(last_write);
-        outcomes.longest_write_gap = outcomes.longest_write_gap.max(gap);
+        outcomes.note_gap(last_write, stopped);
         outcomes
     }
 
+    fn note_gap(&mut self, began: Option<Duration>, ended: Duration) {
+        let began = began.unwrap_or_default();
+        let gap = ended.saturating_sub(began);
+        if gap > self.longest_write_gap {
+            self.longest_write_gap = gap;
+            self.gap_began = began;
+        }
+    }
+
     fn count(&mut self, outcome: SampleOutcome) {
         let counter = match outcome {
             SampleOutcome::Done => &mut self.done,
@@ -70,12 +79,14 @@
             errors,
             writes_done,
             longest_write_gap,
+            gap_began,
         } = self;
+        let gap_began = gap_began.as_secs_f64();
         let gap = longest_write_gap.as_millis();
         write!(
             formatter,
             "{done} done ({writes_done} writes), {not_run} not run, {unknown} unknown, \
-             {rolled_back} rolled back, {errors} errors, longest write gap {gap} ms"
+             {rolled_back} rolled back, {errors} errors, longest write gap {gap} ms from {gap_began:.1} s"
         )
     }
 }
--- a/crates/dyketally-lab/src/faults/run.rs
+++ b/crates/dyketally-lab/src/faults/run.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::case::FaultCase;
-use super::history_file::write_history;
+use super::history_file::{write_history, write_samples};
 use super::inject::Injector;
 use super::outcomes::Outcomes;
 use super::settle::record_final_state;
@@ -21,6 +21,9 @@
 /// The file of a case's history.
 const HISTORY_FILE: &str = "history.jsonl";
 
+/// The file of a case's measured requests.
+const SAMPLES_FILE: &str = "samples.csv";
+
 /// Violations that a line shows; the others are in the history.
 const VIOLATIONS_SHOWN: usize = 5;
 
@@ -99,15 +102,17 @@
     sleep(settings.load).await;
     let injected = injector.run(case.script).await;
     sleep(settings.load).await;
+    let stopped = injector.stage.recorder.now();
     callers.stop().await?;
     let samples = injector.stage.recorder.samples();
     let settled = settle(&mut injector).await;
     let events = injector.stage.recorder.events();
     let history = directory.join(HISTORY_FILE);
     write_history(&history, &events)?;
+    write_samples(&directory.join(SAMPLES_FILE), &samples)?;
     injected?;
     settled?;
-    let outcomes = Outcomes::of_samples(&samples);
+    let outcomes = Outcomes::of_samples(&samples, stopped);
     if case.must_not_cut {
         let cut = outcomes.unknown + outcomes.rolled_back;
         ensure!(
--- a/crates/dyketally-lab/src/faults/settle.rs
+++ b/crates/dyketally-lab/src/faults/settle.rs
@@ -96,7 +96,7 @@
 }
 
 /// What the final log shows: which requests were committed, together or not, and the entries.
-pub(super) fn log_events(history: &[Event], log: &[LogRecord]) -> Vec<Event> {
+pub fn log_events(history: &[Event], log: &[LogRecord]) -> Vec<Event> {
     let requests = requests_by_key(history);
     let mut events = Vec::new();
     let mut entries: BTreeMap<Key, FinalEntry> = BTreeMap::new();
--- a/crates/dyketally-lab/src/faults/stage.rs
+++ b/crates/dyketally-lab/src/faults/stage.rs
@@ -71,13 +71,14 @@
         topology.start_proxies().await?;
         let revision = publish(&topology).await?;
         let admin = AdminClient::new(&topology.plan)?;
-        let stage = Self {
+        let mut stage = Self {
             topology,
             group,
             admin,
-            recorder: Arc::new(Recorder::default()),
+            recorder: Arc::default(),
         };
         stage.ready().await?;
+        stage.recorder = Arc::new(Recorder::default());
         stage.record_initial_rows(&rows);
         if let Some(revision) = revision {
             stage.record_accepted(revision);
--- a/crates/dyketally-lab/src/faults/table.rs
+++ b/crates/dyketally-lab/src/faults/table.rs
@@ -63,7 +63,7 @@
             SLOW,
             Wait(milliseconds(500)),
             Kill(Home),
-            Wait(seconds(1)),
+            Wait(seconds(4)),
             Restart,
         ],
         ..LAKESHORE
--- a/crates/dyketally-lab/src/faults/victim.rs
+++ b/crates/dyketally-lab/src/faults/victim.rs
@@ -61,12 +61,18 @@
         .ok_or_eyre("the group has no replica")
 }
 
+/// The proxy that is home to the primary. A proxy that was home once goes on telling so; homes are
+/// placed in the zone of their database first.
 async fn home(topology: &Topology, group: &Group) -> eyre::Result<usize> {
     let primary = group.primary().await?;
     let admin = AdminClient::new(&topology.plan)?;
+    let zone = &topology.plan.databases[topology.database_number(&primary.name)?].zone;
     let what = format!("home of {}", primary.name);
     let home = poll_until(&what, HOME_LIMIT, || async {
-        admin.homes_of(&primary.name).await.first().copied()
+        let homes = admin.homes_of(&primary.name).await;
+        let mut in_zone = homes.iter();
+        let in_zone = in_zone.find(|&&proxy| topology.plan.proxies[proxy].zone == *zone);
+        in_zone.or(homes.first()).copied()
     });
     Ok(home.await?)
 }
