--- a/crates/dyketally-proxy/src/home/mod.rs
+++ b/crates/dyketally-proxy/src/home/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod backend;
 pub mod command;
+mod conclude;
 pub mod connection;
 pub mod counters;
 pub mod dispatch;
--- a/crates/dyketally-proxy/src/home/recorded.rs
+++ b/crates/dyketally-proxy/src/home/recorded.rs
@@ -1,16 +1,18 @@
 //! Runs a recorded batch: in a transaction with an entry of the ledger.
 
-use dyketally::group::{FinishedWrite, MemberStatus, Verdict};
+use dyketally::group::{FinishedWrite, MemberStatus, Term, Verdict};
 use dyketally::outcome::{NotRunReason, UnknownReason};
 use dyketally::policy::{Access, Repeat};
 use dyketally_protocol::{Completion, TransactionStatus};
 use tokio::time::timeout;
 
 use super::command::CommandReply;
+use super::conclude::{done, unknown};
 use super::grant::Slot;
 use super::ledger::{LONGEST_RECORDED_REPLY, Ledger, RequestKey};
 use super::output::{Delivery, ReplyOutput};
-use super::run::{Failure, READ_ONLY_TRANSACTION, done, unknown};
+use super::resolve::Resolution;
+use super::run::{Failure, READ_ONLY_TRANSACTION};
 use super::serve::{ServedRequest, not_run};
 use super::sessions::Pin;
 use super::status_hint::opens_transaction;
@@ -184,7 +186,7 @@
     /// Confirms the commit; half of the time that is left is kept for finding out more.
     async fn confirm_recorded(
         &self,
-        leads_in: Option<dyketally::group::Term>,
+        leads_in: Option<Term>,
         behind: Option<MemberStatus>,
     ) -> Verdict {
         let (Some(sent_in), Some(behind)) = (leads_in, behind) else {
@@ -207,12 +209,12 @@
     ) -> Completion {
         let resolution = timeout(self.time_left(), self.find_out(ledger)).await;
         match resolution {
-            Ok(super::resolve::Resolution::Committed { reply, seen }) => {
+            Ok(Resolution::Committed { reply, seen }) => {
                 self.shared.counters.resolved_done.increment();
                 output.push(&reply);
                 done(Some(seen), TransactionStatus::Idle)
             }
-            Ok(super::resolve::Resolution::Barred) => {
+            Ok(Resolution::Barred) => {
                 self.shared.counters.resolved_not_run.increment();
                 not_run(NotRunReason::NoPrimary)
             }
--- a/crates/dyketally-proxy/src/home/route.rs
+++ b/crates/dyketally-proxy/src/home/route.rs
@@ -4,9 +4,11 @@
 
 use dyketally::group::{GroupView, Term};
 use dyketally::outcome::NotRunReason;
+use dyketally::policy::Access;
 use dyketally::routing::{ServeDecision, ServeRequest, ServeSettings, decide};
 use dyketally::time::Timestamp;
 use dyketally_protocol::Completion;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 use super::serve::{ServedRequest, Stop};
@@ -42,7 +44,7 @@
             };
             match decision {
                 ServeDecision::Serve => {
-                    let writes = self.execute.access == dyketally::policy::Access::Write;
+                    let writes = self.execute.access == Access::Write;
                     return Ok(permission(None, writes));
                 }
                 ServeDecision::ServeConfirmed { term } => return Ok(permission(Some(term), true)),
@@ -132,10 +134,7 @@
         let _ = timeout(limit, self.shared.monitor.ask(&self.shared.database)).await;
     }
 
-    async fn wait_for_change(
-        &self,
-        changes: &mut tokio::sync::watch::Receiver<u64>,
-    ) -> Result<(), Stop> {
+    async fn wait_for_change(&self, changes: &mut watch::Receiver<u64>) -> Result<(), Stop> {
         self.shared.monitor.watch_closely();
         tokio::select! {
             _ = changes.changed() => Ok(()),
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -1,15 +1,15 @@
-//! Runs one batch on a connection and decides how the request ended.
+//! Runs one batch on a connection.
 
 use std::time::Duration;
 
-use dyketally::group::{FinishedWrite, MemberStatus, Role, Term, Verdict};
+use dyketally::group::Term;
 use dyketally::outcome::{NotRunReason, UnknownReason};
 use dyketally::policy::Access;
-use dyketally_protocol::{Completion, Freshness, TransactionStatus};
-use tokio::sync::oneshot;
+use dyketally_protocol::{Completion, TransactionStatus};
 use tokio::time::{MissedTickBehavior, interval_at, timeout};
 
-use super::backend::BackendError;
+use super::backend::{BackendError, CancelRequest};
+use super::conclude::{done, unknown};
 use super::connection::BatchEnd;
 use super::grant::Slot;
 use super::output::{Delivery, ReplyOutput};
@@ -73,9 +73,9 @@
 }
 
 /// What a batch left behind it.
-struct Exchanged {
-    end: BatchEnd,
-    status: StatusReply,
+pub(super) struct Exchanged {
+    pub end: BatchEnd,
+    pub status: StatusReply,
 }
 
 impl ServedRequest<'_> {
@@ -217,7 +217,7 @@
         }
     }
 
-    fn cancel(&self, request: Option<super::backend::CancelRequest>) {
+    fn cancel(&self, request: Option<CancelRequest>) {
         if let Some(request) = request {
             self.shared.counters.cancels.increment();
             tokio::spawn(request.send());
@@ -225,132 +225,12 @@
     }
 
     /// True when the group must confirm the batch that ended the transaction.
-    fn is_confirmed_as_write(&self, pin: &Pin, end: &BatchEnd) -> bool {
+    pub(super) fn is_confirmed_as_write(&self, pin: &Pin, end: &BatchEnd) -> bool {
         let in_transaction = self.execute.transaction.is_some();
         let at_primary = pin.leads_in.is_some() && in_transaction;
         (pin.may_have_written || at_primary) && !end.without_effect
     }
 
-    async fn conclude(
-        &self,
-        pin: Pin,
-        exchanged: Exchanged,
-        verdict: Option<oneshot::Receiver<Verdict>>,
-        output: &mut ReplyOutput,
-    ) -> Completion {
-        let Exchanged { end, status } = exchanged;
-        if self.was_refused_as_replica(&end, &status) && !output.was_passed_on() {
-            output.discard();
-            return self.redirect();
-        }
-        if let Some(verdict) = verdict {
-            return self.conclude_read(pin, end, verdict, output).await;
-        }
-        if end.transaction != TransactionStatus::Idle {
-            return self.stay_open(pin, end.transaction);
-        }
-        if !self.is_confirmed_as_write(&pin, &end) {
-            self.count_unconfirmed_read(&pin);
-            return done(None, TransactionStatus::Idle);
-        }
-        let leads_in = pin.leads_in;
-        drop(pin);
-        self.conclude_write(leads_in, status.status(), output).await
-    }
-
-    fn was_refused_as_replica(&self, end: &BatchEnd, status: &StatusReply) -> bool {
-        let is_replica = status.status().is_some_and(|s| s.role == Role::Replica);
-        let refused = end.error.as_deref() == Some(READ_ONLY_TRANSACTION);
-        self.execute.transaction.is_none() && refused && is_replica
-    }
-
-    /// Counts a read that was served by its position; one that was confirmed is counted there.
-    fn count_unconfirmed_read(&self, pin: &Pin) {
-        let counters = &self.shared.counters;
-        match (self.execute.freshness, pin.leads_in) {
-            (Freshness::AtLeast(_), None) => counters.replica_reads.increment(),
-            (Freshness::AtLeast(_), Some(_)) => counters.primary_reads.increment(),
-            (Freshness::Current | Freshness::Any, _) => {}
-        }
-    }
-
-    async fn conclude_read(
-        &self,
-        pin: Pin,
-        end: BatchEnd,
-        verdict: oneshot::Receiver<Verdict>,
-        output: &mut ReplyOutput,
-    ) -> Completion {
-        let kept = match end.transaction {
-            TransactionStatus::Idle => {
-                drop(pin);
-                None
-            }
-            _ => Some(pin),
-        };
-        match verdict.await {
-            Ok(Verdict::Confirmed(seen)) => {
-                self.shared.counters.primary_reads.increment();
-                match kept.map(|pin| self.keep_pin(pin)) {
-                    Some(Err(lost)) => lost,
-                    _ => done(Some(seen), end.transaction),
-                }
-            }
-            _ if output.was_passed_on() => Completion::Unknown {
-                reason: UnknownReason::NotConfirmed,
-            },
-            Ok(Verdict::Deposed { .. }) => {
-                output.discard();
-                self.redirect()
-            }
-            Ok(Verdict::NotConfirmed) | Err(_) => {
-                output.discard();
-                not_run(NotRunReason::NoPrimary)
-            }
-        }
-    }
-
-    fn stay_open(&self, pin: Pin, transaction: TransactionStatus) -> Completion {
-        match self.keep_pin(pin) {
-            Ok(()) => done(None, transaction),
-            Err(lost) => lost,
-        }
-    }
-
-    async fn conclude_write(
-        &self,
-        leads_in: Option<Term>,
-        behind: Option<MemberStatus>,
-        output: &mut ReplyOutput,
-    ) -> Completion {
-        let verdict = match (leads_in, behind) {
-            (Some(sent_in), Some(behind)) => {
-                let write = FinishedWrite {
-                    sent_in,
-                    behind,
-                    mode: self.tenant.confirmation,
-                    deadline: self.deadline,
-                };
-                self.shared.monitor.confirm_write(write).await
-            }
-            _ => Verdict::NotConfirmed,
-        };
-        match verdict {
-            Verdict::Confirmed(seen) => {
-                self.shared.counters.writes_confirmed.increment();
-                done(Some(seen), TransactionStatus::Idle)
-            }
-            Verdict::Deposed { .. } | Verdict::NotConfirmed => {
-                self.shared.counters.writes_not_confirmed.increment();
-                self.shared.monitor.watch_closely();
-                output.discard();
-                Completion::Unknown {
-                    reason: UnknownReason::NotConfirmed,
-                }
-            }
-        }
-    }
-
     /// A read has no effect: while none of its reply was passed on, it counts as not run.
     fn failed(&self, failure: &Failure, output: &mut ReplyOutput) -> Completion {
         let plain_read = self.is_plain_read();
@@ -390,14 +270,3 @@
         });
     }
 }
-
-pub(super) fn done(
-    seen: Option<dyketally::group::LogPosition>,
-    transaction: TransactionStatus,
-) -> Completion {
-    Completion::Done { seen, transaction }
-}
-
-pub(super) fn unknown(reason: UnknownReason) -> Completion {
-    Completion::Unknown { reason }
-}
--- a/crates/dyketally-proxy/src/home/serve.rs
+++ b/crates/dyketally-proxy/src/home/serve.rs
@@ -1,6 +1,7 @@
 //! The path of one request through its home: routed, admitted, run, completed.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use dyketally::admission::Stage;
 use dyketally::outcome::NotRunReason;
@@ -245,7 +246,7 @@
     fn given_up(&self) -> TurnedAway {
         TurnedAway {
             reason: NotRunReason::DeadlinePassed,
-            retry_after: std::time::Duration::ZERO,
+            retry_after: Duration::ZERO,
         }
     }
 }
@@ -282,7 +283,7 @@
 }
 
 /// Time between two looks whether the database still leaves.
-const LEAVING_POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(50);
+const LEAVING_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// When to come back after a refusal that says nothing about its length.
-const COME_BACK_SOON: std::time::Duration = std::time::Duration::from_millis(50);
+const COME_BACK_SOON: Duration = Duration::from_millis(50);
