Send to the next home at once when a home can't be reached

Cause: when a proxy died, writes to the databases it was home to stopped until membership declared it dead, about 2.9 s, although the refused connection told it at once. Ruled out: faster failure detection, which costs bytes on every node and suspects nodes that are only slow. Two homes at a time are kept apart by the database's own limits, as before. A frozen home is not helped (its link stays open); that still waits for membership.

--- a/crates/dyketally-proxy/src/edge/send.rs
+++ b/crates/dyketally-proxy/src/edge/send.rs
@@ -12,7 +12,7 @@
 use tower::Service;
 
 use super::request::{ReplyStart, RoutedRequest, StatementReply};
-use crate::homes::Homes;
+use crate::homes::{HomeLocation, Homes};
 use crate::reply::{HomeRequest, ReplyReceiver, reply_channel};
 
 /// Sends requests to homes, in this process or behind a link.
@@ -39,29 +39,62 @@
 
     fn call(&mut self, routed: RoutedRequest) -> Self::Future {
         let homes = self.homes.clone();
-        Box::pin(async move {
-            let database = routed.database.clone();
-            let pinned = routed.request.transaction.as_ref();
-            let pinned = pinned.map(|transaction| transaction.home.clone());
-            let Some(home) = pinned.or_else(|| homes.locate(&database)) else {
-                return Ok(no_home(database));
-            };
-            let (reply, receiver) = reply_channel();
-            let request = HomeRequest {
-                cancelled: routed.request.cancelled.clone(),
-                execute: execute_request(routed),
-                reply,
-            };
-            homes.submit(&home, request);
-            Ok(StatementReply {
-                database,
-                home: Some(home),
-                start: reply_start(receiver).await,
-            })
-        })
+        Box::pin(async move { Ok(send(&homes, routed).await) })
+    }
+}
+
+/// Sends to the home, and to the node that follows it when the home could not be reached: then
+/// nothing was sent, so this is safe for writes too.
+async fn send(homes: &Homes, routed: RoutedRequest) -> StatementReply {
+    let mut tried = Vec::new();
+    loop {
+        let Some(home) = home_of(homes, &routed) else {
+            return no_home(routed.database);
+        };
+        let reply = send_to(homes, home.clone(), routed.clone()).await;
+        tried.push(home);
+        let next = home_of(homes, &routed);
+        let elsewhere = next.is_some_and(|next| !tried.contains(&next));
+        if !is_unreachable(&reply) || !elsewhere {
+            return reply;
+        }
+    }
+}
+
+/// An open transaction stays at the home that holds its connection.
+fn home_of(homes: &Homes, routed: &RoutedRequest) -> Option<HomeLocation> {
+    match &routed.request.transaction {
+        Some(pinned) => Some(pinned.home.clone()),
+        None => homes.locate(&routed.database),
+    }
+}
+
+async fn send_to(homes: &Homes, home: HomeLocation, routed: RoutedRequest) -> StatementReply {
+    let database = routed.database.clone();
+    let (reply, receiver) = reply_channel();
+    let request = HomeRequest {
+        cancelled: routed.request.cancelled.clone(),
+        execute: execute_request(routed),
+        reply,
+    };
+    homes.submit(&home, request);
+    StatementReply {
+        database,
+        home: Some(home),
+        start: reply_start(receiver).await,
     }
 }
 
+fn is_unreachable(reply: &StatementReply) -> bool {
+    matches!(
+        &reply.start,
+        ReplyStart::Ended(Completion::NotRun {
+            reason: NotRunReason::Unreachable,
+            ..
+        })
+    )
+}
+
 fn no_home(database: DatabaseName) -> StatementReply {
     StatementReply {
         database,
--- a/crates/dyketally-proxy/src/homes.rs
+++ b/crates/dyketally-proxy/src/homes.rs
@@ -33,6 +33,9 @@
 pub trait LocateHome: fmt::Debug + Send + Sync {
     /// The home of `database`, which runs at `locality`; `None` when no node is live.
     fn locate(&self, database: &DatabaseName, locality: &Locality) -> Option<HomeLocation>;
+
+    /// The home of `database` and the nodes that would follow it, best first.
+    fn rank(&self, database: &DatabaseName, locality: &Locality) -> Vec<HomeLocation>;
 }
 
 /// The way from an edge to all homes, and the homes of this node.
@@ -68,11 +71,25 @@
         }
     }
 
-    /// The home of `database` as this node sees it now.
+    /// The home of `database` as this node sees it now. A home to which no link could be opened
+    /// a moment ago is passed over for the node that would follow it.
     pub fn locate(&self, database: &DatabaseName) -> Option<HomeLocation> {
         let policies = self.policies.borrow().clone();
         let (_, member) = policies.database(database)?;
-        self.placement.locate(database, &member.locality)
+        let home = self.placement.locate(database, &member.locality)?;
+        if !self.is_unreachable(&home) {
+            return Some(home);
+        }
+        let ranked = self.placement.rank(database, &member.locality);
+        let reachable = ranked.into_iter().find(|node| !self.is_unreachable(node));
+        Some(reachable.unwrap_or(home))
+    }
+
+    fn is_unreachable(&self, location: &HomeLocation) -> bool {
+        match location {
+            HomeLocation::Here => false,
+            HomeLocation::At { address, .. } => self.links.is_unreachable(*address),
+        }
     }
 
     /// Hands `request` to the node at `location`. The reply always completes.
--- a/crates/dyketally-proxy/src/link/client.rs
+++ b/crates/dyketally-proxy/src/link/client.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
 
+use super::unreachable::UnreachableNodes;
 use super::{EdgeCodec, HANDSHAKE_TIMEOUT, LinkError, check_version};
 use crate::reply::{HomeRequest, ReplySender};
 
@@ -26,6 +27,7 @@
 pub struct LinkPool {
     node: NodeName,
     links: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<Command>>>>,
+    unreachable: Arc<UnreachableNodes>,
 }
 
 #[derive(Debug)]
@@ -40,6 +42,7 @@
         Self {
             node,
             links: Arc::default(),
+            unreachable: Arc::default(),
         }
     }
 
@@ -59,6 +62,11 @@
         let _ = self.command(address, Command::EndSession(session));
     }
 
+    /// True when no link could be opened to the node at `address` a moment ago.
+    pub fn is_unreachable(&self, address: SocketAddr) -> bool {
+        self.unreachable.contains(address)
+    }
+
     /// Closes the link to a node that is known to be dead: what is in flight there is unknown.
     pub fn close(&self, address: SocketAddr) {
         self.lock().remove(&address);
@@ -81,7 +89,8 @@
         let mut links = self.lock();
         let link = links.entry(address).or_insert_with(|| {
             let (sender, commands) = mpsc::channel(COMMANDS_AT_MOST);
-            tokio::spawn(run_link(self.node.clone(), address, commands));
+            let unreachable = self.unreachable.clone();
+            tokio::spawn(run_link(self.node.clone(), address, commands, unreachable));
             sender
         });
         link.clone()
@@ -102,11 +111,22 @@
     });
 }
 
-async fn run_link(node: NodeName, address: SocketAddr, mut commands: mpsc::Receiver<Command>) {
+async fn run_link(
+    node: NodeName,
+    address: SocketAddr,
+    mut commands: mpsc::Receiver<Command>,
+    unreachable: Arc<UnreachableNodes>,
+) {
     let opened = tokio::time::timeout(HANDSHAKE_TIMEOUT, open(node, address)).await;
     let result = match opened.unwrap_or(Err(LinkError::Timeout)) {
-        Ok(frames) => Link::new(frames).run(&mut commands).await,
-        Err(error) => Err(error),
+        Ok(frames) => {
+            unreachable.clear(address);
+            Link::new(frames).run(&mut commands).await
+        }
+        Err(error) => {
+            unreachable.mark(address);
+            Err(error)
+        }
     };
     if let Err(error) = result {
         log::info!("link to {address} ended: {error}");
--- a/crates/dyketally-proxy/src/link/mod.rs
+++ b/crates/dyketally-proxy/src/link/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod pull;
 mod server;
+mod unreachable;
 
 use std::time::Duration;
 
--- a/crates/dyketally-proxy/src/node/placement.rs
+++ b/crates/dyketally-proxy/src/node/placement.rs
@@ -4,7 +4,10 @@
 
 use crate::home::AddressRoutes;
 use crate::homes::{HomeLocation, LocateHome};
-use crate::peers::PeersHandle;
+use crate::peers::{LiveNode, PeersHandle};
+
+/// Nodes that may stand in for a home that can't be reached, the home included.
+const HOMES_RANKED: usize = 3;
 
 /// Places databases on the live members.
 #[derive(Clone, Debug)]
@@ -26,15 +29,27 @@
     }
 }
 
+impl MemberPlacement {
+    fn location(&self, node: &LiveNode) -> HomeLocation {
+        if node.node == self.node {
+            return HomeLocation::Here;
+        }
+        HomeLocation::At {
+            address: self.routes.resolve(node.peers),
+            node: node.node.clone(),
+        }
+    }
+}
+
 impl LocateHome for MemberPlacement {
     fn locate(&self, database: &DatabaseName, locality: &Locality) -> Option<HomeLocation> {
         let home = self.peers.view().live.home(database, locality)?;
-        if home.node == self.node {
-            return Some(HomeLocation::Here);
-        }
-        Some(HomeLocation::At {
-            address: self.routes.resolve(home.peers),
-            node: home.node,
-        })
+        Some(self.location(&home))
+    }
+
+    fn rank(&self, database: &DatabaseName, locality: &Locality) -> Vec<HomeLocation> {
+        let view = self.peers.view();
+        let ranked = view.live.rank(database, locality, HOMES_RANKED);
+        ranked.into_iter().map(|node| self.location(node)).collect()
     }
 }
