--- a/crates/dyketally/src/membership/config.rs
+++ b/crates/dyketally/src/membership/config.rs
@@ -31,6 +31,9 @@
     pub heal_interval: Duration,
     /// Time after which a member that died or left is forgotten.
     pub forget_after: Duration,
+    /// After a gap between two calls longer than this, probes under way are forgotten: their
+    /// acknowledgements may have arrived unread.
+    pub stall_threshold: Duration,
     /// A gap between two calls longer than this means that this process was paused.
     pub pause_threshold: Duration,
     /// Members that are kept at most, so that garbage cannot exhaust memory.
@@ -52,6 +55,7 @@
             region_timeout: Duration::from_secs(8),
             heal_interval: Duration::from_secs(5),
             forget_after: Duration::from_secs(3_600),
+            stall_threshold: Duration::from_millis(400),
             pause_threshold: Duration::from_secs(1),
             most_members: 4_096,
         }
@@ -124,13 +128,16 @@
         let longest = ("longest_suspicion", self.longest_suspicion);
         let interval = ("probe_interval", self.probe_interval);
         let region = ("region_timeout", self.region_timeout);
+        let stall = ("stall_threshold", self.stall_threshold);
         let pause = ("pause_threshold", self.pause_threshold);
         let forget = ("forget_after", self.forget_after);
         let pairs = [
             (direct, probe),
             (shortest, longest),
             (interval, region),
-            (interval, pause),
+            (interval, stall),
+            (stall, probe),
+            (stall, pause),
             (longest, forget),
             (region, forget),
         ];
--- a/crates/dyketally/src/membership/engine.rs
+++ b/crates/dyketally/src/membership/engine.rs
@@ -425,6 +425,10 @@
     /// Notes the time, and whether this process was paused since the last call.
     fn advance(&mut self, now: Timestamp) {
         let gap = self.schedule.advance(now);
+        if gap > self.config.stall_threshold {
+            self.probes.clear();
+            self.suspicions.extend(gap);
+        }
         if gap > self.config.pause_threshold {
             self.recover_from_pause(gap, now);
         }
@@ -433,8 +437,6 @@
     /// Silence during a pause says nothing about others; their news has to be caught up with.
     fn recover_from_pause(&mut self, gap: Duration, now: Timestamp) {
         self.counters.pauses += 1;
-        self.probes.clear();
-        self.suspicions.extend(gap);
         self.regions.extend(gap, now);
         self.sync.start_over();
         self.emit(Event::Paused(gap));
