Show that lost writes of real processes are reported, and widen the table of faults

With writes confirmed by the majority's term alone and replicas 2 s behind, a killed primary loses acknowledged writes: the case must fail, and does. A publication now starts from the newest accepted revision: key-value-outage failed once because the operator named a revision that a proxy had not yet replaced (the command rightly told of a conflict).

--- a/crates/dyketally-lab/src/faults/case.rs
+++ b/crates/dyketally-lab/src/faults/case.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use clap::ValueEnum;
+use dyketally::policy::Confirmation;
 use dyketally_proxy::platform::memory::Outage;
 
 use crate::bench::{Configuration, Site, Workload};
@@ -19,14 +21,28 @@
     pub is_short: bool,
     /// Where the proxies get the operators' documents from.
     pub configuration: Configuration,
+    /// How the tenants have their writes confirmed.
+    pub confirmation: Confirmation,
     /// True when no request may end with an unknown outcome or a transaction rolled back.
     pub must_not_cut: bool,
     /// What happens while the callers send requests, in this order.
     pub script: &'static [Action],
 }
 
+impl FaultCase {
+    /// The site that the case runs on.
+    pub fn site(&self) -> Site {
+        let mut site = self.user.site();
+        site.configuration = self.configuration;
+        for tenant in &mut site.tenants {
+            tenant.confirmation = self.confirmation;
+        }
+        site
+    }
+}
+
 /// One of the two users, with its sizes and its workload.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum User {
     /// Orders and stock lookups.
     Huber,
--- a/crates/dyketally-lab/src/faults/mod.rs
+++ b/crates/dyketally-lab/src/faults/mod.rs
@@ -40,6 +40,9 @@
     /// Which cases to run when none is named.
     #[arg(long, value_enum, default_value_t)]
     pub selection: Selection,
+    /// Runs the cases on this user's site and workload instead of their own.
+    #[arg(long, value_enum)]
+    pub user: Option<User>,
     /// Seconds of load before the faults and again after them.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=60))]
     pub seconds: u64,
@@ -85,6 +88,10 @@
     };
     let mut steps = Steps::new("faults");
     for case in cases {
+        let case = &FaultCase {
+            user: arguments.user.unwrap_or(case.user),
+            ..*case
+        };
         let directory = arguments.out.join(case.name);
         let report = run_case(case, settings, &directory).await;
         steps.record(case.name, report.and_then(CaseReport::into_result));
--- a/crates/dyketally-lab/src/faults/operators.rs
+++ b/crates/dyketally-lab/src/faults/operators.rs
@@ -128,8 +128,9 @@
     Ok(revision)
 }
 
+/// The newest revision that was accepted, or that a proxy has in force.
 async fn newest_revision(stage: &Stage) -> eyre::Result<Revision> {
-    let mut newest = Revision::default();
+    let mut newest = stage.newest_accepted();
     for proxy in 0..stage.topology.proxies.len() {
         if let Ok(status) = stage.admin.status(proxy).await {
             newest = newest.max(status.revision);
--- a/crates/dyketally-lab/src/faults/settle.rs
+++ b/crates/dyketally-lab/src/faults/settle.rs
@@ -71,12 +71,7 @@
 }
 
 async fn record_final_configurations(stage: &Stage, restarts: &Restarts) -> eyre::Result<()> {
-    let events = stage.recorder.events();
-    let accepted = events.iter().filter_map(|event| match event {
-        Event::Accepted { revision, .. } => Some(*revision),
-        _ => None,
-    });
-    let accepted = accepted.max().unwrap_or_default();
+    let accepted = stage.newest_accepted();
     for proxy in 0..stage.topology.proxies.len() {
         let admin: &AdminClient = &stage.admin;
         let in_force = || async {
--- a/crates/dyketally-lab/src/faults/stage.rs
+++ b/crates/dyketally-lab/src/faults/stage.rs
@@ -13,7 +13,7 @@
 
 use crate::bench::{
     AdminClient, Configuration, DATABASE, Group, InitialRows, Mix, Operator, Recorder, STOCK_VALUE,
-    SessionClient, Site, Topology, WorkloadCaller, history_key, poll_until,
+    SessionClient, Topology, WorkloadCaller, history_key, poll_until,
 };
 
 use super::case::FaultCase;
@@ -60,11 +60,7 @@
     /// Starts the site, inserts the initial rows and publishes the documents.
     pub async fn set(case: &FaultCase, directory: &Path) -> eyre::Result<Self> {
         clear(directory)?;
-        let site = Site {
-            configuration: case.configuration,
-            ..case.user.site()
-        };
-        let mut topology = Topology::start(site, directory).await?;
+        let mut topology = Topology::start(case.site(), directory).await?;
         let group = topology.group(&topology.site.groups[0]);
         let rows = InitialRows::new(CALLERS, POSTS);
         insert_initial_rows(&topology, &group, &rows).await?;
@@ -92,6 +88,16 @@
         self.recorder.push(Event::Accepted { revision, digest });
     }
 
+    /// The newest revision that was accepted so far.
+    pub fn newest_accepted(&self) -> Revision {
+        let events = self.recorder.events();
+        let accepted = events.iter().filter_map(|event| match event {
+            Event::Accepted { revision, .. } => Some(*revision),
+            _ => None,
+        });
+        accepted.max().unwrap_or_default()
+    }
+
     /// Starts the callers; half of them belong to each tenant.
     pub fn start_callers(&self, case: &FaultCase, seed: u64) -> Callers {
         let mix = Mix {
--- a/crates/dyketally-lab/src/faults/table.rs
+++ b/crates/dyketally-lab/src/faults/table.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dyketally::policy::Confirmation;
 use dyketally_proxy::platform::memory::Outage;
 
 use crate::bench::Configuration;
@@ -32,6 +33,7 @@
     user: User::Lakeshore,
     is_short: false,
     configuration: Configuration::File,
+    confirmation: Confirmation::MajorityPosition,
     must_not_cut: false,
     script: &[],
 };
@@ -382,6 +384,24 @@
         ],
         ..HUBER
     },
+    FaultCase {
+        name: "primary-killed-home-stopped",
+        shows: "the home is stopped as planned while the primary fails",
+        script: &[SLOW, Kill(Primary), Stop(Home), Wait(seconds(2)), Restart],
+        ..HUBER
+    },
+    FaultCase {
+        name: "primary-killed-replicas-behind",
+        shows: "the primary is killed while its replicas are behind",
+        script: &[
+            Lag(milliseconds(800)),
+            Wait(seconds(3)),
+            Kill(Primary),
+            Wait(seconds(3)),
+            Restart,
+        ],
+        ..LAKESHORE
+    },
     FaultCase {
         name: "primary-killed-twice",
         shows: "the primary is killed, comes back empty, and the next primary is killed",
--- a/crates/dyketally-lab/tests/faults.rs
+++ b/crates/dyketally-lab/tests/faults.rs
@@ -9,12 +9,12 @@
     TransactionEnd, TransactionName, Violation, WriteBegan, WriteEnded, WriteOutcome, check,
 };
 use dyketally::identifiers::NodeName;
-use dyketally::policy::Repeat;
-use dyketally_lab::bench::{RequestKind, Sample, SampleOutcome};
+use dyketally::policy::{Confirmation, Repeat};
+use dyketally_lab::bench::{Configuration, RequestKind, Sample, SampleOutcome};
 use dyketally_lab::database::{LogRecord, RowChange, RowKey, RowWrite};
 use dyketally_lab::faults::{
-    CASES, CaseReport, CaseSettings, Outcomes, judge_file, log_events, read_history, run_case,
-    write_history,
+    Action, CASES, CaseReport, CaseSettings, FaultCase, Outcomes, Target, User, judge_file,
+    log_events, read_history, run_case, write_history,
 };
 use rstest::rstest;
 
@@ -298,6 +298,42 @@
     std::fs::remove_dir_all(&directory).expect("removed");
 }
 
+/// Writes confirmed by the majority's term alone may be lost with their primary.
+const WRITES_LOST: FaultCase = FaultCase {
+    name: "writes-lost",
+    shows: "the primary is killed with acknowledged writes that no replica holds",
+    user: User::Huber,
+    is_short: false,
+    configuration: Configuration::File,
+    confirmation: Confirmation::MajorityTerm,
+    must_not_cut: false,
+    script: &[
+        Action::Lag(Duration::from_secs(2)),
+        Action::Wait(Duration::from_secs(1)),
+        Action::Kill(Target::Primary),
+        Action::Wait(Duration::from_secs(3)),
+        Action::Restart,
+    ],
+};
+
+#[tokio::test]
+async fn writes_lost_by_real_processes_are_reported() {
+    let directory = std::env::temp_dir().join(format!("dyketally-lost-{}", std::process::id()));
+    let settings = CaseSettings {
+        load: Duration::from_secs(1),
+        seed: 8,
+    };
+    println!("seed {}", settings.seed);
+    let report = run_case(&WRITES_LOST, settings, &directory)
+        .await
+        .expect("the case runs");
+    let is_loss =
+        |violation: &Violation| matches!(violation, Violation::AcknowledgedWriteLost { .. });
+    assert!(report.violations.iter().any(is_loss), "{report}");
+    assert!(report.into_result().is_err(), "the case must fail");
+    std::fs::remove_dir_all(&directory).expect("removed");
+}
+
 fn falsify(history: &[Event], falsification: &Falsification, path: &Path) {
     let mut events = history.to_vec();
     (falsification.falsify)(&mut events);
