--- a/crates/dyketally-lab/tests/home/reads.rs
+++ b/crates/dyketally-lab/tests/home/reads.rs
@@ -5,8 +5,10 @@
 use dyketally::group::LogPosition;
 use dyketally::outcome::NotRunReason;
 use dyketally_protocol::{Completion, ExecuteRequest, Freshness};
+use dyketally_proxy::home::{AddressRoutes, Home, HomeOptions};
 
-use crate::support::{Fixture, insert, select};
+use crate::relay::{Mode, Relay};
+use crate::support::{Fixture, Setup, insert, select};
 
 const REPLICATION_LAG_MS: u64 = 60_000;
 
@@ -138,6 +140,22 @@
     assert_eq!(reason, NotRunReason::Unreachable);
 }
 
+#[tokio::test]
+async fn refuses_a_row_that_is_too_long_to_be_passed_on() {
+    const TOO_LONG: usize = 5 * 1024 * 1024;
+    let fixture = Fixture::start().await;
+    let primary = fixture.primary;
+    let value = "v".repeat(TOO_LONG);
+    let text = format!("INSERT INTO parts (key, value) VALUES ('a', '{value}')");
+    assert!(fixture.run(fixture.write(primary, &text)).await.is_done());
+    let text = "SELECT value FROM parts WHERE key = 'a'";
+    let answer = fixture
+        .run(fixture.read(primary, Freshness::Current, text))
+        .await;
+    assert!(answer.is_done(), "{:?}", answer.completion);
+    assert_eq!(answer.sqlstate().as_deref(), Some("54000"));
+}
+
 #[tokio::test]
 async fn streams_a_reply_that_is_larger_than_the_bound() {
     const ROWS: usize = 3000;
@@ -155,3 +173,48 @@
     assert!(answer.is_done());
     assert_eq!(answer.values().len(), ROWS);
 }
+
+#[tokio::test]
+async fn many_reads_at_once_wait_for_the_same_status() {
+    const READS: usize = 300;
+    let setup = Setup {
+        queue_limit: READS as u32,
+        ..Setup::default()
+    };
+    let fixture = Fixture::start_with(setup).await;
+    let replica = fixture.replicas()[0];
+    let written = fixture
+        .run(fixture.write(fixture.primary, &insert("a")))
+        .await;
+    let freshness = Freshness::AtLeast(written.seen());
+    let reads = (0..READS).map(|_| fixture.submit(fixture.read(replica, freshness, &select("a"))));
+    let reads: Vec<_> = reads.collect();
+    for read in reads {
+        let answer = read.answer().await;
+        let served = answer.is_done() && answer.values() == ["1"];
+        let behind = matches!(answer.completion, Completion::Redirect { .. });
+        assert!(served || behind, "{answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_read_moves_on_from_a_replica_that_hangs() {
+    let fixture = Fixture::start().await;
+    let replica = fixture.replicas()[0];
+    let address = fixture.databases[replica].address();
+    let relay = Relay::start(address, Mode::Pass).await;
+    let home = Home::start(
+        fixture.name(replica),
+        fixture.policies.subscribe(),
+        AddressRoutes::from_iter([(address, relay.address)]),
+        HomeOptions::default(),
+    );
+    let read = || fixture.read(replica, Freshness::Any, &select("a"));
+    assert!(Fixture::submit_at(&home, read()).answer().await.is_done());
+    relay.set(Mode::Stall);
+    let answer = Fixture::submit_at(&home, read()).answer().await;
+    let Completion::NotRun { reason, .. } = answer.completion else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(reason, NotRunReason::Unreachable);
+}
--- a/crates/dyketally-proxy/src/home/monitor.rs
+++ b/crates/dyketally-proxy/src/home/monitor.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    /// Replaces the members; probers of members that stay as they are go on.
+    /// Replaces the members; probers of members that stay as they are go on. Without members the
+    /// group isn't watched.
     pub fn set_members(self: &Arc<Self>, targets: Vec<ProbeTarget>) {
         let names: Vec<_> = targets.iter().map(|target| target.member.clone()).collect();
         self.change(|state| {
@@ -175,11 +176,10 @@
         round: RoundNumber,
         member: &DatabaseName,
         status: MemberStatus,
-        asked_at: Timestamp,
     ) {
         self.change(|state| {
             state.confirmations.answered(round, member, status);
-            state.observe(member, status, asked_at)
+            Vec::new()
         });
     }
 
@@ -212,6 +212,12 @@
         prober.is_some_and(|prober| prober.silent || prober.lost)
     }
 
+    /// True when the status connection to `member` is lost.
+    pub fn is_lost(&self, member: &DatabaseName) -> bool {
+        let state = self.lock();
+        state.probers.get(member).is_some_and(|prober| prober.lost)
+    }
+
     /// `member` leaves a question unanswered. A replica that does so is no cause for alarm.
     pub(super) fn member_silent(&self, member: &DatabaseName) {
         let primary = {
@@ -303,7 +309,7 @@
     }
 
     fn announce(&self, events: &[GroupEvent]) {
-        if events.is_empty() {
+        if events.is_empty() || !self.is_watching() {
             return;
         }
         for event in events {
@@ -324,6 +330,10 @@
         self.changes.send_modify(|version| *version += 1);
     }
 
+    fn is_watching(&self) -> bool {
+        !self.lock().probers.is_empty()
+    }
+
     fn lock(&self) -> MutexGuard<'_, MonitorState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/dyketally-proxy/src/home/run.rs
+++ b/crates/dyketally-proxy/src/home/run.rs
@@ -22,9 +22,15 @@
 /// SQLSTATE of a write that a replica refuses.
 pub(super) const READ_ONLY_TRANSACTION: &str = "25006";
 
+/// SQLSTATE of a reply that is too long to be passed on.
+const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
+
 /// A statement that runs for this long makes the home ask whether its database still leads.
 const SUSPICION: Duration = Duration::from_millis(50);
 
+/// Suspicions after which a read moves on from a database that answers nothing at all.
+const TICKS_FOR_SILENCE: u32 = 5;
+
 /// Time that a database gets to answer what was sent before it was found to be replaced.
 const REPLACED_GRACE: Duration = Duration::from_millis(20);
 
@@ -36,11 +42,16 @@
     Broken,
     DeadlinePassed,
     Replaced,
+    /// A message of the reply is too long to be passed on.
+    TooLong(BackendError),
 }
 
 impl From<BackendError> for Failure {
-    fn from(_: BackendError) -> Self {
-        Self::Broken
+    fn from(error: BackendError) -> Self {
+        match error {
+            BackendError::TooLong(_) => Self::TooLong(error),
+            _ => Self::Broken,
+        }
     }
 }
 
@@ -54,7 +65,7 @@
     /// Why the outcome of what was sent can't be told.
     pub fn reason(&self) -> UnknownReason {
         match self {
-            Self::Broken => UnknownReason::ConnectionLost,
+            Self::Broken | Self::TooLong(_) => UnknownReason::ConnectionLost,
             Self::DeadlinePassed => UnknownReason::DeadlinePassed,
             Self::Replaced => UnknownReason::NotConfirmed,
         }
@@ -107,7 +118,7 @@
                 self.conclude(pin, exchanged, verdict, output).await
             }
             Err(failure) => {
-                let completion = self.failed(&pin, &failure, output);
+                let completion = self.failed(&failure, output);
                 self.abandon(pin, slot, failure);
                 completion
             }
@@ -155,7 +166,12 @@
         let mut changes = monitor.changes();
         let mut suspicion = interval_at(tokio::time::Instant::now() + SUSPICION, SUSPICION);
         suspicion.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut replaced = false;
+        let is_replaced = || {
+            let highest_term = monitor.view(|view| view.highest_term());
+            leads_in.is_some_and(|term| highest_term > term)
+        };
+        let mut replaced = is_replaced();
+        let mut ticks = 0;
         let cancel_request = pin.connection.get().cancel_request();
         let reply = pin.connection.get().read_reply(output);
         tokio::pin!(reply);
@@ -168,18 +184,31 @@
                     self.cancel(cancel_request);
                 }
                 _ = changes.changed(), if leads_in.is_some() && !replaced => {
-                    replaced = monitor.view(|view| {
-                        leads_in.is_some_and(|term| view.highest_term() > term)
-                    });
+                    replaced = is_replaced();
                 }
                 () = tokio::time::sleep(self.replaced_grace()), if replaced => {
                     return Err(Failure::Replaced);
                 }
-                _ = suspicion.tick(), if leads_in.is_some() => monitor.ask_all(),
+                _ = suspicion.tick() => {
+                    ticks += 1;
+                    if ticks >= TICKS_FOR_SILENCE && self.should_move_on() {
+                        return Err(Failure::Broken);
+                    }
+                    monitor.ask_all();
+                }
             }
         }
     }
 
+    /// A plain read need not wait for a database that answers nothing at all.
+    fn should_move_on(&self) -> bool {
+        self.is_plain_read() && self.shared.monitor.is_silent(&self.shared.database)
+    }
+
+    fn is_plain_read(&self) -> bool {
+        self.execute.access == Access::Read && self.execute.transaction.is_none()
+    }
+
     /// A database that answers at all may yet answer what was sent.
     fn replaced_grace(&self) -> Duration {
         match self.shared.monitor.is_silent(&self.shared.database) {
@@ -323,16 +352,19 @@
     }
 
     /// A read has no effect: while none of its reply was passed on, it counts as not run.
-    fn failed(&self, pin: &Pin, failure: &Failure, output: &mut ReplyOutput) -> Completion {
+    fn failed(&self, failure: &Failure, output: &mut ReplyOutput) -> Completion {
+        let plain_read = self.is_plain_read();
+        if let (true, Failure::TooLong(error)) = (plain_read, failure) {
+            output.discard();
+            output.push_error(PROGRAM_LIMIT_EXCEEDED, &error.to_string());
+            return done(None, TransactionStatus::Idle);
+        }
         if !matches!(failure, Failure::DeadlinePassed) {
             self.shared.monitor.watch_closely();
         }
         self.shared.monitor.ask_all();
         output.discard();
-        let harmless = self.execute.access == Access::Read
-            && self.execute.transaction.is_none()
-            && !pin.may_have_written
-            && !output.was_passed_on();
+        let harmless = plain_read && !output.was_passed_on();
         match failure {
             Failure::Broken if harmless => not_run(NotRunReason::Unreachable),
             Failure::DeadlinePassed if harmless => not_run(NotRunReason::DeadlinePassed),
