--- a/crates/dyketally-lab/tests/path/sessions.rs
+++ b/crates/dyketally-lab/tests/path/sessions.rs
@@ -1,5 +1,6 @@
 //! Sessions: tokens out and in, roaming, cancel requests, the planned stop.
 
+use tokio_postgres::error::SqlState;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 use crate::support::System;
@@ -99,7 +100,7 @@
     };
     let (slept, report) = futures::future::join(sleeping, stopping).await;
     slept.expect("the statement in flight ends normally");
-    assert!(report.is_clean(), "{report:?}");
+    assert!(report.is_clean(), "{report}");
     assert!(
         client
             .simple_query("SELECT count(*) FROM items")
@@ -107,3 +108,46 @@
             .is_err()
     );
 }
+
+#[tokio::test]
+async fn a_planned_stop_answers_the_next_statement_with_not_run() {
+    let system = System::start().await;
+    let client = system.client().await;
+    client
+        .simple_query("SELECT count(*) FROM items")
+        .await
+        .expect("served before the stop");
+    let stopping = tokio::spawn(system.node.stop());
+    let error = loop {
+        match client.simple_query("SELECT count(*) FROM items").await {
+            Ok(_) => {}
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(error.code(), Some(&SqlState::CANNOT_CONNECT_NOW));
+    let report = stopping.await.expect("the stop ends");
+    assert!(report.is_clean(), "{report}");
+}
+
+#[tokio::test]
+async fn a_planned_stop_lets_an_open_transaction_commit() {
+    let system = System::start().await;
+    let mut client = system.client().await;
+    let transaction = client.transaction().await.expect("begin");
+    transaction
+        .batch_execute("INSERT INTO items (key, value) VALUES ('a', '1')")
+        .await
+        .expect("insert");
+    let config = system.config();
+    let stopping = tokio::spawn(system.node.stop());
+    // New callers are refused once present ones are turned away.
+    while config.connect(NoTls).await.is_ok() {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    transaction
+        .commit()
+        .await
+        .expect("the open transaction commits");
+    let report = stopping.await.expect("the stop ends");
+    assert!(report.is_clean(), "{report}");
+}
--- a/crates/dyketally-proxy/src/edge/listener.rs
+++ b/crates/dyketally-proxy/src/edge/listener.rs
@@ -94,7 +94,7 @@
 }
 
 fn admit(edge: &Edge) -> Result<(), CallerFault> {
-    if edge.leaving.is_cancelled() {
+    if edge.leaving.turning_away.is_cancelled() {
         return Err(leaving());
     }
     if edge.counters.callers.load(Ordering::Relaxed) as usize > edge.limits.callers_at_most {
--- a/crates/dyketally-proxy/src/edge/mod.rs
+++ b/crates/dyketally-proxy/src/edge/mod.rs
@@ -57,6 +57,15 @@
     pub callers_at_most: usize,
 }
 
+/// The steps of a planned stop that callers notice.
+#[derive(Clone, Debug, Default)]
+pub struct Leaving {
+    /// Cancelled when callers are turned away: at their next statement, between transactions.
+    pub turning_away: CancellationToken,
+    /// Cancelled when connections of callers that have nothing in flight are closed.
+    pub closing_idle: CancellationToken,
+}
+
 /// What all sessions of an edge share.
 #[derive(Clone, Debug)]
 pub struct Edge {
@@ -78,8 +87,8 @@
     pub counters: Arc<EdgeCounters>,
     /// Number of the next session.
     pub sessions: Arc<AtomicU64>,
-    /// Cancelled when the node leaves: callers are turned away between two statements.
-    pub leaving: CancellationToken,
+    /// How far the node's planned stop has come, as callers notice it.
+    pub leaving: Leaving,
 }
 
 impl Edge {
--- a/crates/dyketally-proxy/src/edge/session.rs
+++ b/crates/dyketally-proxy/src/edge/session.rs
@@ -19,7 +19,6 @@
 use tokio_util::sync::CancellationToken;
 use tower::{Service, ServiceExt};
 
-use super::Edge;
 use super::answer::{CallerFault, sqlstate};
 use super::batch::{BatchBuilder, ClassifiedBatch, Finished};
 use super::cancel::CancelEntry;
@@ -31,6 +30,7 @@
 use super::send::completion_of;
 use super::startup::{Identity, welcome};
 use super::writer::CallerWriter;
+use super::{Edge, Leaving};
 use crate::homes::HomeLocation;
 use crate::reply::ReplyReceiver;
 
@@ -88,7 +88,10 @@
     pub async fn run(&mut self) -> Result<(), CallerError> {
         welcome(&mut self.writer.answer, &self.session, self.cancel.key());
         self.finish_batch().await?;
-        let leaving_signal = self.edge.leaving.clone();
+        let Leaving {
+            turning_away,
+            closing_idle,
+        } = self.edge.leaving.clone();
         loop {
             let idle = self.transaction == TransactionStatus::Idle && !self.builder.is_collecting();
             let message = match self.read_ahead.pop_front() {
@@ -98,12 +101,16 @@
                         Some(message) => message,
                         None => return Ok(()),
                     },
-                    () = leaving_signal.cancelled(), if idle => return self.turn_away().await,
+                    () = closing_idle.cancelled(), if idle => return self.turn_away().await,
                 },
             };
             if let PgWireFrontendMessage::Terminate(_) = message {
                 return Ok(());
             }
+            let turned_away = turning_away.is_cancelled() && !self.in_transaction();
+            if turned_away && ends_batch(&message) {
+                return self.turn_away().await;
+            }
             self.take(message).await?;
         }
     }
@@ -121,7 +128,8 @@
         self.writer
     }
 
-    /// The node leaves: the caller is told between two batches and should connect elsewhere.
+    /// The node leaves: the caller is told in answer to its batch, of which nothing was run, or
+    /// between two batches, and should connect elsewhere.
     async fn turn_away(&mut self) -> Result<(), CallerError> {
         self.writer.answer.fatal(leaving());
         Ok(self.writer.flush().await?)
@@ -414,6 +422,14 @@
     }
 }
 
+/// True for the message after which a caller waits for an answer.
+fn ends_batch(message: &PgWireFrontendMessage) -> bool {
+    matches!(
+        message,
+        PgWireFrontendMessage::Query(_) | PgWireFrontendMessage::Sync(_)
+    )
+}
+
 fn connection_closed() -> CallerError {
     CallerError::Io(std::io::ErrorKind::ConnectionAborted.into())
 }
--- a/crates/dyketally-proxy/src/main.rs
+++ b/crates/dyketally-proxy/src/main.rs
@@ -49,13 +49,9 @@
     }
     let report = node.stop().await;
     if report.is_clean() {
-        log::info!("stopped: nothing was cut off");
+        log::info!("stopped: {report}");
     } else {
-        log::warn!(
-            "stopped at the drain deadline: {} sessions and {} requests or transactions were cut off",
-            report.sessions,
-            report.home_work
-        );
+        log::warn!("stopped: {report}");
     }
     Ok(())
 }
--- a/crates/dyketally-proxy/src/node/mod.rs
+++ b/crates/dyketally-proxy/src/node/mod.rs
@@ -26,7 +26,9 @@
 pub use shutdown::{StopReport, StopSignal};
 use status::NodeReport;
 
-use crate::edge::{CancelRegistry, Edge, EdgeCounters, EdgeLimits, request_path, serve_callers};
+use crate::edge::{
+    CancelRegistry, Edge, EdgeCounters, EdgeLimits, Leaving, request_path, serve_callers,
+};
 use crate::home::{AddressRoutes, HomeOptions};
 use crate::homes::Homes;
 use crate::link::{LinkPool, LinkServer, serve_links};
@@ -210,7 +212,7 @@
         },
         counters: Arc::new(EdgeCounters::default()),
         sessions: Arc::new(AtomicU64::new(0)),
-        leaving: CancellationToken::new(),
+        leaving: Leaving::default(),
     }
 }
 
--- a/crates/dyketally-proxy/src/node/status.rs
+++ b/crates/dyketally-proxy/src/node/status.rs
@@ -31,7 +31,7 @@
 
 impl NodeReport {
     fn state(&self) -> NodeState {
-        if self.edge.leaving.is_cancelled() {
+        if self.edge.leaving.turning_away.is_cancelled() {
             NodeState::Leaving
         } else if self.policies.borrow().tenants.is_empty() {
             NodeState::Starting
