Fuzz recorded writes: barred or found at the primary, confirmed by the group

The model's homes now resolve a recorded write of unknown outcome as the daemon does: bar it at the primary or find it in the ledger, and have the group confirm that. A home also gives up on a write whose database is found to be replaced. An edge no longer repeats recorded writes. Statements can be held back on their way to a database, alone or what follows them.

Two more switches: a write that the primary doesn't know is told not run without a bar (noticed in case 9), and a bar counts without confirmation (case 469). A scripted case shows the first deterministically: the held-up write arrives after the primary was replaced and elected again.

Found by it, in the model: giving up on a replaced database ended the resolution that had just begun, so that the first switch went unnoticed in 6000 cases.

--- a/crates/dyketally/tests/fuzz/status_lines.rs
+++ b/crates/dyketally/tests/fuzz/status_lines.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    pub fn close(&self, environment: &mut Environment) {
+        for connection in self.lines.iter().filter_map(|line| line.connection) {
+            environment.close(connection, Side::Client);
+        }
+    }
+
     fn lose(&mut self, now: Timestamp, member: usize) -> LostLine {
         let line = &mut self.lines[member];
         line.connection = None;
--- a/crates/dyketally/tests/fuzz/switches.rs
+++ b/crates/dyketally/tests/fuzz/switches.rs
@@ -29,6 +29,10 @@
     UnknownToldNotRun,
     /// An edge forgets that an earlier attempt may have run.
     EarlierAttemptForgotten,
+    /// A recorded write that the primary doesn't know is taken as not run, without barring it.
+    AbsentWithoutBar,
+    /// A bar counts without the group's confirmation.
+    BarUnconfirmed,
     /// Replies are matched with requests by their order.
     RepliesMatchedByOrder,
     /// A planned stop exits at once.
--- a/crates/dyketally/tests/fuzz/world/actions.rs
+++ b/crates/dyketally/tests/fuzz/world/actions.rs
@@ -45,6 +45,10 @@
                 self.environment.jump_clock(node, by);
             }
             Action::Lag(member, millis) => self.databases[member].lag = millis * 1_000,
+            Action::HoldBack(member, held, millis) => {
+                let place = database_place(member);
+                self.environment.hold_back(place, held, millis * 1_000);
+            }
             Action::Elect(member) => self.elect(member),
             Action::Believe { edge, member, home } => {
                 self.nodes[edge].edge.believed_home[member] = Some(home);
