Split the table of fault cases, and keep the ports of one site from another

Two sites that started at the same time chose the same port twice in two test runs (a proxy could not listen: address in use), because ports were free only until the choice returned.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Names of the tests in KNOWN-RED.txt, first word of each line: passed over, and printed by CI.
 KNOWN_RED := $(shell test -f KNOWN-RED.txt && awk 'NF {print "--skip " $$1}' KNOWN-RED.txt)
 
-.PHONY: build test demo faults fuzz load
+.PHONY: build test demo faults faults-short fuzz load
 
 # All programs, for development.
 build:
@@ -24,6 +24,10 @@
 faults: build
 	target/debug/dyketally-lab faults
 
+# A few of them, for each change.
+faults-short: build
+	target/debug/dyketally-lab faults --selection short
+
 # Fuzzes the library's parts for TIME seconds, from a fresh seed or from DYKETALLY_FUZZ_SEED.
 fuzz:
 	DYKETALLY_FUZZ_SECONDS=$(TIME) $(CARGO) test -p dyketally --test fuzz -- \
--- a/crates/dyketally-lab/src/faults/mod.rs
+++ b/crates/dyketally-lab/src/faults/mod.rs
@@ -26,7 +26,7 @@
 pub use outcomes::Outcomes;
 pub use run::{CaseReport, CaseSettings, run_case};
 pub use settle::log_events;
-pub use table::CASES;
+pub use table::cases;
 
 /// Arguments of this command.
 #[derive(Clone, Debug, clap::Args)]
@@ -79,7 +79,7 @@
     if let Some(file) = &arguments.judge {
         return judge(file);
     }
-    let cases = selected(&arguments)?;
+    let selected = selected(&arguments)?;
     let seed = arguments.seed.unwrap_or_else(rand::random);
     println!("faults: seed {seed}; run again with --seed {seed}");
     let settings = CaseSettings {
@@ -87,7 +87,7 @@
         seed,
     };
     let mut steps = Steps::new("faults");
-    for case in cases {
+    for case in selected {
         let case = &FaultCase {
             user: arguments.user.unwrap_or(case.user),
             ..*case
@@ -100,7 +100,7 @@
 }
 
 fn list() {
-    for case in CASES {
+    for case in cases() {
         let mark = if case.is_short { "short" } else { "" };
         println!("{:<28} {mark:<6} {}", case.name, case.shows);
     }
@@ -120,10 +120,10 @@
     if arguments.cases.is_empty() {
         let is_selected =
             |case: &&FaultCase| arguments.selection == Selection::All || case.is_short;
-        return Ok(CASES.iter().filter(is_selected).collect());
+        return Ok(cases().filter(is_selected).collect());
     }
     let named = arguments.cases.iter().map(|name| {
-        let case = CASES.iter().find(|case| case.name == name);
+        let case = cases().find(|case| case.name == name);
         case.ok_or_else(|| eyre::eyre!("there is no case {name:?}; see `faults --list`"))
     });
     named.collect()
--- a/crates/dyketally-lab/tests/bench.rs
+++ b/crates/dyketally-lab/tests/bench.rs
@@ -99,3 +99,11 @@
     steps.record("first", Ok::<_, String>("seen"));
     assert!(steps.finish().is_ok());
 }
+
+#[test]
+fn addresses_of_two_sites_are_all_different() {
+    let mut addresses = free_addresses(100).expect("addresses");
+    addresses.extend(free_addresses(100).expect("further addresses"));
+    let different: HashSet<_> = addresses.iter().collect();
+    assert_eq!(different.len(), 200);
+}
--- a/crates/dyketally-lab/tests/faults.rs
+++ b/crates/dyketally-lab/tests/faults.rs
@@ -13,7 +13,7 @@
 use dyketally_lab::bench::{Configuration, RequestKind, Sample, SampleOutcome};
 use dyketally_lab::database::{LogRecord, RowChange, RowKey, RowWrite};
 use dyketally_lab::faults::{
-    Action, CASES, CaseReport, CaseSettings, FaultCase, Outcomes, Target, User, judge_file,
+    Action, CaseReport, CaseSettings, FaultCase, Outcomes, Target, User, cases, judge_file,
     log_events, read_history, run_case, write_history,
 };
 use rstest::rstest;
@@ -271,7 +271,7 @@
 #[tokio::test]
 async fn a_case_passes_and_its_falsified_history_does_not() {
     let directory = std::env::temp_dir().join(format!("dyketally-faults-{}", std::process::id()));
-    let case = CASES.iter().find(|case| case.name == "primary-killed");
+    let case = cases().find(|case| case.name == "primary-killed");
     let settings = CaseSettings {
         load: Duration::from_secs(1),
         seed: 7,
@@ -371,10 +371,11 @@
 
 #[test]
 fn each_case_has_a_name_of_its_own_and_a_script() {
-    for (index, case) in CASES.iter().enumerate() {
+    let cases: Vec<_> = cases().collect();
+    for (index, case) in cases.iter().enumerate() {
         assert!(!case.name.is_empty() && !case.shows.is_empty());
         assert!(!case.script.is_empty(), "{}", case.name);
-        let earlier = &CASES[..index];
+        let earlier = &cases[..index];
         assert!(
             earlier.iter().all(|other| other.name != case.name),
             "{}",
