Keep a session's state apart from its messages, and one type for a member's state

Change: session_state.rs holds token, transaction and pinned home, and ends the transaction however the session's task ends (a panic included); MemberState serves both; a node tells its own revision among the members. Measured: admin and command line tests pass.

--- a/crates/dyketally-cli/tests/command/status.rs
+++ b/crates/dyketally-cli/tests/command/status.rs
@@ -6,10 +6,11 @@
 use async_trait::async_trait;
 use dyketally::group::{LogPosition, Term};
 use dyketally::identifiers::Locality;
+use dyketally::membership::MemberState;
 use dyketally::policy::Revision;
 use dyketally_proxy::admin::{
-    CallerStatus, HomeStatus, Metrics, NodeEntry, NodeEntryState, NodeState, NodeStatus,
-    PrimaryStatus, Readiness, StatusSource, TenantQueue, serve,
+    CallerStatus, HomeStatus, Metrics, NodeEntry, NodeState, NodeStatus, PrimaryStatus, Readiness,
+    StatusSource, TenantQueue, serve,
 };
 use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -44,7 +45,7 @@
         revision: Revision(5),
         members: vec![NodeEntry {
             node: "proxy-9".into(),
-            state: NodeEntryState::Suspect,
+            state: MemberState::Suspect,
             incarnation: 1,
             locality,
             revision: Revision(4),
--- a/crates/dyketally-proxy/src/admin/mod.rs
+++ b/crates/dyketally-proxy/src/admin/mod.rs
@@ -15,6 +15,6 @@
 pub use metrics::{Label, Metrics};
 pub use server::{router, serve};
 pub use status::{
-    CallerStatus, HomeStatus, NodeEntry, NodeEntryState, NodeState, NodeStatus, PrimaryStatus,
-    Readiness, StatusSource, TenantQueue,
+    CallerStatus, HomeStatus, NodeEntry, NodeState, NodeStatus, PrimaryStatus, Readiness,
+    StatusSource, TenantQueue,
 };
--- a/crates/dyketally-proxy/src/admin/status.rs
+++ b/crates/dyketally-proxy/src/admin/status.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use dyketally::group::{LogPosition, Term};
 use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName, TenantName};
+use dyketally::membership::MemberState;
 use dyketally::policy::Revision;
 use serde::{Deserialize, Serialize};
 
@@ -83,7 +84,7 @@
     /// The node.
     pub node: NodeName,
     /// Whether it takes part.
-    pub state: NodeEntryState,
+    pub state: MemberState,
     /// Its newest known incarnation.
     pub incarnation: u64,
     /// Where it runs.
@@ -92,38 +93,6 @@
     pub revision: Revision,
 }
 
-/// Whether a node takes part, as another one sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum NodeEntryState {
-    /// It takes part.
-    Alive,
-    /// It has told that it will leave.
-    Leaving,
-    /// It did not answer; it is declared dead unless it refutes.
-    Suspect,
-    /// No node of its region answers.
-    Unreachable,
-    /// It was declared dead.
-    Dead,
-    /// It has told that it is gone.
-    Left,
-}
-
-impl NodeEntryState {
-    /// The state's name.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            NodeEntryState::Alive => "alive",
-            NodeEntryState::Leaving => "leaving",
-            NodeEntryState::Suspect => "suspect",
-            NodeEntryState::Unreachable => "unreachable",
-            NodeEntryState::Dead => "dead",
-            NodeEntryState::Left => "left",
-        }
-    }
-}
-
 /// The home of one database.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HomeStatus {
--- a/crates/dyketally-proxy/src/admin/status_metrics.rs
+++ b/crates/dyketally-proxy/src/admin/status_metrics.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use dyketally::membership::MemberState;
+
 use super::metrics::{Label, Metrics};
-use super::status::{HomeStatus, NodeEntryState, NodeState, NodeStatus};
+use super::status::{HomeStatus, NodeState, NodeStatus};
 
 /// Adds the gauges of `status`.
 pub(super) fn add_gauges(metrics: &mut Metrics, status: &NodeStatus) {
@@ -28,7 +30,7 @@
 }
 
 fn add_members(metrics: &mut Metrics, status: &NodeStatus) {
-    let mut counts: BTreeMap<NodeEntryState, u64> = BTreeMap::new();
+    let mut counts: BTreeMap<MemberState, u64> = BTreeMap::new();
     for entry in &status.members {
         *counts.entry(entry.state).or_default() += 1;
     }
--- a/crates/dyketally-proxy/src/edge/listener.rs
+++ b/crates/dyketally-proxy/src/edge/listener.rs
@@ -86,7 +86,6 @@
     let entry: CancelEntry = edge.cancels.enter();
     let mut session = CallerSession::new(edge, identity, entry, reader, writer);
     let result = session.run().await;
-    session.end();
     match result {
         Ok(()) => Ok(()),
         Err(error) => end(&mut session.into_writer(), error).await,
--- a/crates/dyketally-proxy/src/edge/mod.rs
+++ b/crates/dyketally-proxy/src/edge/mod.rs
@@ -15,6 +15,7 @@
 mod route;
 mod send;
 mod session;
+mod session_state;
 mod startup;
 mod writer;
 
--- a/crates/dyketally-proxy/src/edge/session.rs
+++ b/crates/dyketally-proxy/src/edge/session.rs
@@ -2,14 +2,12 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use dyketally::identifiers::{SessionId, TenantName};
 use dyketally::outcome::NotRunReason;
 use dyketally::policy::{Access, PolicySet, TenantPolicy};
-use dyketally::session::{Freshness, Session};
-use dyketally_protocol::{Completion, TransactionStatus};
+use dyketally_protocol::Completion;
 use futures::StreamExt;
 use pgwire::messages::extendedquery::CloseComplete;
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
@@ -26,12 +24,12 @@
 use super::control::{SessionStatement, session_statement};
 use super::counters::count;
 use super::listener::leaving;
-use super::request::{PinnedTransaction, ReplyStart, StatementReply, StatementRequest};
+use super::request::{ReplyStart, StatementReply, StatementRequest};
 use super::send::completion_of;
+use super::session_state::SessionState;
 use super::startup::{Identity, welcome};
 use super::writer::CallerWriter;
 use super::{Edge, Leaving};
-use crate::homes::HomeLocation;
 use crate::reply::ReplyReceiver;
 
 /// Messages that are read ahead while a batch runs. Beyond it the caller's own socket fills up.
@@ -41,17 +39,12 @@
 pub struct CallerSession {
     edge: Edge,
     tenant: TenantName,
-    id: SessionId,
-    session: Session,
-    /// The node that holds the open transaction's connection.
-    pinned_home: Option<HomeLocation>,
-    transaction: TransactionStatus,
+    state: SessionState,
     builder: BatchBuilder,
     cancel: CancelEntry,
     reader: FramedRead<OwnedReadHalf, CallerCodec>,
     writer: CallerWriter<OwnedWriteHalf>,
     read_ahead: VecDeque<PgWireFrontendMessage>,
-    told_token: Option<String>,
 }
 
 impl CallerSession {
@@ -68,32 +61,34 @@
             incarnation: edge.incarnation,
             number: edge.next_session(),
         };
+        let homes = edge.homes.clone();
+        let state = SessionState::new(id, identity.session, homes, edge.counters.clone());
         Self {
             edge,
             tenant: identity.tenant,
-            id,
-            session: identity.session,
-            pinned_home: None,
-            transaction: TransactionStatus::Idle,
+            state,
             builder: BatchBuilder::default(),
             cancel,
             reader,
             writer,
             read_ahead: VecDeque::new(),
-            told_token: None,
         }
     }
 
     /// Serves the caller until it leaves, breaks the protocol or the node leaves.
     pub async fn run(&mut self) -> Result<(), CallerError> {
-        welcome(&mut self.writer.answer, &self.session, self.cancel.key());
+        welcome(
+            &mut self.writer.answer,
+            self.state.session(),
+            self.cancel.key(),
+        );
         self.finish_batch().await?;
         let Leaving {
             turning_away,
             closing_idle,
         } = self.edge.leaving.clone();
         loop {
-            let idle = self.transaction == TransactionStatus::Idle && !self.builder.is_collecting();
+            let idle = !self.state.in_transaction() && !self.builder.is_collecting();
             let message = match self.read_ahead.pop_front() {
                 Some(message) => message,
                 None => tokio::select! {
@@ -107,7 +102,7 @@
             if let PgWireFrontendMessage::Terminate(_) = message {
                 return Ok(());
             }
-            let turned_away = turning_away.is_cancelled() && !self.in_transaction();
+            let turned_away = turning_away.is_cancelled() && !self.state.in_transaction();
             if turned_away && ends_batch(&message) {
                 return self.turn_away().await;
             }
@@ -115,14 +110,6 @@
         }
     }
 
-    /// Ends the session's transaction, if one is open.
-    pub fn end(&mut self) {
-        self.set_transaction(TransactionStatus::Idle);
-        if let Some(home) = self.pinned_home.take() {
-            self.edge.homes.end_session(&home, &self.id);
-        }
-    }
-
     /// The writing side, for a last word.
     pub fn into_writer(self) -> CallerWriter<OwnedWriteHalf> {
         self.writer
@@ -146,7 +133,7 @@
                 std::io::ErrorKind::ConnectionAborted.into(),
             ));
         };
-        let in_transaction = self.in_transaction();
+        let in_transaction = self.state.in_transaction();
         match message {
             PgWireFrontendMessage::Query(query) => {
                 self.simple_query(&policies, tenant, query.query).await
@@ -193,7 +180,7 @@
             self.session_statement(statement);
             return self.finish_batch().await;
         }
-        match BatchBuilder::simple(tenant, query, self.in_transaction()) {
+        match BatchBuilder::simple(tenant, query, self.state.in_transaction()) {
             Ok(batch) => self.run_batch(policies, batch).await,
             Err(fault) => self.refuse(fault).await,
         }
@@ -219,14 +206,11 @@
     ) {
         match statement {
             Ok(SessionStatement::Set(token)) => {
-                match token {
-                    Some(token) => self.session.offer(&token),
-                    None => self.session.reset(),
-                }
+                self.state.offer(token.as_ref());
                 self.writer.answer.command_complete("SET");
             }
             Ok(SessionStatement::Show) => {
-                let token = self.session.token().map(|token| token.to_string());
+                let token = self.state.session().token().map(|token| token.to_string());
                 self.writer.answer.session_row(&token.unwrap_or_default());
                 self.writer.answer.command_complete("SHOW");
             }
@@ -249,7 +233,7 @@
         batch: ClassifiedBatch,
     ) -> Result<(), CallerError> {
         count(&self.edge.counters.batches);
-        let Some(group) = policies.groups.get(self.session.group()) else {
+        let Some(group) = policies.groups.get(self.state.session().group()) else {
             return self
                 .refuse(CallerFault::not_run(NotRunReason::NotConfigured, None))
                 .await;
@@ -263,9 +247,9 @@
         let request = StatementRequest {
             group: Arc::new(group.clone()),
             tenant: self.tenant.clone(),
-            session: self.id.clone(),
-            transaction: self.pinned(),
-            freshness: self.freshness(&batch),
+            session: self.state.id().clone(),
+            transaction: self.state.pinned(),
+            freshness: self.state.freshness(batch.describes_only),
             deadline: Instant::now() + batch.policy.deadline,
             policy: batch.policy,
             batch: batch.batch,
@@ -276,7 +260,10 @@
             ReplyStart::Ended(completion) => completion,
             ReplyStart::Data { first, rest } => self.pass_on(first, rest).await?,
         };
-        self.settle(completion, &reply.database, reply.home);
+        let fault = self.state.settle(completion, &reply.database, reply.home);
+        if let Some(fault) = fault {
+            self.writer.answer.error(fault);
+        }
         drop(over);
         self.finish_batch().await
     }
@@ -325,99 +312,12 @@
         Ok(completion_of(rest).await)
     }
 
-    fn settle(
-        &mut self,
-        completion: Completion,
-        database: &dyketally::identifiers::DatabaseName,
-        home: Option<HomeLocation>,
-    ) {
-        let counters = &self.edge.counters;
-        let fault = match completion {
-            Completion::Done { seen, transaction } => {
-                count(&counters.done);
-                self.session.done(database, seen, transaction);
-                self.set_transaction(transaction);
-                let open = transaction != TransactionStatus::Idle;
-                self.pinned_home = if open {
-                    self.pinned_home.take().or(home)
-                } else {
-                    None
-                };
-                return;
-            }
-            Completion::NotRun {
-                reason,
-                retry_after,
-            } => {
-                count(&counters.not_run);
-                CallerFault::not_run(reason, retry_after)
-            }
-            Completion::Redirect { .. } => {
-                count(&counters.not_run);
-                CallerFault::not_run(NotRunReason::NoPrimary, None)
-            }
-            Completion::Unknown { reason } => {
-                count(&counters.unknown);
-                self.lose_transaction();
-                CallerFault::unknown(reason)
-            }
-            Completion::RolledBack => {
-                count(&counters.rolled_back);
-                self.lose_transaction();
-                CallerFault::rolled_back()
-            }
-        };
-        self.writer.answer.error(fault);
-    }
-
-    /// The transaction is gone with its connection. Its home is told, in case it isn't yet.
-    fn lose_transaction(&mut self) {
-        self.session.transaction_lost();
-        self.end();
-    }
-
-    fn set_transaction(&mut self, status: TransactionStatus) {
-        let was_open = self.in_transaction();
-        self.transaction = status;
-        let gauge = &self.edge.counters.in_transaction;
-        match (was_open, self.in_transaction()) {
-            (false, true) => gauge.fetch_add(1, Ordering::Relaxed),
-            (true, false) => gauge.fetch_sub(1, Ordering::Relaxed),
-            _ => return,
-        };
-    }
-
-    fn freshness(&self, batch: &ClassifiedBatch) -> Freshness {
-        if batch.describes_only {
-            Freshness::Any
-        } else {
-            self.session.freshness()
-        }
-    }
-
-    fn pinned(&self) -> Option<PinnedTransaction> {
-        let pin = self.session.pin()?;
-        Some(PinnedTransaction {
-            number: pin.number,
-            database: pin.database.clone(),
-            home: self.pinned_home.clone()?,
-        })
-    }
-
-    fn in_transaction(&self) -> bool {
-        self.transaction != TransactionStatus::Idle
-    }
-
     /// Writes the token if it moved, and the end of the batch.
     async fn finish_batch(&mut self) -> Result<(), CallerError> {
-        if let Some(token) = self.session.token() {
-            let text = token.to_string();
-            if self.told_token.as_ref() != Some(&text) {
-                self.writer.answer.session_token(&token);
-                self.told_token = Some(text);
-            }
+        if let Some(token) = self.state.untold_token() {
+            self.writer.answer.session_token(&token);
         }
-        self.writer.answer.ready(self.transaction);
+        self.writer.answer.ready(self.state.transaction());
         Ok(self.writer.flush().await?)
     }
 }
--- a/crates/dyketally-proxy/src/node/status.rs
+++ b/crates/dyketally-proxy/src/node/status.rs
@@ -5,18 +5,18 @@
 
 use async_trait::async_trait;
 use dyketally::identifiers::{Locality, NodeName};
-use dyketally::membership::{Member, MemberState};
+use dyketally::membership::Member;
 use dyketally::policy::PolicySet;
 use tokio::sync::watch;
 
 use crate::admin::{
-    CallerStatus, HomeStatus, Label, Metrics, NodeEntry, NodeEntryState, NodeState, NodeStatus,
-    PrimaryStatus, Readiness, StatusSource, TenantQueue,
+    CallerStatus, HomeStatus, Label, Metrics, NodeEntry, NodeState, NodeStatus, PrimaryStatus,
+    Readiness, StatusSource, TenantQueue,
 };
 use crate::edge::Edge;
 use crate::home::{HomeHandle, HomeStatus as RunningHome};
 use crate::homes::Homes;
-use crate::peers::PeersHandle;
+use crate::peers::{PeersHandle, View};
 
 /// The status of one running node.
 #[derive(Debug)]
@@ -50,6 +50,16 @@
         }
     }
 
+    /// All members; this node tells its own revision, which no other node has told it.
+    fn entries(&self, view: &View) -> Vec<NodeEntry> {
+        let mut entries: Vec<NodeEntry> = view.members.iter().map(node_entry).collect();
+        let own = entries.iter_mut().find(|entry| entry.node == self.node);
+        if let Some(own) = own {
+            own.revision = self.policies.borrow().revision;
+        }
+        entries
+    }
+
     fn home(&self, handle: &HomeHandle) -> Option<HomeStatus> {
         let home = handle.status();
         let policies = self.policies.borrow().clone();
@@ -93,14 +103,7 @@
 fn node_entry(member: &Member) -> NodeEntry {
     NodeEntry {
         node: member.node.clone(),
-        state: match member.state {
-            MemberState::Alive => NodeEntryState::Alive,
-            MemberState::Leaving => NodeEntryState::Leaving,
-            MemberState::Suspect => NodeEntryState::Suspect,
-            MemberState::Unreachable => NodeEntryState::Unreachable,
-            MemberState::Dead => NodeEntryState::Dead,
-            MemberState::Left => NodeEntryState::Left,
-        },
+        state: member.state,
         incarnation: incarnation_of(member),
         locality: member.locality.clone(),
         revision: member.revision,
@@ -131,7 +134,7 @@
             state: self.state(),
             locality: self.locality.clone(),
             revision: self.policies.borrow().revision,
-            members: view.members.iter().map(node_entry).collect(),
+            members: self.entries(&view),
             homes: self
                 .homes
                 .handles()
--- a/crates/dyketally-proxy/tests/admin.rs
+++ b/crates/dyketally-proxy/tests/admin.rs
@@ -6,10 +6,11 @@
 use async_trait::async_trait;
 use dyketally::group::{LogPosition, Term};
 use dyketally::identifiers::Locality;
+use dyketally::membership::MemberState;
 use dyketally::policy::Revision;
 use dyketally_proxy::admin::{
-    CallerStatus, HomeStatus, Label, Metrics, NodeEntry, NodeEntryState, NodeState, NodeStatus,
-    PrimaryStatus, Readiness, StatusSource, TenantQueue, serve,
+    CallerStatus, HomeStatus, Label, Metrics, NodeEntry, NodeState, NodeStatus, PrimaryStatus,
+    Readiness, StatusSource, TenantQueue, serve,
 };
 use rstest::rstest;
 use serde::Serialize;
@@ -62,9 +63,9 @@
         locality: locality.clone(),
         revision: Revision(5),
         members: vec![
-            entry("proxy-1", NodeEntryState::Alive),
-            entry("proxy-2", NodeEntryState::Alive),
-            entry("proxy-3", NodeEntryState::Suspect),
+            entry("proxy-1", MemberState::Alive),
+            entry("proxy-2", MemberState::Alive),
+            entry("proxy-3", MemberState::Suspect),
         ],
         homes: vec![HomeStatus {
             database: "ledger-a".into(),
--- a/crates/dyketally/src/membership/member.rs
+++ b/crates/dyketally/src/membership/member.rs
@@ -86,6 +86,18 @@
 }
 
 impl MemberState {
+    /// The state in one word, as operators see it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Suspect => "suspect",
+            Self::Unreachable => "unreachable",
+            Self::Dead => "dead",
+            Self::Left => "left",
+        }
+    }
+
     /// Work may be sent to the node.
     pub const fn is_live(self) -> bool {
         matches!(self, Self::Alive | Self::Leaving | Self::Suspect)
