Learn the primary from writes that were run

An edge beside the primary whose first guess was right never heard who leads, since only redirects told it; it then took the nearest database for a replica and read from the primary.

--- a/crates/dyketally-proxy/src/edge/route.rs
+++ b/crates/dyketally-proxy/src/edge/route.rs
@@ -6,6 +6,7 @@
 
 use dyketally::identifiers::{DatabaseName, Locality};
 use dyketally::outcome::NotRunReason;
+use dyketally::policy::Access;
 use dyketally::routing::{Attempt, Route as NextHop, RouteRequest, RouteTable};
 use dyketally::time::Timestamp;
 use dyketally_protocol::Completion;
@@ -133,6 +134,7 @@
         let Ok(service) = inner.ready().await;
         let Ok(reply) = service.call(routed).await;
         if !moves_on(&routes, &request, &mut attempt, &reply) {
+            learn_primary(&routes, &request, &reply);
             return reply;
         }
         last = reply;
@@ -187,6 +189,18 @@
     request.transaction.is_none()
 }
 
+/// A write that was run tells who leads.
+fn learn_primary(routes: &SharedRoutes, request: &StatementRequest, reply: &StatementReply) {
+    let was_run = matches!(
+        &reply.start,
+        ReplyStart::Data { .. } | ReplyStart::Ended(Completion::Done { .. })
+    );
+    if was_run && request.policy.access == Access::Write {
+        let group = &request.group.name;
+        routes.lock().served_write(group, &reply.database);
+    }
+}
+
 /// A redirect means nothing to a caller: the request was not run, since no primary was found.
 fn without_redirect(reply: StatementReply) -> StatementReply {
     let start = match reply.start {
--- a/crates/dyketally/src/routing/table.rs
+++ b/crates/dyketally/src/routing/table.rs
@@ -154,6 +154,15 @@
         }
     }
 
+    /// Notes that `database` ran a write, so that it leads for all that is known. Without this, an
+    /// edge whose first guess was right would never know the primary, and read from it.
+    pub fn served_write(&mut self, group: &GroupName, database: &DatabaseName) {
+        let routes = self.groups.entry(group.clone()).or_default();
+        if routes.primary.as_ref() != Some(database) {
+            routes.primary = Some(database.clone());
+        }
+    }
+
     /// Notes that `database`, or its home, can't be reached.
     pub fn unreachable(&mut self, group: &GroupName, database: &DatabaseName, now: Timestamp) {
         let until = now + self.settings.unreachable_for;
--- a/crates/dyketally/tests/routing.rs
+++ b/crates/dyketally/tests/routing.rs
@@ -250,3 +250,19 @@
     };
     assert_eq!(decide(&view, request, settings, at(60)), expected);
 }
+
+#[test]
+fn a_write_that_was_run_tells_the_primary_so_that_reads_leave_it() {
+    let mut edge = Edge::new("z1");
+    edge.table = RouteTable::new(RouteSettings::default());
+    assert_eq!(edge.first(Access::Read, SEEN), Route::Send(name("a")));
+    edge.table
+        .served_write(&GroupName::from("stock"), &name("a"));
+    for _ in 0..4 {
+        assert_ne!(edge.first(Access::Read, SEEN), Route::Send(name("a")));
+    }
+    assert_eq!(
+        edge.first(Access::Write, Freshness::Current),
+        Route::Send(name("a"))
+    );
+}
