Run the experiment's baselines beside ours without taking part in our counts

The baseline of failover has connections of its own at the databases and its rounds without a write count for ours alone. A caller gives up on opening a session within its patience too.

--- a/crates/dyketally-lab/src/bench/caller.rs
+++ b/crates/dyketally-lab/src/bench/caller.rs
@@ -149,7 +149,10 @@
         let CallerSettings {
             tenant, database, ..
         } = &self.settings;
-        SessionClient::connect(self.address(), tenant, database, self.token()).await
+        let address = self.address();
+        let opening = SessionClient::connect(address, tenant, database, self.token());
+        let opened = timeout(self.settings.patience, opening).await;
+        opened.map_err(|_| ConnectError::Unreachable(address))?
     }
 }
 
--- a/crates/dyketally-lab/src/bench/site.rs
+++ b/crates/dyketally-lab/src/bench/site.rs
@@ -47,8 +47,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DatabaseProperties {
-    /// Connections granted.
+    /// Connections granted to the proxies.
     pub connection_limit: u32,
+    /// Connections granted besides, for callers of a baseline without proxies.
+    #[serde(default)]
+    pub spare_connections: u32,
     /// Statements that run at one time.
     pub slots: u32,
     /// Time that a new connection costs, in milliseconds.
@@ -136,6 +139,7 @@
     fn default() -> Self {
         Self {
             connection_limit: 40,
+            spare_connections: 0,
             slots: 5,
             connect_cost_ms: 12,
             service_time_us: 1_000,
--- a/crates/dyketally-lab/src/experiment/failover/mod.rs
+++ b/crates/dyketally-lab/src/experiment/failover/mod.rs
@@ -28,6 +28,9 @@
 /// Callers that write through the proxies, and as many that write straight to the databases.
 const CALLERS: usize = 6;
 
+/// Connections of each database for the baseline's callers; the proxies may hold all the others.
+const SPARE_CONNECTIONS: u32 = 2 * CALLERS as u32;
+
 /// Goal for the median of our part, in milliseconds.
 const MEDIAN_GOAL: f64 = 50.0;
 
@@ -49,9 +52,13 @@
 /// # Errors
 /// When the site can't be started or a round could not be run to its end.
 pub(super) async fn run(settings: &ExperimentSettings) -> eyre::Result<ExperimentResult> {
+    let mut settings = settings.clone();
+    settings.site.database.spare_connections = SPARE_CONNECTIONS;
+    let settings = &settings;
     let mut topology = settings.start().await?;
     let ours = Arc::new(Recorder::default());
-    let baseline = Arc::new(Recorder::default());
+    // One clock for both, so that their times can be compared.
+    let baseline = Arc::new(Recorder::with_clock_of(&ours));
     let stop = CancellationToken::new();
     let mut callers = start_callers(settings, &topology, &ours, &stop);
     callers.extend(start_baseline(&topology, &baseline, &stop));
@@ -142,6 +149,7 @@
 
 fn round_figures(label: &str, rounds: &[&Round]) -> Vec<Figure> {
     let values = |value: fn(&Round) -> f64| rounds.iter().map(|round| value(round)).collect();
+    let baseline = rounds.iter().filter_map(|round| round.baseline_part);
     let name = |what: &str| format!("{what}, {label}");
     let goal = Some(Goal::AtMost(MEDIAN_GOAL));
     vec![
@@ -159,7 +167,7 @@
             &name("part after the election"),
             "ms",
             None,
-            values(|it| it.baseline_part),
+            baseline.collect(),
         ),
     ]
 }
@@ -218,7 +226,9 @@
             line("gap", |it| it.gap),
             line("election", |it| it.election),
             line("our part", |it| it.our_part),
-            line("baseline after the election", |it| it.baseline_part),
+            line("baseline after the election", |it| {
+                it.baseline_part.unwrap_or_default()
+            }),
         ],
     }
 }
