Ask the other replica when the nearest one is far behind

Ruled out: a longer wait at the replica, which only adds to the read's time. Change: a replica that lacked a read's position comes after the others for 1 s, and the read goes on to another replica before the primary. Table cases for the order and for the read that goes on.

--- a/crates/dyketally-proxy/src/edge/codec.rs
+++ b/crates/dyketally-proxy/src/edge/codec.rs
@@ -28,7 +28,7 @@
 pub enum CallerError {
     /// A message exceeds the bound.
     #[error(
-        "a message of {length} bytes exceeds the bound of {bound}; send less in one statement or raise `limits.longest_caller_message`"
+        "a message of {length} bytes exceeds the bound of {bound}; send less in one statement or raise `limits.longest_message_bytes`"
     )]
     TooLong {
         /// Length the caller announced, in bytes.
--- a/crates/dyketally-proxy/src/edge/route.rs
+++ b/crates/dyketally-proxy/src/edge/route.rs
@@ -9,7 +9,7 @@
 use dyketally::policy::Access;
 use dyketally::routing::{Attempt, Route as NextHop, RouteRequest, RouteTable};
 use dyketally::time::Timestamp;
-use dyketally_protocol::Completion;
+use dyketally_protocol::{Completion, Freshness};
 use futures::future::BoxFuture;
 use tokio::time::Instant;
 use tower::{Layer, Service, ServiceExt};
@@ -37,13 +37,17 @@
         if let Some(pinned) = &request.transaction {
             return NextHop::Send(pinned.database.clone());
         }
-        let route = RouteRequest {
+        let route = self.route_request(request);
+        self.lock().choose(route, attempt, clock::now())
+    }
+
+    fn route_request<'a>(&'a self, request: &'a StatementRequest) -> RouteRequest<'a> {
+        RouteRequest {
             group: &request.group,
             access: request.policy.access,
             freshness: request.freshness,
             locality: &self.locality,
-        };
-        self.lock().choose(route, attempt, clock::now())
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, RouteTable> {
@@ -172,6 +176,11 @@
     let group = &request.group.name;
     let mut table = routes.lock();
     match completion {
+        Completion::Redirect { primary, term } if was_behind(request, reply) => {
+            table.learn_primary(group, primary.clone(), *term);
+            let route = routes.route_request(request);
+            table.behind(route, attempt, &reply.database, clock::now());
+        }
         Completion::Redirect { primary, term } => {
             table.redirected(group, attempt, primary.clone(), *term);
         }
@@ -201,6 +210,18 @@
     }
 }
 
+/// A read that names a position is sent on only by a replica that lacks it.
+fn was_behind(request: &StatementRequest, reply: &StatementReply) -> bool {
+    let at_least = matches!(request.freshness, Freshness::AtLeast(_));
+    let known_primary = match &reply.start {
+        ReplyStart::Ended(Completion::Redirect { primary, .. }) => primary.as_ref(),
+        _ => None,
+    };
+    at_least
+        && request.policy.access == Access::Read
+        && known_primary.is_some_and(|primary| primary != &reply.database)
+}
+
 /// A redirect means nothing to a caller: the request was not run, since no primary was found.
 fn without_redirect(reply: StatementReply) -> StatementReply {
     let start = match reply.start {
--- a/crates/dyketally/src/routing/table.rs
+++ b/crates/dyketally/src/routing/table.rs
@@ -23,6 +23,8 @@
     pub longest_pause: Duration,
     /// How long a database that couldn't be reached is passed over.
     pub unreachable_for: Duration,
+    /// How long a replica that was too far behind for a read comes after the others.
+    pub behind_for: Duration,
 }
 
 impl Default for RouteSettings {
@@ -33,6 +35,7 @@
             first_pause: Duration::from_millis(2),
             longest_pause: Duration::from_millis(40),
             unreachable_for: Duration::from_millis(500),
+            behind_for: Duration::from_secs(1),
         }
     }
 }
@@ -55,7 +58,7 @@
 pub struct Attempt {
     hops: u32,
     paused_until: Option<Timestamp>,
-    /// A replica was too far behind: the primary must serve the request.
+    /// All replicas were too far behind: the primary must serve the request.
     needs_primary: bool,
     /// Asked since the last time that all members were asked.
     asked: Vec<DatabaseName>,
@@ -78,6 +81,7 @@
     /// The highest term that a redirect named.
     term: Term,
     unreachable_until: HashMap<DatabaseName, Timestamp>,
+    behind_until: HashMap<DatabaseName, Timestamp>,
     reads: usize,
 }
 
@@ -145,6 +149,27 @@
         }
     }
 
+    /// Notes that `replica` was too far behind to serve a read. Another replica is asked next,
+    /// unless each was asked for this read or was behind a moment ago: then the primary is.
+    pub fn behind(
+        &mut self,
+        request: RouteRequest<'_>,
+        attempt: &mut Attempt,
+        replica: &DatabaseName,
+        now: Timestamp,
+    ) {
+        let until = now + self.settings.behind_for;
+        let routes = self.groups.entry(request.group.name.clone()).or_default();
+        routes.behind_until.insert(replica.clone(), until);
+        let another = request.group.members.iter().any(|member| {
+            let name = &member.name;
+            let is_primary = routes.primary.as_ref() == Some(name);
+            let asked = attempt.asked.contains(name);
+            !is_primary && !asked && routes.is_reachable(name, now) && !routes.is_behind(name, now)
+        });
+        attempt.needs_primary = !another;
+    }
+
     /// Notes who leads `group` in `term`, from whatever source. Earlier terms are not news.
     pub fn learn_primary(&mut self, group: &GroupName, primary: Option<DatabaseName>, term: Term) {
         let routes = self.groups.entry(group.clone()).or_default();
@@ -241,8 +266,15 @@
         let rank = |member: &DatabasePolicy| {
             let asked = attempt.asked.contains(&member.name);
             let unreachable = !self.is_reachable(&member.name, now);
+            let behind = self.is_behind(&member.name, now);
             let distance = Distance::between(&member.locality, request.locality);
-            (unreachable, asked, !preferred(&member.name), distance)
+            (
+                unreachable,
+                asked,
+                !preferred(&member.name),
+                behind,
+                distance,
+            )
         };
         let best = request.group.members.iter().map(&rank).min();
         let equals = request.group.members.iter();
@@ -253,9 +285,13 @@
     }
 
     fn is_reachable(&self, database: &DatabaseName, now: Timestamp) -> bool {
-        self.unreachable_until
-            .get(database)
-            .is_none_or(|until| *until <= now)
+        let until = self.unreachable_until.get(database);
+        until.is_none_or(|until| *until <= now)
+    }
+
+    fn is_behind(&self, database: &DatabaseName, now: Timestamp) -> bool {
+        let until = self.behind_until.get(database);
+        until.is_some_and(|until| *until > now)
     }
 }
 
--- a/crates/dyketally/tests/routing.rs
+++ b/crates/dyketally/tests/routing.rs
@@ -86,6 +86,17 @@
         self.table.choose(request, attempt, now)
     }
 
+    /// `replica` lacked what a read needs.
+    fn behind(&mut self, attempt: &mut Attempt, replica: &str, now: Timestamp) {
+        let request = RouteRequest {
+            group: &self.group,
+            access: Access::Read,
+            freshness: SEEN,
+            locality: &self.locality,
+        };
+        self.table.behind(request, attempt, &name(replica), now);
+    }
+
     fn first(&mut self, access: Access, freshness: Freshness) -> Route {
         self.choose(access, freshness, &mut Attempt::default(), at(0))
     }
@@ -266,3 +277,35 @@
         Route::Send(name("a"))
     );
 }
+
+/// The primary is `a`; the replica `b` of the edge's own zone is asked first.
+fn edge_before_replicas(behind: &[&str], attempt: &mut Attempt) -> Edge {
+    let mut edge = Edge::new("z2");
+    for replica in behind {
+        edge.behind(attempt, replica, at(0));
+    }
+    edge
+}
+
+#[rstest]
+#[case::none(&[], "b")]
+#[case::the_nearest(&["b"], "c")]
+#[case::another(&["c"], "b")]
+#[case::all(&["b", "c"], "b")]
+fn replicas_that_are_behind_come_last_for_a_while(#[case] behind: &[&str], #[case] first: &str) {
+    let mut edge = edge_before_replicas(behind, &mut Attempt::default());
+    assert_eq!(edge.first(Access::Read, SEEN), Route::Send(name(first)));
+    let later = at(0) + RouteSettings::default().behind_for;
+    let again = edge.choose(Access::Read, SEEN, &mut Attempt::default(), later);
+    assert_eq!(again, Route::Send(name("b")));
+}
+
+#[rstest]
+#[case::one(&["b"], "c")]
+#[case::both(&["b", "c"], "a")]
+fn a_read_goes_on_to_a_replica_that_may_be_fresh(#[case] behind: &[&str], #[case] next: &str) {
+    let mut attempt = Attempt::default();
+    let mut edge = edge_before_replicas(behind, &mut attempt);
+    let route = edge.choose(Access::Read, SEEN, &mut attempt, at(0));
+    assert_eq!(route, Route::Send(name(next)));
+}
