Measure what it costs to confirm a write, and to read without a position

The choice between majority position, majority term and the primary's word had no figure. The product has no mode that trusts the primary's word: it is measured straight at the primary, over the link that its home uses. Reads with and without a position are measured beside them, for callers that carry no token.

--- a/crates/dyketally-lab/src/experiment/mod.rs
+++ b/crates/dyketally-lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Runs an experiment on the users' measures.
 
+mod confirmation;
 mod failover;
 mod plot;
 mod progress;
@@ -21,6 +22,7 @@
 pub async fn run(arguments: Arguments) -> eyre::Result<()> {
     let settings = ExperimentSettings::read(&arguments)?;
     let mut result = match arguments.name {
+        Experiment::Confirmation => confirmation::run(&settings).await?,
         Experiment::Failover => failover::run(&settings).await?,
         Experiment::ReplicaReads => replica_reads::run(&settings).await?,
     };
--- a/crates/dyketally-lab/src/experiment/settings.rs
+++ b/crates/dyketally-lab/src/experiment/settings.rs
@@ -36,6 +36,8 @@
 /// The experiments.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Experiment {
+    /// What it costs to confirm a write before it is acknowledged.
+    Confirmation,
     /// The time in which no write lands after a primary fails.
     Failover,
     /// The share of reads that replicas serve.
@@ -54,6 +56,7 @@
 impl fmt::Display for Experiment {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
+            Experiment::Confirmation => "confirmation",
             Experiment::Failover => "failover",
             Experiment::ReplicaReads => "replica-reads",
         })
