Let a caller that is turned away close first, so that its late statement is told not run

A planned stop wrote the last word (57P03) to idle callers and closed at once. A statement that was on its way then met a closed socket: the reset could overtake the last word, and the caller was left with an unknown outcome though nothing was run. Now the proxy ends its own direction and reads on until the caller closes, for at most 2 s.

The test's caller sends statements after it was turned away: broken pipe before, an orderly end after.

--- a/crates/dyketally-lab/tests/path/main.rs
+++ b/crates/dyketally-lab/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod links;
+mod planned_stop;
 mod sessions;
 mod statements;
 mod support;
--- a/crates/dyketally-proxy/src/edge/session.rs
+++ b/crates/dyketally-proxy/src/edge/session.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dyketally::identifiers::{SessionId, TenantName};
@@ -36,6 +37,8 @@
 
 /// Messages that are read ahead while a batch runs. Beyond it the caller's own socket fills up.
 const READ_AHEAD: usize = 256;
+/// Time that a caller has to close after it was turned away.
+const LATE_MESSAGES: Duration = Duration::from_secs(2);
 
 /// A caller's session.
 pub struct CallerSession {
@@ -124,7 +127,18 @@
     /// The node leaves: the caller is told between two batches and should connect elsewhere.
     async fn turn_away(&mut self) -> Result<(), CallerError> {
         self.writer.answer.fatal(leaving());
-        Ok(self.writer.flush().await?)
+        self.writer.finish().await?;
+        self.drop_late_messages().await;
+        Ok(())
+    }
+
+    /// Reads on until the caller closes. A message may be on its way from a caller that was just
+    /// turned away; closing before it arrives resets the connection, and the reset can overtake
+    /// the last word, so that the caller could not tell that its message was not run.
+    async fn drop_late_messages(&mut self) {
+        let closed = async { while let Some(Ok(_)) = self.reader.next().await {} };
+        // A caller that does not close in time is closed by this side.
+        let _ = tokio::time::timeout(LATE_MESSAGES, closed).await;
     }
 
     async fn take(&mut self, message: PgWireFrontendMessage) -> Result<(), CallerError> {
--- a/crates/dyketally-proxy/src/edge/writer.rs
+++ b/crates/dyketally-proxy/src/edge/writer.rs
@@ -31,6 +31,12 @@
         Ok(())
     }
 
+    /// Writes what was collected and ends this direction of the stream.
+    pub async fn finish(&mut self) -> std::io::Result<()> {
+        self.flush().await?;
+        self.stream.shutdown().await
+    }
+
     /// Writes what was collected if it is much.
     pub async fn flush_if_large(&mut self) -> std::io::Result<()> {
         if self.answer.pending().len() >= WRITE_AT {
