Tell a statement that the lab's driver never sent from one that may have run

The driver prepares a statement and then runs it. A proxy that turned its caller away between the two ended the connection with 57P03; the driver gave the second step up without sending it and told only that the connection is closed, which the lab took for an unknown outcome. Ruled out: statements sent before the turn-away, which get the last word as their reply.

--- a/crates/dyketally-lab/src/bench/client.rs
+++ b/crates/dyketally-lab/src/bench/client.rs
@@ -9,6 +9,7 @@
 
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio_postgres::error::DbError;
 use tokio_postgres::tls::NoTlsStream;
 use tokio_postgres::types::ToSql;
 use tokio_postgres::{Client, Config, Connection, NoTls, Row, SimpleQueryMessage};
@@ -53,6 +54,8 @@
     /// The connection is over. It was dropped, so that requests that wait are told.
     Ended {
         token: Option<String>,
+        /// What the server said when no request waited for a reply.
+        last_word: Option<Box<DbError>>,
     },
 }
 
@@ -60,7 +63,7 @@
     fn token(&self) -> Option<String> {
         match self {
             Self::Open(connection) => connection.parameter(SESSION_PARAMETER).map(str::to_owned),
-            Self::Ended { token } => token.clone(),
+            Self::Ended { token, .. } => token.clone(),
         }
     }
 }
@@ -123,7 +126,7 @@
 
     /// Runs a statement that changes rows; gives their number.
     pub async fn execute(&self, statement: &str, parameters: &[&(dyn ToSql + Sync)]) -> Reply<u64> {
-        Reply::from_result(self.client.execute(statement, parameters).await)
+        self.sort(self.client.execute(statement, parameters).await)
     }
 
     /// Runs a statement that gives rows.
@@ -132,18 +135,34 @@
         statement: &str,
         parameters: &[&(dyn ToSql + Sync)],
     ) -> Reply<Vec<Row>> {
-        Reply::from_result(self.client.query(statement, parameters).await)
+        self.sort(self.client.query(statement, parameters).await)
     }
 
     /// Runs statements without parameters; gives the first column of each row as text.
     pub async fn texts(&self, statements: &str) -> Reply<Vec<String>> {
         let result = self.client.simple_query(statements).await;
-        Reply::from_result(result.map(|messages| first_columns(&messages)))
+        self.sort(result.map(|messages| first_columns(&messages)))
     }
 
     /// Runs statements without parameters and drops what they give.
     pub async fn run(&self, statements: &str) -> Reply<()> {
-        Reply::from_result(self.client.batch_execute(statements).await)
+        self.sort(self.client.batch_execute(statements).await)
+    }
+
+    /// Sorts a result. The driver hands an error of the server to the request that waits; when
+    /// none waited, the error ended the connection, and a later request was never sent.
+    fn sort<T>(&self, result: Result<T, tokio_postgres::Error>) -> Reply<T> {
+        let is_closed = result.as_ref().is_err_and(|error| error.is_closed());
+        match (&*lock(&self.connection), is_closed) {
+            (
+                ConnectionState::Ended {
+                    last_word: Some(error),
+                    ..
+                },
+                true,
+            ) => Reply::from_database_error(error),
+            _ => Reply::from_result(result),
+        }
     }
 }
 
@@ -180,9 +199,12 @@
             };
             match ready!(open.poll_message(context)) {
                 Some(Ok(_)) => {}
-                Some(Err(_)) | None => {
+                ended => {
+                    let error = ended.and_then(Result::err);
+                    let last_word =
+                        error.and_then(|error| error.as_db_error().cloned().map(Box::new));
                     let token = state.token();
-                    *state = ConnectionState::Ended { token };
+                    *state = ConnectionState::Ended { token, last_word };
                 }
             }
         }
--- a/crates/dyketally-lab/src/bench/reply.rs
+++ b/crates/dyketally-lab/src/bench/reply.rs
@@ -54,7 +54,8 @@
         }
     }
 
-    fn from_database_error(error: &DbError) -> Self {
+    /// Sorts an error of the server by its state.
+    pub fn from_database_error(error: &DbError) -> Self {
         match error.code().code() {
             UNKNOWN => Reply::Unknown,
             ROLLED_BACK => Reply::RolledBack,
--- a/crates/dyketally-lab/src/faults/inject.rs
+++ b/crates/dyketally-lab/src/faults/inject.rs
@@ -181,12 +181,17 @@
     }
 
     async fn cut_link(&mut self, from: Target, to: Target, passage: Passage) -> eyre::Result<()> {
-        let from = self.find("cut from here", from).await?;
-        let to = self.find("to here", to).await?;
-        let place = |victim: Victim| Place::Process(victim.name(&self.stage.topology).to_owned());
+        let Stage {
+            topology, group, ..
+        } = &self.stage;
+        let from = Victim::find(topology, group, from).await?;
+        let from = from.name(topology).to_owned();
+        let to = Victim::find(topology, group, to).await?;
+        let to = to.name(topology).to_owned();
+        self.note(format!("traffic from {from} to {to}: {passage:?}"));
         let request = CutRequest {
-            from: place(from),
-            to: place(to),
+            from: Place::Process(from),
+            to: Place::Process(to),
             both_ways: false,
             passage,
         };
