Don't answer for databases before a configuration is in force

Ruled out: leaving it out of placement until it is configured, which changes membership's messages; better, and for later. Change: it answers that it is not the home, so that the edge tries again within the deadline.

--- a/crates/dyketally-proxy/src/homes.rs
+++ b/crates/dyketally-proxy/src/homes.rs
@@ -118,7 +118,12 @@
     pub fn submit_here(&self, request: HomeRequest) {
         match self.home_here(&request.execute.database) {
             Some(home) => home.submit(request),
-            None => refuse(request),
+            // A node that has just started and has no configuration yet knows no database. Others
+            // may have it for a home already; they try again, or elsewhere.
+            None if self.policies.borrow().groups.is_empty() => {
+                refuse(request, NotRunReason::NotHome);
+            }
+            None => refuse(request, NotRunReason::NotConfigured),
         }
     }
 
@@ -172,10 +177,10 @@
     }
 }
 
-fn refuse(request: HomeRequest) {
+fn refuse(request: HomeRequest, reason: NotRunReason) {
     // An edge that has gone needs no answer.
     let _ = request.reply.finish(Completion::NotRun {
-        reason: NotRunReason::NotConfigured,
+        reason,
         retry_after: None,
     });
 }
--- a/crates/dyketally-proxy/tests/homes.rs
+++ b/crates/dyketally-proxy/tests/homes.rs
@@ -125,3 +125,31 @@
     );
     assert_eq!(homes.locate(&database), Some(HomeLocation::Here));
 }
+
+#[tokio::test]
+async fn a_node_without_a_configuration_is_no_home_yet() {
+    let database = DatabaseName::new("store-a");
+    let placement = Arc::new(FirstThenHere {
+        first: closed_address(),
+    });
+    let (_sender, receiver) = watch::channel(Arc::new(PolicySet::default()));
+    let homes = Homes::new(
+        receiver,
+        placement,
+        LinkPool::new("edge".into()),
+        AddressRoutes::default(),
+        HomeOptions::default(),
+    );
+    let (reply, receiver) = reply_channel();
+    homes.submit_here(HomeRequest {
+        execute: request(&database),
+        cancelled: CancellationToken::new(),
+        reply,
+    });
+    let completion = receiver.completion.await.expect("a completion");
+    let not_home = Completion::NotRun {
+        reason: NotRunReason::NotHome,
+        retry_after: None,
+    };
+    assert_eq!(completion, not_home);
+}
