--- a/crates/dyketally-cli/src/failure.rs
+++ b/crates/dyketally-cli/src/failure.rs
@@ -7,7 +7,7 @@
 use dyketally::document::FaultReport;
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::configuration_store::ConfigurationError;
+use dyketally_proxy::stores::configuration_store::ConfigurationError;
 
 use crate::exit_status::ExitStatus;
 
--- a/crates/dyketally-cli/src/history.rs
+++ b/crates/dyketally-cli/src/history.rs
@@ -5,7 +5,7 @@
 
 use dyketally::configuration::{Change, DocumentEdit, UnixMillis};
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::{ConfigurationStore, operations};
+use dyketally_proxy::stores::{ConfigurationStore, operations};
 use tabled::Tabled;
 
 use crate::command_line::{HistoryArguments, OutputForm};
--- a/crates/dyketally-cli/src/listing.rs
+++ b/crates/dyketally-cli/src/listing.rs
@@ -4,7 +4,7 @@
 use dyketally::document::FaultReport;
 use dyketally::policy::{Confirmation, DatabasePolicy, GroupPolicy, PolicySet, TenantPolicy};
 use dyketally::template::{TenantDocument, resolve};
-use dyketally_proxy::platform::ConfigurationStore;
+use dyketally_proxy::stores::ConfigurationStore;
 use serde::Serialize;
 use tabled::Tabled;
 
--- a/crates/dyketally-cli/src/publish.rs
+++ b/crates/dyketally-cli/src/publish.rs
@@ -7,8 +7,8 @@
 };
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::ConfigurationStore;
-use dyketally_proxy::platform::operations::{self, PublishError, PublishRequest};
+use dyketally_proxy::stores::ConfigurationStore;
+use dyketally_proxy::stores::operations::{self, PublishError, PublishRequest};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde::Serialize;
--- a/crates/dyketally-cli/src/run.rs
+++ b/crates/dyketally-cli/src/run.rs
@@ -5,9 +5,9 @@
 
 use clap::CommandFactory;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::configuration_store::ConfigurationError;
-use dyketally_proxy::platform::{ConfigurationKeys, ConfigurationStore, EtcdGateway, EtcdSettings};
 use dyketally_proxy::settings::HttpUrl;
+use dyketally_proxy::stores::configuration_store::ConfigurationError;
+use dyketally_proxy::stores::{ConfigurationKeys, ConfigurationStore, EtcdGateway, EtcdSettings};
 
 use crate::command_line::{
     Command, CommandLine, GroupCommand, Options, TemplateCommand, TenantCommand,
--- a/crates/dyketally-cli/src/show.rs
+++ b/crates/dyketally-cli/src/show.rs
@@ -4,7 +4,7 @@
 
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::ConfigurationStore;
+use dyketally_proxy::stores::ConfigurationStore;
 use serde::Serialize;
 use similar::TextDiff;
 
--- a/crates/dyketally-cli/src/stored.rs
+++ b/crates/dyketally-cli/src/stored.rs
@@ -2,8 +2,8 @@
 
 use dyketally::configuration::Snapshot;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::configuration_store::ConfigurationError;
-use dyketally_proxy::platform::{ConfigurationStore, operations};
+use dyketally_proxy::stores::configuration_store::ConfigurationError;
+use dyketally_proxy::stores::{ConfigurationStore, operations};
 
 use crate::failure::Failure;
 
--- a/crates/dyketally-cli/tests/command/publish.rs
+++ b/crates/dyketally-cli/tests/command/publish.rs
@@ -1,6 +1,6 @@
 //! Publishing: by compare-and-swap on the revision that the operator saw.
 
-use dyketally_proxy::platform::memory::{FaultPlan, Outage};
+use dyketally_proxy::stores::memory::{FaultPlan, Outage};
 
 use super::support::{
     CHECK_FAILED, CONFLICT, OK, Platform, Ran, UNAVAILABLE, UNKNOWN, changed_example, example,
--- /dev/null
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -0,0 +1,274 @@
+//! Exchanges with databases on the gateway's own behalf: confirming what a primary's log holds,
+//! searching for a primary, probing one that is silent, and asking for status.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::directory::MemberState;
+use dyketally::failover::Evidence;
+use dyketally::group::LogPosition;
+use dyketally::identifiers::GroupName;
+use dyketally::statement::{DatabaseStatus, FailureKind, TransactionState};
+use dyketally::time::Timestamp;
+use tokio::time::Instant;
+
+use crate::connection::{Connection, OpenError};
+use crate::event::Event;
+use crate::gateway::Gateway;
+use crate::pool::CheckoutError;
+use crate::ports::{DatabaseCommand, OwnStatement};
+use crate::target::Target;
+
+/// Priority of the gateway's own exchanges: before all callers.
+const OWN_PRIORITY: u32 = 0;
+/// Longest time that a confirmation may take.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
+/// Longest time that a probe may take.
+pub const PROBE_LIMIT: Duration = Duration::from_millis(350);
+/// An answer this recent makes a probe needless.
+const RECENT_ANSWER: Duration = Duration::from_millis(200);
+/// Pause between two probes of a primary that doesn't answer.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Probes in a row.
+const PROBES_AT_MOST: u32 = 40;
+
+/// What an exchange to confirm that a database leads came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// It leads.
+    Leads,
+    /// It answered that it doesn't.
+    Follows,
+    /// It didn't answer, or not in a way that tells.
+    Unclear,
+}
+
+impl Gateway {
+    /// Makes sure that an observation covers `covered`, if the primary can be asked in time.
+    pub async fn ensure_observation(
+        self: &Rc<Self>,
+        group: &GroupName,
+        covered: Timestamp,
+        until: Instant,
+    ) -> Option<LogPosition> {
+        let state = self.group(group);
+        let until = until.min(Instant::now() + CONFIRM_LIMIT);
+        loop {
+            let observed = state.observed.notified();
+            if let Some(found) = state.observations.borrow().covering(covered) {
+                return Some(found.position);
+            }
+            self.start_confirmation(group, covered);
+            let in_time = tokio::time::timeout_at(until, observed).await;
+            if in_time.is_err() || state.confirming.get().is_none() {
+                let found = state.observations.borrow().covering(covered);
+                return found.map(|found| found.position);
+            }
+        }
+    }
+
+    fn start_confirmation(self: &Rc<Self>, group: &GroupName, covered: Timestamp) {
+        let state = self.group(group);
+        if state.confirming.get().is_some_and(|sent| sent >= covered) {
+            return;
+        }
+        state.confirming.set(Some(self.now()));
+        let gateway = self.clone();
+        let group = group.clone();
+        tokio::task::spawn_local(async move {
+            let sent = gateway.now();
+            if let Some(target) = gateway.primary_target(&group) {
+                gateway.confirm_leader(&target).await;
+            }
+            let state = gateway.group(&group);
+            if state
+                .confirming
+                .get()
+                .is_some_and(|started| started <= sent)
+            {
+                state.confirming.set(None);
+            }
+            state.observed.notify_waiters();
+        });
+    }
+
+    /// Asks a database to open and drop a transaction that only a primary takes.
+    pub async fn confirm_leader(self: &Rc<Self>, target: &Target) -> Confirmation {
+        let until = Instant::now() + CONFIRM_LIMIT;
+        let exchange = self.exchange_as_leader(target, until);
+        match tokio::time::timeout_at(until, exchange).await {
+            Ok(confirmation) => confirmation,
+            Err(_) => Confirmation::Unclear,
+        }
+    }
+
+    async fn exchange_as_leader(self: &Rc<Self>, target: &Target, until: Instant) -> Confirmation {
+        let pool = &target.state.pool;
+        let values = BTreeMap::new();
+        let checkout = pool.checkout(&values, OWN_PRIORITY, until);
+        let mut checkout = match checkout.await {
+            Ok(checkout) => checkout,
+            Err(CheckoutError::Open(OpenError::Refused)) => {
+                self.suspect_primary(target);
+                return Confirmation::Unclear;
+            }
+            Err(_) => return Confirmation::Unclear,
+        };
+        let sent = self.now();
+        let commands = [
+            DatabaseCommand::Own(OwnStatement::Begin),
+            DatabaseCommand::Own(OwnStatement::Rollback),
+        ];
+        let Ok(answers) = checkout.connection().exchange(&commands).await else {
+            self.suspect_primary(target);
+            return Confirmation::Unclear;
+        };
+        let ended = answers[1].state == TransactionState::Idle;
+        if ended {
+            checkout.give_back();
+        }
+        match &answers[0].end {
+            Ok(_) if answers[1].end.is_ok() && ended => {
+                self.observe(&target.group, answers[0].position, sent);
+                Confirmation::Leads
+            }
+            Err(failure) if failure.kind == FailureKind::ReadOnly => Confirmation::Follows,
+            _ => Confirmation::Unclear,
+        }
+    }
+
+    /// Looks for the database that leads `group` among all of them, in the background.
+    pub fn search_primary(self: &Rc<Self>, group: &GroupName) {
+        let state = self.group(group);
+        if state.searching.replace(true) {
+            return;
+        }
+        let gateway = self.clone();
+        let group = group.clone();
+        tokio::task::spawn_local(async move {
+            let targets = gateway.search_targets(&group);
+            let asked = targets.iter().map(|target| gateway.confirm_leader(target));
+            let replies = futures::future::join_all(asked).await;
+            for (target, reply) in targets.iter().zip(replies) {
+                if reply == Confirmation::Leads {
+                    gateway.leads(target);
+                }
+            }
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            gateway.group(&group).searching.set(false);
+        });
+    }
+
+    fn search_targets(&self, group: &GroupName) -> Vec<Target> {
+        let directory = self.directory.borrow();
+        let ready = directory
+            .members(group)
+            .filter(|member| member.state == MemberState::Ready);
+        ready.map(|member| self.target(member, false)).collect()
+    }
+
+    /// Takes in that a database acts as primary.
+    pub fn leads(&self, target: &Target) {
+        self.directory.borrow_mut().acted_as_primary(&target.name);
+        self.tell_change();
+    }
+
+    /// Takes in that a database refused to act as primary.
+    pub fn follows(&self, target: &Target) {
+        self.directory.borrow_mut().refused_as_primary(&target.name);
+        self.tell_change();
+        self.membership.attention.notify_one();
+    }
+
+    /// What this node sees of a database right now.
+    pub async fn probe(self: &Rc<Self>, target: &Target) -> Evidence {
+        if target.state.answered_within(RECENT_ANSWER) {
+            return Evidence::Answered;
+        }
+        let dialled = Connection::open(
+            self.database_protocol.clone(),
+            target.state.pool.address(),
+            &target.group,
+            &target.name,
+            PROBE_LIMIT,
+        );
+        let answered = match dialled.await {
+            Ok(_) => Evidence::Answered,
+            Err(OpenError::TurnedAway(failure)) if failure.kind != FailureKind::WrongDatabase => {
+                Evidence::Answered
+            }
+            Err(OpenError::Refused | OpenError::TurnedAway(_)) => Evidence::Refused,
+            Err(OpenError::Silent) => Evidence::Silent,
+        };
+        if target.state.answered_within(PROBE_LIMIT) {
+            return Evidence::Answered;
+        }
+        answered
+    }
+
+    /// Probes a primary that failed this node, and reports it for as long as it doesn't answer.
+    pub fn suspect_primary(self: &Rc<Self>, target: &Target) {
+        if !self.is_primary(target) || target.state.probed.replace(true) {
+            return;
+        }
+        let gateway = self.clone();
+        let target = target.clone();
+        tokio::task::spawn_local(async move {
+            gateway.probe_until_answered(&target).await;
+            target.state.probed.set(false);
+        });
+    }
+
+    async fn probe_until_answered(self: &Rc<Self>, target: &Target) {
+        for _ in 0..PROBES_AT_MOST {
+            let evidence = self.probe(target).await;
+            if evidence == Evidence::Answered || !self.is_primary(target) {
+                return;
+            }
+            self.events.write(&Event::PrimarySuspected {
+                group: target.group.as_str(),
+                database: target.name.as_str(),
+                evidence: format!("{evidence:?}"),
+            });
+            self.report_suspicion(target);
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+    }
+
+    fn is_primary(&self, target: &Target) -> bool {
+        let directory = self.directory.borrow();
+        let primary = directory.primary(&target.group);
+        primary.is_some_and(|primary| primary.name() == &target.name)
+    }
+
+    /// Has a database carry out one of the gateway's statements that answer with its status.
+    pub async fn ask_status(
+        &self,
+        target: &Target,
+        statement: OwnStatement,
+        limit: Duration,
+    ) -> Option<DatabaseStatus> {
+        let until = Instant::now() + limit;
+        let values = BTreeMap::new();
+        let exchange = async {
+            loop {
+                let pool = &target.state.pool;
+                let checkout = pool.checkout(&values, OWN_PRIORITY, until);
+                let mut checkout = checkout.await.ok()?;
+                let command = DatabaseCommand::Own(statement.clone());
+                let answers = checkout.connection().exchange(&[command]).await.ok()?;
+                let answer = answers.into_iter().next()?;
+                checkout.give_back();
+                match answer.end {
+                    Ok(_) => return self.database_protocol.status(answer.rows.first()?),
+                    Err(failure) if failure.kind == FailureKind::Busy => {
+                        tokio::time::sleep(Duration::from_millis(15)).await;
+                    }
+                    Err(_) => return None,
+                }
+            }
+        };
+        tokio::time::timeout_at(until, exchange).await.ok()?
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/connection.rs
@@ -0,0 +1,277 @@
+//! One connection to a database: commands out, whole answers in.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use dyketally::group::LogPosition;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::statement::{Failure, FailureKind, PreparedStatement, TransactionState};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::ports::{DatabaseCommand, OwnStatement, Reply, SharedDatabaseProtocol};
+
+/// Time after which the system gives up a connection whose peer acknowledges nothing.
+pub const SILENT_PEER: Duration = Duration::from_millis(2_500);
+/// Prepared statements that one connection keeps.
+const PREPARED_AT_MOST: usize = 64;
+const READ_CHUNK: usize = 4_096;
+
+/// Why a connection could not be opened.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum OpenError {
+    /// Nothing listens there.
+    #[error("the database refuses connections; check that it runs")]
+    Refused,
+    /// Nothing came back in time.
+    #[error("the database doesn't answer; check that it can be reached")]
+    Silent,
+    /// The database turned the connection away.
+    #[error("the database turned the connection away: {}", .0.message)]
+    TurnedAway(Failure),
+}
+
+/// Why an exchange came to no end.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("the connection broke: {reason}; the statement may have run")]
+pub struct Broken {
+    /// What the transport reported.
+    pub reason: String,
+}
+
+/// The whole answer to one command.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The rows.
+    pub rows: Vec<Bytes>,
+    /// The signature, or why it failed.
+    pub end: Result<Bytes, Failure>,
+    /// The connection's state afterwards.
+    pub state: TransactionState,
+    /// The end of the database's log, if told.
+    pub position: Option<LogPosition>,
+}
+
+/// A connection that is open to a database.
+pub struct Connection {
+    stream: TcpStream,
+    protocol: SharedDatabaseProtocol,
+    input: BytesMut,
+    values: BTreeMap<String, String>,
+    prepared: HashMap<PreparedStatement, String>,
+    must_reset: bool,
+    /// When it was last given back.
+    pub idle_since: Instant,
+}
+
+impl Connection {
+    /// Connects and introduces itself.
+    ///
+    /// # Errors
+    /// The database can't be reached or turns the connection away.
+    pub async fn open(
+        protocol: SharedDatabaseProtocol,
+        address: SocketAddr,
+        group: &GroupName,
+        database: &DatabaseName,
+        limit: Duration,
+    ) -> Result<Self, OpenError> {
+        let opening = Self::introduce(protocol, address, group, database);
+        match tokio::time::timeout(limit, opening).await {
+            Ok(result) => result,
+            Err(_) => Err(OpenError::Silent),
+        }
+    }
+
+    async fn introduce(
+        protocol: SharedDatabaseProtocol,
+        address: SocketAddr,
+        group: &GroupName,
+        database: &DatabaseName,
+    ) -> Result<Self, OpenError> {
+        let stream = TcpStream::connect(address).await.map_err(open_error)?;
+        prepare_socket(&stream);
+        let mut connection = Self {
+            stream,
+            protocol,
+            input: BytesMut::new(),
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            must_reset: false,
+            idle_since: Instant::now(),
+        };
+        let open = DatabaseCommand::Open {
+            group: group.clone(),
+            expected: database.clone(),
+        };
+        connection
+            .send(&[open])
+            .await
+            .map_err(|_| OpenError::Refused)?;
+        loop {
+            match connection.next_reply().await {
+                Ok(Reply::Ready { .. }) => return Ok(connection),
+                Ok(Reply::Failed(failure)) => return Err(OpenError::TurnedAway(failure)),
+                Ok(_) => {}
+                Err(_) => return Err(OpenError::Refused),
+            }
+        }
+    }
+
+    /// Sends commands in one flush and reads the answer to each.
+    ///
+    /// # Errors
+    /// The connection broke; any of the commands may have run.
+    pub async fn exchange(&mut self, commands: &[DatabaseCommand]) -> Result<Vec<Answer>, Broken> {
+        self.send(commands).await.map_err(broken)?;
+        let mut answers = Vec::with_capacity(commands.len());
+        for _ in commands {
+            answers.push(self.answer().await?);
+        }
+        Ok(answers)
+    }
+
+    async fn send(&mut self, commands: &[DatabaseCommand]) -> io::Result<()> {
+        let mut output = BytesMut::new();
+        for command in commands {
+            self.protocol.encode(command, &mut output);
+        }
+        self.stream.write_all(&output).await
+    }
+
+    async fn answer(&mut self) -> Result<Answer, Broken> {
+        let mut rows = Vec::new();
+        let mut end = Err(Failure {
+            kind: FailureKind::Other,
+            message: "the database gave no result".to_owned(),
+        });
+        loop {
+            match self.next_reply().await? {
+                Reply::Row(row) => rows.push(row),
+                Reply::Complete(signature) => end = Ok(signature),
+                Reply::Failed(failure) => end = Err(failure),
+                Reply::Ready { state, position } => {
+                    return Ok(Answer {
+                        rows,
+                        end,
+                        state,
+                        position,
+                    });
+                }
+            }
+        }
+    }
+
+    async fn next_reply(&mut self) -> Result<Reply, Broken> {
+        loop {
+            let decoded = self.protocol.decode(&mut self.input);
+            if let Some(reply) = decoded.map_err(broken)? {
+                return Ok(reply);
+            }
+            self.input.reserve(READ_CHUNK);
+            let read = self.stream.read_buf(&mut self.input).await;
+            if read.map_err(broken)? == 0 {
+                return Err(broken("closed by the database"));
+            }
+        }
+    }
+
+    /// True when the connection was closed, or has bytes that nobody asked for.
+    pub fn is_stale(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let would_block = |error: &io::Error| error.kind() == io::ErrorKind::WouldBlock;
+        let quiet = self.stream.try_read(&mut byte);
+        !quiet.as_ref().is_err_and(would_block) || !self.input.is_empty()
+    }
+
+    /// How much has to be sent before a session with `values` can use it: 0 for nothing.
+    pub fn distance(&self, values: &BTreeMap<String, String>) -> u32 {
+        if self.must_reset || !self.extends_to(values) {
+            return 2;
+        }
+        u32::from(&self.values != values)
+    }
+
+    fn extends_to(&self, values: &BTreeMap<String, String>) -> bool {
+        self.values.keys().all(|name| values.contains_key(name))
+    }
+
+    /// The commands that give the connection `values` and, if asked for, a prepared statement.
+    /// They must be sent before anything else. Returns the prepared statement's name as well.
+    pub fn adopt(
+        &mut self,
+        values: &BTreeMap<String, String>,
+        prepared: Option<&PreparedStatement>,
+    ) -> (Vec<DatabaseCommand>, Option<String>) {
+        let mut commands = Vec::new();
+        let full = self.prepared.len() >= PREPARED_AT_MOST;
+        if self.must_reset || full || !self.extends_to(values) {
+            commands.push(DatabaseCommand::Own(OwnStatement::Reset));
+            self.values.clear();
+            self.prepared.clear();
+            self.must_reset = false;
+        }
+        for (name, value) in values {
+            if self.values.get(name) != Some(value) {
+                commands.push(DatabaseCommand::Own(OwnStatement::Set {
+                    name: name.clone(),
+                    value: value.clone(),
+                }));
+                self.values.insert(name.clone(), value.clone());
+            }
+        }
+        let name = prepared.map(|prepared| self.prepare(prepared, &mut commands));
+        (commands, name)
+    }
+
+    fn prepare(
+        &mut self,
+        prepared: &PreparedStatement,
+        commands: &mut Vec<DatabaseCommand>,
+    ) -> String {
+        if let Some(name) = self.prepared.get(prepared) {
+            return name.clone();
+        }
+        let name = format!("p{}", self.prepared.len());
+        commands.push(DatabaseCommand::Own(OwnStatement::Prepare {
+            name: name.clone(),
+            prepared: prepared.clone(),
+        }));
+        self.prepared.insert(prepared.clone(), name.clone());
+        name
+    }
+
+    /// Forgets what values the connection has: it is reset before its next use.
+    pub fn require_reset(&mut self) {
+        self.must_reset = true;
+    }
+}
+
+fn prepare_socket(stream: &TcpStream) {
+    // Both are improvements only: a socket that refuses them still works.
+    let _ = stream.set_nodelay(true);
+    set_silent_peer_limit(stream);
+}
+
+/// Makes the system give up `stream` when its peer acknowledges nothing for [`SILENT_PEER`].
+pub fn set_silent_peer_limit(stream: &TcpStream) {
+    let limit = SILENT_PEER.as_millis() as u32;
+    let _ = rustix::net::sockopt::set_tcp_user_timeout(stream, limit);
+}
+
+fn open_error(error: io::Error) -> OpenError {
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable => OpenError::Silent,
+        _ => OpenError::Refused,
+    }
+}
+
+fn broken(reason: impl ToString) -> Broken {
+    Broken {
+        reason: reason.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/event.rs
@@ -0,0 +1,171 @@
+//! Structured log: one JSON line for each decision, bounded in lines per second.
+
+use std::cell::{Cell, RefCell};
+use std::io::Write;
+
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// Lines written per second; further ones are counted.
+const LINES_PER_SECOND: u32 = 60;
+
+/// What happened. Field names are documented in `docs/logs.md`.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// The process serves.
+    Started {
+        /// The node.
+        node: &'a str,
+    },
+    /// The process was asked to stop.
+    Stopping {
+        /// Sessions that are open.
+        sessions: usize,
+    },
+    /// The process ends.
+    Stopped {
+        /// Sessions that were cut off.
+        sessions: usize,
+    },
+    /// A configuration is in force.
+    ConfigurationInForce {
+        /// Its revision.
+        revision: u64,
+        /// Its routes.
+        routes: usize,
+    },
+    /// A document in the store can't be used.
+    DocumentRefused {
+        /// Its key.
+        key: &'a str,
+        /// What is wrong.
+        reason: &'a str,
+    },
+    /// A database appeared, left or changed.
+    DirectoryChanged {
+        /// What changed.
+        change: String,
+    },
+    /// The store was lost.
+    StoreLost {
+        /// What is followed there.
+        prefix: &'a str,
+        /// What the store reported.
+        reason: String,
+    },
+    /// The store is back.
+    StoreRegained {
+        /// What is followed there.
+        prefix: &'a str,
+    },
+    /// This node took over the duty of replacing primaries.
+    DutyTaken {
+        /// Its fencing token.
+        token: u64,
+    },
+    /// This node no longer has the duty.
+    DutyLost {
+        /// Why.
+        reason: &'a str,
+    },
+    /// A primary doesn't answer this node.
+    PrimarySuspected {
+        /// The group.
+        group: &'a str,
+        /// The primary.
+        database: &'a str,
+        /// What was seen.
+        evidence: String,
+    },
+    /// The nodes were asked about a primary.
+    PrimaryPolled {
+        /// The group.
+        group: &'a str,
+        /// The primary.
+        database: &'a str,
+        /// What they saw.
+        evidence: String,
+        /// What follows.
+        verdict: String,
+    },
+    /// A step of replacing a primary.
+    FailoverStep {
+        /// The group.
+        group: &'a str,
+        /// The step.
+        step: &'a str,
+        /// What it found or did.
+        detail: String,
+    },
+    /// A statement was answered with a failure of the gateway's own, or only on a further attempt.
+    StatementDecided {
+        /// The caller's name for the attempt.
+        id: &'a str,
+        /// The group.
+        group: &'a str,
+        /// What the caller was told.
+        outcome: String,
+        /// Why.
+        reason: &'a str,
+        /// Attempts made at databases.
+        attempts: u32,
+        /// Milliseconds since the statement arrived.
+        elapsed_ms: u64,
+    },
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_ms: u64,
+    dropped: u32,
+    #[serde(flatten)]
+    event: &'a Event<'a>,
+}
+
+/// Writes events to standard output.
+pub struct EventLog {
+    started: Instant,
+    second: Cell<u64>,
+    written: Cell<u32>,
+    dropped: Cell<u32>,
+    buffer: RefCell<Vec<u8>>,
+}
+
+impl EventLog {
+    /// A log that starts now.
+    pub fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            second: Cell::new(0),
+            written: Cell::new(0),
+            dropped: Cell::new(0),
+            buffer: RefCell::default(),
+        }
+    }
+
+    /// Writes an event, or counts it when this second's lines are used up.
+    pub fn write(&self, event: &Event<'_>) {
+        let elapsed = self.started.elapsed();
+        if self.second.replace(elapsed.as_secs()) != elapsed.as_secs() {
+            self.written.set(0);
+        }
+        if self.written.get() >= LINES_PER_SECOND {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        }
+        self.written.set(self.written.get() + 1);
+        let line = Line {
+            at_ms: elapsed.as_millis() as u64,
+            dropped: self.dropped.take(),
+            event,
+        };
+        let mut buffer = self.buffer.borrow_mut();
+        buffer.clear();
+        if serde_json::to_writer(&mut *buffer, &line).is_ok() {
+            buffer.push(b'\n');
+            // A log that can't be written must not stop the gateway.
+            let _ = std::io::stdout().write_all(&buffer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -0,0 +1,417 @@
+//! Replaces primaries that are lost or leave, on the one node that has the duty.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::directory::MemberState;
+use dyketally::failover::{
+    Candidate, Evidence, PollResult, Succession, Verdict, choose_successor, judge,
+};
+use dyketally::group::LogPosition;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use tokio::time::Instant;
+
+use crate::confirm::{Confirmation, PROBE_LIMIT};
+use crate::event::Event;
+use crate::gateway::Gateway;
+use crate::membership::Member;
+use crate::peer::{PeerMessage, Peers};
+use crate::ports::{Appointment, OwnStatement, PrimaryControl};
+use crate::target::Target;
+
+/// How often the holder of the duty looks at all groups without being told to.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long votes are waited for.
+const VOTES_LIMIT: Duration = Duration::from_millis(450);
+/// A suspicion that lasts this long needs fewer votes.
+const PROLONGED: Duration = Duration::from_millis(2_500);
+/// How long a database may take to tell its status.
+const STATUS_LIMIT: Duration = Duration::from_millis(400);
+/// How long a planned handover waits for the successor's log.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at the successor's log.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(15);
+/// How long an appointed database may take to lead.
+const TAKE_LEAD_LIMIT: Duration = Duration::from_millis(3_500);
+/// Pause between two looks whether it leads.
+const TAKE_LEAD_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after an attempt that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How long a group may be without a known primary before it is given one.
+const LEADERLESS: Duration = Duration::from_millis(400);
+
+/// Replaces primaries while this node has the duty.
+pub struct Failover {
+    gateway: Rc<Gateway>,
+    member: Rc<Member>,
+    peers: Rc<Peers>,
+    control: Rc<dyn PrimaryControl>,
+    busy: RefCell<HashSet<GroupName>>,
+}
+
+/// Why a primary is replaced.
+#[derive(Clone, Debug)]
+enum Cause {
+    /// It leaves, and can still hand over.
+    Leaves(Target),
+    /// No node reaches it.
+    Lost(Target),
+    /// Nobody leads.
+    Leaderless,
+}
+
+impl std::fmt::Debug for Target {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}", self.name)
+    }
+}
+
+impl Failover {
+    /// A replacer that isn't running yet.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        member: Rc<Member>,
+        peers: Rc<Peers>,
+        control: Rc<dyn PrimaryControl>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            gateway,
+            member,
+            peers,
+            control,
+            busy: RefCell::default(),
+        })
+    }
+
+    /// Looks after all groups whenever there is reason to, forever.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let attention = self.gateway.membership.attention.notified();
+            match self.gateway.membership.duty() {
+                Some(_) => {
+                    // Either way it is time to look.
+                    let _ = tokio::time::timeout(LOOK_INTERVAL, attention).await;
+                }
+                None => attention.await,
+            }
+            if self.gateway.membership.duty().is_some() {
+                self.look_at_all();
+            }
+        }
+    }
+
+    fn look_at_all(self: &Rc<Self>) {
+        let groups = self.gateway.directory.borrow().groups();
+        for group in groups {
+            if !self.busy.borrow_mut().insert(group.clone()) {
+                continue;
+            }
+            let failover = self.clone();
+            tokio::task::spawn_local(async move {
+                failover.look_at(&group).await;
+                failover.busy.borrow_mut().remove(&group);
+            });
+        }
+    }
+
+    async fn look_at(self: &Rc<Self>, group: &GroupName) {
+        let Some(cause) = self.cause(group).await else {
+            return;
+        };
+        self.step(group, "start", format!("{cause:?}"));
+        if !self.replace(group, &cause).await {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            self.gateway.membership.attention.notify_one();
+        }
+    }
+
+    fn step(&self, group: &GroupName, step: &str, detail: String) {
+        self.gateway.events.write(&Event::FailoverStep {
+            group: group.as_str(),
+            step,
+            detail,
+        });
+    }
+
+    async fn cause(self: &Rc<Self>, group: &GroupName) -> Option<Cause> {
+        let Some((primary, state)) = self.known_primary(group) else {
+            return self.leaderless(group).await;
+        };
+        if state != MemberState::Ready {
+            return Some(Cause::Leaves(primary));
+        }
+        let key = (group.clone(), primary.name.clone());
+        let since = self.suspicions().borrow().get(&key).copied()?;
+        match self.verdict(&primary, since).await {
+            Verdict::Alive => {
+                self.suspicions().borrow_mut().remove(&key);
+                None
+            }
+            Verdict::Undecided => None,
+            Verdict::Lost => {
+                self.suspicions().borrow_mut().remove(&key);
+                Some(Cause::Lost(primary))
+            }
+        }
+    }
+
+    fn suspicions(
+        &self,
+    ) -> &RefCell<std::collections::HashMap<(GroupName, DatabaseName), Instant>> {
+        &self.gateway.membership.suspicions
+    }
+
+    fn known_primary(&self, group: &GroupName) -> Option<(Target, MemberState)> {
+        let directory = self.gateway.directory.borrow();
+        let primary = directory.primary(group)?;
+        Some((self.gateway.target(primary, true), primary.state))
+    }
+
+    async fn leaderless(self: &Rc<Self>, group: &GroupName) -> Option<Cause> {
+        let until = Instant::now() + LEADERLESS;
+        while Instant::now() < until {
+            self.gateway.search_primary(group);
+            self.gateway.next_change(until).await;
+            if self.known_primary(group).is_some() {
+                return None;
+            }
+        }
+        Some(Cause::Leaderless)
+    }
+
+    async fn verdict(self: &Rc<Self>, primary: &Target, since: Instant) -> Verdict {
+        let mut poll = self.peers.poll(&primary.group, &primary.name);
+        let nodes = self.gateway.membership.node_count();
+        let mut result = PollResult {
+            nodes,
+            prolonged: since.elapsed() > PROLONGED,
+            ..PollResult::default()
+        };
+        let until = Instant::now() + VOTES_LIMIT;
+        let own = self.gateway.probe(primary);
+        tokio::pin!(own);
+        let mut own_known = false;
+        loop {
+            let evidence: Option<Evidence> = tokio::select! {
+                evidence = &mut own, if !own_known => {
+                    own_known = true;
+                    Some(evidence)
+                }
+                vote = poll.votes.recv() => vote,
+                () = tokio::time::sleep_until(until) => None,
+            };
+            match evidence {
+                Some(evidence) => result.evidence.push(evidence),
+                None => result.complete = true,
+            }
+            let verdict = judge(&result);
+            if verdict != Verdict::Undecided || result.complete {
+                self.gateway.events.write(&Event::PrimaryPolled {
+                    group: primary.group.as_str(),
+                    database: primary.name.as_str(),
+                    evidence: format!("{:?} of {nodes}", result.evidence),
+                    verdict: format!("{verdict:?}"),
+                });
+                return verdict;
+            }
+        }
+    }
+
+    /// Gives the group another primary; true when it leads.
+    async fn replace(self: &Rc<Self>, group: &GroupName, cause: &Cause) -> bool {
+        let old = match cause {
+            Cause::Leaves(old) | Cause::Lost(old) => Some(old),
+            Cause::Leaderless => None,
+        };
+        let acknowledging = self.acknowledging(group);
+        let mut surveyed = self.survey(group, old, OwnStatement::Status).await;
+        if let Some(leading) = surveyed.leading.take() {
+            self.step(group, "found", format!("{leading:?} leads already"));
+            self.gateway.leads(&leading);
+            return true;
+        }
+        if acknowledging > 0 && !matches!(cause, Cause::Leaves(_)) {
+            let term = surveyed.newest_term + 1;
+            surveyed = self
+                .survey(group, old, OwnStatement::Suspend { term })
+                .await;
+        }
+        let replicas = self.replica_count(group, old);
+        let mut choice = choose_successor(&surveyed.candidates, replicas, acknowledging);
+        if let (Cause::Leaves(old), Succession::Promote(_)) = (cause, &choice)
+            && let Some(position) = self.step_down(old, surveyed.newest_term + 1).await
+        {
+            choice = self.caught_up(group, old, position, choice).await;
+        }
+        let Succession::Promote(successor) = choice else {
+            self.step(group, "no successor", format!("{choice:?}"));
+            return false;
+        };
+        self.appoint(group, &successor).await
+    }
+
+    fn acknowledging(&self, group: &GroupName) -> usize {
+        let routes = self.gateway.routes();
+        let limits = routes.groups.get(group);
+        limits.map_or(0, |limits| limits.acknowledging_replicas as usize)
+    }
+
+    fn replica_count(&self, group: &GroupName, old: Option<&Target>) -> usize {
+        let directory = self.gateway.directory.borrow();
+        let members = directory.members(group);
+        let replicas = members.filter(|member| {
+            member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
+        });
+        replicas.count()
+    }
+
+    /// Asks all databases of the group but `old` for their status with `statement`.
+    async fn survey(
+        &self,
+        group: &GroupName,
+        old: Option<&Target>,
+        statement: OwnStatement,
+    ) -> Survey {
+        let members = self.members_but(group, old);
+        let asked = members.iter().map(|(target, ..)| {
+            let statement = statement.clone();
+            self.gateway.ask_status(target, statement, STATUS_LIMIT)
+        });
+        let replies = futures::future::join_all(asked).await;
+        let mut survey = Survey::default();
+        for ((target, ready, preference), status) in members.into_iter().zip(replies) {
+            if let Some(status) = status {
+                survey.newest_term = survey.newest_term.max(status.term);
+                survey.newest_term = survey.newest_term.max(status.received.term.0);
+                if status.leads && ready {
+                    survey.leading = Some(target.clone());
+                }
+            }
+            survey.candidates.push(Candidate {
+                name: target.name,
+                received: status.map(|status| status.received),
+                ready,
+                preference,
+            });
+        }
+        self.step(group, "survey", format!("{:?}", survey.candidates));
+        survey
+    }
+
+    fn members_but(&self, group: &GroupName, old: Option<&Target>) -> Vec<(Target, bool, u32)> {
+        let directory = self.gateway.directory.borrow();
+        let members = directory.members(group).filter(|member| {
+            member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
+        });
+        let described = members.map(|member| {
+            let ready = member.state == MemberState::Ready;
+            let preference = self.gateway.distance(member) as u32;
+            (self.gateway.target(member, false), ready, preference)
+        });
+        described.collect()
+    }
+
+    /// Takes the lead from `old`, so that its log ends; the end of that log.
+    async fn step_down(&self, old: &Target, term: u64) -> Option<LogPosition> {
+        let statement = OwnStatement::StepDown { term };
+        let status = self.gateway.ask_status(old, statement, STATUS_LIMIT).await;
+        self.step(&old.group, "step down", format!("{old:?}: {status:?}"));
+        Some(status?.received)
+    }
+
+    /// Waits until a ready database has received `position`; the first that has is chosen.
+    async fn caught_up(
+        &self,
+        group: &GroupName,
+        old: &Target,
+        position: LogPosition,
+        chosen: Succession,
+    ) -> Succession {
+        let until = Instant::now() + CATCH_UP_LIMIT;
+        let mut chosen = chosen;
+        while Instant::now() < until {
+            let survey = self.survey(group, Some(old), OwnStatement::Status).await;
+            let candidates: Vec<Candidate> = survey
+                .candidates
+                .into_iter()
+                .filter(|candidate| candidate.ready)
+                .collect();
+            let choice = choose_successor(&candidates, candidates.len(), 0);
+            let holds = candidates.iter().any(|candidate| {
+                choice == Succession::Promote(candidate.name.clone())
+                    && candidate.received >= Some(position)
+            });
+            if matches!(choice, Succession::Promote(_)) {
+                chosen = choice;
+            }
+            if holds {
+                return chosen;
+            }
+            tokio::time::sleep(CATCH_UP_PAUSE).await;
+        }
+        chosen
+    }
+
+    async fn appoint(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
+        let Some(duty) = self.member.renew_token().await else {
+            self.step(
+                group,
+                "no token",
+                "the duty could not be renewed".to_owned(),
+            );
+            return false;
+        };
+        let holder = &self.gateway.settings.node.name;
+        let appointed = self.control.appoint(group, successor, holder, duty.token);
+        let appointment = appointed.await;
+        let detail = format!("{successor} with token {}: {appointment:?}", duty.token);
+        self.step(group, "appoint", detail);
+        match appointment {
+            Appointment::Accepted => self.wait_for_lead(group, successor).await,
+            Appointment::Unknown => self.wait_for_lead(group, successor).await,
+            Appointment::Refused | Appointment::Later => false,
+        }
+    }
+
+    async fn wait_for_lead(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
+        let Some(target) = self.member_target(successor) else {
+            return false;
+        };
+        let until = Instant::now() + TAKE_LEAD_LIMIT;
+        while Instant::now() < until {
+            if self.gateway.confirm_leader(&target).await == Confirmation::Leads {
+                self.gateway.leads(&target);
+                self.peers.broadcast(&PeerMessage::Leads {
+                    group: group.clone(),
+                    database: successor.clone(),
+                });
+                self.step(group, "done", format!("{successor} leads"));
+                return true;
+            }
+            tokio::time::sleep(TAKE_LEAD_PAUSE).await;
+        }
+        self.step(
+            group,
+            "not led",
+            format!("{successor} didn't take the lead"),
+        );
+        false
+    }
+
+    fn member_target(&self, name: &DatabaseName) -> Option<Target> {
+        let directory = self.gateway.directory.borrow();
+        let member = directory.member(name)?;
+        Some(self.gateway.target(member, false))
+    }
+}
+
+#[derive(Debug, Default)]
+struct Survey {
+    candidates: Vec<Candidate>,
+    newest_term: u64,
+    leading: Option<Target>,
+}
+
+const _: () = assert!(PROBE_LIMIT.as_millis() < VOTES_LIMIT.as_millis());
--- /dev/null
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -0,0 +1,294 @@
+//! The state that all tasks of the process share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::directory::{Directory, DirectoryChange};
+use dyketally::freshness::{Observation, Observations};
+use dyketally::group::LogPosition;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::route_policy::{RoutePolicy, RouteSet};
+use dyketally::time::Timestamp;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use crate::event::{Event, EventLog};
+use crate::health::DatabaseState;
+use crate::membership::Membership;
+use crate::peer::Peers;
+use crate::pool::Pool;
+use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
+use crate::settings::Settings;
+
+/// Share of a database's connections that proxies use; the rest covers those that are closing.
+const CONNECTIONS_USED: f64 = 0.9;
+/// Connections that a node may have to a database whatever the number of nodes.
+const CONNECTIONS_AT_LEAST: u32 = 4;
+/// Connections assumed where the configuration doesn't tell.
+const CONNECTIONS_ASSUMED: u32 = 16;
+/// Observations are kept for at least this long.
+const OBSERVED_AT_LEAST: Duration = Duration::from_secs(1);
+/// How long a database that is gone is remembered.
+const GONE_REMEMBERED: Duration = Duration::from_secs(30);
+
+/// What is known of a group beyond its databases.
+pub struct GroupState {
+    /// Positions that its primary showed.
+    pub observations: RefCell<Observations>,
+    /// Told after each observation and each failed attempt to make one.
+    pub observed: Notify,
+    /// True while the group is searched for a primary.
+    pub searching: Cell<bool>,
+    /// When the running confirmation was sent, if one runs.
+    pub confirming: Cell<Option<Timestamp>>,
+}
+
+/// The shared state.
+pub struct Gateway {
+    /// The process's settings.
+    pub settings: Settings,
+    /// The protocol of callers.
+    pub caller_protocol: SharedCallerProtocol,
+    /// The protocol of databases.
+    pub database_protocol: SharedDatabaseProtocol,
+    /// The log.
+    pub events: EventLog,
+    /// The databases.
+    pub directory: RefCell<Directory>,
+    /// Nodes and the duty of replacing primaries.
+    pub membership: Membership,
+    /// The socket that nodes talk over, once it is bound.
+    pub peers: RefCell<Option<Rc<Peers>>>,
+    /// Sessions that are open.
+    pub sessions: Cell<usize>,
+    /// True once the directory was read.
+    pub listed: Cell<bool>,
+    stopping: watch::Sender<bool>,
+    changed: watch::Sender<u64>,
+    started: Instant,
+    routes: RefCell<Rc<RouteSet>>,
+    configured: Cell<bool>,
+    groups: RefCell<HashMap<GroupName, Rc<GroupState>>>,
+    databases: RefCell<HashMap<DatabaseName, Rc<DatabaseState>>>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        caller_protocol: SharedCallerProtocol,
+        database_protocol: SharedDatabaseProtocol,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            caller_protocol,
+            database_protocol,
+            events: EventLog::new(),
+            directory: RefCell::default(),
+            membership: Membership::default(),
+            peers: RefCell::default(),
+            sessions: Cell::new(0),
+            listed: Cell::new(false),
+            stopping: watch::Sender::new(false),
+            changed: watch::Sender::new(0),
+            started: Instant::now(),
+            routes: RefCell::default(),
+            configured: Cell::new(false),
+            groups: RefCell::default(),
+            databases: RefCell::default(),
+        })
+    }
+
+    /// Now, on the process's monotonic clock.
+    pub fn now(&self) -> Timestamp {
+        Timestamp::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> Rc<RouteSet> {
+        self.routes.borrow().clone()
+    }
+
+    /// The route to the database that callers call `database`.
+    pub fn route(&self, database: &str) -> Option<Rc<RoutePolicy>> {
+        let routes = self.routes.borrow();
+        routes.routes.get(database).cloned().map(Rc::new)
+    }
+
+    /// True when the process knows routes and databases.
+    pub fn is_ready(&self) -> bool {
+        self.configured.get() && self.listed.get() && !self.is_stopping()
+    }
+
+    /// True when a configuration is in force.
+    pub fn is_configured(&self) -> bool {
+        self.configured.get()
+    }
+
+    /// Puts routes in force, unless newer ones are.
+    pub fn put_in_force(&self, routes: RouteSet) {
+        if self.configured.get() && routes.revision <= self.routes.borrow().revision {
+            return;
+        }
+        self.events.write(&Event::ConfigurationInForce {
+            revision: routes.revision.0,
+            routes: routes.routes.len(),
+        });
+        *self.routes.borrow_mut() = Rc::new(routes);
+        self.configured.set(true);
+        self.apply_connection_limits();
+        for (name, group) in self.groups.borrow().iter() {
+            let mut observations = group.observations.borrow_mut();
+            observations.keep_for(self.observed_for(name));
+        }
+        self.tell_change();
+    }
+
+    /// Acts on a change of the directory.
+    pub fn directory_changed(&self, changes: Vec<DirectoryChange>) {
+        for change in changes {
+            self.events.write(&Event::DirectoryChanged {
+                change: format!("{change:?}"),
+            });
+            match change {
+                DirectoryChange::Leaving(name) => self.close_idle(&name),
+                DirectoryChange::Forgotten(name) => {
+                    self.databases.borrow_mut().remove(&name);
+                }
+                DirectoryChange::Appeared(_) | DirectoryChange::RoleChanged(..) => {}
+            }
+        }
+        self.tell_change();
+        self.membership.attention.notify_one();
+    }
+
+    fn close_idle(&self, name: &DatabaseName) {
+        if let Some(database) = self.databases.borrow().get(name) {
+            database.pool.close_idle(true);
+        }
+    }
+
+    /// Does what is due now and then.
+    pub fn tidy(&self) {
+        let long_ago = self.now() - GONE_REMEMBERED;
+        let forgotten = self.directory.borrow_mut().forget_gone_before(long_ago);
+        if !forgotten.is_empty() {
+            self.directory_changed(forgotten);
+        }
+        for database in self.databases.borrow().values() {
+            database.pool.close_idle(false);
+        }
+    }
+
+    /// Tells all who wait that routes, databases or a primary changed.
+    pub fn tell_change(&self) {
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Waits for the next change, at most until `until`.
+    pub async fn next_change(&self, until: Instant) {
+        let mut changed = self.changed.subscribe();
+        // Both a change and the end of the wait are fine.
+        let _ = tokio::time::timeout_at(until, changed.changed()).await;
+    }
+
+    /// Starts the planned stop.
+    pub fn stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// True once the planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Waits until the planned stop begins.
+    pub async fn stopped(&self) {
+        let mut stopping = self.stopping.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = stopping.wait_for(|stopping| *stopping).await;
+    }
+
+    /// The group's state.
+    pub fn group(&self, name: &GroupName) -> Rc<GroupState> {
+        if let Some(group) = self.groups.borrow().get(name) {
+            return group.clone();
+        }
+        let group = Rc::new(GroupState {
+            observations: RefCell::new(Observations::new(self.observed_for(name))),
+            observed: Notify::new(),
+            searching: Cell::new(false),
+            confirming: Cell::new(None),
+        });
+        self.groups.borrow_mut().insert(name.clone(), group.clone());
+        group
+    }
+
+    fn observed_for(&self, name: &GroupName) -> Duration {
+        let bound = self.routes.borrow().longest_bound(name);
+        bound.max(OBSERVED_AT_LEAST)
+    }
+
+    /// Takes in what a leading database showed in reply to a statement sent at `sent`.
+    pub fn observe(&self, group: &GroupName, position: Option<LogPosition>, sent: Timestamp) {
+        let Some(position) = position else {
+            return;
+        };
+        let group = self.group(group);
+        let observation = Observation { position, sent };
+        group
+            .observations
+            .borrow_mut()
+            .record(self.now(), observation);
+        group.observed.notify_waiters();
+    }
+
+    /// A database as this node uses it.
+    pub fn database(
+        &self,
+        name: &DatabaseName,
+        group: &GroupName,
+        address: SocketAddr,
+        expected_ms: f64,
+    ) -> Rc<DatabaseState> {
+        let mut databases = self.databases.borrow_mut();
+        if let Some(database) = databases.get(name)
+            && database.pool.address() == address
+        {
+            return database.clone();
+        }
+        let pool = Pool::new(
+            self.database_protocol.clone(),
+            name.clone(),
+            group.clone(),
+            address,
+            self.connection_limit(group),
+        );
+        let database = DatabaseState::new(pool, expected_ms);
+        databases.insert(name.clone(), database.clone());
+        database
+    }
+
+    /// Gives each pool its share of its database's connections.
+    pub fn apply_connection_limits(&self) {
+        let directory = self.directory.borrow();
+        for (name, database) in self.databases.borrow().iter() {
+            if let Some(member) = directory.member(name) {
+                let limit = self.connection_limit(&member.announcement.group);
+                database.pool.set_limit(limit);
+            }
+        }
+    }
+
+    fn connection_limit(&self, group: &GroupName) -> u32 {
+        let routes = self.routes.borrow();
+        let limits = routes.groups.get(group);
+        let granted = limits.map_or(CONNECTIONS_ASSUMED, |limits| limits.connection_limit);
+        let nodes = self.membership.node_count().max(1) as u32;
+        let used = (f64::from(granted) * CONNECTIONS_USED) as u32;
+        (used / nodes).max(CONNECTIONS_AT_LEAST)
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/health.rs
@@ -0,0 +1,120 @@
+//! What this node knows of one database from its own traffic.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::group::LogPosition;
+use tokio::time::Instant;
+
+use crate::pool::Pool;
+
+/// Weight of a new sample in the average latency.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// Time in which the average latency loses half of its distance to the expected one.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
+/// How long a database that failed is passed over by reads.
+const SUSPENSION: Duration = Duration::from_millis(700);
+/// How long a replica that was behind is passed over by reads that need more than it had.
+const BEHIND: Duration = Duration::from_millis(300);
+
+/// A database as this node uses it.
+pub struct DatabaseState {
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    /// Statements sent to it and not answered.
+    pub in_flight: Cell<u32>,
+    /// True while a probe of it runs.
+    pub probed: Cell<bool>,
+    latency_ms: Cell<f64>,
+    sampled: Cell<Instant>,
+    answered: Cell<Option<Instant>>,
+    suspended: Cell<Option<Instant>>,
+    behind: Cell<Option<(LogPosition, Instant)>>,
+}
+
+impl DatabaseState {
+    /// A database that nothing is known of but the latency to expect.
+    pub fn new(pool: Rc<Pool>, expected_ms: f64) -> Rc<Self> {
+        Rc::new(Self {
+            pool,
+            in_flight: Cell::new(0),
+            probed: Cell::new(false),
+            latency_ms: Cell::new(expected_ms),
+            sampled: Cell::new(Instant::now()),
+            answered: Cell::new(None),
+            suspended: Cell::new(None),
+            behind: Cell::new(None),
+        })
+    }
+
+    /// Takes in that a statement was answered.
+    pub fn answered(&self, elapsed: Duration) {
+        let sample = elapsed.as_secs_f64() * 1_000.0;
+        let average = self.latency_ms.get();
+        self.latency_ms
+            .set(average + SAMPLE_WEIGHT * (sample - average));
+        self.sampled.set(Instant::now());
+        self.answered.set(Some(Instant::now()));
+        self.suspended.set(None);
+    }
+
+    /// Takes in that it could not be reached or broke a connection.
+    pub fn failed(&self) {
+        self.suspended.set(Some(Instant::now()));
+    }
+
+    /// Takes in that its log lacked `needed`.
+    pub fn was_behind(&self, needed: LogPosition) {
+        self.behind.set(Some((needed, Instant::now())));
+    }
+
+    /// True when reads should go elsewhere if they can.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended
+            .get()
+            .is_some_and(|at| at.elapsed() < SUSPENSION)
+    }
+
+    /// True when its log probably still lacks `needed`.
+    pub fn is_behind(&self, needed: LogPosition) -> bool {
+        let behind = self.behind.get();
+        behind.is_some_and(|(lacked, at)| lacked <= needed && at.elapsed() < BEHIND)
+    }
+
+    /// True when it answered within `age`.
+    pub fn answered_within(&self, age: Duration) -> bool {
+        self.answered.get().is_some_and(|at| at.elapsed() < age)
+    }
+
+    /// The latency to expect of one more statement, in milliseconds; `expected_ms` is what it is
+    /// without load.
+    pub fn latency_estimate(&self, expected_ms: f64, slots: u32) -> f64 {
+        let idle = self.sampled.get().elapsed().as_secs_f64();
+        let decay = 0.5_f64.powf(idle / LATENCY_HALF_LIFE.as_secs_f64());
+        let average = expected_ms + (self.latency_ms.get() - expected_ms) * decay;
+        let queued = f64::from(self.in_flight.get()) / f64::from(slots.max(1));
+        average * (1.0 + queued)
+    }
+}
+
+/// Counts a statement as in flight until it is dropped.
+pub struct InFlight {
+    state: Rc<DatabaseState>,
+}
+
+impl InFlight {
+    /// Counts one more.
+    pub fn begin(state: &Rc<DatabaseState>) -> Self {
+        state.in_flight.set(state.in_flight.get() + 1);
+        Self {
+            state: state.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.state.in_flight.set(self.state.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/node.rs
@@ -0,0 +1,251 @@
+//! One process of the gateway, assembled from settings and adapters, from start to planned stop.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::directory::{Announcement, DirectoryChange};
+use dyketally_store::KeyValueStore;
+use dyketally_store::key_value::{Entry, Key, WatchEvent};
+use eyre::WrapErr;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
+
+use crate::event::Event;
+use crate::failover::Failover;
+use crate::follow::{StoreUpdate, follow};
+use crate::gateway::Gateway;
+use crate::membership::Member;
+use crate::peer::Peers;
+use crate::ports::{
+    PrimaryControl, ReadinessProtocol, SharedCallerProtocol, SharedDatabaseProtocol,
+    StoredDocuments,
+};
+use crate::settings::Settings;
+use crate::{readiness, session};
+
+/// Pause between two rounds of tidying up.
+const TIDY_INTERVAL: Duration = Duration::from_secs(5);
+/// Share of the time to stop after which the process ends whatever is open.
+const STOP_SHARE: f64 = 0.85;
+/// How long new callers are accepted after the planned stop began: probes take this long to
+/// notice.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// Pause between two looks whether all sessions have ended.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// What connects the gateway to the world around it.
+pub struct Adapters {
+    /// The protocol of callers.
+    pub callers: SharedCallerProtocol,
+    /// The protocol of databases.
+    pub databases: SharedDatabaseProtocol,
+    /// The store.
+    pub store: Rc<dyn KeyValueStore>,
+    /// What lies in the store.
+    pub documents: Rc<dyn StoredDocuments>,
+    /// Who appoints primaries.
+    pub control: Rc<dyn PrimaryControl>,
+    /// How readiness is asked for.
+    pub readiness: Rc<dyn ReadinessProtocol>,
+}
+
+/// Runs the process until it is told to stop. Must be called within a `LocalSet`.
+///
+/// # Errors
+/// An address can't be bound, or signals can't be received.
+pub async fn run(settings: Settings, adapters: Adapters) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let callers = bind(settings.listen.callers, "listen.callers").await?;
+    let probes = bind(settings.listen.readiness, "listen.readiness").await?;
+    let socket = UdpSocket::bind(settings.listen.peers)
+        .await
+        .wrap_err("can't listen on `listen.peers`; choose a free address of this machine")?;
+    let gateway = Gateway::new(settings, adapters.callers, adapters.databases);
+    gateway.events.write(&Event::Started {
+        node: &gateway.settings.node.name,
+    });
+    let peers = Peers::new(gateway.clone(), socket);
+    *gateway.peers.borrow_mut() = Some(peers.clone());
+    let prefix = adapters.documents.own_prefix();
+    let member = Member::new(gateway.clone(), adapters.store.clone(), prefix.clone());
+    let failover = Failover::new(
+        gateway.clone(),
+        member.clone(),
+        peers.clone(),
+        adapters.control,
+    );
+    tokio::task::spawn_local(readiness::serve(
+        gateway.clone(),
+        adapters.readiness,
+        probes,
+    ));
+    tokio::task::spawn_local(peers.run());
+    tokio::task::spawn_local(failover.run());
+    tokio::task::spawn_local(member.clone().run());
+    tokio::task::spawn_local(tidy(gateway.clone()));
+    follow_store(&gateway, &adapters.store, &adapters.documents, &member);
+    let accepting = tokio::task::spawn_local(accept(gateway.clone(), callers));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => {}
+        }
+    }
+    stop(&gateway, &member, accepting).await;
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr, field: &str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| {
+        format!("can't listen on {address}; choose a free address of this machine in `{field}`")
+    })
+}
+
+async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(session::serve(gateway.clone(), stream));
+            }
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn tidy(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(TIDY_INTERVAL).await;
+        gateway.tidy();
+    }
+}
+
+async fn stop(gateway: &Rc<Gateway>, member: &Rc<Member>, accepting: tokio::task::JoinHandle<()>) {
+    let began = Instant::now();
+    gateway.events.write(&Event::Stopping {
+        sessions: gateway.sessions.get(),
+    });
+    gateway.stop();
+    let leaving = member.leave();
+    // The lease runs out by itself if the store doesn't answer.
+    let _ = tokio::time::timeout(Duration::from_millis(500), leaving).await;
+    let last = began + gateway.settings.bounds.stop().mul_f64(STOP_SHARE);
+    tokio::time::sleep_until((began + ACCEPT_AFTER_STOP).min(last)).await;
+    accepting.abort();
+    while gateway.sessions.get() > 0 && Instant::now() < last {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    gateway.events.write(&Event::Stopped {
+        sessions: gateway.sessions.get(),
+    });
+}
+
+fn follow_store(
+    gateway: &Rc<Gateway>,
+    store: &Rc<dyn KeyValueStore>,
+    documents: &Rc<dyn StoredDocuments>,
+    member: &Rc<Member>,
+) {
+    let reader = Reader {
+        gateway: gateway.clone(),
+        documents: documents.clone(),
+    };
+    let configuration = reader.clone();
+    tokio::task::spawn_local(follow(
+        gateway.clone(),
+        store.clone(),
+        documents.configuration_key(),
+        move |update| configuration.take_configuration(update),
+    ));
+    tokio::task::spawn_local(follow(
+        gateway.clone(),
+        store.clone(),
+        documents.announcements_prefix(),
+        move |update| reader.take_announcements(update),
+    ));
+    let member = member.clone();
+    tokio::task::spawn_local(follow(
+        gateway.clone(),
+        store.clone(),
+        documents.own_prefix(),
+        move |update| member.take_in(update),
+    ));
+}
+
+#[derive(Clone)]
+struct Reader {
+    gateway: Rc<Gateway>,
+    documents: Rc<dyn StoredDocuments>,
+}
+
+impl Reader {
+    fn take_configuration(&self, update: StoreUpdate) {
+        match update {
+            StoreUpdate::All(entries) => {
+                for entry in entries {
+                    self.put_in_force(&entry);
+                }
+            }
+            StoreUpdate::Changed(WatchEvent::Put(entry)) => self.put_in_force(&entry),
+            StoreUpdate::Changed(WatchEvent::Deleted { .. }) => {}
+        }
+    }
+
+    fn put_in_force(&self, entry: &Entry) {
+        if entry.key != Key::from(self.documents.configuration_key()) {
+            return;
+        }
+        match self.documents.configuration(&entry.value) {
+            Ok(routes) => self.gateway.put_in_force(routes),
+            Err(reason) => self.refuse(&entry.key, &reason),
+        }
+    }
+
+    fn take_announcements(&self, update: StoreUpdate) {
+        let now = self.gateway.now();
+        let changes: Vec<DirectoryChange> = match update {
+            StoreUpdate::All(entries) => {
+                let listed = entries.iter().filter_map(|entry| self.announcement(entry));
+                let listed: Vec<Announcement> = listed.collect();
+                self.gateway.listed.set(true);
+                self.gateway.directory.borrow_mut().replaced(now, listed)
+            }
+            StoreUpdate::Changed(WatchEvent::Put(entry)) => {
+                let announcement = self.announcement(&entry);
+                let mut directory = self.gateway.directory.borrow_mut();
+                let change = announcement.and_then(|new| directory.announced(now, new));
+                change.into_iter().collect()
+            }
+            StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => {
+                let name = self.documents.announced_database(&key.to_string());
+                let mut directory = self.gateway.directory.borrow_mut();
+                let change = name.and_then(|name| directory.vanished(now, &name));
+                change.into_iter().collect()
+            }
+        };
+        if !changes.is_empty() {
+            self.gateway.directory_changed(changes);
+        }
+    }
+
+    fn announcement(&self, entry: &Entry) -> Option<Announcement> {
+        let read = self
+            .documents
+            .announcement(&entry.key.to_string(), &entry.value);
+        match read {
+            Ok(announcement) => Some(announcement),
+            Err(reason) => {
+                self.refuse(&entry.key, &reason);
+                None
+            }
+        }
+    }
+
+    fn refuse(&self, key: &Key, reason: &str) {
+        self.gateway.events.write(&Event::DocumentRefused {
+            key: &key.to_string(),
+            reason,
+        });
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -0,0 +1,209 @@
+//! Datagrams between nodes: suspicions, polls about a primary, and who leads.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use dyketally::failover::Evidence;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+use crate::target::Target;
+
+const LONGEST_DATAGRAM: usize = 1_024;
+
+/// What nodes tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// The sender doesn't reach the primary.
+    Suspect {
+        /// The group.
+        group: GroupName,
+        /// The primary.
+        database: DatabaseName,
+    },
+    /// What does the receiver see of the primary?
+    Poll {
+        /// Names the poll in replies.
+        poll: u64,
+        /// The group.
+        group: GroupName,
+        /// The primary.
+        database: DatabaseName,
+    },
+    /// What the sender sees.
+    Vote {
+        /// The poll.
+        poll: u64,
+        /// What it sees.
+        evidence: Evidence,
+    },
+    /// The database leads its group now.
+    Leads {
+        /// The group.
+        group: GroupName,
+        /// The database.
+        database: DatabaseName,
+    },
+}
+
+/// The socket that nodes talk over.
+pub struct Peers {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+    polls: RefCell<HashMap<u64, mpsc::UnboundedSender<Evidence>>>,
+    next_poll: Cell<u64>,
+}
+
+/// A poll that collects votes until it is dropped.
+pub struct Poll {
+    number: u64,
+    peers: Rc<Peers>,
+    /// The votes.
+    pub votes: mpsc::UnboundedReceiver<Evidence>,
+}
+
+impl Drop for Poll {
+    fn drop(&mut self) {
+        self.peers.polls.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Peers {
+    /// Takes over a bound socket.
+    pub fn new(gateway: Rc<Gateway>, socket: UdpSocket) -> Rc<Self> {
+        Rc::new(Self {
+            gateway,
+            socket,
+            polls: RefCell::default(),
+            next_poll: Cell::new(1),
+        })
+    }
+
+    /// Receives messages, forever.
+    pub async fn run(self: Rc<Self>) {
+        let mut buffer = [0_u8; LONGEST_DATAGRAM];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            if let Ok(message) = postcard::from_bytes(&buffer[..length]) {
+                self.receive(from, message);
+            }
+        }
+    }
+
+    fn receive(self: &Rc<Self>, from: SocketAddr, message: PeerMessage) {
+        match message {
+            PeerMessage::Suspect { group, database } => self.gateway.suspected(group, database),
+            PeerMessage::Poll {
+                poll,
+                group,
+                database,
+            } => {
+                let peers = self.clone();
+                tokio::task::spawn_local(async move {
+                    let evidence = peers.gateway.evidence(&group, &database).await;
+                    if let Some(evidence) = evidence {
+                        peers.send(from, &PeerMessage::Vote { poll, evidence });
+                    }
+                });
+            }
+            PeerMessage::Vote { poll, evidence } => {
+                if let Some(votes) = self.polls.borrow().get(&poll) {
+                    // The poll may just have ended.
+                    let _ = votes.send(evidence);
+                }
+            }
+            PeerMessage::Leads { database, .. } => {
+                let mut directory = self.gateway.directory.borrow_mut();
+                directory.acted_as_primary(&database);
+                drop(directory);
+                self.gateway.tell_change();
+            }
+        }
+    }
+
+    /// Sends one message; it may get lost.
+    pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        if let Ok(bytes) = postcard::to_stdvec(message) {
+            // A datagram that can't be sent is one that got lost.
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+
+    /// Sends one message to all other nodes.
+    pub fn broadcast(&self, message: &PeerMessage) {
+        let own = &self.gateway.settings.node.name;
+        for address in self.gateway.membership.others(own) {
+            self.send(address, message);
+        }
+    }
+
+    /// Asks all other nodes what they see of a primary.
+    pub fn poll(self: &Rc<Self>, group: &GroupName, database: &DatabaseName) -> Poll {
+        let number = self.next_poll.get();
+        self.next_poll.set(number + 1);
+        let (sender, votes) = mpsc::unbounded_channel();
+        self.polls.borrow_mut().insert(number, sender);
+        self.broadcast(&PeerMessage::Poll {
+            poll: number,
+            group: group.clone(),
+            database: database.clone(),
+        });
+        Poll {
+            number,
+            peers: self.clone(),
+            votes,
+        }
+    }
+}
+
+impl Gateway {
+    /// Takes in that some node suspects a primary.
+    pub fn suspected(&self, group: GroupName, database: DatabaseName) {
+        let mut suspicions = self.membership.suspicions.borrow_mut();
+        suspicions
+            .entry((group, database))
+            .or_insert_with(Instant::now);
+        drop(suspicions);
+        self.membership.attention.notify_one();
+    }
+
+    /// What this node sees of a database; `None` when it doesn't know it.
+    pub async fn evidence(
+        self: &Rc<Self>,
+        group: &GroupName,
+        database: &DatabaseName,
+    ) -> Option<Evidence> {
+        let target = self.known_target(group, database)?;
+        Some(self.probe(&target).await)
+    }
+
+    fn known_target(&self, group: &GroupName, database: &DatabaseName) -> Option<Target> {
+        let directory = self.directory.borrow();
+        let member = directory.member(database)?;
+        (&member.announcement.group == group).then(|| self.target(member, true))
+    }
+
+    /// Tells the node that replaces primaries that `target` doesn't answer.
+    pub fn report_suspicion(&self, target: &Target) {
+        if self.membership.duty().is_some() {
+            self.suspected(target.group.clone(), target.name.clone());
+            return;
+        }
+        let message = PeerMessage::Suspect {
+            group: target.group.clone(),
+            database: target.name.clone(),
+        };
+        let peers = self.peers.borrow();
+        if let (Some(peers), Some(holder)) = (peers.as_ref(), self.membership.holder()) {
+            peers.send(holder, &message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -0,0 +1,291 @@
+//! This node's connections to one database: opened on demand, handed out by priority.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::statement::FailureKind;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::connection::{Connection, OpenError};
+use crate::ports::SharedDatabaseProtocol;
+
+/// Longest time that opening a connection may take.
+pub const OPEN_LIMIT: Duration = Duration::from_millis(500);
+/// How long an idle connection is kept.
+const IDLE_LIMIT: Duration = Duration::from_secs(15);
+/// How long the pool stays within the size at which the database refused to grow it.
+const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
+
+/// Why no connection was handed out.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum CheckoutError {
+    /// All connections stayed in use until the limit of the wait.
+    #[error("all connections of this node to the database stayed in use")]
+    Exhausted,
+    /// A connection could not be opened.
+    #[error(transparent)]
+    Open(#[from] OpenError),
+}
+
+struct Waiter {
+    priority: u32,
+    number: u64,
+    wake: oneshot::Sender<()>,
+}
+
+/// Connections of this node to one database.
+pub struct Pool {
+    protocol: SharedDatabaseProtocol,
+    database: DatabaseName,
+    group: GroupName,
+    address: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+    open: Cell<u32>,
+    limit: Cell<u32>,
+    refused: Cell<Option<(u32, Instant)>>,
+    waiters: RefCell<Vec<Waiter>>,
+    next_number: Cell<u64>,
+    /// Connections opened since the start.
+    pub opened: Cell<u64>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(
+        protocol: SharedDatabaseProtocol,
+        database: DatabaseName,
+        group: GroupName,
+        address: SocketAddr,
+        limit: u32,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            protocol,
+            database,
+            group,
+            address,
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            limit: Cell::new(limit),
+            refused: Cell::new(None),
+            waiters: RefCell::default(),
+            next_number: Cell::new(0),
+            opened: Cell::new(0),
+        })
+    }
+
+    /// Where the pool's database accepts connections.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how many connections may be open.
+    pub fn set_limit(&self, limit: u32) {
+        self.limit.set(limit.max(1));
+        self.wake_next();
+    }
+
+    /// Statements that wait for a connection.
+    pub fn waiting(&self) -> usize {
+        self.waiters.borrow().len()
+    }
+
+    fn effective_limit(&self) -> u32 {
+        let limit = self.limit.get();
+        match self.refused.get() {
+            Some((size, at)) if at.elapsed() < REFUSAL_HOLDS => limit.min(size.max(1)),
+            _ => limit,
+        }
+    }
+
+    /// Hands out a connection, the one that suits `values` best, by `until` at the latest.
+    ///
+    /// # Errors
+    /// None is free in time, or a new one can't be opened.
+    pub async fn checkout(
+        self: &Rc<Self>,
+        values: &BTreeMap<String, String>,
+        priority: u32,
+        until: Instant,
+    ) -> Result<Checkout, CheckoutError> {
+        loop {
+            if let Some(connection) = self.take_idle(values) {
+                return Ok(Checkout::new(self.clone(), connection));
+            }
+            if self.open.get() < self.effective_limit() {
+                return self.open_one().await;
+            }
+            self.wait(priority, until).await?;
+        }
+    }
+
+    fn take_idle(&self, values: &BTreeMap<String, String>) -> Option<Connection> {
+        loop {
+            let mut idle = self.idle.borrow_mut();
+            let indexed = idle.iter().enumerate().rev();
+            let best = indexed.min_by_key(|(_, connection)| connection.distance(values));
+            let index = best.map(|(index, _)| index)?;
+            let connection = idle.swap_remove(index);
+            drop(idle);
+            if !connection.is_stale() {
+                return Some(connection);
+            }
+            self.closed();
+        }
+    }
+
+    async fn open_one(self: &Rc<Self>) -> Result<Checkout, CheckoutError> {
+        let slot = OpenSlot::take(self);
+        let connection = Connection::open(
+            self.protocol.clone(),
+            self.address,
+            &self.group,
+            &self.database,
+            OPEN_LIMIT,
+        );
+        match connection.await {
+            Ok(connection) => {
+                slot.keep();
+                self.opened.set(self.opened.get() + 1);
+                Ok(Checkout::new(self.clone(), connection))
+            }
+            Err(error) => {
+                if is_overload(&error) {
+                    let size = self.open.get().saturating_sub(1);
+                    self.refused.set(Some((size, Instant::now())));
+                }
+                Err(error.into())
+            }
+        }
+    }
+
+    async fn wait(&self, priority: u32, until: Instant) -> Result<(), CheckoutError> {
+        let (wake, woken) = oneshot::channel();
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        self.waiters.borrow_mut().push(Waiter {
+            priority,
+            number,
+            wake,
+        });
+        let result = tokio::time::timeout_at(until, woken).await;
+        if result.is_ok() {
+            return Ok(());
+        }
+        let mut waiters = self.waiters.borrow_mut();
+        waiters.retain(|waiter| waiter.number != number);
+        Err(CheckoutError::Exhausted)
+    }
+
+    fn wake_next(&self) {
+        loop {
+            let mut waiters = self.waiters.borrow_mut();
+            let indexed = waiters.iter().enumerate();
+            let first = indexed.min_by_key(|(_, waiter)| (waiter.priority, waiter.number));
+            let Some(index) = first.map(|(index, _)| index) else {
+                return;
+            };
+            let waiter = waiters.swap_remove(index);
+            if waiter.wake.send(()).is_ok() {
+                return;
+            }
+        }
+    }
+
+    fn closed(&self) {
+        self.open.set(self.open.get().saturating_sub(1));
+        self.wake_next();
+    }
+
+    /// Closes connections that have been idle for long, or all idle ones.
+    pub fn close_idle(&self, all: bool) {
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(|connection| !all && connection.idle_since.elapsed() < IDLE_LIMIT);
+        let closed = before - idle.len();
+        drop(idle);
+        self.open.set(self.open.get().saturating_sub(closed as u32));
+        if closed > 0 {
+            self.wake_next();
+        }
+    }
+}
+
+fn is_overload(error: &OpenError) -> bool {
+    matches!(error, OpenError::TurnedAway(failure) if failure.kind == FailureKind::Overloaded)
+}
+
+/// Counts a connection that is being opened, unless it comes to nothing.
+struct OpenSlot {
+    pool: Option<Rc<Pool>>,
+}
+
+impl OpenSlot {
+    fn take(pool: &Rc<Pool>) -> Self {
+        pool.open.set(pool.open.get() + 1);
+        Self {
+            pool: Some(pool.clone()),
+        }
+    }
+
+    fn keep(mut self) {
+        self.pool = None;
+    }
+}
+
+impl Drop for OpenSlot {
+    fn drop(&mut self) {
+        if let Some(pool) = self.pool.take() {
+            pool.closed();
+        }
+    }
+}
+
+/// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
+pub struct Checkout {
+    pool: Rc<Pool>,
+    connection: Option<Connection>,
+}
+
+impl Checkout {
+    fn new(pool: Rc<Pool>, connection: Connection) -> Self {
+        Self {
+            pool,
+            connection: Some(connection),
+        }
+    }
+
+    /// The connection.
+    pub fn connection(&mut self) -> &mut Connection {
+        self.connection
+            .as_mut()
+            .expect("a checkout has its connection until it is given back")
+    }
+
+    /// Returns the connection for others to use. It must be outside any transaction.
+    pub fn give_back(mut self) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        connection.idle_since = Instant::now();
+        if self.pool.open.get() > self.pool.limit.get() {
+            drop(connection);
+            self.pool.closed();
+            return;
+        }
+        self.pool.idle.borrow_mut().push(connection);
+        self.pool.wake_next();
+    }
+}
+
+impl Drop for Checkout {
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.pool.closed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/read.rs
@@ -0,0 +1,242 @@
+//! Single reads: served by any database that is fresh enough, and sent again when an answer is
+//! late or lost.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::group::LogPosition;
+use dyketally::identifiers::DatabaseName;
+use dyketally::statement::{FailureKind, TransactionState};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::Instant;
+
+use crate::connection::Answer;
+use crate::gateway::Gateway;
+use crate::ports::{DatabaseCommand, OwnStatement};
+use crate::request::{Request, Served};
+use crate::target::Target;
+use crate::write::{Attempt, RETRY_PAUSE};
+
+/// Longest wait for an answer before another database is asked as well.
+const HEDGE_AT_MOST: Duration = Duration::from_millis(350);
+/// Attempts of one read, at most.
+const ATTEMPTS_AT_MOST: u32 = 12;
+/// Attempts of one read that wait for answers at one time.
+const RUNNING_AT_MOST: usize = 3;
+
+/// How a read proves that it is fresh.
+#[derive(Clone, Copy, Debug)]
+enum Proof {
+    /// The database proves that it leads.
+    Leads,
+    /// The database's log holds the position.
+    Holds(LogPosition),
+}
+
+impl Gateway {
+    /// Serves a single read.
+    pub async fn serve_read(self: &Rc<Self>, request: &Rc<Request>) -> Served {
+        let mut running = FuturesUnordered::new();
+        let mut tried: Vec<DatabaseName> = Vec::new();
+        let mut refusal = FailureKind::Busy;
+        let mut sent_any = false;
+        loop {
+            let may_start =
+                running.len() < RUNNING_AT_MOST && request.attempts.get() < ATTEMPTS_AT_MOST;
+            let started = match may_start && Instant::now() < request.give_up() {
+                true => self.start_read(request, &mut tried).await,
+                false => None,
+            };
+            if let Some(attempt) = started {
+                sent_any = true;
+                running.push(attempt);
+            }
+            let wake = next_step(request, running.is_empty());
+            tokio::select! {
+                finished = running.next(), if !running.is_empty() => match finished {
+                    Some(Ok(Attempt::Answered(answer))) => return Served::from_database(answer),
+                    Some(Ok(Attempt::NotRun(kind))) => {
+                        refusal = kind;
+                        if kind == FailureKind::Busy {
+                            tokio::time::sleep(RETRY_PAUSE / 2).await;
+                        }
+                    }
+                    Some(Ok(Attempt::Lost(_)) | Err(_)) | None => {}
+                },
+                () = tokio::time::sleep_until(wake) => {}
+            }
+            let now = Instant::now();
+            if now >= request.deadline {
+                return match sent_any && !running.is_empty() {
+                    true => Served::timed_out(),
+                    false => Served::not_run(refusal),
+                };
+            }
+            if running.is_empty() && now >= request.give_up() {
+                return Served::not_run(refusal);
+            }
+        }
+    }
+
+    async fn start_read(
+        self: &Rc<Self>,
+        request: &Rc<Request>,
+        tried: &mut Vec<DatabaseName>,
+    ) -> Option<tokio::task::JoinHandle<Attempt>> {
+        let (target, proof) = self.choose_read(request, tried).await?;
+        tried.push(target.name.clone());
+        request.attempt();
+        let gateway = self.clone();
+        let request = request.clone();
+        Some(tokio::task::spawn_local(async move {
+            gateway.read_once(&request, &target, proof).await
+        }))
+    }
+
+    async fn choose_read(
+        self: &Rc<Self>,
+        request: &Request,
+        tried: &mut Vec<DatabaseName>,
+    ) -> Option<(Target, Proof)> {
+        let group = &request.route.group;
+        let consistency = request.route.consistency;
+        let need = consistency.need(request.arrived, request.connected, request.own_commit);
+        let Some(need) = need else {
+            let pause = Instant::now() + RETRY_PAUSE;
+            let target = self.primary_by(group, pause.min(request.give_up())).await?;
+            return Some((target, Proof::Leads));
+        };
+        let state = self.group(group);
+        let known = need.position(&state.observations.borrow());
+        let first = self.first_untried(request, known, tried)?;
+        if let Some(position) = known {
+            return Some((first, Proof::Holds(position)));
+        }
+        if first.leads {
+            return Some((first, Proof::Leads));
+        }
+        let confirmed = self.ensure_observation(group, need.covered, request.give_up());
+        if confirmed.await.is_some()
+            && let Some(position) = need.position(&state.observations.borrow())
+        {
+            return Some((first, Proof::Holds(position)));
+        }
+        let primary = self.primary_target(group)?;
+        Some((primary, Proof::Leads))
+    }
+
+    fn first_untried(
+        &self,
+        request: &Request,
+        needed: Option<LogPosition>,
+        tried: &mut Vec<DatabaseName>,
+    ) -> Option<Target> {
+        let targets = self.read_targets(&request.route.group, needed);
+        let untried = targets.iter().find(|target| !tried.contains(&target.name));
+        if let Some(untried) = untried {
+            return Some(untried.clone());
+        }
+        tried.clear();
+        targets.into_iter().next()
+    }
+
+    async fn read_once(
+        self: &Rc<Self>,
+        request: &Request,
+        target: &Target,
+        proof: Proof,
+    ) -> Attempt {
+        let mut checkout = match self.checkout(request, target).await {
+            Ok(checkout) => checkout,
+            Err(kind) => return Attempt::NotRun(kind),
+        };
+        let (mut commands, name) = checkout
+            .connection()
+            .adopt(&request.values, request.prepared());
+        let statement = commands.len();
+        match proof {
+            Proof::Holds(position) => commands.push(request.command(name, Some(position))),
+            Proof::Leads => {
+                commands.push(DatabaseCommand::Own(OwnStatement::Begin));
+                commands.push(request.command(name, None));
+                commands.push(DatabaseCommand::Own(OwnStatement::Rollback));
+            }
+        }
+        let sent = self.now();
+        let answers = match self.exchange(&mut checkout, target, &commands).await {
+            Ok(answers) => answers,
+            Err(broken) => return Attempt::Lost(broken),
+        };
+        let idle = answers.last().map(|answer| answer.state) == Some(TransactionState::Idle);
+        if idle {
+            checkout.give_back();
+        }
+        let mut own = answers.into_iter().skip(statement);
+        match proof {
+            Proof::Holds(position) => self.judge_replica_read(target, position, own.next()),
+            Proof::Leads => {
+                let (begun, answer) = (own.next(), own.next());
+                self.judge_primary_read(target, sent, begun, answer)
+            }
+        }
+    }
+
+    fn judge_replica_read(
+        self: &Rc<Self>,
+        target: &Target,
+        position: LogPosition,
+        answer: Option<Answer>,
+    ) -> Attempt {
+        let Some(answer) = answer else {
+            return Attempt::NotRun(FailureKind::Other);
+        };
+        match &answer.end {
+            Err(failure) if failure.kind.not_run() => {
+                if failure.kind == FailureKind::ReplicaBehind {
+                    target.state.was_behind(position);
+                }
+                Attempt::NotRun(failure.kind)
+            }
+            _ => Attempt::Answered(answer),
+        }
+    }
+
+    fn judge_primary_read(
+        self: &Rc<Self>,
+        target: &Target,
+        sent: dyketally::time::Timestamp,
+        begun: Option<Answer>,
+        answer: Option<Answer>,
+    ) -> Attempt {
+        let (Some(begun), Some(answer)) = (begun, answer) else {
+            return Attempt::NotRun(FailureKind::Other);
+        };
+        let failed = [&begun, &answer].into_iter().find_map(|answer| {
+            let failure = answer.end.as_ref().err()?;
+            Some(failure.kind)
+        });
+        match failed {
+            None => {
+                self.observe(&target.group, answer.position, sent);
+                Attempt::Answered(answer)
+            }
+            Some(kind) if begun.end.is_err() || kind.not_run() => {
+                if kind == FailureKind::ReadOnly {
+                    self.follows(target);
+                }
+                Attempt::NotRun(kind)
+            }
+            Some(_) => Attempt::Answered(answer),
+        }
+    }
+}
+
+/// When a read that gets no answer takes its next step.
+fn next_step(request: &Request, nothing_runs: bool) -> Instant {
+    let pause = match nothing_runs {
+        true => RETRY_PAUSE,
+        false => HEDGE_AT_MOST,
+    };
+    (Instant::now() + pause).min(request.deadline)
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/request.rs
@@ -0,0 +1,170 @@
+//! One statement of a session on its way through the gateway.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dyketally::group::LogPosition;
+use dyketally::route_policy::RoutePolicy;
+use dyketally::statement::{Failure, FailureKind, PreparedStatement};
+use dyketally::time::Timestamp;
+use tokio::time::Instant;
+
+use crate::connection::Answer;
+use crate::event::Event;
+use crate::gateway::Gateway;
+use crate::ports::DatabaseCommand;
+
+/// Left of the statement's time when a statement that isn't running is given up.
+const ANSWER_RESERVE: Duration = Duration::from_millis(30);
+/// When callers are told to come back after a refusal.
+const COME_BACK_MS: u64 = 250;
+
+/// A prepared statement to run, with the caller's arguments.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// What was prepared.
+    pub prepared: PreparedStatement,
+    /// The arguments.
+    pub arguments: String,
+}
+
+/// A statement with all that is needed to serve it.
+pub struct Request {
+    /// The caller's name for the attempt.
+    pub id: Bytes,
+    /// The text.
+    pub text: Bytes,
+    /// Set when the statement runs a prepared one.
+    pub execution: Option<Execution>,
+    /// The session's values.
+    pub values: BTreeMap<String, String>,
+    /// The route.
+    pub route: Rc<RoutePolicy>,
+    /// When the statement arrived, or its transaction did.
+    pub arrived: Timestamp,
+    /// When its session was connected.
+    pub connected: Timestamp,
+    /// The session's last commit here.
+    pub own_commit: Option<LogPosition>,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// Attempts made at databases.
+    pub attempts: Cell<u32>,
+}
+
+/// What a caller is told of a statement.
+#[derive(Clone, Debug)]
+pub struct Served {
+    /// The rows.
+    pub rows: Vec<Bytes>,
+    /// The signature, or why it failed.
+    pub end: Result<Bytes, Failure>,
+    /// The end of the log it ran on, if told.
+    pub position: Option<LogPosition>,
+}
+
+impl Served {
+    /// The answer of a database.
+    pub fn from_database(answer: Answer) -> Self {
+        Self {
+            rows: answer.rows,
+            end: answer.end,
+            position: answer.position,
+        }
+    }
+
+    /// A failure of the gateway's own.
+    pub fn failed(kind: FailureKind, message: &str) -> Self {
+        Self {
+            rows: Vec::new(),
+            end: Err(Failure {
+                kind,
+                message: message.to_owned(),
+            }),
+            position: None,
+        }
+    }
+
+    /// The statement has not run; the caller should come back.
+    pub fn not_run(kind: FailureKind) -> Self {
+        Self::failed(
+            kind,
+            &format!("the statement has not run; come back after {COME_BACK_MS} ms"),
+        )
+    }
+
+    /// The statement may have run.
+    pub fn in_doubt(reason: &str) -> Self {
+        Self::failed(
+            FailureKind::InDoubt,
+            &format!("{reason}; the statement may have taken effect, so look before repeating it"),
+        )
+    }
+
+    /// The statement's time ran out while it was at a database.
+    pub fn timed_out() -> Self {
+        Self::failed(
+            FailureKind::TimedOut,
+            "the statement's time ran out while it was running",
+        )
+    }
+}
+
+impl Request {
+    /// The command that runs the statement on a log that holds `after`; `prepared_name` is the
+    /// connection's name for a prepared statement.
+    pub fn command(
+        &self,
+        prepared_name: Option<String>,
+        after: Option<LogPosition>,
+    ) -> DatabaseCommand {
+        match (&self.execution, prepared_name) {
+            (Some(execution), Some(name)) => DatabaseCommand::Execute {
+                id: self.id.clone(),
+                name,
+                arguments: execution.arguments.clone(),
+                after,
+            },
+            _ => DatabaseCommand::Run {
+                id: self.id.clone(),
+                text: self.text.clone(),
+                after,
+            },
+        }
+    }
+
+    /// What has to be prepared on the connection.
+    pub fn prepared(&self) -> Option<&PreparedStatement> {
+        self.execution.as_ref().map(|execution| &execution.prepared)
+    }
+
+    /// When the statement is given up if it isn't running by then.
+    pub fn give_up(&self) -> Instant {
+        self.deadline - ANSWER_RESERVE
+    }
+
+    /// Counts an attempt at a database.
+    pub fn attempt(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
+    /// Logs what the caller is told, if it isn't an ordinary success.
+    pub fn log(&self, gateway: &Gateway, served: &Served, reason: &str) {
+        let outcome = match &served.end {
+            Ok(_) if self.attempts.get() <= 1 => return,
+            Ok(_) => "served".to_owned(),
+            Err(failure) => format!("{:?}", failure.kind),
+        };
+        gateway.events.write(&Event::StatementDecided {
+            id: &String::from_utf8_lossy(&self.id),
+            group: self.route.group.as_str(),
+            outcome,
+            reason,
+            attempts: self.attempts.get(),
+            elapsed_ms: gateway.now().saturating_since(self.arrived).as_millis() as u64,
+        });
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/session.rs
@@ -0,0 +1,411 @@
+//! A caller's session: its values, prepared statements and transaction, from connect to close.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use dyketally::group::LogPosition;
+use dyketally::policy::Access;
+use dyketally::route_policy::RoutePolicy;
+use dyketally::statement::{FailureKind, PreparedStatement, StatementKind, TransactionState};
+use dyketally::time::Timestamp;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::connection::set_silent_peer_limit;
+use crate::gateway::Gateway;
+use crate::ports::{CallerMessage, CallerStatement, Reply};
+use crate::request::{Execution, Request, Served};
+use crate::transaction::{Transaction, TransactionAnswer};
+
+/// Longest time from the connection to the first message.
+const INTRODUCTION_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time that a caller may take to accept an answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// Bytes reserved for each read.
+const READ_CHUNK: usize = 1_024;
+/// What signs a statement that the gateway answers itself.
+const OWN_SIGNATURE: &[u8] = b"-";
+/// Share of the time to stop that open transactions get.
+const TRANSACTIONS_SHARE: f64 = 0.5;
+
+/// Serves one caller until it leaves or the process stops.
+pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    // Without it, answers are later but right.
+    let _ = stream.set_nodelay(true);
+    set_silent_peer_limit(&stream);
+    gateway.sessions.set(gateway.sessions.get() + 1);
+    let mut caller = Caller {
+        gateway: gateway.clone(),
+        stream,
+        input: BytesMut::new(),
+    };
+    if let Some(mut session) = caller.introduce().await {
+        session.run(&mut caller).await;
+    }
+    gateway.sessions.set(gateway.sessions.get() - 1);
+}
+
+struct Caller {
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    input: BytesMut,
+}
+
+/// What a session waits for.
+enum Next {
+    Message(CallerMessage),
+    Closed,
+    Garbage(String),
+    TransactionRested,
+    Stop,
+}
+
+impl Caller {
+    async fn introduce(&mut self) -> Option<Session> {
+        let message = tokio::time::timeout(INTRODUCTION_LIMIT, self.next_message()).await;
+        let Next::Message(CallerMessage::Connect { database, .. }) = message.ok()? else {
+            return None;
+        };
+        if self.gateway.route(&database).is_none() {
+            let served = match self.gateway.is_configured() {
+                true => Served::failed(
+                    FailureKind::UnknownDatabase,
+                    "no route leads to this database; check its name",
+                ),
+                false => Served::not_run(FailureKind::Overloaded),
+            };
+            self.refuse(served).await;
+            return None;
+        }
+        let ready = Reply::Ready {
+            state: TransactionState::Idle,
+            position: None,
+        };
+        self.write(&[ready]).await?;
+        Some(Session::new(&self.gateway, database))
+    }
+
+    async fn refuse(&mut self, served: Served) {
+        if let Err(failure) = served.end {
+            // The caller may be gone already.
+            let _ = self.write(&[Reply::Failed(failure)]).await;
+        }
+    }
+
+    async fn next_message(&mut self) -> Next {
+        loop {
+            match self.gateway.caller_protocol.decode(&mut self.input) {
+                Ok(Some(message)) => return Next::Message(message),
+                Ok(None) => {}
+                Err(error) => return Next::Garbage(error.to_string()),
+            }
+            self.input.reserve(READ_CHUNK);
+            match self.stream.read_buf(&mut self.input).await {
+                Ok(0) | Err(_) => return Next::Closed,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    async fn write(&mut self, replies: &[Reply]) -> Option<()> {
+        let mut output = BytesMut::new();
+        for reply in replies {
+            self.gateway.caller_protocol.encode(reply, &mut output);
+        }
+        let writing = self.stream.write_all(&output);
+        let written = tokio::time::timeout(WRITE_LIMIT, writing).await;
+        written.ok()?.ok()
+    }
+
+    async fn answer(&mut self, served: Served, state: TransactionState) -> Option<()> {
+        let rows = match served.end.is_ok() {
+            true => served.rows,
+            false => Vec::new(),
+        };
+        let mut replies: Vec<Reply> = rows.into_iter().map(Reply::Row).collect();
+        replies.push(match served.end {
+            Ok(signature) => Reply::Complete(signature),
+            Err(failure) => Reply::Failed(failure),
+        });
+        replies.push(Reply::Ready {
+            state,
+            position: served.position,
+        });
+        self.write(&replies).await
+    }
+}
+
+struct Session {
+    gateway: Rc<Gateway>,
+    database: String,
+    connected: Timestamp,
+    values: BTreeMap<String, String>,
+    prepared: HashMap<String, PreparedStatement>,
+    transaction: Option<Transaction>,
+    route: Option<Rc<RoutePolicy>>,
+    own_commit: Option<LogPosition>,
+}
+
+impl Session {
+    fn new(gateway: &Rc<Gateway>, database: String) -> Self {
+        Self {
+            gateway: gateway.clone(),
+            database,
+            connected: gateway.now(),
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            transaction: None,
+            route: None,
+            own_commit: None,
+        }
+    }
+
+    async fn run(&mut self, caller: &mut Caller) {
+        loop {
+            match self.next(caller).await {
+                Next::Message(CallerMessage::Statement(statement)) => {
+                    let (served, state) = self.serve(statement).await;
+                    if caller.answer(served, state).await.is_none() {
+                        return;
+                    }
+                }
+                Next::TransactionRested => self.end_rested_transaction(),
+                Next::Garbage(reason) => {
+                    let served = Served::failed(FailureKind::Malformed, &reason);
+                    caller.refuse(served).await;
+                    return;
+                }
+                Next::Message(_) | Next::Closed | Next::Stop => return,
+            }
+        }
+    }
+
+    async fn next(&self, caller: &mut Caller) -> Next {
+        let rest_limit = match self.open_transaction() {
+            true => self.gateway.routes().transaction_idle,
+            false => None,
+        };
+        let rested = async {
+            match rest_limit {
+                Some(limit) => tokio::time::sleep(limit).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            next = caller.next_message() => next,
+            () = rested => Next::TransactionRested,
+            () = self.must_stop() => Next::Stop,
+        }
+    }
+
+    fn open_transaction(&self) -> bool {
+        let transaction = self.transaction.as_ref();
+        transaction.is_some_and(|transaction| !transaction.failed)
+    }
+
+    /// Waits until a planned stop asks this session to end: at once between operations, later
+    /// within a transaction.
+    async fn must_stop(&self) {
+        self.gateway.stopped().await;
+        if self.transaction.is_some() {
+            let stop = self.gateway.settings.bounds.stop();
+            tokio::time::sleep(stop.mul_f64(TRANSACTIONS_SHARE)).await;
+        }
+    }
+
+    fn end_rested_transaction(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.roll_back();
+            transaction.failed = true;
+        }
+    }
+
+    async fn serve(&mut self, statement: CallerStatement) -> (Served, TransactionState) {
+        let failed = self.transaction.as_ref().is_some_and(|open| open.failed);
+        let ends = matches!(
+            statement.kind,
+            StatementKind::Commit | StatementKind::Rollback
+        );
+        if failed && !ends {
+            let served = Served::failed(
+                FailureKind::Malformed,
+                "the transaction has failed; roll it back",
+            );
+            return (served, TransactionState::Failed);
+        }
+        match statement.kind.clone() {
+            StatementKind::Begin { read_only } => self.begin(read_only),
+            StatementKind::Commit => self.commit(statement).await,
+            StatementKind::Rollback => self.roll_back(),
+            StatementKind::Read => self.run_statement(statement, Access::Read, None).await,
+            StatementKind::Write => self.run_statement(statement, Access::Write, None).await,
+            StatementKind::Set { name, value } => {
+                self.values.insert(name, value);
+                if let Some(transaction) = &mut self.transaction {
+                    transaction.set_values = true;
+                }
+                (own_success(), self.state())
+            }
+            StatementKind::Prepare { name, prepared } => {
+                self.prepared.insert(name, prepared);
+                (own_success(), self.state())
+            }
+            StatementKind::Deallocate { name } => {
+                self.prepared.remove(&name);
+                (own_success(), self.state())
+            }
+            StatementKind::Execute { name, arguments } => {
+                let Some(prepared) = self.prepared.get(&name).cloned() else {
+                    let served = Served::failed(
+                        FailureKind::UnknownPrepared,
+                        "no statement is prepared under this name; prepare it first",
+                    );
+                    return (served, self.state());
+                };
+                let access = prepared.access;
+                let execution = Execution {
+                    prepared,
+                    arguments,
+                };
+                self.run_statement(statement, access, Some(execution)).await
+            }
+        }
+    }
+
+    fn state(&self) -> TransactionState {
+        match &self.transaction {
+            None => TransactionState::Idle,
+            Some(transaction) if transaction.failed => TransactionState::Failed,
+            Some(_) => TransactionState::Open,
+        }
+    }
+
+    fn begin(&mut self, read_only: bool) -> (Served, TransactionState) {
+        if self.transaction.is_some() {
+            let served = Served::failed(
+                FailureKind::Malformed,
+                "a transaction is open already; end it first",
+            );
+            return (served, self.state());
+        }
+        let Some(route) = self.gateway.route(&self.database) else {
+            return (unrouted(), TransactionState::Idle);
+        };
+        self.route = Some(route);
+        self.transaction = Some(Transaction::new(read_only, self.gateway.now()));
+        (own_success(), TransactionState::Open)
+    }
+
+    fn roll_back(&mut self) -> (Served, TransactionState) {
+        if let Some(mut transaction) = self.transaction.take() {
+            transaction.roll_back();
+        }
+        (own_success(), TransactionState::Idle)
+    }
+
+    async fn commit(&mut self, statement: CallerStatement) -> (Served, TransactionState) {
+        let (Some(mut transaction), Some(route)) = (self.transaction.take(), self.route.clone())
+        else {
+            let served = Served::failed(
+                FailureKind::Malformed,
+                "no transaction is open; begin one first",
+            );
+            return (served, TransactionState::Idle);
+        };
+        let request = self.request(statement, None, route);
+        let answer = transaction.commit(&self.gateway, &request).await;
+        if transaction.wrote && answer.served.end.is_ok() {
+            self.note_commit(answer.served.position);
+        }
+        request.log(&self.gateway, &answer.served, "commit");
+        (answer.served, answer.state)
+    }
+
+    async fn run_statement(
+        &mut self,
+        statement: CallerStatement,
+        access: Access,
+        execution: Option<Execution>,
+    ) -> (Served, TransactionState) {
+        if let (Some(route), true) = (&self.route, self.transaction.is_some()) {
+            let request = self.request(statement, execution, route.clone());
+            return self.run_in_transaction(request, access).await;
+        }
+        let Some(route) = self.gateway.route(&self.database) else {
+            return (unrouted(), TransactionState::Idle);
+        };
+        let request = self.request(statement, execution, route);
+        let served = self.run_single(request, access).await;
+        (served, TransactionState::Idle)
+    }
+
+    async fn run_in_transaction(
+        &mut self,
+        request: Request,
+        access: Access,
+    ) -> (Served, TransactionState) {
+        let Some(transaction) = &mut self.transaction else {
+            return (unrouted(), TransactionState::Idle);
+        };
+        let TransactionAnswer { served, state } =
+            transaction.run(&self.gateway, &request, access).await;
+        (served, state)
+    }
+
+    async fn run_single(&mut self, request: Request, access: Access) -> Served {
+        let request = Rc::new(request);
+        let served = match access {
+            Access::Read => self.gateway.serve_read(&request).await,
+            Access::Write => self.gateway.serve_write(&request).await,
+        };
+        if access == Access::Write && served.end.is_ok() {
+            self.note_commit(served.position);
+        }
+        request.log(&self.gateway, &served, "single statement");
+        served
+    }
+
+    fn note_commit(&mut self, position: Option<LogPosition>) {
+        self.own_commit = self.own_commit.max(position);
+    }
+
+    fn request(
+        &self,
+        statement: CallerStatement,
+        execution: Option<Execution>,
+        route: Rc<RoutePolicy>,
+    ) -> Request {
+        Request {
+            id: statement.id,
+            text: statement.text,
+            execution,
+            values: self.values.clone(),
+            arrived: self.gateway.now(),
+            connected: self.connected,
+            own_commit: self.own_commit,
+            deadline: Instant::now() + route.statement_timeout,
+            route,
+            attempts: Cell::new(0),
+        }
+    }
+}
+
+fn own_success() -> Served {
+    Served {
+        rows: Vec::new(),
+        end: Ok(Bytes::from_static(OWN_SIGNATURE)),
+        position: None,
+    }
+}
+
+fn unrouted() -> Served {
+    Served::failed(
+        FailureKind::UnknownDatabase,
+        "no route leads to this database any more; check its name",
+    )
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -0,0 +1,136 @@
+//! Settings of the gateway.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// Everything a process of the gateway is told at its start. Unknown fields are ignored, since
+/// the file may gain some.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// This node.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// The region of each zone.
+    #[serde(default)]
+    pub zones: BTreeMap<String, String>,
+    /// The key-value store.
+    pub store: ServiceSettings,
+    /// The service that appoints primaries.
+    pub primary_control: ServiceSettings,
+    /// Bounds to keep.
+    pub bounds: BoundSettings,
+}
+
+/// Who the node is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct NodeSettings {
+    /// Its name, unique among the nodes.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// Where the node listens.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For readiness probes.
+    pub readiness: SocketAddr,
+    /// For other nodes (UDP).
+    pub peers: SocketAddr,
+}
+
+/// A service that is called.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ServiceSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Bounds that hold around the gateway.
+#[derive(Clone, Debug, Deserialize)]
+pub struct BoundSettings {
+    /// How long a leaving database may get new work, in milliseconds.
+    pub drain_ms: u64,
+    /// How long a process may take to stop, in seconds.
+    pub stop_s: f64,
+}
+
+impl BoundSettings {
+    /// How long a leaving database may get new work.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
+    /// How long a process may take to stop.
+    pub fn stop(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_s)
+    }
+}
+
+/// What is wrong with a settings file.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// It can't be read.
+    #[error("can't read the settings {path}: {source}; give the path of a readable file")]
+    Unreadable {
+        /// Its path.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// It isn't what is expected.
+    #[error("the settings {path} are faulty: {reason}; correct the named field")]
+    Faulty {
+        /// Its path.
+        path: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// The file can't be read, or a field is missing or wrong.
+pub fn load(path: &std::path::Path) -> Result<Settings, SettingsError> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        path: shown.clone(),
+        source,
+    })?;
+    parse(&text).map_err(|reason| SettingsError::Faulty {
+        path: shown,
+        reason,
+    })
+}
+
+/// Reads and checks settings.
+///
+/// # Errors
+/// What is wrong, in one sentence.
+pub fn parse(text: &str) -> Result<Settings, String> {
+    let settings: Settings = toml::from_str(text).map_err(|error| error.message().to_owned())?;
+    settings.validate()?;
+    Ok(settings)
+}
+
+impl Settings {
+    fn validate(&self) -> Result<(), String> {
+        if self.node.name.is_empty() {
+            return Err("`node.name` is empty".to_owned());
+        }
+        if !self.zones.is_empty() && !self.zones.contains_key(&self.node.zone) {
+            return Err(format!("`node.zone` {} isn't in `zones`", self.node.zone));
+        }
+        if self.bounds.stop_s <= 0.0 {
+            return Err("`bounds.stop_s` must be above 0".to_owned());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/target.rs
@@ -0,0 +1,157 @@
+//! Which databases may serve a statement, best first.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::directory::{Member, MemberState};
+use dyketally::group::LogPosition;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+use crate::health::DatabaseState;
+
+/// Share of the drain bound for which a leaving primary still gets work when nobody succeeds it.
+const LEAVING_PRIMARY_SHARE: f64 = 0.6;
+/// Added to the estimate of a primary, which alone can serve writes.
+const PRIMARY_PENALTY_MS: f64 = 15.0;
+/// Added to the estimate of a database in another region, whose traffic is dear.
+const REGION_PENALTY_MS: f64 = 25.0;
+/// How often a group without a known primary is searched for one.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(120);
+
+/// A database that a statement may be sent to.
+#[derive(Clone)]
+pub struct Target {
+    /// Its name.
+    pub name: DatabaseName,
+    /// Its group.
+    pub group: GroupName,
+    /// The database as this node uses it.
+    pub state: Rc<DatabaseState>,
+    /// True when it is believed to lead.
+    pub leads: bool,
+}
+
+impl Gateway {
+    /// The database that leads `group`, if it may get new work.
+    pub fn primary_target(&self, group: &GroupName) -> Option<Target> {
+        let directory = self.directory.borrow();
+        let primary = directory.primary(group)?;
+        self.may_lead(primary).then(|| self.target(primary, true))
+    }
+
+    fn may_lead(&self, primary: &Member) -> bool {
+        let Some(leaving_since) = primary.leaving_since else {
+            return true;
+        };
+        let bound = self.settings.bounds.drain().mul_f64(LEAVING_PRIMARY_SHARE);
+        self.now().saturating_since(leaving_since) < bound
+    }
+
+    /// The database that leads `group`, as soon as one is known, by `until` at the latest.
+    pub async fn primary_by(self: &Rc<Self>, group: &GroupName, until: Instant) -> Option<Target> {
+        loop {
+            if let Some(target) = self.primary_target(group) {
+                return Some(target);
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+            self.search_primary(group);
+            let pause = (Instant::now() + SEARCH_INTERVAL).min(until);
+            self.next_change(pause).await;
+        }
+    }
+
+    /// The databases that may serve a read whose log must hold `needed`, best first.
+    pub fn read_targets(&self, group: &GroupName, needed: Option<LogPosition>) -> Vec<Target> {
+        let directory = self.directory.borrow();
+        let primary = directory
+            .primary(group)
+            .map(|primary| primary.name().clone());
+        let ready = directory
+            .members(group)
+            .filter(|member| member.state == MemberState::Ready);
+        let mut ranked: Vec<(f64, Target)> = ready
+            .map(|member| {
+                let leads = primary.as_ref() == Some(member.name());
+                let target = self.target(member, leads);
+                (self.rank(member, &target, needed), target)
+            })
+            .collect();
+        ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
+        ranked.into_iter().map(|(_, target)| target).collect()
+    }
+
+    fn rank(&self, member: &Member, target: &Target, needed: Option<LogPosition>) -> f64 {
+        let expected = self.expected_latency(member);
+        let mut rank = target
+            .state
+            .latency_estimate(expected, member.announcement.slots);
+        if target.leads {
+            rank += PRIMARY_PENALTY_MS;
+        }
+        if self.distance(member) == Distance::OtherRegion {
+            rank += REGION_PENALTY_MS;
+        }
+        if !target.leads && needed.is_some_and(|needed| target.state.is_behind(needed)) {
+            rank += 1_000.0;
+        }
+        if target.state.is_suspended() {
+            rank += 10_000.0;
+        }
+        rank
+    }
+
+    /// A member as a target.
+    pub fn target(&self, member: &Member, leads: bool) -> Target {
+        let announcement = &member.announcement;
+        let expected = self.expected_latency(member);
+        let state = self.database(
+            &announcement.database,
+            &announcement.group,
+            announcement.address,
+            expected,
+        );
+        Target {
+            name: announcement.database.clone(),
+            group: announcement.group.clone(),
+            state,
+            leads,
+        }
+    }
+
+    fn expected_latency(&self, member: &Member) -> f64 {
+        match self.distance(member) {
+            Distance::SameZone => 20.0,
+            Distance::SameRegion => 23.0,
+            Distance::OtherRegion => 55.0,
+        }
+    }
+
+    /// How far a member is from this node.
+    pub fn distance(&self, member: &Member) -> Distance {
+        let own = &self.settings.node.zone;
+        let other = member.announcement.zone.as_str();
+        if own == other {
+            return Distance::SameZone;
+        }
+        let zones = &self.settings.zones;
+        match zones.get(own) == zones.get(other) {
+            true => Distance::SameRegion,
+            false => Distance::OtherRegion,
+        }
+    }
+}
+
+/// How far a database is from this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    SameZone,
+    /// In another zone of the region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -0,0 +1,391 @@
+//! Transactions: opened at a database with their first statement, and bound to that connection.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::group::LogPosition;
+use dyketally::identifiers::DatabaseName;
+use dyketally::policy::Access;
+use dyketally::statement::{FailureKind, TransactionState};
+use dyketally::time::Timestamp;
+use tokio::time::Instant;
+
+use crate::connection::Answer;
+use crate::gateway::Gateway;
+use crate::pool::Checkout;
+use crate::ports::{DatabaseCommand, OwnStatement};
+use crate::request::{Request, Served};
+use crate::target::Target;
+use crate::write::RETRY_PAUSE;
+
+/// Longest time that dropping a transaction may take before its connection is closed instead.
+const ROLLBACK_LIMIT: Duration = Duration::from_secs(2);
+
+/// A transaction of a session.
+pub struct Transaction {
+    /// True when it promised not to write.
+    pub read_only: bool,
+    /// When it was begun.
+    pub begun: Timestamp,
+    /// True once it can only be rolled back.
+    pub failed: bool,
+    /// True once it sent a write.
+    pub wrote: bool,
+    /// True once values were set in it.
+    pub set_values: bool,
+    bound: Option<Bound>,
+}
+
+struct Bound {
+    checkout: Checkout,
+    target: Target,
+    leads: bool,
+}
+
+/// The answer to a statement of a transaction.
+pub struct TransactionAnswer {
+    /// What the caller is told.
+    pub served: Served,
+    /// The state afterwards.
+    pub state: TransactionState,
+}
+
+enum First {
+    Served(Answer),
+    NotRun(FailureKind),
+    Lost,
+}
+
+impl Transaction {
+    /// A transaction that no database knows of yet.
+    pub fn new(read_only: bool, begun: Timestamp) -> Self {
+        Self {
+            read_only,
+            begun,
+            failed: false,
+            wrote: false,
+            set_values: false,
+            bound: None,
+        }
+    }
+
+    /// Runs a read or write in the transaction.
+    pub async fn run(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+        access: Access,
+    ) -> TransactionAnswer {
+        let served = match self.bound.is_some() {
+            true => self.run_bound(gateway, request).await,
+            false => self.run_first(gateway, request).await,
+        };
+        self.wrote |= access == Access::Write;
+        let Ok(answer) = served else {
+            return self.give_up(gateway, request);
+        };
+        self.settle(gateway, request, answer)
+    }
+
+    /// Ends the transaction and keeps its writes.
+    pub async fn commit(&mut self, gateway: &Rc<Gateway>, request: &Request) -> TransactionAnswer {
+        if self.failed {
+            return ended(Served::failed(
+                FailureKind::Aborted,
+                "the transaction had failed and is rolled back",
+            ));
+        }
+        if self.bound.is_none() {
+            let Ok(answer) = self.run_first(gateway, request).await else {
+                return self.give_up_idle(gateway, request);
+            };
+            return self.committed(answer);
+        }
+        let commit = self.send(gateway, request);
+        match tokio::time::timeout_at(request.deadline, commit).await {
+            Ok(Some(answer)) => self.committed(answer),
+            Ok(None) if self.wrote => {
+                self.bound = None;
+                ended(Served::in_doubt("the connection broke during the commit"))
+            }
+            Err(_) if self.wrote => {
+                self.bound = None;
+                ended(Served::timed_out())
+            }
+            Ok(None) | Err(_) => self.give_up_idle(gateway, request),
+        }
+    }
+
+    fn committed(&mut self, answer: Answer) -> TransactionAnswer {
+        if answer.state != TransactionState::Idle {
+            self.drop_bound();
+        } else if let Some(bound) = self.bound.take() {
+            self.release(bound, answer.end.is_ok());
+        }
+        ended(Served::from_database(answer))
+    }
+
+    fn release(&self, mut bound: Bound, kept: bool) {
+        if self.set_values && !kept {
+            bound.checkout.connection().require_reset();
+        }
+        bound.checkout.give_back();
+    }
+
+    /// Drops the transaction and its writes, without waiting for the database.
+    pub fn roll_back(&mut self) {
+        self.drop_bound();
+    }
+
+    fn drop_bound(&mut self) {
+        let Some(bound) = self.bound.take() else {
+            return;
+        };
+        let must_reset = self.set_values;
+        tokio::task::spawn_local(roll_back(bound.checkout, must_reset));
+    }
+
+    async fn run_bound(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Result<Answer, ()> {
+        loop {
+            let sending = self.send(gateway, request);
+            let answer = match tokio::time::timeout_at(request.deadline, sending).await {
+                Ok(Some(answer)) => answer,
+                Ok(None) | Err(_) => {
+                    self.bound = None;
+                    return Err(());
+                }
+            };
+            let busy = matches!(&answer.end, Err(failure) if failure.kind == FailureKind::Busy);
+            let time_left = Instant::now() + RETRY_PAUSE < request.give_up();
+            if !busy || answer.state != TransactionState::Open || !time_left {
+                return Ok(answer);
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn send(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Option<Answer> {
+        let bound = self.bound.as_mut()?;
+        request.attempt();
+        let connection = bound.checkout.connection();
+        let (mut commands, name) = connection.adopt(&request.values, request.prepared());
+        commands.push(request.command(name, None));
+        let sent = gateway.now();
+        let exchange = gateway.exchange(&mut bound.checkout, &bound.target, &commands);
+        let answer = exchange.await.ok()?.pop()?;
+        if bound.leads && answer.end.is_ok() {
+            gateway.observe(&bound.target.group, answer.position, sent);
+        }
+        Some(answer)
+    }
+
+    /// Finds a database for the transaction and runs its first statement there. Nothing of the
+    /// transaction is kept anywhere before it commits, so a first statement that was lost is
+    /// simply run in a new transaction.
+    async fn run_first(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Result<Answer, ()> {
+        let mut passed_over = Vec::new();
+        loop {
+            let first = self.try_first(gateway, request, &mut passed_over);
+            match tokio::time::timeout_at(request.deadline, first).await {
+                Ok(First::Served(answer)) => return Ok(answer),
+                Ok(First::NotRun(_) | First::Lost) => self.drop_bound(),
+                Err(_) => {
+                    self.bound = None;
+                    return Err(());
+                }
+            }
+            if Instant::now() + RETRY_PAUSE >= request.give_up() {
+                return Err(());
+            }
+            gateway.next_change(Instant::now() + RETRY_PAUSE).await;
+        }
+    }
+
+    async fn try_first(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+        passed_over: &mut Vec<DatabaseName>,
+    ) -> First {
+        let Some((target, after)) = self.choose(gateway, request, passed_over).await else {
+            return First::NotRun(FailureKind::Busy);
+        };
+        let begin = match after {
+            Some(_) => OwnStatement::BeginReadOnly { after },
+            None => OwnStatement::Begin,
+        };
+        passed_over.push(target.name.clone());
+        let mut checkout = match gateway.checkout(request, &target).await {
+            Ok(checkout) => checkout,
+            Err(kind) => return First::NotRun(kind),
+        };
+        let sent = gateway.now();
+        let begin = [DatabaseCommand::Own(begin)];
+        let Ok(answers) = gateway.exchange(&mut checkout, &target, &begin).await else {
+            return First::Lost;
+        };
+        let Some(begun) = answers.into_iter().next() else {
+            return First::Lost;
+        };
+        if let Err(failure) = &begun.end {
+            note_refusal(gateway, &target, failure.kind, after);
+            if begun.state == TransactionState::Idle {
+                checkout.give_back();
+            }
+            return First::NotRun(failure.kind);
+        }
+        let leads = after.is_none();
+        if leads {
+            gateway.observe(&target.group, begun.position, sent);
+        }
+        self.bound = Some(Bound {
+            checkout,
+            target: target.clone(),
+            leads,
+        });
+        let Some(answer) = self.send(gateway, request).await else {
+            self.bound = None;
+            return First::Lost;
+        };
+        match &answer.end {
+            Err(failure) if failure.kind.not_run() => {
+                note_refusal(gateway, &target, failure.kind, after);
+                First::NotRun(failure.kind)
+            }
+            _ => First::Served(answer),
+        }
+    }
+
+    async fn choose(
+        &self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+        passed_over: &mut Vec<DatabaseName>,
+    ) -> Option<(Target, Option<LogPosition>)> {
+        let group = &request.route.group;
+        let consistency = request.route.consistency;
+        let need = consistency.need(self.begun, request.connected, request.own_commit);
+        let until = (Instant::now() + RETRY_PAUSE).min(request.give_up());
+        let need = need.filter(|_| self.read_only);
+        let Some(need) = need else {
+            return Some((gateway.primary_by(group, until).await?, None));
+        };
+        let state = gateway.group(group);
+        let mut position = need.position(&state.observations.borrow());
+        if position.is_none() {
+            let asked = gateway.ensure_observation(group, need.covered, request.give_up());
+            asked.await?;
+            position = need.position(&state.observations.borrow());
+        }
+        let targets = gateway.read_targets(group, position);
+        let mut fresh = targets
+            .iter()
+            .filter(|target| !passed_over.contains(&target.name));
+        match fresh.next() {
+            Some(target) => Some((target.clone(), position)),
+            None => {
+                passed_over.clear();
+                targets.into_iter().next().map(|target| (target, position))
+            }
+        }
+    }
+
+    fn settle(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+        answer: Answer,
+    ) -> TransactionAnswer {
+        match (&answer.end, answer.state) {
+            (Ok(_), TransactionState::Open) => TransactionAnswer {
+                served: Served::from_database(answer),
+                state: TransactionState::Open,
+            },
+            (Err(failure), _) if failure.kind.not_run() => {
+                if failure.kind == FailureKind::ReadOnly
+                    && let Some(bound) = &self.bound
+                    && bound.leads
+                {
+                    gateway.follows(&bound.target);
+                }
+                self.give_up(gateway, request)
+            }
+            (Err(_), _) => {
+                self.failed = true;
+                self.drop_bound();
+                TransactionAnswer {
+                    served: Served::from_database(answer),
+                    state: TransactionState::Failed,
+                }
+            }
+            (Ok(_), _) => self.give_up(gateway, request),
+        }
+    }
+
+    fn give_up(&mut self, gateway: &Rc<Gateway>, request: &Request) -> TransactionAnswer {
+        self.failed = true;
+        self.drop_bound();
+        let served = aborted();
+        request.log(gateway, &served, "the transaction could not go on");
+        TransactionAnswer {
+            served,
+            state: TransactionState::Failed,
+        }
+    }
+
+    fn give_up_idle(&mut self, gateway: &Rc<Gateway>, request: &Request) -> TransactionAnswer {
+        self.drop_bound();
+        let served = aborted();
+        request.log(
+            gateway,
+            &served,
+            "a transaction that wrote nothing was lost",
+        );
+        ended(served)
+    }
+}
+
+impl Drop for Transaction {
+    fn drop(&mut self) {
+        self.drop_bound();
+    }
+}
+
+fn aborted() -> Served {
+    Served::not_run(FailureKind::Aborted)
+}
+
+fn ended(served: Served) -> TransactionAnswer {
+    TransactionAnswer {
+        served,
+        state: TransactionState::Idle,
+    }
+}
+
+fn note_refusal(
+    gateway: &Rc<Gateway>,
+    target: &Target,
+    kind: FailureKind,
+    after: Option<LogPosition>,
+) {
+    match (kind, after) {
+        (FailureKind::ReadOnly, None) => gateway.follows(target),
+        (FailureKind::ReplicaBehind, Some(after)) => target.state.was_behind(after),
+        _ => {}
+    }
+}
+
+async fn roll_back(mut checkout: Checkout, must_reset: bool) {
+    let command = [DatabaseCommand::Own(OwnStatement::Rollback)];
+    let exchange = checkout.connection().exchange(&command);
+    let rolled_back = tokio::time::timeout(ROLLBACK_LIMIT, exchange).await;
+    let Ok(Ok(answers)) = rolled_back else {
+        return;
+    };
+    if answers[0].state == TransactionState::Idle {
+        if must_reset {
+            checkout.connection().require_reset();
+        }
+        checkout.give_back();
+    }
+}
--- a/crates/dyketally-lab/src/demo/failures.rs
+++ b/crates/dyketally-lab/src/demo/failures.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use dyketally_proxy::platform::memory::{FaultPlan, Outage};
+use dyketally_proxy::stores::memory::{FaultPlan, Outage};
 
 use crate::bench::{
     Caller, Mix, Recorder, Reply, SampleOutcome, Signal, Workload, WorkloadCaller, poll_until,
--- a/crates/dyketally-lab/src/faults/case.rs
+++ b/crates/dyketally-lab/src/faults/case.rs
@@ -4,7 +4,7 @@
 
 use clap::ValueEnum;
 use dyketally::policy::Confirmation;
-use dyketally_proxy::platform::memory::Outage;
+use dyketally_proxy::stores::memory::Outage;
 
 use crate::bench::{Configuration, Site, Workload};
 
--- a/crates/dyketally-lab/src/faults/inject.rs
+++ b/crates/dyketally-lab/src/faults/inject.rs
@@ -4,7 +4,7 @@
 
 use dyketally::history::Event;
 use dyketally::identifiers::DatabaseName;
-use dyketally_proxy::platform::memory::{FaultPlan, Outage};
+use dyketally_proxy::stores::memory::{FaultPlan, Outage};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
--- a/crates/dyketally-lab/src/faults/leaving.rs
+++ b/crates/dyketally-lab/src/faults/leaving.rs
@@ -1,7 +1,7 @@
 //! What the machine list tells in cases in which a database leaves.
 
 use dyketally::identifiers::{DatabaseName, Locality, RegionName, ZoneName};
-use dyketally_proxy::platform::machine_list::{Machine, MachineIdentity, MachineState, Machines};
+use dyketally_proxy::stores::machine_list::{Machine, MachineIdentity, MachineState, Machines};
 
 use crate::bench::Topology;
 
--- a/crates/dyketally-lab/src/faults/table/platform.rs
+++ b/crates/dyketally-lab/src/faults/table/platform.rs
@@ -1,6 +1,6 @@
 //! Faults of the key-value service, and operators at odds.
 
-use dyketally_proxy::platform::memory::Outage;
+use dyketally_proxy::stores::memory::Outage;
 
 use crate::bench::Configuration;
 
--- a/crates/dyketally-lab/src/faults/table/together.rs
+++ b/crates/dyketally-lab/src/faults/table/together.rs
@@ -1,6 +1,6 @@
 //! Two faults together, or the same twice.
 
-use dyketally_proxy::platform::memory::Outage;
+use dyketally_proxy::stores::memory::Outage;
 
 use crate::bench::Configuration;
 
--- a/crates/dyketally-lab/src/platform/control.rs
+++ b/crates/dyketally-lab/src/platform/control.rs
@@ -5,9 +5,9 @@
 use axum::extract::State;
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
-use dyketally_proxy::platform::key_value::StoreRevision;
-use dyketally_proxy::platform::machine_list::Machines;
-use dyketally_proxy::platform::memory::{FaultPlan, MemoryMachineList, MemoryStore};
+use dyketally_proxy::stores::key_value::StoreRevision;
+use dyketally_proxy::stores::machine_list::Machines;
+use dyketally_proxy::stores::memory::{FaultPlan, MemoryMachineList, MemoryStore};
 use serde::{Deserialize, Serialize};
 
 /// Paths of the control address.
--- a/crates/dyketally-lab/src/platform/control_client.rs
+++ b/crates/dyketally-lab/src/platform/control_client.rs
@@ -1,8 +1,8 @@
 //! A typed client of the injection of faults.
 
-use dyketally_proxy::platform::key_value::StoreRevision;
-use dyketally_proxy::platform::machine_list::Machines;
-use dyketally_proxy::platform::memory::FaultPlan;
+use dyketally_proxy::stores::key_value::StoreRevision;
+use dyketally_proxy::stores::machine_list::Machines;
+use dyketally_proxy::stores::memory::FaultPlan;
 use reqwest::{Method, Response};
 use serde::Serialize;
 
--- a/crates/dyketally-lab/src/platform/convert.rs
+++ b/crates/dyketally-lab/src/platform/convert.rs
@@ -1,11 +1,11 @@
 //! Between the gateway's messages and the store's types, as the service sees them.
 
-use dyketally_proxy::platform::key_value::{
+use dyketally_proxy::stores::key_value::{
     Condition, Entry, Key, KeyOrder, KeyRange, LeaseId, Operation, OperationResult, PutRequest,
     RangeReply, RangeRequest, StoreRevision, TransactionReply, TransactionRequest, WatchBatch,
     WatchEvent, WatchRequest,
 };
-use dyketally_proxy::platform::wire::{self, Base64, CompareTarget, Int64};
+use dyketally_proxy::stores::wire::{self, Base64, CompareTarget, Int64};
 
 /// A comparison that the stand-in doesn't know.
 #[derive(Debug, thiserror::Error)]
--- a/crates/dyketally-lab/src/platform/failure.rs
+++ b/crates/dyketally-lab/src/platform/failure.rs
@@ -5,8 +5,8 @@
 use axum::Json;
 use axum::http::{HeaderValue, StatusCode, header};
 use axum::response::{IntoResponse, Response};
-use dyketally_proxy::platform::memory::{Refusal, StateError};
-use dyketally_proxy::platform::wire::{COMPACTED_TEXT, ErrorBody, code};
+use dyketally_proxy::stores::memory::{Refusal, StateError};
+use dyketally_proxy::stores::wire::{COMPACTED_TEXT, ErrorBody, code};
 
 /// Why, as the real service words it.
 #[derive(Debug)]
--- a/crates/dyketally-lab/src/platform/machines.rs
+++ b/crates/dyketally-lab/src/platform/machines.rs
@@ -5,8 +5,8 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use axum::{Json, Router};
-use dyketally_proxy::platform::machine_list::MachineList;
-use dyketally_proxy::platform::memory::MemoryMachineList;
+use dyketally_proxy::stores::machine_list::MachineList;
+use dyketally_proxy::stores::memory::MemoryMachineList;
 
 /// Path of the machine list.
 pub const PATH: &str = "/machines";
--- a/crates/dyketally-lab/src/platform/mod.rs
+++ b/crates/dyketally-lab/src/platform/mod.rs
@@ -12,7 +12,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use dyketally_proxy::platform::machine_list::Machines;
+use dyketally_proxy::stores::machine_list::Machines;
 use eyre::WrapErr;
 
 pub use control::{CompactRequest, MachineListFaults, PlatformStatus};
--- a/crates/dyketally-lab/src/platform/server.rs
+++ b/crates/dyketally-lab/src/platform/server.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use axum::Router;
-use dyketally_proxy::platform::machine_list::Machines;
-use dyketally_proxy::platform::memory::{MemoryMachineList, MemoryStore};
+use dyketally_proxy::stores::machine_list::Machines;
+use dyketally_proxy::stores::memory::{MemoryMachineList, MemoryStore};
 use eyre::WrapErr;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
--- a/crates/dyketally-lab/src/scale/phases/configuration.rs
+++ b/crates/dyketally-lab/src/scale/phases/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use dyketally_proxy::platform::memory::{FaultPlan, Outage, RateLimit};
+use dyketally_proxy::stores::memory::{FaultPlan, Outage, RateLimit};
 
 use crate::scale::fleet::Fleet;
 use crate::scale::layout::tenant_change;
--- a/crates/dyketally-lab/tests/platform/backend.rs
+++ b/crates/dyketally-lab/tests/platform/backend.rs
@@ -7,13 +7,13 @@
 use dyketally_lab::platform::{
     ControlClient, MachineListFaults, PlatformSettings, RunningPlatform, start,
 };
-use dyketally_proxy::platform::key_value::{
+use dyketally_proxy::stores::key_value::{
     Condition, Key, KeyRange, Operation, PutRequest, RangeReply, RangeRequest, StoreRevision,
     TransactionReply, TransactionRequest,
 };
-use dyketally_proxy::platform::machine_list::Machines;
-use dyketally_proxy::platform::memory::{FaultPlan, MemoryMachineList, MemoryStore};
-use dyketally_proxy::platform::{
+use dyketally_proxy::stores::machine_list::Machines;
+use dyketally_proxy::stores::memory::{FaultPlan, MemoryMachineList, MemoryStore};
+use dyketally_proxy::stores::{
     EtcdGateway, EtcdSettings, HttpMachineList, KeyValueStore, MachineList, StoreError,
 };
 
--- a/crates/dyketally-lab/tests/platform/documents.rs
+++ b/crates/dyketally-lab/tests/platform/documents.rs
@@ -5,8 +5,8 @@
 use dyketally::configuration::{Document, DocumentEdit, PublishOutcome, UnixMillis};
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::operations::PublishRequest;
-use dyketally_proxy::platform::{ConfigurationKeys, ConfigurationStore, KeyValueStore};
+use dyketally_proxy::stores::operations::PublishRequest;
+use dyketally_proxy::stores::{ConfigurationKeys, ConfigurationStore, KeyValueStore};
 
 const MEMBER: &str = r#"
 [[members]]
--- a/crates/dyketally-lab/tests/platform/fault_contract.rs
+++ b/crates/dyketally-lab/tests/platform/fault_contract.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use dyketally_lab::platform::{PlatformSettings, start};
-use dyketally_proxy::platform::key_value::KeyRange;
-use dyketally_proxy::platform::memory::{FaultPlan, Outage, RateLimit};
-use dyketally_proxy::platform::{EtcdGateway, EtcdSettings, KeyValueStore, StoreError};
+use dyketally_proxy::stores::key_value::KeyRange;
+use dyketally_proxy::stores::memory::{FaultPlan, Outage, RateLimit};
+use dyketally_proxy::stores::{EtcdGateway, EtcdSettings, KeyValueStore, StoreError};
 use rstest::rstest;
 
 use crate::backend::{Backend, Implementation, put, read, swap};
--- a/crates/dyketally-lab/tests/platform/gateway_messages.rs
+++ b/crates/dyketally-lab/tests/platform/gateway_messages.rs
@@ -2,7 +2,7 @@
 //! client and the stand-in is noticed.
 
 use bytes::Bytes;
-use dyketally_proxy::platform::wire::{
+use dyketally_proxy::stores::wire::{
     Base64, Compare, CompareTarget, Int64, LeaseKeepAliveResponse, PutRequest, RangeRequest,
     RangeResponse, RequestOperation, StreamItem, TransactionRequest, TransactionResponse,
     WatchCreateRequest, WatchRequest, WatchResponse,
--- a/crates/dyketally-lab/tests/platform/lease_contract.rs
+++ b/crates/dyketally-lab/tests/platform/lease_contract.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use dyketally_proxy::platform::StoreError;
-use dyketally_proxy::platform::key_value::{KeyRange, PutRequest};
+use dyketally_proxy::stores::StoreError;
+use dyketally_proxy::stores::key_value::{KeyRange, PutRequest};
 use rstest::rstest;
 
 use crate::backend::{Backend, Implementation, put, read};
--- a/crates/dyketally-lab/tests/platform/machine_contract.rs
+++ b/crates/dyketally-lab/tests/platform/machine_contract.rs
@@ -4,7 +4,7 @@
 
 use dyketally::identifiers::{Locality, NodeName};
 use dyketally_lab::platform::MachineListFaults;
-use dyketally_proxy::platform::machine_list::{
+use dyketally_proxy::stores::machine_list::{
     Machine, MachineIdentity, MachineListError, MachineState, Machines,
 };
 use rstest::rstest;
--- a/crates/dyketally-lab/tests/platform/publish_contract.rs
+++ b/crates/dyketally-lab/tests/platform/publish_contract.rs
@@ -5,9 +5,9 @@
 use dyketally::configuration::{DocumentEdit, PublishOutcome, PublisherSettings, Winner};
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
-use dyketally_proxy::platform::ConfigurationStore;
-use dyketally_proxy::platform::memory::{FaultPlan, Outage, RateLimit};
-use dyketally_proxy::platform::operations::{
+use dyketally_proxy::stores::ConfigurationStore;
+use dyketally_proxy::stores::memory::{FaultPlan, Outage, RateLimit};
+use dyketally_proxy::stores::operations::{
     Publication, PublishError, PublishRequest, current_documents, history, publish,
 };
 use rand::SeedableRng;
--- a/crates/dyketally-lab/tests/platform/store_contract.rs
+++ b/crates/dyketally-lab/tests/platform/store_contract.rs
@@ -1,7 +1,7 @@
 //! Ranges, puts and transactions.
 
-use dyketally_proxy::platform::StoreError;
-use dyketally_proxy::platform::key_value::{
+use dyketally_proxy::stores::StoreError;
+use dyketally_proxy::stores::key_value::{
     Condition, KeyOrder, KeyRange, Operation, OperationResult, RangeRequest, StoreRevision,
     TransactionRequest,
 };
--- a/crates/dyketally-lab/tests/platform/watch_contract.rs
+++ b/crates/dyketally-lab/tests/platform/watch_contract.rs
@@ -1,11 +1,11 @@
 //! Watches: order, resumption, compaction and loss.
 
-use dyketally_proxy::platform::StoreError;
-use dyketally_proxy::platform::key_value::{
+use dyketally_proxy::stores::StoreError;
+use dyketally_proxy::stores::key_value::{
     KeyRange, KeyValueStore, Operation, StoreRevision, TransactionRequest, WatchEvent,
     WatchRequest, WatchStream,
 };
-use dyketally_proxy::platform::memory::{FaultPlan, Outage};
+use dyketally_proxy::stores::memory::{FaultPlan, Outage};
 use futures::StreamExt;
 use rstest::rstest;
 
--- a/crates/dyketally-proxy/src/lib.rs
+++ b/crates/dyketally-proxy/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod logging;
 pub mod node;
 pub mod peers;
-pub mod platform;
 pub mod reply;
 pub mod settings;
+pub mod stores;
--- a/crates/dyketally-proxy/src/link/pull.rs
+++ b/crates/dyketally-proxy/src/link/pull.rs
@@ -16,7 +16,7 @@
 
 use super::client::open;
 use super::{HANDSHAKE_TIMEOUT, HomeCodec, LinkError, check_version};
-use crate::platform::dissemination::Dissemination;
+use crate::stores::dissemination::Dissemination;
 
 /// Asks the node at `address` for what is missing.
 ///
--- a/crates/dyketally-proxy/src/link/server.rs
+++ b/crates/dyketally-proxy/src/link/server.rs
@@ -18,8 +18,8 @@
 use super::pull::answer_pull;
 use super::{HANDSHAKE_TIMEOUT, HomeCodec, LinkError, check_version};
 use crate::homes::Homes;
-use crate::platform::dissemination::Dissemination;
 use crate::reply::{HomeRequest, REPLY_CHUNKS_IN_FLIGHT, ReplyReceiver, reply_channel};
+use crate::stores::dissemination::Dissemination;
 
 /// Messages that may wait for the connection's writer.
 const OUTGOING_AT_MOST: usize = 1_024;
--- a/crates/dyketally-proxy/src/node/configuration.rs
+++ b/crates/dyketally-proxy/src/node/configuration.rs
@@ -7,9 +7,9 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::peers::{Carrier, PeersHandle};
-use crate::platform::dissemination::{Dissemination, OutgoingPull};
-use crate::platform::{ConfigurationKeys, ConfigurationStore, EtcdGateway, EtcdSettings};
 use crate::settings::{Settings, load_configuration};
+use crate::stores::dissemination::{Dissemination, OutgoingPull};
+use crate::stores::{ConfigurationKeys, ConfigurationStore, EtcdGateway, EtcdSettings};
 
 /// Pulls that may wait to be sent; more are dropped and repeated after their timeout.
 const PULLS_WAITING: usize = 16;
--- a/crates/dyketally-proxy/src/node/machines.rs
+++ b/crates/dyketally-proxy/src/node/machines.rs
@@ -10,8 +10,8 @@
 
 use crate::homes::Homes;
 use crate::peers::PeersHandle;
-use crate::platform::machine_list::{MachineIdentity, MachineState, Machines};
-use crate::platform::{HttpMachineList, MachineList};
+use crate::stores::machine_list::{MachineIdentity, MachineState, Machines};
+use crate::stores::{HttpMachineList, MachineList};
 
 /// Time between two reads of the list; each is lengthened by up to half of it, so that nodes
 /// don't read together. A leaving database gets no new work a few seconds after it is listed.
--- a/crates/dyketally-proxy/src/peers/carrier.rs
+++ b/crates/dyketally-proxy/src/peers/carrier.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::link::pull_configuration;
-use crate::platform::dissemination::{Configuration, Dissemination, OutgoingPull, RelayAssignment};
+use crate::stores::dissemination::{Configuration, Dissemination, OutgoingPull, RelayAssignment};
 
 use super::handle::PeersHandle;
 use super::view::{LiveNodes, View};
--- a/crates/dyketally-proxy/src/platform/configuration_store/encoding.rs
+++ b/crates/dyketally-proxy/src/stores/configuration_store/encoding.rs
@@ -7,8 +7,8 @@
 use dyketally::policy::Revision;
 
 use super::error::ConfigurationError;
-use crate::platform::key_value::{Entry, OperationResult, RangeReply, TransactionReply};
-use crate::platform::store_error::StoreError;
+use crate::stores::key_value::{Entry, OperationResult, RangeReply, TransactionReply};
+use crate::stores::store_error::StoreError;
 
 pub(super) fn counter_value(revision: Revision) -> Bytes {
     revision.0.to_string().into()
--- a/crates/dyketally-proxy/src/platform/configuration_store/error.rs
+++ b/crates/dyketally-proxy/src/stores/configuration_store/error.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::platform::store_error::StoreError;
+use crate::stores::store_error::StoreError;
 
 /// Why the stored configuration can't be read or changed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/dyketally-proxy/src/platform/configuration_store/keys.rs
+++ b/crates/dyketally-proxy/src/stores/configuration_store/keys.rs
@@ -3,7 +3,7 @@
 use dyketally::policy::Revision;
 use dyketally::template::DocumentKind;
 
-use crate::platform::key_value::{Key, KeyRange};
+use crate::stores::key_value::{Key, KeyRange};
 
 /// The prefix unless the settings name another one.
 pub const DEFAULT_PREFIX: &str = "/dyketally/configuration";
--- a/crates/dyketally-proxy/src/platform/configuration_store/read.rs
+++ b/crates/dyketally-proxy/src/stores/configuration_store/read.rs
@@ -11,7 +11,7 @@
 use super::encoding::{self, unreadable};
 use super::error::ConfigurationError;
 use super::{ConfigurationStore, StoredConfiguration};
-use crate::platform::key_value::{
+use crate::stores::key_value::{
     Entry, KeyOrder, KeyRange, Operation, RangeRequest, StoreRevision, TransactionRequest,
     WatchBatch, WatchEvent, WatchRequest,
 };
--- a/crates/dyketally-proxy/src/platform/etcd/convert.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/convert.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use crate::platform::key_value::{
+use crate::stores::key_value::{
     Condition, Entry, Key, KeyOrder, KeyRange, LeaseId, Operation, OperationResult, PutRequest,
     RangeReply, RangeRequest, StoreRevision, TransactionReply, TransactionRequest, WatchBatch,
     WatchEvent, WatchRequest,
 };
-use crate::platform::wire::{self, Base64, Int64};
+use crate::stores::wire::{self, Base64, Int64};
 
 /// The revision in a response's head.
 pub(super) fn store_revision(header: &wire::ResponseHeader) -> StoreRevision {
--- a/crates/dyketally-proxy/src/platform/etcd/transport.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/transport.rs
@@ -10,9 +10,9 @@
 use serde::de::DeserializeOwned;
 
 use super::EtcdSettings;
-use crate::platform::key_value::LeaseId;
-use crate::platform::store_error::StoreError;
-use crate::platform::wire::{COMPACTED_TEXT, ErrorBody, StreamItem, code};
+use crate::stores::key_value::LeaseId;
+use crate::stores::store_error::StoreError;
+use crate::stores::wire::{COMPACTED_TEXT, ErrorBody, StreamItem, code};
 
 /// Wait after an answer that limits the rate without saying for how long.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/dyketally-proxy/src/platform/etcd/watch.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/watch.rs
@@ -6,9 +6,9 @@
 use reqwest::Response;
 
 use super::transport::{describe, parse, stream_result};
-use crate::platform::key_value::{WatchBatch, WatchStream};
-use crate::platform::store_error::StoreError;
-use crate::platform::wire::{StreamItem, WatchResponse};
+use crate::stores::key_value::{WatchBatch, WatchStream};
+use crate::stores::store_error::StoreError;
+use crate::stores::wire::{StreamItem, WatchResponse};
 
 /// Longest message of a watch, in bytes.
 const LONGEST_MESSAGE: usize = 64 * 1024 * 1024;
--- a/crates/dyketally-proxy/src/platform/memory/machines.rs
+++ b/crates/dyketally-proxy/src/stores/memory/machines.rs
@@ -8,7 +8,7 @@
 use dyketally::time::Timestamp;
 
 use crate::clock;
-use crate::platform::machine_list::{MachineList, MachineListError, Machines};
+use crate::stores::machine_list::{MachineList, MachineListError, Machines};
 
 #[derive(Debug, Default)]
 struct Inner {
--- a/crates/dyketally-proxy/src/platform/memory/state.rs
+++ b/crates/dyketally-proxy/src/stores/memory/state.rs
@@ -6,7 +6,7 @@
 use dyketally::time::Timestamp;
 
 use super::versions::Versions;
-use crate::platform::key_value::{
+use crate::stores::key_value::{
     Condition, Entry, KeyRange, Lease, LeaseId, Operation, OperationResult, PutRequest, RangeReply,
     RangeRequest, StoreRevision, TransactionReply, TransactionRequest, WatchBatch, WatchRequest,
 };
--- a/crates/dyketally-proxy/src/platform/memory/store.rs
+++ b/crates/dyketally-proxy/src/stores/memory/store.rs
@@ -11,11 +11,11 @@
 use super::faults::{FaultPlan, Outage, TokenCount};
 use super::state::{State, StateError};
 use crate::clock;
-use crate::platform::key_value::{
+use crate::stores::key_value::{
     KeyValueStore, Lease, LeaseId, PutRequest, RangeReply, RangeRequest, StoreRevision,
     TransactionReply, TransactionRequest, WatchBatch, WatchRequest, WatchStream,
 };
-use crate::platform::store_error::StoreError;
+use crate::stores::store_error::StoreError;
 
 /// Time after which a request that hangs is given up.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/dyketally-proxy/src/platform/memory/versions.rs
+++ b/crates/dyketally-proxy/src/stores/memory/versions.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 
 use super::state::StateError;
-use crate::platform::key_value::{
+use crate::stores::key_value::{
     Entry, Key, KeyOrder, KeyRange, LeaseId, RangeReply, RangeRequest, StoreRevision, WatchEvent,
 };
 
--- a/crates/dyketally-proxy/src/platform/key_value.rs
+++ b/crates/dyketally-store/src/key_value.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures::Stream;
 
-use super::store_error::StoreError;
+use super::error::StoreError;
 
 /// A key of the service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- /dev/null
+++ b/crates/dyketally-store/src/lib.rs
@@ -0,0 +1,7 @@
+//! The key-value store that keeps what must last: the port, without an implementation.
+
+pub mod error;
+pub mod key_value;
+
+pub use error::StoreError;
+pub use key_value::KeyValueStore;
--- /dev/null
+++ b/crates/dyketally/src/failover/mod.rs
@@ -0,0 +1,7 @@
+//! Decisions of a failover: is the primary lost, and who succeeds it. No I/O.
+
+mod successor;
+mod verdict;
+
+pub use successor::{Candidate, Succession, choose_successor};
+pub use verdict::{Evidence, PollResult, Verdict, judge};
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -6,8 +6,11 @@
 
 pub mod admission;
 pub mod configuration;
+pub mod directory;
 pub mod document;
 pub mod drain;
+pub mod failover;
+pub mod freshness;
 pub mod group;
 pub mod history;
 pub mod identifiers;
@@ -17,7 +20,9 @@
 pub mod policy;
 pub mod pool;
 pub mod retry;
+pub mod route_policy;
 pub mod routing;
 pub mod session;
+pub mod statement;
 pub mod template;
 pub mod time;
