--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -255,8 +255,11 @@
     }
 
     async fn campaign(&self, lease: LeaseId) {
-        if self.gateway.is_stopping() || self.membership().duty.get().is_some() {
-            self.lay_down("the duty's key is gone");
+        if self.gateway.is_stopping() {
+            return;
+        }
+        if self.membership().duty.get().is_some() {
+            self.check_duty(lease).await;
             return;
         }
         let delay = rand::rng().random_range(0..CAMPAIGN_DELAY_MS);
@@ -278,6 +281,24 @@
         }
     }
 
+    /// Finds out whether a duty whose key seems to be gone is still held: what is followed may be
+    /// older than the key.
+    async fn check_duty(&self, lease: LeaseId) {
+        let request = RangeRequest::all(KeyRange::key(self.duty_key()));
+        match self.store.range(request).await {
+            Ok(reply) => {
+                let entry = reply.entries.first();
+                if entry.is_some_and(|entry| entry.lease == Some(lease)) {
+                    *self.membership().holder.borrow_mut() = Some(self.record());
+                } else {
+                    self.lay_down("the duty's key is gone");
+                    self.membership().duty_free.notify_one();
+                }
+            }
+            Err(_) => self.try_again_soon(),
+        }
+    }
+
     /// Campaigns again if nobody took the duty meanwhile.
     fn try_again_soon(&self) {
         let gateway = self.gateway.clone();
