Serve on after a stop was asked for until callers go elsewhere

Ruled out: sessions cut within an operation (none was). Change: three phases: unready but serving (2.3 s), closing between operations, ending transactions.

--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -6,6 +6,7 @@
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
     Entry, KeyRange, KeyValueStore, RangeRequest, StoreRevision, WatchEvent, WatchRequest,
+    WatchStream,
 };
 use futures::StreamExt;
 use rand::Rng;
@@ -65,23 +66,7 @@
             from: seen.next(),
         };
         let error = match store.watch(request).await {
-            Ok(mut batches) => loop {
-                match batches.next().await {
-                    Some(Ok(batch)) => {
-                        pause.reset();
-                        seen = seen.max(batch.store_revision);
-                        for event in batch.events {
-                            sink(StoreUpdate::Changed(event));
-                        }
-                    }
-                    Some(Err(error)) => break error,
-                    None => {
-                        break StoreError::Unavailable {
-                            reason: "the watch ended".to_owned(),
-                        };
-                    }
-                }
-            },
+            Ok(batches) => watch_batches(batches, &mut seen, sink, pause).await,
             Err(error) => error,
         };
         if matches!(error, StoreError::Compacted) {
@@ -91,6 +76,31 @@
     }
 }
 
+/// Passes on what a watch reports, until it ends.
+async fn watch_batches(
+    batches: WatchStream,
+    seen: &mut StoreRevision,
+    sink: &mut impl FnMut(StoreUpdate),
+    pause: &mut Pause,
+) -> StoreError {
+    // The first batch may be the client's own and prove nothing.
+    let mut batches = batches.skip(1);
+    while let Some(batch) = batches.next().await {
+        let batch = match batch {
+            Ok(batch) => batch,
+            Err(error) => return error,
+        };
+        pause.reset();
+        *seen = batch.store_revision.max(*seen);
+        for event in batch.events {
+            sink(StoreUpdate::Changed(event));
+        }
+    }
+    StoreError::Unavailable {
+        reason: "the watch ended".to_owned(),
+    }
+}
+
 struct Pause {
     gateway: Rc<Gateway>,
     prefix: String,
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -34,6 +34,19 @@
 /// How long a database that is gone is remembered.
 const GONE_REMEMBERED: Duration = Duration::from_secs(30);
 
+/// Phases of a planned stop, in their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// No stop was asked for.
+    Serving,
+    /// The node is no longer ready, but callers that don't know yet are served as before.
+    Leaving,
+    /// No new sessions; each ends as soon as no operation is under way.
+    ClosingSessions,
+    /// Transactions that are still open are given up.
+    EndingTransactions,
+}
+
 /// What is known of a group beyond its databases.
 pub struct GroupState {
     /// Positions that its primary showed.
@@ -66,7 +79,7 @@
     pub sessions: Cell<usize>,
     /// True once the directory was read.
     pub listed: Cell<bool>,
-    stopping: watch::Sender<bool>,
+    stop: watch::Sender<StopPhase>,
     changed: watch::Sender<u64>,
     started: Instant,
     routes: RefCell<Rc<RouteSet>>,
@@ -92,7 +105,7 @@
             peers: RefCell::default(),
             sessions: Cell::new(0),
             listed: Cell::new(false),
-            stopping: watch::Sender::new(false),
+            stop: watch::Sender::new(StopPhase::Serving),
             changed: watch::Sender::new(0),
             started: Instant::now(),
             routes: RefCell::default(),
@@ -195,21 +208,21 @@
         let _ = tokio::time::timeout_at(until, changed.changed()).await;
     }
 
-    /// Starts the planned stop.
-    pub fn stop(&self) {
-        self.stopping.send_replace(true);
+    /// Enters a phase of the planned stop.
+    pub fn enter(&self, phase: StopPhase) {
+        self.stop.send_replace(phase);
     }
 
     /// True once the planned stop has begun.
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        *self.stop.borrow() > StopPhase::Serving
     }
 
-    /// Waits until the planned stop begins.
-    pub async fn stopped(&self) {
-        let mut stopping = self.stopping.subscribe();
+    /// Waits until a phase of the planned stop begins.
+    pub async fn entered(&self, phase: StopPhase) {
+        let mut stop = self.stop.subscribe();
         // The sender lives as long as the gateway.
-        let _ = stopping.wait_for(|stopping| *stopping).await;
+        let _ = stop.wait_for(|entered| *entered >= phase).await;
     }
 
     /// The group's state.
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -14,7 +14,7 @@
 use crate::event::Event;
 use crate::failover::Failover;
 use crate::follow::{StoreUpdate, follow};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, StopPhase};
 use crate::membership::Member;
 use crate::peer::Peers;
 use crate::ports::{
@@ -28,9 +28,12 @@
 const TIDY_INTERVAL: Duration = Duration::from_secs(5);
 /// Share of the time to stop after which the process ends whatever is open.
 const STOP_SHARE: f64 = 0.85;
-/// How long new callers are accepted after the planned stop began: probes take this long to
-/// notice.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// Share of the time to stop that open transactions get.
+const TRANSACTIONS_SHARE: f64 = 0.52;
+/// How long probes take to notice that the node isn't ready, and callers to go elsewhere.
+const NOTICED_AFTER: Duration = Duration::from_millis(2_300);
+/// How long giving back the node's keys may take.
+const LEAVE_LIMIT: Duration = Duration::from_millis(500);
 /// Pause between two looks whether all sessions have ended.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -123,24 +126,33 @@
 
 async fn stop(gateway: &Rc<Gateway>, member: &Rc<Member>, accepting: tokio::task::JoinHandle<()>) {
     let began = Instant::now();
+    let bound = gateway.settings.bounds.stop();
+    let last = began + bound.mul_f64(STOP_SHARE);
+    let transactions = began + bound.mul_f64(TRANSACTIONS_SHARE);
     gateway.events.write(&Event::Stopping {
         sessions: gateway.sessions.get(),
     });
-    gateway.stop();
+    gateway.enter(StopPhase::Leaving);
     let leaving = member.leave();
     // The lease runs out by itself if the store doesn't answer.
-    let _ = tokio::time::timeout(Duration::from_millis(500), leaving).await;
-    let last = began + gateway.settings.bounds.stop().mul_f64(STOP_SHARE);
-    tokio::time::sleep_until((began + ACCEPT_AFTER_STOP).min(last)).await;
+    let _ = tokio::time::timeout(LEAVE_LIMIT, leaving).await;
+    tokio::time::sleep_until((began + NOTICED_AFTER).min(transactions)).await;
     accepting.abort();
-    while gateway.sessions.get() > 0 && Instant::now() < last {
-        tokio::time::sleep(STOP_LOOK).await;
-    }
+    gateway.enter(StopPhase::ClosingSessions);
+    wait_for_sessions(gateway, transactions).await;
+    gateway.enter(StopPhase::EndingTransactions);
+    wait_for_sessions(gateway, last).await;
     gateway.events.write(&Event::Stopped {
         sessions: gateway.sessions.get(),
     });
 }
 
+async fn wait_for_sessions(gateway: &Rc<Gateway>, until: Instant) {
+    while gateway.sessions.get() > 0 && Instant::now() < until {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+}
+
 fn follow_store(
     gateway: &Rc<Gateway>,
     store: &Rc<dyn KeyValueStore>,
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -89,11 +89,6 @@
         self.wake_next();
     }
 
-    /// Statements that wait for a connection.
-    pub fn waiting(&self) -> usize {
-        self.waiters.borrow().len()
-    }
-
     fn effective_limit(&self) -> u32 {
         let limit = self.limit.get();
         match self.refused.get() {
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::connection::set_silent_peer_limit;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement, Reply};
 use crate::request::{Execution, Request, Served};
 use crate::transaction::{Transaction, TransactionAnswer};
@@ -29,8 +29,6 @@
 const READ_CHUNK: usize = 1_024;
 /// What signs a statement that the gateway answers itself.
 const OWN_SIGNATURE: &[u8] = b"-";
-/// Share of the time to stop that open transactions get.
-const TRANSACTIONS_SHARE: f64 = 0.5;
 
 /// Serves one caller until it leaves or the process stops.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
@@ -208,14 +206,14 @@
         transaction.is_some_and(|transaction| !transaction.failed)
     }
 
-    /// Waits until a planned stop asks this session to end: at once between operations, later
-    /// within a transaction.
+    /// Waits until a planned stop asks this session to end: between operations as soon as
+    /// callers have other nodes to go to, later within a transaction.
     async fn must_stop(&self) {
-        self.gateway.stopped().await;
-        if self.transaction.is_some() {
-            let stop = self.gateway.settings.bounds.stop();
-            tokio::time::sleep(stop.mul_f64(TRANSACTIONS_SHARE)).await;
-        }
+        let phase = match self.transaction.is_some() {
+            true => StopPhase::EndingTransactions,
+            false => StopPhase::ClosingSessions,
+        };
+        self.gateway.entered(phase).await;
     }
 
     fn end_rested_transaction(&mut self) {
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -52,7 +52,7 @@
 
 enum First {
     Served(Answer),
-    NotRun(FailureKind),
+    NotRun,
     Lost,
 }
 
@@ -188,7 +188,7 @@
             let first = self.try_first(gateway, request, &mut passed_over);
             match tokio::time::timeout_at(request.deadline, first).await {
                 Ok(First::Served(answer)) => return Ok(answer),
-                Ok(First::NotRun(_) | First::Lost) => self.drop_bound(),
+                Ok(First::NotRun | First::Lost) => self.drop_bound(),
                 Err(_) => {
                     self.bound = None;
                     return Err(());
@@ -208,7 +208,7 @@
         passed_over: &mut Vec<DatabaseName>,
     ) -> First {
         let Some((target, after)) = self.choose(gateway, request, passed_over).await else {
-            return First::NotRun(FailureKind::Busy);
+            return First::NotRun;
         };
         let begin = match after {
             Some(_) => OwnStatement::BeginReadOnly { after },
@@ -217,7 +217,7 @@
         passed_over.push(target.name.clone());
         let mut checkout = match gateway.checkout(request, &target).await {
             Ok(checkout) => checkout,
-            Err(kind) => return First::NotRun(kind),
+            Err(_) => return First::NotRun,
         };
         let sent = gateway.now();
         let begin = [DatabaseCommand::Own(begin)];
@@ -232,7 +232,7 @@
             if begun.state == TransactionState::Idle {
                 checkout.give_back();
             }
-            return First::NotRun(failure.kind);
+            return First::NotRun;
         }
         let leads = after.is_none();
         if leads {
@@ -250,7 +250,7 @@
         match &answer.end {
             Err(failure) if failure.kind.not_run() => {
                 note_refusal(gateway, &target, failure.kind, after);
-                First::NotRun(failure.kind)
+                First::NotRun
             }
             _ => First::Served(answer),
         }
