Take a database for gone only once it had time to announce itself again

Cause: after an outage of the store that let announcements lapse, a node that came back read a directory without the primary and appointed another at once, which rolled commits back. Change: a vanished announcement counts after 1.4 heartbeats; a group without a primary gets one only when the directory was followed that long.

--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -178,6 +178,9 @@
                 return None;
             }
         }
+        if !self.gateway.directory_is_settled() {
+            return None;
+        }
         Some(Cause::Leaderless)
     }
 
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -31,6 +31,8 @@
 const CONNECTIONS_ASSUMED: u32 = 16;
 /// Observations are kept for at least this long.
 const OBSERVED_AT_LEAST: Duration = Duration::from_secs(1);
+/// Heartbeats within which a database that runs announces itself again.
+const HEARTBEATS_GRACE: f64 = 1.4;
 /// How long a database that is gone is remembered.
 const GONE_REMEMBERED: Duration = Duration::from_secs(30);
 
@@ -77,8 +79,9 @@
     pub peers: RefCell<Option<Rc<Peers>>>,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
-    /// True once the directory was read.
-    pub listed: Cell<bool>,
+    /// When the directory was last read as a whole.
+    listed: Cell<Option<Instant>>,
+    settling: Cell<bool>,
     stop: watch::Sender<StopPhase>,
     changed: watch::Sender<u64>,
     started: Instant,
@@ -104,7 +107,8 @@
             membership: Membership::default(),
             peers: RefCell::default(),
             sessions: Cell::new(0),
-            listed: Cell::new(false),
+            listed: Cell::new(None),
+            settling: Cell::new(false),
             stop: watch::Sender::new(StopPhase::Serving),
             changed: watch::Sender::new(0),
             started: Instant::now(),
@@ -133,7 +137,7 @@
 
     /// True when the process knows routes and databases.
     pub fn is_ready(&self) -> bool {
-        self.configured.get() && self.listed.get() && !self.is_stopping()
+        self.configured.get() && self.listed.get().is_some() && !self.is_stopping()
     }
 
     /// True when a configuration is in force.
@@ -184,6 +188,49 @@
         }
     }
 
+    /// Takes in that the directory was read as a whole.
+    pub fn listed_now(&self) {
+        self.listed.set(Some(Instant::now()));
+    }
+
+    /// True once every database that runs has had time to announce itself since the directory was
+    /// read: what is missing from it then is really missing.
+    pub fn directory_is_settled(&self) -> bool {
+        let listed = self.listed.get();
+        listed.is_some_and(|at| at.elapsed() >= self.announcement_grace())
+    }
+
+    /// How long a database that runs may be missing from the directory.
+    fn announcement_grace(&self) -> Duration {
+        let heartbeat = self.settings.bounds.heartbeat();
+        heartbeat.mul_f64(HEARTBEATS_GRACE)
+    }
+
+    /// Takes databases for gone that stay unlisted, once they have had time to announce themselves.
+    pub fn settle_unlisted_later(self: &Rc<Self>) {
+        if self.directory.borrow().oldest_unlisted().is_none() || self.settling.replace(true) {
+            return;
+        }
+        let gateway = self.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let oldest = gateway.directory.borrow().oldest_unlisted();
+                let Some(oldest) = oldest else {
+                    break;
+                };
+                let grace = gateway.announcement_grace();
+                let passed = gateway.now().saturating_since(oldest);
+                tokio::time::sleep(grace.saturating_sub(passed)).await;
+                let before = gateway.now() - grace;
+                let changes = gateway.directory.borrow_mut().settle_unlisted(before);
+                if !changes.is_empty() {
+                    gateway.directory_changed(changes);
+                }
+            }
+            gateway.settling.set(false);
+        });
+    }
+
     /// Does what is due now and then.
     pub fn tidy(&self) {
         let long_ago = self.now() - GONE_REMEMBERED;
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -220,7 +220,7 @@
             StoreUpdate::All(entries) => {
                 let listed = entries.iter().filter_map(|entry| self.announcement(entry));
                 let listed: Vec<Announcement> = listed.collect();
-                self.gateway.listed.set(true);
+                self.gateway.listed_now();
                 self.gateway.directory.borrow_mut().replaced(now, listed)
             }
             StoreUpdate::Changed(WatchEvent::Put(entry)) => {
@@ -230,15 +230,16 @@
                 change.into_iter().collect()
             }
             StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => {
-                let name = self.documents.announced_database(&key.to_string());
-                let mut directory = self.gateway.directory.borrow_mut();
-                let change = name.and_then(|name| directory.vanished(now, &name));
-                change.into_iter().collect()
+                if let Some(name) = self.documents.announced_database(&key.to_string()) {
+                    self.gateway.directory.borrow_mut().vanished(now, &name);
+                }
+                Vec::new()
             }
         };
         if !changes.is_empty() {
             self.gateway.directory_changed(changes);
         }
+        self.gateway.settle_unlisted_later();
     }
 
     fn announcement(&self, entry: &Entry) -> Option<Announcement> {
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -59,6 +59,8 @@
     pub drain_ms: u64,
     /// How long a process may take to stop, in seconds.
     pub stop_s: f64,
+    /// Pause between two announcements of a database, in milliseconds.
+    pub heartbeat_ms: u64,
 }
 
 impl BoundSettings {
@@ -67,6 +69,11 @@
         Duration::from_millis(self.drain_ms)
     }
 
+    /// Pause between two announcements of a database.
+    pub fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
     /// How long a process may take to stop.
     pub fn stop(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s)
--- a/crates/dyketally/src/directory.rs
+++ b/crates/dyketally/src/directory.rs
@@ -44,6 +44,8 @@
     pub announcement: Announcement,
     /// Whether it takes new work.
     pub state: MemberState,
+    /// Since when it hasn't announced itself, while that may be the store's fault.
+    pub unlisted_since: Option<Timestamp>,
     /// Since when it hasn't been [`MemberState::Ready`].
     pub leaving_since: Option<Timestamp>,
     /// Greater than that of every member that became primary before; zero for a replica.
@@ -110,13 +112,36 @@
         role_changed.then_some(DirectoryChange::RoleChanged(name, role))
     }
 
-    /// Takes in that a database no longer announces itself.
-    pub fn vanished(&mut self, now: Timestamp, name: &DatabaseName) -> Option<DirectoryChange> {
-        let member = self.members.get_mut(name)?;
-        let was_ready = member.state == MemberState::Ready;
-        member.state = MemberState::Gone;
-        member.leaving_since.get_or_insert(now);
-        was_ready.then(|| DirectoryChange::Leaving(name.clone()))
+    /// Takes in that a database no longer announces itself. It may have left, or the store may
+    /// have lost the announcement: [`Directory::settle_unlisted`] decides.
+    pub fn vanished(&mut self, now: Timestamp, name: &DatabaseName) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.unlisted_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes databases that haven't announced themselves since before `time` for gone. A database
+    /// that runs announces itself again within its heartbeat.
+    pub fn settle_unlisted(&mut self, time: Timestamp) -> Vec<DirectoryChange> {
+        let mut changes = Vec::new();
+        for member in self.members.values_mut() {
+            let Some(since) = member.unlisted_since.filter(|since| *since <= time) else {
+                continue;
+            };
+            if member.state == MemberState::Ready {
+                changes.push(DirectoryChange::Leaving(member.name().clone()));
+            }
+            member.state = MemberState::Gone;
+            member.leaving_since.get_or_insert(since);
+        }
+        changes
+    }
+
+    /// The earliest time since which a database that isn't yet taken for gone is unlisted.
+    pub fn oldest_unlisted(&self) -> Option<Timestamp> {
+        let members = self.members.values();
+        let pending = members.filter(|member| member.state != MemberState::Gone);
+        pending.filter_map(|member| member.unlisted_since).min()
     }
 
     /// Takes in the full list of announcements: those it lacks have vanished.
@@ -131,10 +156,10 @@
         };
         let unlisted = self.members.keys().filter(|name| !listed(name));
         let unlisted: Vec<DatabaseName> = unlisted.cloned().collect();
-        let mut changes = Vec::new();
         for name in unlisted {
-            changes.extend(self.vanished(now, &name));
+            self.vanished(now, &name);
         }
+        let mut changes = Vec::new();
         for announcement in announcements {
             changes.extend(self.announced(now, announcement));
         }
@@ -221,6 +246,7 @@
         Member {
             announcement,
             state,
+            unlisted_since: None,
             leaving_since,
             primary_order,
             refuted: false,
