--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -145,6 +145,13 @@
         self.configured.get()
     }
 
+    /// Waits until a configuration is in force, at most until `until`.
+    pub async fn configured_by(&self, until: Instant) {
+        while !self.configured.get() && Instant::now() < until {
+            self.next_change(until).await;
+        }
+    }
+
     /// Puts routes in force, unless newer ones are.
     pub fn put_in_force(&self, routes: RouteSet) {
         if self.configured.get() && routes.revision <= self.routes.borrow().revision {
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -23,6 +23,8 @@
 
 /// Longest time from the connection to the first message.
 const INTRODUCTION_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time that a new session waits for a first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_600);
 /// Longest time that a caller may take to accept an answer.
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
 /// Bytes reserved for each read.
@@ -68,6 +70,9 @@
         let Next::Message(CallerMessage::Connect { database, .. }) = message.ok()? else {
             return None;
         };
+        self.gateway
+            .configured_by(Instant::now() + CONFIGURATION_WAIT)
+            .await;
         if self.gateway.route(&database).is_none() {
             let served = match self.gateway.is_configured() {
                 true => Served::failed(
