--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -16,8 +16,11 @@
 
 /// Longest time that opening a connection may take.
 pub const OPEN_LIMIT: Duration = Duration::from_millis(500);
-/// How long an idle connection is kept.
+/// How long the last idle connection is kept.
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
+/// How long further idle connections are kept. Connections of a process that lost power count at
+/// the database for seconds, so few of them should stand open without need.
+const SURPLUS_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 /// How long the pool stays within the size at which the database refused to grow it.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
 
@@ -198,14 +201,36 @@
 
     /// Closes connections that have been idle for long, or all idle ones.
     pub fn close_idle(&self, all: bool) {
-        let mut idle = self.idle.borrow_mut();
-        let before = idle.len();
-        idle.retain(|connection| !all && connection.idle_since.elapsed() < IDLE_LIMIT);
-        let closed = before - idle.len();
-        drop(idle);
-        self.open.set(self.open.get().saturating_sub(closed as u32));
-        if closed > 0 {
-            self.wake_next();
+        if all {
+            self.close_while(|_, _| true);
+            return;
+        }
+        self.close_surplus();
+        self.close_while(|_, oldest| oldest >= IDLE_LIMIT);
+    }
+
+    fn close_surplus(&self) {
+        self.close_while(|idle, oldest| idle > 1 && oldest >= SURPLUS_IDLE_LIMIT);
+    }
+
+    /// Closes the connection that has been idle longest for as long as `close` says so, given the
+    /// number of idle ones and for how long that one has been.
+    fn close_while(&self, close: impl Fn(usize, Duration) -> bool) {
+        loop {
+            let mut idle = self.idle.borrow_mut();
+            let indexed = idle.iter().enumerate();
+            let oldest = indexed.min_by_key(|(_, connection)| connection.idle_since);
+            let Some((index, rested)) =
+                oldest.map(|(index, connection)| (index, connection.idle_since.elapsed()))
+            else {
+                return;
+            };
+            if !close(idle.len(), rested) {
+                return;
+            }
+            idle.swap_remove(index);
+            drop(idle);
+            self.closed();
         }
     }
 }
@@ -273,6 +298,7 @@
             return;
         }
         self.pool.idle.borrow_mut().push(connection);
+        self.pool.close_surplus();
         self.pool.wake_next();
     }
 }
