Repeat an appointment that got no answer with a greater token

Cause: after an appointment without an answer the holder waited 3.5 s for a lead that never came. Change: it renews its token and appoints the same database again at once; should the first call be carried out late, its smaller token is refused.

--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -37,6 +37,8 @@
 const TAKE_LEAD_LIMIT: Duration = Duration::from_millis(3_500);
 /// Pause between two looks whether it leads.
 const TAKE_LEAD_PAUSE: Duration = Duration::from_millis(60);
+/// Appointments of one successor in a row that get no answer.
+const APPOINTMENTS_AT_MOST: u32 = 6;
 /// Pause after an attempt that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a group may be without a known primary before it is given one.
@@ -357,25 +359,30 @@
         chosen
     }
 
+    /// Appoints `successor`; true once it leads. An appointment without an answer is repeated with
+    /// a greater token, so that the first one is refused should it be carried out late.
     async fn appoint(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
-        let Some(duty) = self.member.renew_token().await else {
-            self.step(
-                group,
-                "no token",
-                "the duty could not be renewed".to_owned(),
-            );
-            return false;
-        };
-        let holder = &self.gateway.settings.node.name;
-        let appointed = self.control.appoint(group, successor, holder, duty.token);
-        let appointment = appointed.await;
-        let detail = format!("{successor} with token {}: {appointment:?}", duty.token);
-        self.step(group, "appoint", detail);
-        match appointment {
-            Appointment::Accepted => self.wait_for_lead(group, successor).await,
-            Appointment::Unknown => self.wait_for_lead(group, successor).await,
-            Appointment::Refused | Appointment::Later => false,
+        for _ in 0..APPOINTMENTS_AT_MOST {
+            let Some(duty) = self.member.renew_token().await else {
+                self.step(
+                    group,
+                    "no token",
+                    "the duty could not be renewed".to_owned(),
+                );
+                return false;
+            };
+            let holder = &self.gateway.settings.node.name;
+            let appointed = self.control.appoint(group, successor, holder, duty.token);
+            let appointment = appointed.await;
+            let detail = format!("{successor} with token {}: {appointment:?}", duty.token);
+            self.step(group, "appoint", detail);
+            match appointment {
+                Appointment::Accepted => return self.wait_for_lead(group, successor).await,
+                Appointment::Unknown => {}
+                Appointment::Refused | Appointment::Later => return false,
+            }
         }
+        false
     }
 
     async fn wait_for_lead(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
