Act on the last token while no node reaches the store

Cause: with the store down the holder's lease ran out and lost primaries stayed unreplaced for the whole outage; and each failover waited up to 1.6 s for a token that it didn't need. Change: nodes tell in their votes whether they reach the store; without a lease that runs the holder acts only while a majority doesn't. A token is renewed only when another database of the group was appointed with it. Ruled out: a longer lease (delays every failover in which the holder is lost too).

--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -1,14 +1,12 @@
 //! Replaces primaries that are lost or leave, on the one node that has the duty.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use dyketally::directory::MemberState;
-use dyketally::failover::{
-    Candidate, Evidence, PollResult, Succession, Verdict, choose_successor, judge,
-};
+use dyketally::failover::{Candidate, PollResult, Succession, Verdict, choose_successor, judge};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
@@ -16,8 +14,8 @@
 use crate::confirm::{Confirmation, PROBE_LIMIT};
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::membership::Member;
-use crate::peer::{PeerMessage, Peers};
+use crate::membership::{Duty, Member};
+use crate::peer::{PeerMessage, Peers, Vote};
 use crate::ports::{Appointment, OwnStatement, PrimaryControl};
 use crate::target::Target;
 
@@ -51,6 +49,8 @@
     peers: Rc<Peers>,
     control: Rc<dyn PrimaryControl>,
     busy: RefCell<HashSet<GroupName>>,
+    /// The last appointment in each group: its token and the database.
+    appointed: RefCell<HashMap<GroupName, (u64, DatabaseName)>>,
 }
 
 /// Why a primary is replaced.
@@ -84,6 +84,7 @@
             peers,
             control,
             busy: RefCell::default(),
+            appointed: RefCell::default(),
         })
     }
 
@@ -91,14 +92,14 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             let attention = self.gateway.membership.attention.notified();
-            match self.gateway.membership.duty() {
+            match self.gateway.membership.last_duty() {
                 Some(_) => {
                     // Either way it is time to look.
                     let _ = tokio::time::timeout(LOOK_INTERVAL, attention).await;
                 }
                 None => attention.await,
             }
-            if self.gateway.membership.duty().is_some() {
+            if self.gateway.membership.last_duty().is_some() {
                 self.look_at_all();
             }
         }
@@ -138,10 +139,14 @@
     }
 
     async fn cause(self: &Rc<Self>, group: &GroupName) -> Option<Cause> {
+        let holds = self.gateway.membership.duty().is_some();
         let Some((primary, state)) = self.known_primary(group) else {
-            return self.leaderless(group).await;
+            return match holds {
+                true => self.leaderless(group).await,
+                false => None,
+            };
         };
-        if state != MemberState::Ready {
+        if holds && state != MemberState::Ready {
             return Some(Cause::Leaves(primary));
         }
         let key = (group.clone(), primary.name.clone());
@@ -159,9 +164,7 @@
         }
     }
 
-    fn suspicions(
-        &self,
-    ) -> &RefCell<std::collections::HashMap<(GroupName, DatabaseName), Instant>> {
+    fn suspicions(&self) -> &RefCell<HashMap<(GroupName, DatabaseName), Instant>> {
         &self.gateway.membership.suspicions
     }
 
@@ -198,19 +201,25 @@
         let own = self.gateway.probe(primary);
         tokio::pin!(own);
         let mut own_known = false;
+        let membership = &self.gateway.membership;
         loop {
-            let evidence: Option<Evidence> = tokio::select! {
+            let vote: Option<Vote> = tokio::select! {
                 evidence = &mut own, if !own_known => {
                     own_known = true;
-                    Some(evidence)
+                    let store_lost = membership.store_lost();
+                    Some(Vote { evidence, store_lost })
                 }
                 vote = poll.votes.recv() => vote,
                 () = tokio::time::sleep_until(until) => None,
             };
-            match evidence {
-                Some(evidence) => result.evidence.push(evidence),
+            match vote {
+                Some(vote) => {
+                    result.evidence.push(vote.evidence);
+                    result.store_lost += usize::from(vote.store_lost);
+                }
                 None => result.complete = true,
             }
+            result.lease_runs = membership.duty().is_some();
             let verdict = judge(&result);
             if verdict != Verdict::Undecided || result.complete {
                 self.gateway.events.write(&Event::PrimaryPolled {
@@ -359,11 +368,10 @@
         chosen
     }
 
-    /// Appoints `successor`; true once it leads. An appointment without an answer is repeated with
-    /// a greater token, so that the first one is refused should it be carried out late.
+    /// Appoints `successor`; true once it leads. An appointment without an answer is repeated.
     async fn appoint(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
         for _ in 0..APPOINTMENTS_AT_MOST {
-            let Some(duty) = self.member.renew_token().await else {
+            let Some(duty) = self.token_for(group, successor).await else {
                 self.step(
                     group,
                     "no token",
@@ -379,12 +387,37 @@
             match appointment {
                 Appointment::Accepted => return self.wait_for_lead(group, successor).await,
                 Appointment::Unknown => {}
-                Appointment::Refused | Appointment::Later => return false,
+                Appointment::Refused => {
+                    self.appointed.borrow_mut().remove(group);
+                    return false;
+                }
+                Appointment::Later => return false,
             }
         }
         false
     }
 
+    /// A token with which no other database of the group was appointed. An earlier appointment
+    /// that is carried out late is refused then, as its token is smaller.
+    async fn token_for(&self, group: &GroupName, successor: &DatabaseName) -> Option<Duty> {
+        let membership = &self.gateway.membership;
+        let held = membership.last_duty()?;
+        let former = self.appointed.borrow().get(group).cloned();
+        let usable = former.is_none_or(|(token, database)| {
+            token < held.token || (token == held.token && &database == successor)
+        });
+        let unchallenged = membership.duty().is_some() || membership.store_lost();
+        let duty = match usable && unchallenged {
+            true => held,
+            false => self.member.renew_token().await?,
+        };
+        let appointment = (duty.token, successor.clone());
+        self.appointed
+            .borrow_mut()
+            .insert(group.clone(), appointment);
+        Some(duty)
+    }
+
     async fn wait_for_lead(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
         let Some(target) = self.member_target(successor) else {
             return false;
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -91,6 +91,7 @@
             Err(error) => return error,
         };
         pause.reset();
+        pause.gateway.membership.store_answered();
         *seen = batch.store_revision.max(*seen);
         for event in batch.events {
             sink(StoreUpdate::Changed(event));
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -31,6 +31,8 @@
 const RENEWAL_RETRY: Duration = Duration::from_millis(150);
 /// The duty is laid down this long before the lease can end.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
+/// Silence after which the store counts as lost.
+const STORE_LOST: Duration = Duration::from_millis(1_800);
 /// Longest pause before this node tries to take a duty that is free.
 const CAMPAIGN_DELAY_MS: u64 = 150;
 
@@ -70,6 +72,7 @@
     holder: RefCell<Option<NodeRecord>>,
     lease: Cell<Option<HeldLease>>,
     duty: Cell<Option<Duty>>,
+    store_contact: Cell<Option<Instant>>,
     duty_free: Notify,
 }
 
@@ -91,6 +94,23 @@
         self.holder.borrow().as_ref().map(|record| record.address)
     }
 
+    /// True when this node has heard nothing from the store for a while.
+    pub fn store_lost(&self) -> bool {
+        let contact = self.store_contact.get();
+        contact.is_some_and(|at| at.elapsed() > STORE_LOST)
+    }
+
+    /// Takes in that the store answered.
+    pub fn store_answered(&self) {
+        self.store_contact.set(Some(Instant::now()));
+    }
+
+    /// The duty, if this node held it last as far as it knows, even if its lease may have ended.
+    /// Nobody else can have taken it while no node reaches the store.
+    pub fn last_duty(&self) -> Option<Duty> {
+        self.duty.get()
+    }
+
     /// The duty, if this node holds it and its lease surely runs.
     pub fn duty(&self) -> Option<Duty> {
         let lease = self.lease.get()?;
@@ -169,6 +189,9 @@
             return;
         };
         if entry.key == self.duty_key() {
+            if record != self.record() {
+                self.lay_down("another node holds the duty");
+            }
             *self.membership().holder.borrow_mut() = Some(record);
         } else {
             let name = record.node.clone();
@@ -203,6 +226,7 @@
         self.end_former_lease().await?;
         let asked = Instant::now();
         let lease = self.store.grant_lease(LEASE).await?;
+        self.membership().store_answered();
         self.extend(lease.id, asked, lease.time_to_live);
         let put = self.put_record(self.node_key(), lease.id);
         self.store
@@ -242,6 +266,7 @@
                     let asked = Instant::now();
                     match self.store.keep_lease_alive(lease).await {
                         Ok(time_to_live) => {
+                            self.membership().store_answered();
                             self.extend(lease, asked, time_to_live);
                             next = Instant::now() + RENEWAL;
                         }
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -42,6 +42,8 @@
         poll: u64,
         /// What it sees.
         evidence: Evidence,
+        /// True when it has lost the store.
+        store_lost: bool,
     },
     /// The database leads its group now.
     Leads {
@@ -56,16 +58,25 @@
 pub struct Peers {
     gateway: Rc<Gateway>,
     socket: UdpSocket,
-    polls: RefCell<HashMap<u64, mpsc::UnboundedSender<Evidence>>>,
+    polls: RefCell<HashMap<u64, mpsc::UnboundedSender<Vote>>>,
     next_poll: Cell<u64>,
 }
 
+/// What one node replied to a poll.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vote {
+    /// What it sees of the primary.
+    pub evidence: Evidence,
+    /// True when it has lost the store.
+    pub store_lost: bool,
+}
+
 /// A poll that collects votes until it is dropped.
 pub struct Poll {
     number: u64,
     peers: Rc<Peers>,
     /// The votes.
-    pub votes: mpsc::UnboundedReceiver<Evidence>,
+    pub votes: mpsc::UnboundedReceiver<Vote>,
 }
 
 impl Drop for Poll {
@@ -109,15 +120,28 @@
                 let peers = self.clone();
                 tokio::task::spawn_local(async move {
                     let evidence = peers.gateway.evidence(&group, &database).await;
+                    let store_lost = peers.gateway.membership.store_lost();
                     if let Some(evidence) = evidence {
-                        peers.send(from, &PeerMessage::Vote { poll, evidence });
+                        let vote = PeerMessage::Vote {
+                            poll,
+                            evidence,
+                            store_lost,
+                        };
+                        peers.send(from, &vote);
                     }
                 });
             }
-            PeerMessage::Vote { poll, evidence } => {
+            PeerMessage::Vote {
+                poll,
+                evidence,
+                store_lost,
+            } => {
                 if let Some(votes) = self.polls.borrow().get(&poll) {
                     // The poll may just have ended.
-                    let _ = votes.send(evidence);
+                    let _ = votes.send(Vote {
+                        evidence,
+                        store_lost,
+                    });
                 }
             }
             PeerMessage::Leads { database, .. } => {
@@ -193,7 +217,7 @@
 
     /// Tells the node that replaces primaries that `target` doesn't answer.
     pub fn report_suspicion(&self, target: &Target) {
-        if self.membership.duty().is_some() {
+        if self.membership.last_duty().is_some() {
             self.suspected(target.group.clone(), target.name.clone());
             return;
         }
--- a/crates/dyketally/src/failover/verdict.rs
+++ b/crates/dyketally/src/failover/verdict.rs
@@ -18,6 +18,10 @@
     pub nodes: usize,
     /// What those that replied have seen, this node's own evidence included.
     pub evidence: Vec<Evidence>,
+    /// How many of them have lost the store.
+    pub store_lost: usize,
+    /// True when the judging node's lease on the duty surely runs.
+    pub lease_runs: bool,
     /// True when no further reply is waited for.
     pub complete: bool,
     /// True when the suspicion has lasted so long that nodes which don't reply are taken for dead.
@@ -38,7 +42,8 @@
 /// Nodes that must agree once a suspicion is prolonged.
 const PROLONGED_QUORUM: usize = 2;
 
-/// Judges the evidence. A node that reaches the primary always settles it; without one, half of
+/// Judges the evidence. Without a lease that runs, the judging node may act only while a majority
+/// of the nodes has lost the store: nobody else can then have taken the duty. A node that reaches the primary always settles it; without one, half of
 /// the nodes must fail to, so that a node cut off with few others never acts.
 pub fn judge(poll: &PollResult) -> Verdict {
     if poll.evidence.contains(&Evidence::Answered) {
@@ -49,6 +54,10 @@
         true => majority.min(PROLONGED_QUORUM),
         false => majority,
     };
+    let unchallenged = poll.lease_runs || poll.store_lost * 2 > poll.nodes;
+    if !unchallenged {
+        return Verdict::Undecided;
+    }
     let all = poll.evidence.len() >= poll.nodes;
     if poll.evidence.len() >= quorum && (all || poll.complete) {
         return Verdict::Lost;
