--- a/crates/dyketally-gateway/src/health.rs
+++ b/crates/dyketally-gateway/src/health.rs
@@ -16,7 +16,7 @@
 /// How long a database that failed is passed over by reads.
 const SUSPENSION: Duration = Duration::from_millis(700);
 /// How long a replica that was behind is passed over by reads that need more than it had.
-const BEHIND: Duration = Duration::from_millis(300);
+const BEHIND: Duration = Duration::from_millis(60);
 
 /// A database as this node uses it.
 pub struct DatabaseState {
@@ -88,11 +88,12 @@
     }
 
     /// The latency to expect of one more statement, in milliseconds; `expected_ms` is what it is
-    /// without load.
+    /// without load, and the least that is assumed.
     pub fn latency_estimate(&self, expected_ms: f64, slots: u32) -> f64 {
         let idle = self.sampled.get().elapsed().as_secs_f64();
         let decay = 0.5_f64.powf(idle / LATENCY_HALF_LIFE.as_secs_f64());
         let average = expected_ms + (self.latency_ms.get() - expected_ms) * decay;
+        let average = average.max(expected_ms);
         let queued = f64::from(self.in_flight.get()) / f64::from(slots.max(1));
         average * (1.0 + queued)
     }
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -219,6 +219,9 @@
             }
             self.lay_down("the lease ended");
             self.membership().lease.set(None);
+            if self.gateway.is_stopping() {
+                return;
+            }
         }
     }
 
--- /dev/null
+++ b/crates/dyketally/tests/directory.rs
@@ -0,0 +1,117 @@
+//! The databases of each group as they announce themselves.
+
+use std::time::Duration;
+
+use dyketally::directory::{Announcement, Directory, DirectoryChange, MemberState};
+use dyketally::group::Role;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::time::Timestamp;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn announcement(name: &str, role: Role, ready: bool) -> Announcement {
+    Announcement {
+        database: name.into(),
+        group: "orders".into(),
+        address: "127.0.0.1:5432".parse().expect("an address"),
+        zone: "east".into(),
+        slots: 3,
+        ready,
+        role,
+    }
+}
+
+fn primary_of(directory: &Directory) -> Option<DatabaseName> {
+    let group = GroupName::from("orders");
+    directory
+        .primary(&group)
+        .map(|member| member.name().clone())
+}
+
+fn with(members: &[(&str, Role)]) -> Directory {
+    let mut directory = Directory::default();
+    for (name, role) in members {
+        directory.announced(at(0), announcement(name, *role, true));
+    }
+    directory
+}
+
+#[test]
+fn the_database_that_took_the_role_last_leads() {
+    let mut directory = with(&[("a", Role::Primary), ("b", Role::Replica)]);
+    assert_eq!(primary_of(&directory), Some("a".into()));
+    let change = directory.announced(at(1), announcement("b", Role::Primary, true));
+    let expected = DirectoryChange::RoleChanged("b".into(), Role::Primary);
+    assert_eq!(change, Some(expected));
+    assert_eq!(primary_of(&directory), Some("b".into()));
+}
+
+#[test]
+fn repeating_an_announcement_changes_nothing() {
+    let mut directory = with(&[("a", Role::Primary), ("b", Role::Primary)]);
+    let change = directory.announced(at(1), announcement("a", Role::Primary, true));
+    assert_eq!(change, None);
+    assert_eq!(primary_of(&directory), Some("b".into()));
+}
+
+#[test]
+fn a_refusal_unseats_a_primary_until_it_acts_as_one_again() {
+    let mut directory = with(&[("a", Role::Primary), ("b", Role::Replica)]);
+    directory.refused_as_primary(&"a".into());
+    assert_eq!(primary_of(&directory), None);
+    directory.acted_as_primary(&"b".into());
+    assert_eq!(primary_of(&directory), Some("b".into()));
+    directory.refused_as_primary(&"b".into());
+    directory.acted_as_primary(&"a".into());
+    assert_eq!(primary_of(&directory), Some("a".into()));
+}
+
+#[test]
+fn a_draining_database_is_told_once() {
+    let mut directory = with(&[("a", Role::Primary)]);
+    let draining = announcement("a", Role::Primary, false);
+    let change = directory.announced(at(5), draining.clone());
+    assert_eq!(change, Some(DirectoryChange::Leaving("a".into())));
+    assert_eq!(directory.announced(at(9), draining), None);
+    let member = directory.member(&"a".into()).expect("a member");
+    assert_eq!(member.state, MemberState::Draining);
+    assert_eq!(member.leaving_since, Some(at(5)));
+}
+
+#[test]
+fn a_vanished_announcement_counts_only_after_the_grace() {
+    let mut directory = with(&[("a", Role::Primary)]);
+    directory.vanished(at(10), &"a".into());
+    assert_eq!(directory.settle_unlisted(at(9)), Vec::new());
+    assert_eq!(primary_of(&directory), Some("a".into()));
+    let changes = directory.settle_unlisted(at(10));
+    assert_eq!(changes, vec![DirectoryChange::Leaving("a".into())]);
+    let member = directory.member(&"a".into()).expect("a member");
+    assert_eq!(member.state, MemberState::Gone);
+    assert_eq!(member.leaving_since, Some(at(10)));
+}
+
+#[test]
+fn a_database_that_announces_itself_again_never_left() {
+    let mut directory = with(&[("a", Role::Primary), ("b", Role::Replica)]);
+    let changes = directory.replaced(at(10), vec![announcement("b", Role::Replica, true)]);
+    assert_eq!(changes, Vec::new());
+    assert_eq!(directory.oldest_unlisted(), Some(at(10)));
+    directory.announced(at(11), announcement("a", Role::Primary, true));
+    assert_eq!(directory.oldest_unlisted(), None);
+    assert_eq!(directory.settle_unlisted(at(1_000)), Vec::new());
+}
+
+#[test]
+fn databases_that_are_gone_are_forgotten_in_the_end() {
+    let mut directory = with(&[("a", Role::Replica)]);
+    directory.vanished(at(10), &"a".into());
+    directory.settle_unlisted(at(10));
+    assert_eq!(directory.forget_gone_before(at(10)), Vec::new());
+    let later = at(10) + Duration::from_millis(1);
+    let changes = directory.forget_gone_before(later);
+    assert_eq!(changes, vec![DirectoryChange::Forgotten("a".into())]);
+    assert_eq!(directory.groups(), Vec::new());
+}
--- /dev/null
+++ b/crates/dyketally/tests/freshness.rs
@@ -0,0 +1,122 @@
+//! Freshness of replica reads from observations of the primary's log.
+
+use std::time::Duration;
+
+use dyketally::freshness::{Observation, Observations, ReadConsistency};
+use dyketally::group::{LogPosition, Term};
+use dyketally::time::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+fn position(offset: u64) -> LogPosition {
+    LogPosition {
+        term: Term(1),
+        offset,
+    }
+}
+
+fn observed(entries: &[(u64, u64)]) -> Observations {
+    let mut observations = Observations::new(Duration::from_secs(3));
+    for (sent, offset) in entries {
+        let observation = Observation {
+            position: position(*offset),
+            sent: at(*sent),
+        };
+        observations.record(at(*sent), observation);
+    }
+    observations
+}
+
+#[rstest]
+#[case::none_is_known(&[], 1_000, None)]
+#[case::all_are_too_old(&[(100, 1), (200, 2)], 1_000, None)]
+#[case::the_oldest_that_covers(&[(100, 1), (1_000, 2), (1_100, 3)], 1_000, Some(2))]
+#[case::exactly_at_the_time(&[(1_000, 7)], 1_000, Some(7))]
+fn the_oldest_covering_observation_is_chosen(
+    #[case] entries: &[(u64, u64)],
+    #[case] time: u64,
+    #[case] expected: Option<u64>,
+) {
+    let found = observed(entries).covering(at(time));
+    assert_eq!(found.map(|found| found.position.offset), expected);
+}
+
+#[rstest]
+#[case::primary(ReadConsistency::Primary, None)]
+#[case::bounded(
+    ReadConsistency::BoundedStaleness { bound: Duration::from_millis(1_500) },
+    Some((3_600, None))
+)]
+#[case::own_writes_of_a_new_session(
+    ReadConsistency::ReadOwnWrites { bound: Duration::from_millis(2_500) },
+    Some((4_000, Some(9)))
+)]
+fn what_a_read_needs_follows_from_its_route(
+    #[case] consistency: ReadConsistency,
+    #[case] expected: Option<(u64, Option<u64>)>,
+) {
+    let need = consistency.need(at(5_000), at(4_000), Some(position(9)));
+    let told = need.map(|need| (need.covered, need.own_commit));
+    let expected =
+        expected.map(|(covered, own): (u64, Option<u64>)| (at(covered), own.map(position)));
+    assert_eq!(told, expected);
+}
+
+#[test]
+fn a_session_that_came_back_needs_an_observation_made_since() {
+    let bound = Duration::from_millis(2_500);
+    let consistency = ReadConsistency::ReadOwnWrites { bound };
+    let need = consistency
+        .need(at(5_000), at(4_900), None)
+        .expect("a need");
+    assert_eq!(need.position(&observed(&[(4_800, 5)])), None);
+    let since = observed(&[(4_800, 5), (4_950, 6)]);
+    assert_eq!(need.position(&since), Some(position(6)));
+}
+
+#[test]
+fn the_sessions_own_commit_counts_when_it_is_newer() {
+    let bound = Duration::from_millis(2_500);
+    let consistency = ReadConsistency::ReadOwnWrites { bound };
+    let need = consistency.need(at(5_000), at(1_000), Some(position(8)));
+    let observations = observed(&[(3_000, 5)]);
+    let needed = need.and_then(|need| need.position(&observations));
+    assert_eq!(needed, Some(position(8)));
+}
+
+proptest! {
+    /// Whatever is recorded, a position that covers a time is never older than a commit that was
+    /// acknowledged before that time.
+    #[test]
+    fn a_covering_position_holds_every_commit_acknowledged_before(
+        steps in prop::collection::vec((1_u64..200, prop::bool::ANY), 1..80),
+        age in 0_u64..2_000,
+    ) {
+        let mut observations = Observations::new(Duration::from_secs(2));
+        let mut now = 0;
+        let mut log = 0;
+        let mut commits = Vec::new();
+        for (pause, commits_now) in steps {
+            now += pause;
+            if commits_now {
+                log += 1;
+                commits.push((now, log));
+            } else {
+                let observation = Observation { position: position(log), sent: at(now) };
+                observations.record(at(now), observation);
+            }
+        }
+        let time = now.saturating_sub(age);
+        if let Some(found) = observations.covering(at(time)) {
+            for (acknowledged, offset) in commits {
+                if acknowledged < time {
+                    prop_assert!(found.position.offset >= offset);
+                }
+            }
+        }
+    }
+}
