Give up the connection of a read whose answer never comes

Cause: a read that had been sent to another database went on waiting for its first answer without end. Ruled out: a wrong view of the primary (no change of the directory), a limit learned from the database (2 s at most). Change: the abandoned attempt ends 300 ms after the statement's deadline.

--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -11,7 +11,7 @@
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
 
-use crate::connection::Answer;
+use crate::connection::{Answer, Broken};
 use crate::gateway::Gateway;
 use crate::ports::{DatabaseCommand, OwnStatement};
 use crate::request::{Request, Served};
@@ -20,6 +20,9 @@
 
 /// Longest wait for an answer before another database is asked as well.
 const HEDGE_AT_MOST: Duration = Duration::from_millis(350);
+/// How long an answer that nobody waits for any more is waited for, to keep its connection. An
+/// answer may never come, and each connection that waits for one is missing from its pool.
+const LATE_ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// Attempts of one read, at most.
 const ATTEMPTS_AT_MOST: u32 = 12;
 /// Attempts of one read that wait for answers at one time.
@@ -90,7 +93,14 @@
         let gateway = self.clone();
         let request = request.clone();
         Some(tokio::task::spawn_local(async move {
-            gateway.read_once(&request, &target, proof).await
+            let attempt = gateway.read_once(&request, &target, proof);
+            let last = request.deadline + LATE_ANSWER_LIMIT;
+            match tokio::time::timeout_at(last, attempt).await {
+                Ok(attempt) => attempt,
+                Err(_) => Attempt::Lost(Broken {
+                    reason: "no answer came".to_owned(),
+                }),
+            }
         }))
     }
 
