Reach a primary by way of another node when it is out of reach

Cause: nodes that were cut off from a primary which others reached could serve neither writes nor primary reads for the whole cut; replacing such a primary would roll commits back for nothing. Ruled out: replacing it (it serves the other nodes, and its replicas follow it). Change: a node that hears nothing from a primary asks the others who does, and connects through that node, which only moves bytes. Votes count direct answers only.

--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -13,7 +13,7 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
-use crate::connection::{Connection, OpenError};
+use crate::connection::{Connection, OpenError, Route};
 use crate::event::Event;
 use crate::gateway::Gateway;
 use crate::pool::CheckoutError;
@@ -183,12 +183,13 @@
 
     /// What this node sees of a database right now.
     pub async fn probe(self: &Rc<Self>, target: &Target) -> Evidence {
-        if target.state.answered_within(RECENT_ANSWER) {
+        let relayed = target.state.pool.is_relayed();
+        if !relayed && target.state.answered_within(RECENT_ANSWER) {
             return Evidence::Answered;
         }
         let dialled = Connection::open(
             self.database_protocol.clone(),
-            target.state.pool.address(),
+            Route::Direct(target.state.pool.address()),
             &target.group,
             &target.name,
             PROBE_LIMIT,
@@ -201,7 +202,7 @@
             Err(OpenError::Refused | OpenError::TurnedAway(_)) => Evidence::Refused,
             Err(OpenError::Silent) => Evidence::Silent,
         };
-        if target.state.answered_within(PROBE_LIMIT) {
+        if !relayed && target.state.answered_within(PROBE_LIMIT) {
             return Evidence::Answered;
         }
         answered
@@ -224,8 +225,12 @@
         for _ in 0..PROBES_AT_MOST {
             let evidence = self.probe(target).await;
             if evidence == Evidence::Answered || !self.is_primary(target) {
+                target.state.pool.reach_directly();
                 return;
             }
+            if evidence == Evidence::Silent {
+                self.find_relay(target);
+            }
             self.events.write(&Event::PrimarySuspected {
                 group: target.group.as_str(),
                 database: target.name.as_str(),
--- a/crates/dyketally-gateway/src/connection.rs
+++ b/crates/dyketally-gateway/src/connection.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::ports::{DatabaseCommand, OwnStatement, Reply, SharedDatabaseProtocol};
+use crate::relay;
 
 /// Time after which the system gives up a connection whose peer acknowledges nothing.
 pub const SILENT_PEER: Duration = Duration::from_millis(2_500);
@@ -21,6 +22,15 @@
 const PREPARED_AT_MOST: usize = 64;
 const READ_CHUNK: usize = 4_096;
 
+/// How a database is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// At its own address.
+    Direct(SocketAddr),
+    /// By way of the node that relays at this address.
+    Relayed(SocketAddr),
+}
+
 /// Why a connection could not be opened.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum OpenError {
@@ -75,12 +85,12 @@
     /// The database can't be reached or turns the connection away.
     pub async fn open(
         protocol: SharedDatabaseProtocol,
-        address: SocketAddr,
+        route: Route,
         group: &GroupName,
         database: &DatabaseName,
         limit: Duration,
     ) -> Result<Self, OpenError> {
-        let opening = Self::introduce(protocol, address, group, database);
+        let opening = Self::introduce(protocol, route, group, database);
         match tokio::time::timeout(limit, opening).await {
             Ok(result) => result,
             Err(_) => Err(OpenError::Silent),
@@ -89,11 +99,15 @@
 
     async fn introduce(
         protocol: SharedDatabaseProtocol,
-        address: SocketAddr,
+        route: Route,
         group: &GroupName,
         database: &DatabaseName,
     ) -> Result<Self, OpenError> {
-        let stream = TcpStream::connect(address).await.map_err(open_error)?;
+        let connecting = match route {
+            Route::Direct(address) => TcpStream::connect(address).await,
+            Route::Relayed(relay) => relay::connect(relay, database).await,
+        };
+        let stream = connecting.map_err(open_error)?;
         prepare_socket(&stream);
         let mut connection = Self {
             stream,
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -207,7 +207,8 @@
                 evidence = &mut own, if !own_known => {
                     own_known = true;
                     let store_lost = membership.store_lost();
-                    Some(Vote { evidence, store_lost })
+                    let from = self.gateway.settings.listen.peers;
+                    Some(Vote { evidence, store_lost, from })
                 }
                 vote = poll.votes.recv() => vote,
                 () = tokio::time::sleep_until(until) => None,
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ports;
 mod read;
 mod readiness;
+mod relay;
 mod request;
 mod session;
 pub mod settings;
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -22,7 +22,7 @@
     StoredDocuments,
 };
 use crate::settings::Settings;
-use crate::{readiness, session};
+use crate::{readiness, relay, session};
 
 /// Pause between two rounds of tidying up.
 const TIDY_INTERVAL: Duration = Duration::from_secs(5);
@@ -65,6 +65,7 @@
     let socket = UdpSocket::bind(settings.listen.peers)
         .await
         .wrap_err("can't listen on `listen.peers`; choose a free address of this machine")?;
+    let relayed = bind(settings.listen.peers, "listen.peers").await?;
     let gateway = Gateway::new(settings, adapters.callers, adapters.databases);
     gateway.events.write(&Event::Started {
         node: &gateway.settings.node.name,
@@ -84,6 +85,7 @@
         adapters.readiness,
         probes,
     ));
+    tokio::task::spawn_local(relay::serve(gateway.clone(), relayed));
     tokio::task::spawn_local(peers.run());
     tokio::task::spawn_local(failover.run());
     tokio::task::spawn_local(member.clone().run());
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use dyketally::failover::Evidence;
 use dyketally::identifiers::{DatabaseName, GroupName};
@@ -15,6 +16,8 @@
 use crate::gateway::Gateway;
 use crate::target::Target;
 
+/// How long other nodes may take to tell whether they reach a database.
+const RELAY_SEARCH: Duration = Duration::from_millis(450);
 const LONGEST_DATAGRAM: usize = 1_024;
 
 /// What nodes tell each other.
@@ -69,6 +72,8 @@
     pub evidence: Evidence,
     /// True when it has lost the store.
     pub store_lost: bool,
+    /// Where the node hears others.
+    pub from: SocketAddr,
 }
 
 /// A poll that collects votes until it is dropped.
@@ -141,6 +146,7 @@
                     let _ = votes.send(Vote {
                         evidence,
                         store_lost,
+                        from,
                     });
                 }
             }
@@ -215,6 +221,25 @@
         (&member.announcement.group == group).then(|| self.target(member, true))
     }
 
+    /// Asks the other nodes who reaches `target`, and has the first that does relay to it.
+    pub fn find_relay(self: &Rc<Self>, target: &Target) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        let target = target.clone();
+        tokio::task::spawn_local(async move {
+            let mut poll = peers.poll(&target.group, &target.name);
+            let until = Instant::now() + RELAY_SEARCH;
+            while let Ok(Some(vote)) = tokio::time::timeout_at(until, poll.votes.recv()).await {
+                if vote.evidence == Evidence::Answered {
+                    target.state.pool.relay_by(vote.from);
+                    peers.gateway.tell_change();
+                    return;
+                }
+            }
+        });
+    }
+
     /// Tells the node that replaces primaries that `target` doesn't answer.
     pub fn report_suspicion(&self, target: &Target) {
         if self.membership.last_duty().is_some() {
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::connection::{Connection, OpenError};
+use crate::connection::{Connection, OpenError, Route};
 use crate::ports::SharedDatabaseProtocol;
 
 /// Longest time that opening a connection may take.
@@ -24,6 +24,9 @@
 /// How long the pool stays within the size at which the database refused to grow it.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
 
+/// How long a relay is used without being found again.
+const RELAY_HOLDS: Duration = Duration::from_millis(2_500);
+
 /// Why no connection was handed out.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum CheckoutError {
@@ -51,6 +54,7 @@
     open: Cell<u32>,
     limit: Cell<u32>,
     refused: Cell<Option<(u32, Instant)>>,
+    relay: Cell<Option<(SocketAddr, Instant)>>,
     waiters: RefCell<Vec<Waiter>>,
     next_number: Cell<u64>,
     /// Connections opened since the start.
@@ -75,6 +79,7 @@
             open: Cell::new(0),
             limit: Cell::new(limit),
             refused: Cell::new(None),
+            relay: Cell::new(None),
             waiters: RefCell::default(),
             next_number: Cell::new(0),
             opened: Cell::new(0),
@@ -86,6 +91,32 @@
         self.address
     }
 
+    /// Reaches the database by way of another node for a while. Connections that are idle now run
+    /// over a path that is broken, so they are closed.
+    pub fn relay_by(&self, relay: SocketAddr) {
+        if self.relay.get().is_none() {
+            self.close_idle(true);
+        }
+        self.relay.set(Some((relay, Instant::now())));
+    }
+
+    /// True while the database is reached by way of another node.
+    pub fn is_relayed(&self) -> bool {
+        matches!(self.route(), Route::Relayed(_))
+    }
+
+    /// Reaches the database directly again.
+    pub fn reach_directly(&self) {
+        self.relay.set(None);
+    }
+
+    fn route(&self) -> Route {
+        match self.relay.get() {
+            Some((relay, since)) if since.elapsed() < RELAY_HOLDS => Route::Relayed(relay),
+            _ => Route::Direct(self.address),
+        }
+    }
+
     /// Changes how many connections may be open.
     pub fn set_limit(&self, limit: u32) {
         self.limit.set(limit.max(1));
@@ -140,7 +171,7 @@
         let slot = OpenSlot::take(self);
         let connection = Connection::open(
             self.protocol.clone(),
-            self.address,
+            self.route(),
             &self.group,
             &self.database,
             OPEN_LIMIT,
