--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -20,7 +20,7 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// How long further idle connections are kept. Connections of a process that lost power count at
 /// the database for seconds, so few of them should stand open without need.
-const SURPLUS_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
+const SURPLUS_IDLE_LIMIT: Duration = Duration::from_millis(400);
 /// How long the pool stays within the size at which the database refused to grow it.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
 
