Read all keys again after each watch that was lost

Change: after each failure the keys are read as a whole, then watched from there. Replicas that were suspended are resumed when nobody could succeed.

--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -240,6 +240,20 @@
             Cause::Leaves(old) | Cause::Lost(old) => Some(old),
             Cause::Leaderless => None,
         };
+        let succeeded = self.hand_over(group, cause, old).await;
+        let suspends = self.acknowledging(group) > 0 && !matches!(cause, Cause::Leaves(_));
+        if suspends && !succeeded {
+            self.survey(group, old, OwnStatement::Resume).await;
+        }
+        succeeded
+    }
+
+    async fn hand_over(
+        self: &Rc<Self>,
+        group: &GroupName,
+        cause: &Cause,
+        old: Option<&Target>,
+    ) -> bool {
         let acknowledging = self.acknowledging(group);
         let mut surveyed = self.survey(group, old, OwnStatement::Status).await;
         if let Some(leading) = surveyed.leading.take() {
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -52,26 +52,25 @@
     }
 }
 
-/// Watches until the history is lost.
+/// Watches until the watch is lost. Nothing is concluded from a watch that is taken up again: the
+/// store may have made changes while it was cut and dropped them from its history, so the caller
+/// reads all keys again.
 async fn watch_from(
     store: &Rc<dyn KeyValueStore>,
     prefix: &str,
-    mut seen: StoreRevision,
+    seen: StoreRevision,
     sink: &mut impl FnMut(StoreUpdate),
     pause: &mut Pause,
 ) {
-    loop {
-        let request = WatchRequest {
-            range: KeyRange::prefix(prefix),
-            from: seen.next(),
-        };
-        let error = match store.watch(request).await {
-            Ok(batches) => watch_batches(batches, &mut seen, sink, pause).await,
-            Err(error) => error,
-        };
-        if matches!(error, StoreError::Compacted) {
-            return;
-        }
+    let request = WatchRequest {
+        range: KeyRange::prefix(prefix),
+        from: seen.next(),
+    };
+    let error = match store.watch(request).await {
+        Ok(batches) => watch_batches(batches, sink, pause).await,
+        Err(error) => error,
+    };
+    if !matches!(error, StoreError::Compacted) {
         pause.after(&error).await;
     }
 }
@@ -79,7 +78,6 @@
 /// Passes on what a watch reports, until it ends.
 async fn watch_batches(
     batches: WatchStream,
-    seen: &mut StoreRevision,
     sink: &mut impl FnMut(StoreUpdate),
     pause: &mut Pause,
 ) -> StoreError {
@@ -92,7 +90,6 @@
         };
         pause.reset();
         pause.gateway.membership.store_answered();
-        *seen = batch.store_revision.max(*seen);
         for event in batch.events {
             sink(StoreUpdate::Changed(event));
         }
