--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use dyketally::directory::MemberState;
-use dyketally::failover::{Candidate, PollResult, Succession, Verdict, choose_successor, judge};
+use dyketally::failover::{
+    Appointments, Candidate, PollResult, Succession, TokenUse, Verdict, choose_successor, judge,
+};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
@@ -49,8 +51,7 @@
     peers: Rc<Peers>,
     control: Rc<dyn PrimaryControl>,
     busy: RefCell<HashSet<GroupName>>,
-    /// The last appointment in each group: its token and the database.
-    appointed: RefCell<HashMap<GroupName, (u64, DatabaseName)>>,
+    appointments: RefCell<Appointments>,
 }
 
 /// Why a primary is replaced.
@@ -84,7 +85,7 @@
             peers,
             control,
             busy: RefCell::default(),
-            appointed: RefCell::default(),
+            appointments: RefCell::default(),
         })
     }
 
@@ -402,34 +403,27 @@
             match appointment {
                 Appointment::Accepted => return self.wait_for_lead(group, successor).await,
                 Appointment::Unknown => {}
-                Appointment::Refused => {
-                    self.appointed.borrow_mut().remove(group);
-                    return false;
-                }
-                Appointment::Later => return false,
+                Appointment::Refused | Appointment::Later => return false,
             }
         }
         false
     }
 
-    /// A token with which no other database of the group was appointed. An earlier appointment
-    /// that is carried out late is refused then, as its token is smaller.
+    /// A token with which no other database of the group was appointed.
     async fn token_for(&self, group: &GroupName, successor: &DatabaseName) -> Option<Duty> {
         let membership = &self.gateway.membership;
         let held = membership.last_duty()?;
-        let former = self.appointed.borrow().get(group).cloned();
-        let usable = former.is_none_or(|(token, database)| {
-            token < held.token || (token == held.token && &database == successor)
-        });
+        let token_use = self
+            .appointments
+            .borrow()
+            .token_use(group, successor, held.token);
         let unchallenged = membership.duty().is_some() || membership.store_lost();
-        let duty = match usable && unchallenged {
-            true => held,
-            false => self.member.renew_token().await?,
+        let duty = match (token_use, unchallenged) {
+            (TokenUse::Use, true) => held,
+            _ => self.member.renew_token().await?,
         };
-        let appointment = (duty.token, successor.clone());
-        self.appointed
-            .borrow_mut()
-            .insert(group.clone(), appointment);
+        let mut appointments = self.appointments.borrow_mut();
+        appointments.appointing(group, successor, duty.token);
         Some(duty)
     }
 
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -1,7 +1,9 @@
 //! Decisions of a failover: is the primary lost, and who succeeds it. No I/O.
 
+mod appointments;
 mod successor;
 mod verdict;
 
+pub use appointments::{Appointments, TokenUse};
 pub use successor::{Candidate, Succession, choose_successor};
 pub use verdict::{Evidence, PollResult, Verdict, judge};
