--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -115,6 +115,7 @@
             }
             Err(_) => return Confirmation::Unclear,
         };
+        self.counters.confirmations.add();
         let sent = self.now();
         let commands = [
             DatabaseCommand::Own(OwnStatement::Begin),
--- /dev/null
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -0,0 +1,45 @@
+//! What the process has done since its start.
+
+use std::cell::Cell;
+
+use serde::Serialize;
+
+/// One count.
+#[derive(Debug, Default)]
+pub struct Counter(Cell<u64>);
+
+impl Counter {
+    /// Counts one more.
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
+impl Serialize for Counter {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(self.0.get())
+    }
+}
+
+/// All counts. Names are documented in `docs/logs.md`.
+#[derive(Debug, Default, Serialize)]
+pub struct Counters {
+    /// Sessions opened.
+    pub sessions: Counter,
+    /// Single statements and statements of transactions that succeeded.
+    pub served: Counter,
+    /// Statements that failed.
+    pub failed: Counter,
+    /// Single reads that a replica answered.
+    pub reads_at_replicas: Counter,
+    /// Single reads that a primary answered.
+    pub reads_at_primaries: Counter,
+    /// Single reads that had to be answered by a primary, by their route.
+    pub reads_bound_to_primaries: Counter,
+    /// Reads that a replica refused because it was behind.
+    pub reads_behind: Counter,
+    /// Attempts beyond the first of a statement.
+    pub further_attempts: Counter,
+    /// Empty transactions that asked a primary for its position.
+    pub confirmations: Counter,
+}
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::counters::Counters;
+
 /// Lines written per second; further ones are counted.
 const LINES_PER_SECOND: u32 = 60;
 
@@ -98,6 +100,8 @@
         /// What it found or did.
         detail: String,
     },
+    /// What the process has done since its start.
+    Counters(&'a Counters),
     /// A statement was answered with a failure of the gateway's own, or only on a further attempt.
     StatementDecided {
         /// The caller's name for the attempt.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use crate::counters::Counters;
 use crate::event::{Event, EventLog};
 use crate::health::DatabaseState;
 use crate::membership::Membership;
@@ -77,6 +78,8 @@
     pub membership: Membership,
     /// The socket that nodes talk over, once it is bound.
     pub peers: RefCell<Option<Rc<Peers>>>,
+    /// What the process has done.
+    pub counters: Counters,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
     /// When the directory was last read as a whole.
@@ -106,6 +109,7 @@
             directory: RefCell::default(),
             membership: Membership::default(),
             peers: RefCell::default(),
+            counters: Counters::default(),
             sessions: Cell::new(0),
             listed: Cell::new(None),
             settling: Cell::new(false),
@@ -240,6 +244,7 @@
 
     /// Does what is due now and then.
     pub fn tidy(&self) {
+        self.events.write(&Event::Counters(&self.counters));
         let long_ago = self.now() - GONE_REMEMBERED;
         let forgotten = self.directory.borrow_mut().forget_gone_before(long_ago);
         if !forgotten.is_empty() {
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod confirm;
 mod connection;
+mod counters;
 mod event;
 mod failover;
 mod follow;
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -89,7 +89,7 @@
     ) -> Option<tokio::task::JoinHandle<Attempt>> {
         let (target, proof) = self.choose_read(request, tried).await?;
         tried.push(target.name.clone());
-        request.attempt();
+        request.attempt(self);
         let gateway = self.clone();
         let request = request.clone();
         Some(tokio::task::spawn_local(async move {
@@ -113,6 +113,7 @@
         let consistency = request.route.consistency;
         let need = consistency.need(request.arrived, request.connected, request.own_commit);
         let Some(need) = need else {
+            self.counters.reads_bound_to_primaries.add();
             let pause = Instant::now() + RETRY_PAUSE;
             let target = self.primary_by(group, pause.min(request.give_up())).await?;
             return Some((target, Proof::Leads));
@@ -204,11 +205,18 @@
         match &answer.end {
             Err(failure) if failure.kind.not_run() => {
                 if failure.kind == FailureKind::ReplicaBehind {
+                    self.counters.reads_behind.add();
                     target.state.was_behind(position);
                 }
                 Attempt::NotRun(failure.kind)
             }
-            _ => Attempt::Answered(answer),
+            _ => {
+                match target.leads {
+                    true => self.counters.reads_at_primaries.add(),
+                    false => self.counters.reads_at_replicas.add(),
+                }
+                Attempt::Answered(answer)
+            }
         }
     }
 
@@ -228,6 +236,7 @@
         });
         match failed {
             None => {
+                self.counters.reads_at_primaries.add();
                 self.observe(&target.group, answer.position, sent);
                 Attempt::Answered(answer)
             }
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -147,7 +147,10 @@
     }
 
     /// Counts an attempt at a database.
-    pub fn attempt(&self) {
+    pub fn attempt(&self, gateway: &Gateway) {
+        if self.attempts.get() > 0 {
+            gateway.counters.further_attempts.add();
+        }
         self.attempts.set(self.attempts.get() + 1);
     }
 
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -38,6 +38,7 @@
     let _ = stream.set_nodelay(true);
     set_silent_peer_limit(&stream);
     gateway.sessions.set(gateway.sessions.get() + 1);
+    gateway.counters.sessions.add();
     let mut caller = Caller {
         gateway: gateway.clone(),
         stream,
@@ -125,6 +126,11 @@
     }
 
     async fn answer(&mut self, served: Served, state: TransactionState) -> Option<()> {
+        let counters = &self.gateway.counters;
+        match served.end {
+            Ok(_) => counters.served.add(),
+            Err(_) => counters.failed.add(),
+        }
         let rows = match served.end.is_ok() {
             true => served.rows,
             false => Vec::new(),
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -166,7 +166,7 @@
 
     async fn send(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Option<Answer> {
         let bound = self.bound.as_mut()?;
-        request.attempt();
+        request.attempt(gateway);
         let connection = bound.checkout.connection();
         let (mut commands, name) = connection.adopt(&request.values, request.prepared());
         commands.push(request.command(name, None));
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -61,7 +61,7 @@
             .connection()
             .adopt(&request.values, request.prepared());
         commands.push(request.command(name, None));
-        request.attempt();
+        request.attempt(self);
         let sent = self.now();
         let answers = self.exchange(&mut checkout, target, &commands).await;
         let answer = match answers.map(|mut answers| answers.pop()) {
