--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -23,6 +23,27 @@
     pub primary_control: ServiceSettings,
     /// Bounds to keep.
     pub bounds: BoundSettings,
+    /// How reads are shared out.
+    #[serde(default)]
+    pub reads: ReadSettings,
+}
+
+/// How reads are shared out.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct ReadSettings {
+    /// Added to the latency expected of a primary when a read may go to a replica as well. The
+    /// greater it is, the more reads replicas serve, in the end those of other regions too, whose
+    /// traffic may be dear. In milliseconds.
+    pub primary_penalty_ms: f64,
+}
+
+impl Default for ReadSettings {
+    fn default() -> Self {
+        Self {
+            primary_penalty_ms: 70.0,
+        }
+    }
 }
 
 /// Who the node is.
@@ -135,6 +156,9 @@
         if !self.zones.is_empty() && !self.zones.contains_key(&self.node.zone) {
             return Err(format!("`node.zone` {} isn't in `zones`", self.node.zone));
         }
+        if !(0.0..=10_000.0).contains(&self.reads.primary_penalty_ms) {
+            return Err("`reads.primary_penalty_ms` must be from 0 to 10000".to_owned());
+        }
         if self.bounds.stop_s <= 0.0 {
             return Err("`bounds.stop_s` must be above 0".to_owned());
         }
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/target.rs
@@ -13,8 +13,6 @@
 
 /// Share of the drain bound for which a leaving primary still gets work when nobody succeeds it.
 const LEAVING_PRIMARY_SHARE: f64 = 0.6;
-/// Added to the estimate of a primary, which alone can serve writes.
-const PRIMARY_PENALTY_MS: f64 = 15.0;
 /// Added to the estimate of a database in another region, whose traffic is dear.
 const REGION_PENALTY_MS: f64 = 25.0;
 /// How often a group without a known primary is searched for one.
@@ -90,7 +88,7 @@
             .state
             .latency_estimate(expected, member.announcement.slots);
         if target.leads {
-            rank += PRIMARY_PENALTY_MS;
+            rank += self.settings.reads.primary_penalty_ms;
         }
         if self.distance(member) == Distance::OtherRegion {
             rank += REGION_PENALTY_MS;
