Probe a suspected primary at once, and let what a probe found answer votes

Cause: a probe was skipped when the database had answered within 200 ms, so a crash was noticed only after the next failure; and the nodes probed one after the other, first for themselves, then for the poll. Ruled out: the poll itself (0.05 s when every node is refused). Change: a probe always dials, answers that come meanwhile count; a probe that failed less than 0.4 s ago answers a poll at once.

--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -25,9 +25,9 @@
 /// Longest time that a confirmation may take.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 /// Longest time that a probe may take.
-pub const PROBE_LIMIT: Duration = Duration::from_millis(350);
-/// An answer this recent makes a probe needless.
-const RECENT_ANSWER: Duration = Duration::from_millis(200);
+pub const PROBE_LIMIT: Duration = Duration::from_millis(300);
+/// How long a probe that failed answers further questions.
+const EVIDENCE_HOLDS: Duration = Duration::from_millis(400);
 /// Pause between two probes of a primary that doesn't answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Probes in a row.
@@ -182,12 +182,18 @@
         self.membership.attention.notify_one();
     }
 
-    /// What this node sees of a database right now.
-    pub async fn probe(self: &Rc<Self>, target: &Target) -> Evidence {
-        let relayed = target.state.pool.is_relayed();
-        if !relayed && target.state.answered_within(RECENT_ANSWER) {
-            return Evidence::Answered;
+    /// What this node sees of a database: as it has just found out, or by a new probe.
+    pub async fn evidence_of(self: &Rc<Self>, target: &Target) -> Evidence {
+        match target.state.recent_failure(EVIDENCE_HOLDS) {
+            Some(evidence) => evidence,
+            None => self.probe(target).await,
         }
+    }
+
+    /// Probes a database on a new connection of its own. An answer to anything else that comes
+    /// meanwhile counts as well, as a busy database may be slow to open connections.
+    async fn probe(self: &Rc<Self>, target: &Target) -> Evidence {
+        let began = Instant::now();
         let dialled = Connection::open(
             self.database_protocol.clone(),
             Route::Direct(target.state.pool.address()),
@@ -195,7 +201,7 @@
             &target.name,
             PROBE_LIMIT,
         );
-        let answered = match dialled.await {
+        let seen = match dialled.await {
             Ok(_) => Evidence::Answered,
             Err(OpenError::TurnedAway(failure)) if failure.kind != FailureKind::WrongDatabase => {
                 Evidence::Answered
@@ -203,10 +209,13 @@
             Err(OpenError::Refused | OpenError::TurnedAway(_)) => Evidence::Refused,
             Err(OpenError::Silent) => Evidence::Silent,
         };
-        if !relayed && target.state.answered_within(PROBE_LIMIT) {
-            return Evidence::Answered;
-        }
-        answered
+        let relayed = target.state.pool.is_relayed();
+        let evidence = match !relayed && target.state.answered_since(began) {
+            true => Evidence::Answered,
+            false => seen,
+        };
+        target.state.probed_as(evidence);
+        evidence
     }
 
     /// Probes a primary that failed this node, and reports it for as long as it doesn't answer.
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -24,7 +24,7 @@
 /// How often the holder of the duty looks at all groups without being told to.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 /// How long votes are waited for.
-const VOTES_LIMIT: Duration = Duration::from_millis(450);
+const VOTES_LIMIT: Duration = Duration::from_millis(400);
 /// A suspicion that lasts this long needs fewer votes.
 const PROLONGED: Duration = Duration::from_millis(2_500);
 /// How long a database may take to tell its status.
@@ -199,7 +199,7 @@
             ..PollResult::default()
         };
         let until = Instant::now() + VOTES_LIMIT;
-        let own = self.gateway.probe(primary);
+        let own = self.gateway.evidence_of(primary);
         tokio::pin!(own);
         let mut own_known = false;
         let membership = &self.gateway.membership;
--- a/crates/dyketally-gateway/src/health.rs
+++ b/crates/dyketally-gateway/src/health.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::failover::Evidence;
 use dyketally::group::LogPosition;
 use tokio::time::Instant;
 
@@ -29,6 +30,7 @@
     latency_ms: Cell<f64>,
     sampled: Cell<Instant>,
     answered: Cell<Option<Instant>>,
+    evidence: Cell<Option<(Evidence, Instant)>>,
     suspended: Cell<Option<Instant>>,
     behind: Cell<Option<(LogPosition, Instant)>>,
 }
@@ -43,6 +45,7 @@
             latency_ms: Cell::new(expected_ms),
             sampled: Cell::new(Instant::now()),
             answered: Cell::new(None),
+            evidence: Cell::new(None),
             suspended: Cell::new(None),
             behind: Cell::new(None),
         })
@@ -82,9 +85,21 @@
         behind.is_some_and(|(lacked, at)| lacked <= needed && at.elapsed() < BEHIND)
     }
 
-    /// True when it answered within `age`.
-    pub fn answered_within(&self, age: Duration) -> bool {
-        self.answered.get().is_some_and(|at| at.elapsed() < age)
+    /// True when it answered since `time`.
+    pub fn answered_since(&self, time: Instant) -> bool {
+        self.answered.get().is_some_and(|at| at >= time)
+    }
+
+    /// Takes in what a probe found.
+    pub fn probed_as(&self, evidence: Evidence) {
+        self.evidence.set(Some((evidence, Instant::now())));
+    }
+
+    /// What a probe within `age` found, if it failed and nothing was answered since.
+    pub fn recent_failure(&self, age: Duration) -> Option<Evidence> {
+        let (evidence, at) = self.evidence.get()?;
+        let failed = evidence != Evidence::Answered && !self.answered_since(at);
+        (failed && at.elapsed() < age).then_some(evidence)
     }
 
     /// The latency to expect of one more statement, in milliseconds; `expected_ms` is what it is
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -212,7 +212,7 @@
         database: &DatabaseName,
     ) -> Option<Evidence> {
         let target = self.known_target(group, database)?;
-        Some(self.probe(&target).await)
+        Some(self.evidence_of(&target).await)
     }
 
     fn known_target(&self, group: &GroupName, database: &DatabaseName) -> Option<Target> {
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -17,7 +17,7 @@
 /// Pause before a statement that was not run is sent again.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(25);
 /// Silence after which a primary is probed while a statement goes on waiting for it.
-const SILENCE: Duration = Duration::from_millis(250);
+const SILENCE: Duration = Duration::from_millis(200);
 
 /// What became of one attempt.
 pub enum Attempt {
