--- a/crates/dyketally-cli/src/command_line.rs
+++ b/crates/dyketally-cli/src/command_line.rs
@@ -65,6 +65,14 @@
     Group(GroupCommand),
     /// Shows the state of nodes
     Status(StatusArguments),
+    /// Shows from logs of gateways what settled a request
+    Explain {
+        /// The request's id, as the caller sent it
+        id: String,
+        /// Logs to search; a log of several processes has each one's name before the object
+        #[arg(long = "log", required = true, num_args = 1..)]
+        logs: Vec<PathBuf>,
+    },
     /// Prints a completion script for a shell
     Completions {
         /// The shell
--- a/crates/dyketally-cli/src/failure.rs
+++ b/crates/dyketally-cli/src/failure.rs
@@ -28,6 +28,15 @@
         /// The operating system's error.
         cause: std::io::Error,
     },
+    /// No log names the request.
+    #[error(
+        "no log names request {id:?}; pass the logs of all nodes, and mind that ordinary successes \
+         are not logged and that lines may have been dropped"
+    )]
+    NotInLogs {
+        /// The request's id.
+        id: String,
+    },
     /// There is no document of that name.
     #[error("there is no {kind} {name:?} at revision {}; there are: {known}", revision.0)]
     NotFound {
@@ -133,6 +142,7 @@
             | Failure::Change(_)
             | Failure::File { .. }
             | Failure::NotFound { .. }
+            | Failure::NotInLogs { .. }
             | Failure::Output(_) => ExitStatus::CheckFailed,
             Failure::NoService | Failure::MalformedUrl { .. } => ExitStatus::Usage,
             Failure::Conflict { .. } | Failure::ServiceBehind { .. } => ExitStatus::Conflict,
--- a/crates/dyketally-cli/src/lib.rs
+++ b/crates/dyketally-cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command_line;
 mod document_file;
 mod exit_status;
+mod explain;
 mod failure;
 mod history;
 mod listing;
--- a/crates/dyketally-cli/src/run.rs
+++ b/crates/dyketally-cli/src/run.rs
@@ -14,7 +14,7 @@
 };
 use crate::failure::Failure;
 use crate::output::Output;
-use crate::{check, history, listing, publish, show, status};
+use crate::{check, explain, history, listing, publish, show, status};
 
 /// Carries out the command and prints to `writer`.
 pub async fn run(
@@ -31,6 +31,7 @@
         Command::Tenant(command) => run_tenant(command, options, &mut output).await,
         Command::Group(command) => run_group(command, options, &mut output).await,
         Command::Status(arguments) => status::status(&arguments.nodes, &mut output).await,
+        Command::Explain { id, logs } => explain::explain(id, logs, &mut output),
         Command::Completions { shell } => {
             let mut command = CommandLine::command();
             clap_complete::generate(*shell, &mut command, "dyketally", &mut output.writer);
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -13,12 +13,13 @@
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
-use crate::confirm::{Confirmation, PROBE_LIMIT};
+use crate::confirm::Confirmation;
 use crate::event::Event;
 use crate::gateway::Gateway;
 use crate::membership::{Duty, Member};
 use crate::peer::{PeerMessage, Peers, Vote};
 use crate::ports::{Appointment, OwnStatement, PrimaryControl};
+use crate::probe::PROBE_LIMIT;
 use crate::target::Target;
 
 /// How often the holder of the duty looks at all groups without being told to.
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod pool;
 pub mod ports;
+mod probe;
 mod read;
 mod readiness;
 mod relay;
