Reset a connection that isn't as was believed

Cause: a connection whose prepared statements were lost was given back as if it had them, and each further use failed. Change: when what was sent ahead of a statement fails, or a prepared statement is unknown, the connection is reset before its next use.

--- a/crates/dyketally-gateway/src/connection.rs
+++ b/crates/dyketally-gateway/src/connection.rs
@@ -259,6 +259,20 @@
         name
     }
 
+    /// Checks the answers to `adopted` commands of [`Connection::adopt`] and the statement behind
+    /// them: a connection that isn't as was believed is reset before its next use.
+    pub fn check_adoption(&mut self, answers: &[Answer], adopted: usize) {
+        let adoption = answers.iter().take(adopted);
+        let failed = adoption.filter(|answer| answer.end.is_err()).count() > 0;
+        let mut statements = answers.iter().skip(adopted);
+        let unknown = statements.any(|answer| {
+            matches!(&answer.end, Err(failure) if failure.kind == FailureKind::UnknownPrepared)
+        });
+        if failed || unknown {
+            self.require_reset();
+        }
+    }
+
     /// Forgets what values the connection has: it is reset before its next use.
     pub fn require_reset(&mut self) {
         self.must_reset = true;
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -179,6 +179,7 @@
             Ok(answers) => answers,
             Err(broken) => return Attempt::Lost(broken),
         };
+        checkout.connection().check_adoption(&answers, statement);
         let idle = answers.last().map(|answer| answer.state) == Some(TransactionState::Idle);
         if idle {
             checkout.give_back();
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -169,10 +169,16 @@
         request.attempt(gateway);
         let connection = bound.checkout.connection();
         let (mut commands, name) = connection.adopt(&request.values, request.prepared());
+        let adopted = commands.len();
         commands.push(request.command(name, None));
         let sent = gateway.now();
         let exchange = gateway.exchange(&mut bound.checkout, &bound.target, &commands);
-        let answer = exchange.await.ok()?.pop()?;
+        let mut answers = exchange.await.ok()?;
+        bound
+            .checkout
+            .connection()
+            .check_adoption(&answers, adopted);
+        let answer = answers.pop()?;
         if bound.leads && answer.end.is_ok() {
             gateway.observe(&bound.target.group, answer.position, sent);
         }
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -60,10 +60,14 @@
         let (mut commands, name) = checkout
             .connection()
             .adopt(&request.values, request.prepared());
+        let adopted = commands.len();
         commands.push(request.command(name, None));
         request.attempt(self);
         let sent = self.now();
         let answers = self.exchange(&mut checkout, target, &commands).await;
+        if let Ok(answers) = &answers {
+            checkout.connection().check_adoption(answers, adopted);
+        }
         let answer = match answers.map(|mut answers| answers.pop()) {
             Ok(Some(answer)) => answer,
             Ok(None) => return Attempt::NotRun(FailureKind::Other),
