Tell a write that never got a connection that it has not run

Cause: opening a connection could outlast the statement's deadline; the statement was then answered as timed out, which callers may not repeat, though it had never been sent. Ruled out: other ways to a time-out without an attempt (none found for writes). Change: opening a connection ends when the statement is given up. The test fails without it.

--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -146,7 +146,7 @@
                 return Ok(Checkout::new(self.clone(), connection));
             }
             if self.open.get() < self.effective_limit() {
-                return self.open_one().await;
+                return self.open_one(until).await;
             }
             self.wait(priority, until).await?;
         }
@@ -167,14 +167,15 @@
         }
     }
 
-    async fn open_one(self: &Rc<Self>) -> Result<Checkout, CheckoutError> {
+    async fn open_one(self: &Rc<Self>, until: Instant) -> Result<Checkout, CheckoutError> {
+        let left = until.saturating_duration_since(Instant::now());
         let slot = OpenSlot::take(self);
         let connection = Connection::open(
             self.protocol.clone(),
             self.route(),
             &self.group,
             &self.database,
-            OPEN_LIMIT,
+            OPEN_LIMIT.min(left),
         );
         match connection.await {
             Ok(connection) => {
@@ -187,7 +188,11 @@
                     let size = self.open.get().saturating_sub(1);
                     self.refused.set(Some((size, Instant::now())));
                 }
-                Err(error.into())
+                // Too little time was left to tell whether the database is silent.
+                match (error, left < OPEN_LIMIT) {
+                    (OpenError::Silent, true) => Err(CheckoutError::Exhausted),
+                    (error, _) => Err(error.into()),
+                }
             }
         }
     }
