Say in the log why a transaction was given up, and that SIGHUP came

Cause: explaining ten failed requests from their logs left transactions with one reason for all. Change: the reason names what the database did; SIGHUP gets a line of its own.

--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -20,6 +20,11 @@
         /// The node.
         node: &'a str,
     },
+    /// The process was told that its settings changed.
+    SettingsChanged {
+        /// What comes of it.
+        effect: &'a str,
+    },
     /// The process was asked to stop.
     Stopping {
         /// Sessions that are open.
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -95,7 +95,9 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => {}
+            _ = hangup.recv() => gateway.events.write(&Event::SettingsChanged {
+                effect: "the settings in force stay; restart the process to apply the file",
+            }),
         }
     }
     stop(&gateway, &member, accepting).await;
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -81,10 +81,10 @@
             false => self.run_first(gateway, request).await,
         };
         self.wrote |= access == Access::Write;
-        let Ok(answer) = served else {
-            return self.give_up(gateway, request);
-        };
-        self.settle(gateway, request, answer)
+        match served {
+            Ok(answer) => self.settle(gateway, request, answer),
+            Err(reason) => self.give_up(gateway, request, reason),
+        }
     }
 
     /// Ends the transaction and keeps its writes.
@@ -145,14 +145,22 @@
         tokio::task::spawn_local(roll_back(bound.checkout, must_reset));
     }
 
-    async fn run_bound(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Result<Answer, ()> {
+    async fn run_bound(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+    ) -> Result<Answer, &'static str> {
         loop {
             let sending = self.send(gateway, request);
             let answer = match tokio::time::timeout_at(request.deadline, sending).await {
                 Ok(Some(answer)) => answer,
-                Ok(None) | Err(_) => {
+                Ok(None) => {
+                    self.bound = None;
+                    return Err("the transaction's connection broke");
+                }
+                Err(_) => {
                     self.bound = None;
-                    return Err(());
+                    return Err("the transaction's database stayed silent");
                 }
             };
             let busy = matches!(&answer.end, Err(failure) if failure.kind == FailureKind::Busy);
@@ -188,7 +196,11 @@
     /// Finds a database for the transaction and runs its first statement there. Nothing of the
     /// transaction is kept anywhere before it commits, so a first statement that was lost is
     /// simply run in a new transaction.
-    async fn run_first(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Result<Answer, ()> {
+    async fn run_first(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+    ) -> Result<Answer, &'static str> {
         let mut passed_over = Vec::new();
         loop {
             let first = self.try_first(gateway, request, &mut passed_over);
@@ -197,11 +209,11 @@
                 Ok(First::NotRun | First::Lost) => self.drop_bound(),
                 Err(_) => {
                     self.bound = None;
-                    return Err(());
+                    return Err("the transaction's first statement got no answer in time");
                 }
             }
             if Instant::now() + RETRY_PAUSE >= request.give_up() {
-                return Err(());
+                return Err("no database took the transaction in time");
             }
             gateway.next_change(Instant::now() + RETRY_PAUSE).await;
         }
@@ -314,7 +326,8 @@
                 {
                     gateway.follows(&bound.target);
                 }
-                self.give_up(gateway, request)
+                let reason = format!("the transaction's database answered {:?}", failure.kind);
+                self.give_up(gateway, request, &reason)
             }
             (Err(_), _) => {
                 self.failed = true;
@@ -324,15 +337,20 @@
                     state: TransactionState::Failed,
                 }
             }
-            (Ok(_), _) => self.give_up(gateway, request),
+            (Ok(_), _) => self.give_up(gateway, request, "the transaction ended by itself"),
         }
     }
 
-    fn give_up(&mut self, gateway: &Rc<Gateway>, request: &Request) -> TransactionAnswer {
+    fn give_up(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+        reason: &str,
+    ) -> TransactionAnswer {
         self.failed = true;
         self.drop_bound();
         let served = aborted();
-        request.log(gateway, &served, "the transaction could not go on");
+        request.log(gateway, &served, reason);
         TransactionAnswer {
             served,
             state: TransactionState::Failed,
