Choose the next database for reads and transactions in one place

Cause: the choice of the first database that wasn't tried stood twice, in read.rs and transaction.rs. Change: Gateway::first_untried serves both; behaviour stays as it is.

--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -120,7 +120,7 @@
         };
         let state = self.group(group);
         let known = need.position(&state.observations.borrow());
-        let first = self.first_untried(request, known, tried)?;
+        let first = self.first_untried(group, known, tried)?;
         if let Some(position) = known {
             return Some((first, Proof::Holds(position)));
         }
@@ -137,21 +137,6 @@
         Some((primary, Proof::Leads))
     }
 
-    fn first_untried(
-        &self,
-        request: &Request,
-        needed: Option<LogPosition>,
-        tried: &mut Vec<DatabaseName>,
-    ) -> Option<Target> {
-        let targets = self.read_targets(&request.route.group, needed);
-        let untried = targets.iter().find(|target| !tried.contains(&target.name));
-        if let Some(untried) = untried {
-            return Some(untried.clone());
-        }
-        tried.clear();
-        targets.into_iter().next()
-    }
-
     async fn read_once(
         self: &Rc<Self>,
         request: &Request,
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/target.rs
@@ -82,6 +82,22 @@
         ranked.into_iter().map(|(_, target)| target).collect()
     }
 
+    /// The best database that wasn't tried; once all were, the best of all, and `tried` begins anew.
+    pub fn first_untried(
+        &self,
+        group: &GroupName,
+        needed: Option<LogPosition>,
+        tried: &mut Vec<DatabaseName>,
+    ) -> Option<Target> {
+        let targets = self.read_targets(group, needed);
+        let untried = targets.iter().find(|target| !tried.contains(&target.name));
+        if let Some(untried) = untried {
+            return Some(untried.clone());
+        }
+        tried.clear();
+        targets.into_iter().next()
+    }
+
     fn rank(&self, member: &Member, target: &Target, needed: Option<LogPosition>) -> f64 {
         let expected = self.expected_latency(member);
         let mut rank = target
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -295,17 +295,8 @@
             asked.await?;
             position = need.position(&state.observations.borrow());
         }
-        let targets = gateway.read_targets(group, position);
-        let mut fresh = targets
-            .iter()
-            .filter(|target| !passed_over.contains(&target.name));
-        match fresh.next() {
-            Some(target) => Some((target.clone(), position)),
-            None => {
-                passed_over.clear();
-                targets.into_iter().next().map(|target| (target, position))
-            }
-        }
+        let target = gateway.first_untried(group, position, passed_over)?;
+        Some((target, position))
     }
 
     fn settle(
