--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,11 @@
 # Names of the tests in KNOWN-RED.txt, first word of each line: passed over, and printed by CI.
 KNOWN_RED := $(shell test -f KNOWN-RED.txt && awk 'NF {print "--skip " $$1}' KNOWN-RED.txt)
 
-.PHONY: build test demo faults faults-short fuzz load
+# Days of our own on the users' bench, where FLEETBENCH names its program and SITE a site file.
+bench-days:
+	for day in bench/days/*.toml; do $(FLEETBENCH) run $(SITE) $$day | grep -E "^[a-z-]+ +[0-9]+/"; done
+
+.PHONY: build test demo demo-platform bench-days faults faults-short fuzz load
 
 # All programs, for development.
 build:
@@ -20,6 +24,10 @@
 demo: build
 	target/debug/dyketally-lab demo
 
+# The gateway's real processes among stand-ins of the users' platform.
+demo-platform: build
+	$(CARGO) test -p dyketally-platform --test path --test faults
+
 # Faults on real processes, judged by the history checker. Logs go to target/faults.
 faults: build
 	target/debug/dyketally-lab faults
