Compare processes, not counts, when the scale run waits for agreement

Cause: Fleet::agrees compared the number of live nodes with the number that run. Ruled out: lost news in the membership itself; a greater start time always emits Joined. Change: agreement compares the start time of each live process, and the phases wait for the notices they report, with the same patience.

--- a/crates/dyketally-lab/src/scale/fleet.rs
+++ b/crates/dyketally-lab/src/scale/fleet.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant};
 
 use dyketally::configuration::{DocumentEdit, PublishOutcome, PublisherSettings, UnixMillis};
+use dyketally::identifiers::NodeName;
+use dyketally::membership::Member;
 use dyketally::policy::Revision;
 use dyketally_proxy::peers::PeersHandle;
 use dyketally_proxy::stores::memory::MemoryStore;
@@ -27,6 +29,16 @@
 /// Membership of all running nodes, by number; shared with the sampler of traffic.
 pub type Registry = Arc<Mutex<BTreeMap<usize, PeersHandle>>>;
 
+/// When the live process of each node was started.
+pub type Processes = BTreeMap<NodeName, u64>;
+
+/// The processes that `members` holds live.
+pub fn live_processes(members: &[Member]) -> Processes {
+    let live = members.iter().filter(|member| member.state.is_live());
+    let described = live.map(|member| (member.node.clone(), member.incarnation.started));
+    described.collect()
+}
+
 /// All hollow nodes of a run.
 #[derive(Debug)]
 pub struct Fleet {
@@ -155,11 +167,16 @@
         None
     }
 
-    /// True when each node holds exactly the running nodes live.
+    /// True when each node holds exactly the running processes live. A node that hasn't heard
+    /// that a process was replaced still holds as many nodes live, but not the same processes.
     pub fn agrees(&self) -> bool {
-        let count = self.nodes.len();
-        let knows_all = |node: &HollowNode| node.peers.view().live.nodes().len() == count;
-        self.nodes.values().all(knows_all)
+        let running: Processes = self
+            .nodes
+            .values()
+            .filter_map(HollowNode::process)
+            .collect();
+        let knows_all = |node: &HollowNode| live_processes(&node.peers.view().members) == running;
+        running.len() == self.nodes.len() && self.nodes.values().all(knows_all)
     }
 
     /// True when the newest revision is in force at each node.
--- a/crates/dyketally-lab/src/scale/hollow.rs
+++ b/crates/dyketally-lab/src/scale/hollow.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use dyketally::configuration::sync::SyncSettings;
+use dyketally::identifiers::NodeName;
 use dyketally::membership::Event;
 use dyketally_proxy::link::serve_pulls;
 use dyketally_proxy::peers::{Carrier, Peers, PeersHandle, PeersSettings};
@@ -106,6 +107,13 @@
         })
     }
 
+    /// Its name and when its process was started.
+    pub fn process(&self) -> Option<(NodeName, u64)> {
+        let node = node_name(self.number);
+        let started = self.peers.view().member(&node)?.incarnation.started;
+        Some((node, started))
+    }
+
     /// Ends the node as a crash would.
     pub async fn kill(self) {
         self.peers.stop().await;
--- a/crates/dyketally-lab/src/scale/mod.rs
+++ b/crates/dyketally-lab/src/scale/mod.rs
@@ -21,7 +21,7 @@
 use clap::ValueEnum;
 use eyre::{WrapErr, ensure};
 
-pub use fleet::Fleet;
+pub use fleet::{Fleet, Processes, live_processes};
 pub use layout::{REGIONS, ZONES, node_name, zone};
 pub use result::{Moved, Phase, RunResult, Spread, Timing};
 
--- a/crates/dyketally-lab/src/scale/phases/failures.rs
+++ b/crates/dyketally-lab/src/scale/phases/failures.rs
@@ -34,6 +34,8 @@
         tokio::time::sleep(BETWEEN_DEATHS).await;
     }
     fleet.wait_until(PATIENCE, Fleet::agrees).await;
+    let noticed = |fleet: &Fleet| times_of_death(fleet, &killed).missing == 0;
+    fleet.wait_until(PATIENCE, noticed).await;
     Ok(vec![times_of_death(fleet, &killed)])
 }
 
@@ -50,20 +52,9 @@
         tokio::time::sleep(BETWEEN_REPLACEMENTS).await;
     }
     fleet.wait_until(PATIENCE, Fleet::agrees).await;
-    let mut times = Vec::new();
-    for (victim, at) in started {
-        let joined = Notice::Membership(Event::Joined(node_name(victim)));
-        let mut observers = fleet.numbers();
-        observers.retain(|observer| !victims.contains(observer));
-        let seen = fleet
-            .observations()
-            .first_times(at, &observers, |it| *it == joined);
-        times.extend(seen);
-    }
-    Ok(vec![Timing::of(
-        "start of a new process until known",
-        &times,
-    )])
+    let noticed = |fleet: &Fleet| times_of_joining(fleet, &started).missing == 0;
+    fleet.wait_until(PATIENCE, noticed).await;
+    Ok(vec![times_of_joining(fleet, &started)])
 }
 
 /// Kills all nodes of a zone at once, then starts them again.
@@ -136,3 +127,17 @@
     }
     Timing::of("death until known", &times)
 }
+
+fn times_of_joining(fleet: &Fleet, started: &[(usize, Instant)]) -> Timing {
+    let mut observers = fleet.numbers();
+    observers.retain(|observer| started.iter().all(|(victim, _)| victim != observer));
+    let mut times = Vec::new();
+    for (victim, at) in started {
+        let joined = Notice::Membership(Event::Joined(node_name(*victim)));
+        let seen = fleet
+            .observations()
+            .first_times(*at, &observers, |it| *it == joined);
+        times.extend(seen);
+    }
+    Timing::of("start of a new process until known", &times)
+}
--- a/crates/dyketally-lab/tests/scale.rs
+++ b/crates/dyketally-lab/tests/scale.rs
@@ -1,6 +1,10 @@
 //! A small scale run, so that the tool itself stays whole.
 
-use dyketally_lab::scale::{Arguments, Part, run_fleet};
+use dyketally::membership::{Addresses, Incarnation, Member, MemberState};
+use dyketally::policy::Revision;
+use dyketally_lab::scale::{
+    Arguments, Part, Processes, live_processes, node_name, run_fleet, zone,
+};
 use rstest::rstest;
 
 fn arguments(part: Part) -> Arguments {
@@ -41,3 +45,41 @@
     let error = run_fleet(&arguments).await.expect_err("refused");
     assert!(error.to_string().contains("at least 12"), "{error}");
 }
+
+fn member(number: usize, started: u64, state: MemberState) -> Member {
+    let address = ([127, 0, 0, 1], 1).into();
+    Member {
+        node: node_name(number),
+        incarnation: Incarnation::of_start(started),
+        locality: zone(number),
+        addresses: Addresses {
+            membership: address,
+            peers: address,
+            admin: address,
+        },
+        weight: 100,
+        leaving: false,
+        state,
+        revision: Revision::default(),
+    }
+}
+
+/// A view that holds a replaced process live holds as many nodes live as are running, but not the
+/// processes that run.
+#[rstest]
+#[case::up_to_date(&[(0, 1, MemberState::Alive), (1, 5, MemberState::Alive)], true)]
+#[case::former_process(&[(0, 1, MemberState::Alive), (1, 2, MemberState::Alive)], false)]
+#[case::former_process_suspected(&[(0, 1, MemberState::Alive), (1, 2, MemberState::Suspect)], false)]
+#[case::suspected(&[(0, 1, MemberState::Alive), (1, 5, MemberState::Suspect)], true)]
+#[case::held_dead(&[(0, 1, MemberState::Alive), (1, 5, MemberState::Dead)], false)]
+fn a_view_agrees_only_with_the_running_processes(
+    #[case] view: &[(usize, u64, MemberState)],
+    #[case] agrees: bool,
+) {
+    let running = Processes::from([(node_name(0), 1), (node_name(1), 5)]);
+    let members = view
+        .iter()
+        .map(|(number, started, state)| member(*number, *started, *state));
+    let members: Vec<_> = members.collect();
+    assert_eq!(live_processes(&members) == running, agrees);
+}
