--- /dev/null
+++ b/crates/dyketally-gateway/src/batch.rs
@@ -0,0 +1,120 @@
+//! What is sent to a database on one connection in one go, whoever holds the connection.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use dyketally::group::LogPosition;
+use dyketally::statement::PreparedStatement;
+use serde::{Deserialize, Serialize};
+
+use crate::ports::{DatabaseCommand, OwnStatement};
+
+/// What the connection must know of a session before its statements run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionContext {
+    /// The session's values.
+    pub values: BTreeMap<String, String>,
+    /// A statement that must be prepared.
+    pub prepared: Option<PreparedStatement>,
+}
+
+/// One statement of a batch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Step {
+    /// One of the gateway's own.
+    Own(OwnStatement),
+    /// A caller's statement with its text unchanged, on a log that holds `after`.
+    Run {
+        /// The caller's name for the attempt.
+        id: Bytes,
+        /// The text.
+        text: Bytes,
+        /// The position that the log must hold.
+        after: Option<LogPosition>,
+    },
+    /// The context's prepared statement, on a log that holds `after`.
+    Execute {
+        /// The caller's name for the attempt.
+        id: Bytes,
+        /// The caller's arguments.
+        arguments: String,
+        /// The position that the log must hold.
+        after: Option<LogPosition>,
+    },
+}
+
+impl Step {
+    /// The command, where `name` is the connection's name for the prepared statement.
+    pub fn command(&self, name: &str) -> DatabaseCommand {
+        match self.clone() {
+            Step::Own(statement) => DatabaseCommand::Own(statement),
+            Step::Run { id, text, after } => DatabaseCommand::Run { id, text, after },
+            Step::Execute {
+                id,
+                arguments,
+                after,
+            } => DatabaseCommand::Execute {
+                id,
+                name: name.to_owned(),
+                arguments,
+                after,
+            },
+        }
+    }
+}
+
+/// How the steps of a batch follow each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Flow {
+    /// All in one flush; each runs whatever became of the others.
+    Together,
+    /// One after the other, up to the first that fails.
+    UntilFailure,
+}
+
+/// When the connection's values are uncertain after a batch, so that it is reset before its next
+/// use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reset {
+    /// Never.
+    Never,
+    /// After a step that failed.
+    AfterFailure,
+    /// In any case.
+    Always,
+}
+
+/// Steps for one connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// What the connection must know; `None` when it doesn't matter.
+    pub context: Option<SessionContext>,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// How they follow each other.
+    pub flow: Flow,
+    /// When the connection is reset afterwards.
+    pub reset: Reset,
+}
+
+impl Batch {
+    /// Statements of the gateway's own, for which no session's context matters.
+    pub fn own(statements: impl IntoIterator<Item = OwnStatement>) -> Self {
+        Self {
+            context: None,
+            steps: statements.into_iter().map(Step::Own).collect(),
+            flow: Flow::Together,
+            reset: Reset::Never,
+        }
+    }
+
+    /// Steps of a session.
+    pub fn of(context: SessionContext, steps: Vec<Step>) -> Self {
+        Self {
+            context: Some(context),
+            steps,
+            flow: Flow::Together,
+            reset: Reset::Never,
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -0,0 +1,204 @@
+//! A connection to a database for one exchange or one transaction: of this node's own pool, or kept
+//! by a home.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::statement::{FailureKind, TransactionState};
+use tokio::time::Instant;
+
+use crate::batch::{Batch, Reset};
+use crate::connection::{Answer, Broken, OpenError};
+use crate::gateway::Gateway;
+use crate::health::InFlight;
+use crate::homes::Reach;
+use crate::link::{CallError, HomeCall};
+use crate::pool::{self, CheckoutError};
+use crate::ports::OwnStatement;
+use crate::target::Target;
+
+/// Silence after which a primary is probed while a statement goes on waiting for it.
+const SILENCE: Duration = Duration::from_millis(200);
+/// Longest time that dropping a transaction may take before its connection is closed instead.
+const ROLLBACK_LIMIT: Duration = Duration::from_secs(2);
+
+/// Rank and patience of whoever wants a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// Rank under scarcity; 0 goes first.
+    pub priority: u32,
+    /// How long it may wait.
+    pub until: Instant,
+}
+
+/// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
+pub enum Checkout {
+    /// Of this node's own pool.
+    Own(pool::Checkout),
+    /// At a home, which hands it out with the first batch.
+    Remote(HomeCall),
+}
+
+impl Checkout {
+    /// Returns the connection for others to use. It must be outside any transaction.
+    pub fn give_back(self) {
+        match self {
+            Self::Own(checkout) => checkout.give_back(),
+            Self::Remote(call) => call.give_back(),
+        }
+    }
+
+    /// Drops the transaction that is open on the connection, in the background, and returns it.
+    pub fn roll_back(self, reset: Reset) {
+        let mut checkout = self;
+        tokio::task::spawn_local(async move {
+            let mut batch = Batch::own([OwnStatement::Rollback]);
+            batch.reset = reset;
+            let rolled_back = tokio::time::timeout(ROLLBACK_LIMIT, checkout.run(&batch)).await;
+            let Ok(Ok(answers)) = rolled_back else {
+                return;
+            };
+            let last = answers.last().map(|answer| answer.state);
+            if last == Some(TransactionState::Idle) {
+                checkout.give_back();
+            }
+        });
+    }
+
+    async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, CallError> {
+        match self {
+            Self::Own(checkout) => {
+                let run = checkout.connection().run(batch);
+                run.await.map_err(CallError::DatabaseBroke)
+            }
+            Self::Remote(call) => call.run(batch).await,
+        }
+    }
+}
+
+/// Why a batch has no answers.
+#[derive(Clone, Debug)]
+pub enum Unanswered {
+    /// No step was run.
+    NotRun(FailureKind),
+    /// It was sent, and any step may have run.
+    Lost(Broken),
+}
+
+impl Gateway {
+    /// A connection to `target`, or why there is none.
+    pub async fn checkout_for(
+        self: &Rc<Self>,
+        target: &Target,
+        values: &BTreeMap<String, String>,
+        claim: Claim,
+    ) -> Result<Checkout, FailureKind> {
+        match self.reach(&target.name) {
+            Reach::Via(homes) => {
+                let call = HomeCall::new(self.clone(), target.name.clone(), homes, claim);
+                Ok(Checkout::Remote(call))
+            }
+            Reach::Own => {
+                let checkout = self.own_checkout(target, values, claim);
+                Ok(Checkout::Own(
+                    checkout.await.map_err(|refusal| refusal.kind)?,
+                ))
+            }
+        }
+    }
+
+    /// A connection of this node's own to `target`, or why there is none.
+    pub async fn own_checkout(
+        self: &Rc<Self>,
+        target: &Target,
+        values: &BTreeMap<String, String>,
+        claim: Claim,
+    ) -> Result<pool::Checkout, Refusal> {
+        let pool = &target.state.pool;
+        let checkout = pool.checkout(values, claim.priority, claim.until);
+        checkout.await.map_err(|error| {
+            let (kind, unreachable) = match error {
+                CheckoutError::Exhausted => (FailureKind::Busy, false),
+                CheckoutError::Open(OpenError::TurnedAway(failure)) => {
+                    (failure.kind, failure.kind == FailureKind::WrongDatabase)
+                }
+                CheckoutError::Open(OpenError::Refused | OpenError::Silent) => {
+                    (FailureKind::Busy, true)
+                }
+            };
+            if unreachable {
+                self.unreachable(target);
+            }
+            Refusal { kind, unreachable }
+        })
+    }
+
+    /// Takes in that `target` can't be reached.
+    pub fn unreachable(self: &Rc<Self>, target: &Target) {
+        target.state.failed();
+        self.suspect_primary(target);
+    }
+
+    /// Runs a batch at `target` and reads the answers; probes it if it stays silent.
+    ///
+    /// # Errors
+    /// There are no answers; tells whether anything may have run.
+    pub async fn exchange(
+        self: &Rc<Self>,
+        checkout: &mut Checkout,
+        target: &Target,
+        batch: &Batch,
+    ) -> Result<Vec<Answer>, Unanswered> {
+        let _in_flight = InFlight::begin(&target.state);
+        let started = Instant::now();
+        let is_own = matches!(checkout, Checkout::Own(_));
+        let run = checkout.run(batch);
+        tokio::pin!(run);
+        let result = match tokio::time::timeout(SILENCE, &mut run).await {
+            Ok(result) => result,
+            Err(_) => {
+                if is_own {
+                    self.suspect_primary(target);
+                }
+                run.await
+            }
+        };
+        match result {
+            Ok(answers) => {
+                target.state.answered(started.elapsed());
+                Ok(answers)
+            }
+            Err(error) => Err(self.unanswered(target, is_own, error)),
+        }
+    }
+
+    fn unanswered(self: &Rc<Self>, target: &Target, is_own: bool, error: CallError) -> Unanswered {
+        match error {
+            CallError::DatabaseBroke(broken) if is_own => {
+                self.unreachable(target);
+                Unanswered::Lost(broken)
+            }
+            CallError::DatabaseBroke(broken) => {
+                target.state.failed();
+                Unanswered::Lost(broken)
+            }
+            CallError::HomeLost(broken) => Unanswered::Lost(broken),
+            CallError::NotRun(refusal) => {
+                if refusal.unreachable {
+                    target.state.failed();
+                }
+                Unanswered::NotRun(refusal.kind)
+            }
+        }
+    }
+}
+
+/// Why no connection was handed out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Refusal {
+    /// What the caller may be told.
+    pub kind: FailureKind,
+    /// True when the database can't be reached.
+    pub unreachable: bool,
+}
--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -12,10 +12,10 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
-use crate::connection::OpenError;
+use crate::batch::Batch;
+use crate::checkout::Claim;
 use crate::gateway::Gateway;
-use crate::pool::CheckoutError;
-use crate::ports::{DatabaseCommand, OwnStatement};
+use crate::ports::OwnStatement;
 use crate::target::Target;
 
 /// Priority of the gateway's own exchanges: before all callers.
@@ -96,25 +96,19 @@
     }
 
     async fn exchange_as_leader(self: &Rc<Self>, target: &Target, until: Instant) -> Confirmation {
-        let pool = &target.state.pool;
+        let claim = Claim {
+            priority: OWN_PRIORITY,
+            until,
+        };
         let values = BTreeMap::new();
-        let checkout = pool.checkout(&values, OWN_PRIORITY, until);
-        let mut checkout = match checkout.await {
-            Ok(checkout) => checkout,
-            Err(CheckoutError::Open(OpenError::Refused)) => {
-                self.suspect_primary(target);
-                return Confirmation::Unclear;
-            }
-            Err(_) => return Confirmation::Unclear,
+        let checkout = self.checkout_for(target, &values, claim);
+        let Ok(mut checkout) = checkout.await else {
+            return Confirmation::Unclear;
         };
         self.counters.confirmations.add();
         let sent = self.now();
-        let commands = [
-            DatabaseCommand::Own(OwnStatement::Begin),
-            DatabaseCommand::Own(OwnStatement::Rollback),
-        ];
-        let Ok(answers) = checkout.connection().exchange(&commands).await else {
-            self.suspect_primary(target);
+        let batch = Batch::own([OwnStatement::Begin, OwnStatement::Rollback]);
+        let Ok(answers) = self.exchange(&mut checkout, target, &batch).await else {
             return Confirmation::Unclear;
         };
         let ended = answers[1].state == TransactionState::Idle;
@@ -176,20 +170,23 @@
 
     /// Has a database carry out one of the gateway's statements that answer with its status.
     pub async fn ask_status(
-        &self,
+        self: &Rc<Self>,
         target: &Target,
         statement: OwnStatement,
         limit: Duration,
     ) -> Option<DatabaseStatus> {
         let until = Instant::now() + limit;
+        let claim = Claim {
+            priority: OWN_PRIORITY,
+            until,
+        };
         let values = BTreeMap::new();
         let exchange = async {
             loop {
-                let pool = &target.state.pool;
-                let checkout = pool.checkout(&values, OWN_PRIORITY, until);
+                let checkout = self.checkout_for(target, &values, claim);
                 let mut checkout = checkout.await.ok()?;
-                let command = DatabaseCommand::Own(statement.clone());
-                let answers = checkout.connection().exchange(&[command]).await.ok()?;
+                let batch = Batch::own([statement.clone()]);
+                let answers = self.exchange(&mut checkout, target, &batch).await.ok()?;
                 let answer = answers.into_iter().next()?;
                 checkout.give_back();
                 match answer.end {
--- a/crates/dyketally-gateway/src/connection.rs
+++ b/crates/dyketally-gateway/src/connection.rs
@@ -9,10 +9,12 @@
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::statement::{Failure, FailureKind, PreparedStatement, TransactionState};
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::batch::{Batch, Flow, Reset, SessionContext, Step};
 use crate::ports::{DatabaseCommand, OwnStatement, Reply, SharedDatabaseProtocol};
 use crate::relay;
 
@@ -54,7 +56,7 @@
 }
 
 /// The whole answer to one command.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
     /// The rows.
     pub rows: Vec<Bytes>,
@@ -136,11 +138,59 @@
         }
     }
 
-    /// Sends commands in one flush and reads the answer to each.
+    /// Runs a batch: one answer to each step, up to the first that failed where the batch says so.
     ///
     /// # Errors
-    /// The connection broke; any of the commands may have run.
-    pub async fn exchange(&mut self, commands: &[DatabaseCommand]) -> Result<Vec<Answer>, Broken> {
+    /// The connection broke; any of the steps may have run.
+    pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, Broken> {
+        let (adoption, name) = self.adopt(batch.context.as_ref());
+        let answers = match batch.flow {
+            Flow::Together => self.run_together(adoption, &batch.steps, &name).await?,
+            Flow::UntilFailure => self.run_in_turn(adoption, &batch.steps, &name).await?,
+        };
+        let failed = answers.iter().any(|answer| answer.end.is_err());
+        self.must_reset |= match batch.reset {
+            Reset::Never => false,
+            Reset::AfterFailure => failed,
+            Reset::Always => true,
+        };
+        Ok(answers)
+    }
+
+    async fn run_together(
+        &mut self,
+        adoption: Vec<DatabaseCommand>,
+        steps: &[Step],
+        name: &str,
+    ) -> Result<Vec<Answer>, Broken> {
+        let adopted = adoption.len();
+        let mut commands = adoption;
+        commands.extend(steps.iter().map(|step| step.command(name)));
+        let mut answers = self.exchange(&commands).await?;
+        self.check_adoption(&answers, adopted);
+        Ok(answers.split_off(adopted))
+    }
+
+    async fn run_in_turn(
+        &mut self,
+        adoption: Vec<DatabaseCommand>,
+        steps: &[Step],
+        name: &str,
+    ) -> Result<Vec<Answer>, Broken> {
+        let mut answers = Vec::with_capacity(steps.len());
+        let mut adoption = Some(adoption);
+        for step in steps {
+            let adoption = adoption.take().unwrap_or_default();
+            let step = std::slice::from_ref(step);
+            answers.extend(self.run_together(adoption, step, name).await?);
+            if answers.last().is_some_and(|answer| answer.end.is_err()) {
+                break;
+            }
+        }
+        Ok(answers)
+    }
+
+    async fn exchange(&mut self, commands: &[DatabaseCommand]) -> Result<Vec<Answer>, Broken> {
         self.send(commands).await.map_err(broken)?;
         let mut answers = Vec::with_capacity(commands.len());
         for _ in commands {
@@ -214,14 +264,13 @@
         self.values.keys().all(|name| values.contains_key(name))
     }
 
-    /// The commands that give the connection `values` and, if asked for, a prepared statement.
-    /// They must be sent before anything else. Returns the prepared statement's name as well.
-    pub fn adopt(
-        &mut self,
-        values: &BTreeMap<String, String>,
-        prepared: Option<&PreparedStatement>,
-    ) -> (Vec<DatabaseCommand>, Option<String>) {
+    /// The commands that bring the connection to `context`, which must be sent before anything
+    /// else, and its name for the prepared statement.
+    fn adopt(&mut self, context: Option<&SessionContext>) -> (Vec<DatabaseCommand>, String) {
         let mut commands = Vec::new();
+        let Some(SessionContext { values, prepared }) = context else {
+            return (commands, String::new());
+        };
         let full = self.prepared.len() >= PREPARED_AT_MOST;
         if self.must_reset || full || !self.extends_to(values) {
             commands.push(DatabaseCommand::Own(OwnStatement::Reset));
@@ -238,8 +287,9 @@
                 self.values.insert(name.clone(), value.clone());
             }
         }
-        let name = prepared.map(|prepared| self.prepare(prepared, &mut commands));
-        (commands, name)
+        let name = prepared.as_ref();
+        let name = name.map(|prepared| self.prepare(prepared, &mut commands));
+        (commands, name.unwrap_or_default())
     }
 
     fn prepare(
@@ -259,23 +309,15 @@
         name
     }
 
-    /// Checks the answers to `adopted` commands of [`Connection::adopt`] and the statement behind
+    /// Checks the answers to `adopted` commands of [`Connection::adopt`] and the statements behind
     /// them: a connection that isn't as was believed is reset before its next use.
-    pub fn check_adoption(&mut self, answers: &[Answer], adopted: usize) {
-        let adoption = answers.iter().take(adopted);
-        let failed = adoption.filter(|answer| answer.end.is_err()).count() > 0;
-        let mut statements = answers.iter().skip(adopted);
-        let unknown = statements.any(|answer| {
+    fn check_adoption(&mut self, answers: &[Answer], adopted: usize) {
+        let (adoption, steps) = answers.split_at(adopted.min(answers.len()));
+        let failed = adoption.iter().any(|answer| answer.end.is_err());
+        let unknown = steps.iter().any(|answer| {
             matches!(&answer.end, Err(failure) if failure.kind == FailureKind::UnknownPrepared)
         });
-        if failed || unknown {
-            self.require_reset();
-        }
-    }
-
-    /// Forgets what values the connection has: it is reset before its next use.
-    pub fn require_reset(&mut self) {
-        self.must_reset = true;
+        self.must_reset |= failed || unknown;
     }
 }
 
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -193,7 +193,7 @@
 
     async fn verdict(self: &Rc<Self>, primary: &Target, since: Instant) -> Verdict {
         let mut poll = self.peers.poll(&primary.group, &primary.name);
-        let nodes = self.gateway.membership.node_count();
+        let nodes = poll.asked + 1;
         let mut result = PollResult {
             nodes,
             prolonged: since.elapsed() > PROLONGED,
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -18,18 +18,14 @@
 use crate::counters::Counters;
 use crate::event::{Event, EventLog};
 use crate::health::DatabaseState;
+use crate::homes::Homes;
+use crate::link::Links;
 use crate::membership::Membership;
 use crate::peer::Peers;
 use crate::pool::Pool;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::settings::Settings;
 
-/// Share of a database's connections that proxies use; the rest covers those that are closing.
-const CONNECTIONS_USED: f64 = 0.9;
-/// Connections that a node may have to a database whatever the number of nodes.
-const CONNECTIONS_AT_LEAST: u32 = 4;
-/// Connections assumed where the configuration doesn't tell.
-const CONNECTIONS_ASSUMED: u32 = 16;
 /// Observations are kept for at least this long.
 const OBSERVED_AT_LEAST: Duration = Duration::from_secs(1);
 /// Heartbeats within which a database that runs announces itself again.
@@ -82,6 +78,12 @@
     pub counters: Counters,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
+    /// Calls of other nodes that run here, and their transactions that are open.
+    pub calls: Cell<usize>,
+    /// Which nodes keep connections to which database.
+    pub homes: Homes,
+    /// Links to the homes of databases.
+    pub links: Links,
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
@@ -111,6 +113,9 @@
             peers: RefCell::default(),
             counters: Counters::default(),
             sessions: Cell::new(0),
+            calls: Cell::new(0),
+            homes: Homes::default(),
+            links: Links::default(),
             listed: Cell::new(None),
             settling: Cell::new(false),
             stop: watch::Sender::new(StopPhase::Serving),
@@ -253,6 +258,7 @@
         for database in self.databases.borrow().values() {
             database.pool.close_idle(false);
         }
+        self.links.tidy();
     }
 
     /// Tells all who wait that routes, databases or a primary changed.
@@ -337,7 +343,7 @@
             name.clone(),
             group.clone(),
             address,
-            self.connection_limit(group),
+            self.connection_limit(name),
         );
         let database = DatabaseState::new(pool, expected_ms);
         databases.insert(name.clone(), database.clone());
@@ -346,21 +352,11 @@
 
     /// Gives each pool its share of its database's connections.
     pub fn apply_connection_limits(&self) {
-        let directory = self.directory.borrow();
+        self.homes.forget();
         for (name, database) in self.databases.borrow().iter() {
-            if let Some(member) = directory.member(name) {
-                let limit = self.connection_limit(&member.announcement.group);
-                database.pool.set_limit(limit);
-            }
+            database
+                .pool
+                .set_limit(self.connection_limit(name), self.is_home(name));
         }
     }
-
-    fn connection_limit(&self, group: &GroupName) -> u32 {
-        let routes = self.routes.borrow();
-        let limits = routes.groups.get(group);
-        let granted = limits.map_or(CONNECTIONS_ASSUMED, |limits| limits.connection_limit);
-        let nodes = self.membership.node_count().max(1) as u32;
-        let used = (f64::from(granted) * CONNECTIONS_USED) as u32;
-        (used / nodes).max(CONNECTIONS_AT_LEAST)
-    }
 }
--- /dev/null
+++ b/crates/dyketally-gateway/src/home.rs
@@ -0,0 +1,149 @@
+//! The home's side of calls: runs the batches of other nodes on this node's connections.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dyketally::statement::{FailureKind, TransactionState};
+use futures::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::batch::Reset;
+use crate::checkout::{Checkout, Claim, Refusal, Unanswered};
+use crate::gateway::Gateway;
+use crate::link::{Call, CallReply, Frames, frames};
+use crate::target::Target;
+
+/// How long a call goes on whose link was closed, so that its connection can be kept.
+const ABANDONED_LIMIT: Duration = Duration::from_millis(400);
+
+/// A connection that is kept for a link while a transaction is open on it. Dropping it drops the
+/// transaction.
+struct Bound {
+    checkout: Option<Checkout>,
+    target: Target,
+}
+
+impl Drop for Bound {
+    fn drop(&mut self) {
+        if let Some(checkout) = self.checkout.take() {
+            checkout.roll_back(Reset::Always);
+        }
+    }
+}
+
+/// Counts a call as running, or a transaction as open, until it is dropped.
+struct Busy(Rc<Gateway>);
+
+impl Busy {
+    fn begin(gateway: &Rc<Gateway>) -> Self {
+        gateway.calls.set(gateway.calls.get() + 1);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.calls.set(self.0.calls.get() - 1);
+    }
+}
+
+/// Serves the calls of one link until it is closed.
+pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let mut frames = frames(stream);
+    let mut bound = None;
+    while let Some(Ok(message)) = frames.next().await {
+        let Ok(call) = postcard::from_bytes::<Call>(&message) else {
+            return;
+        };
+        let _busy = Busy::begin(&gateway);
+        let running = run(&gateway, bound.take(), call);
+        let Some((reply, kept)) = unless_abandoned(running, &mut frames).await else {
+            return;
+        };
+        bound = kept.map(|kept| (kept, Busy::begin(&gateway)));
+        let Ok(message) = postcard::to_stdvec(&reply) else {
+            return;
+        };
+        if frames.send(Bytes::from(message)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits for a call; once its link is closed, only for a while.
+async fn unless_abandoned<T>(running: impl Future<Output = T>, frames: &mut Frames) -> Option<T> {
+    tokio::pin!(running);
+    tokio::select! {
+        biased;
+        done = &mut running => return Some(done),
+        // Nobody may send before the answer: whatever comes, the link is of no more use.
+        _ = frames.next() => {}
+    }
+    // What was left open is dropped by whoever holds it.
+    let _ = tokio::time::timeout(ABANDONED_LIMIT, running).await;
+    None
+}
+
+async fn run(
+    gateway: &Rc<Gateway>,
+    bound: Option<(Bound, Busy)>,
+    call: Call,
+) -> (CallReply, Option<Bound>) {
+    let mut bound = match bound {
+        Some((bound, _)) => bound,
+        None => match bind(gateway, &call).await {
+            Ok(bound) => bound,
+            Err(reply) => return (reply, None),
+        },
+    };
+    let Some(mut checkout) = bound.checkout.take() else {
+        return (CallReply::Leaving, None);
+    };
+    let target = bound.target.clone();
+    match gateway.exchange(&mut checkout, &target, &call.batch).await {
+        Ok(answers) => {
+            let last = answers.last().map(|answer| answer.state);
+            if last == Some(TransactionState::Idle) {
+                checkout.give_back();
+                return (CallReply::Answers(answers), None);
+            }
+            bound.checkout = Some(checkout);
+            (CallReply::Answers(answers), Some(bound))
+        }
+        Err(Unanswered::Lost(broken)) => (CallReply::Broken(broken.reason), None),
+        Err(Unanswered::NotRun(kind)) => {
+            let unreachable = false;
+            (CallReply::Refused(Refusal { kind, unreachable }), None)
+        }
+    }
+}
+
+async fn bind(gateway: &Rc<Gateway>, call: &Call) -> Result<Bound, CallReply> {
+    if gateway.is_stopping() {
+        return Err(CallReply::Leaving);
+    }
+    let Some(target) = gateway.known_target(&call.database) else {
+        return Err(CallReply::Refused(Refusal {
+            kind: FailureKind::WrongDatabase,
+            unreachable: true,
+        }));
+    };
+    let none = BTreeMap::new();
+    let context = call.batch.context.as_ref();
+    let values = context.map_or(&none, |context| &context.values);
+    let claim = Claim {
+        priority: call.priority,
+        until: Instant::now() + Duration::from_millis(call.patience_ms.into()),
+    };
+    let checkout = gateway.own_checkout(&target, values, claim);
+    match checkout.await {
+        Ok(checkout) => Ok(Bound {
+            checkout: Some(Checkout::Own(checkout)),
+            target,
+        }),
+        Err(refusal) => Err(CallReply::Refused(refusal)),
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/homes.rs
@@ -0,0 +1,156 @@
+//! Which nodes keep connections to a database: all of them while there are connections enough, a
+//! few homes otherwise.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::identifiers::{DatabaseName, Locality, NodeName, RegionName, ZoneName};
+use dyketally::placement::{self, Sharing};
+use tokio::time::Instant;
+
+use crate::gateway::Gateway;
+
+/// Connections assumed where the configuration doesn't tell.
+const GRANTED_ASSUMED: u32 = 16;
+/// Further nodes that are asked when no home can be.
+const STAND_INS: usize = 1;
+/// How long a home that failed or leaves is passed over.
+const PASSED_OVER: Duration = Duration::from_millis(1_500);
+
+/// How this node reaches a database.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Over connections of its own.
+    Own,
+    /// By way of one of these homes, in the order of preference.
+    Via(Rc<[SocketAddr]>),
+}
+
+/// One database as this node reaches it, by the nodes that are known.
+#[derive(Clone, Debug)]
+struct Placed {
+    is_home: bool,
+    sharing: Sharing,
+    /// Homes and stand-ins, in the order in which this node asks them.
+    homes: Rc<[SocketAddr]>,
+}
+
+/// What was worked out from the nodes that are known, until these change.
+#[derive(Default)]
+pub struct Homes {
+    placed: RefCell<HashMap<DatabaseName, Rc<Placed>>>,
+    passed_over: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+impl Homes {
+    /// Forgets what was worked out: nodes or limits changed.
+    pub fn forget(&self) {
+        self.placed.borrow_mut().clear();
+    }
+
+    /// Passes over a home for a while.
+    pub fn pass_over(&self, home: SocketAddr) {
+        self.passed_over.borrow_mut().insert(home, Instant::now());
+    }
+
+    /// True when a home is passed over.
+    pub fn is_passed_over(&self, home: &SocketAddr) -> bool {
+        let passed_over = self.passed_over.borrow();
+        let since = passed_over.get(home);
+        since.is_some_and(|since| since.elapsed() < PASSED_OVER)
+    }
+}
+
+impl Gateway {
+    /// How this node reaches a database.
+    pub fn reach(&self, database: &DatabaseName) -> Reach {
+        let Some(placed) = self.placed(database) else {
+            return Reach::Own;
+        };
+        let usable = |home: &SocketAddr| !self.homes.is_passed_over(home);
+        match placed.is_home || !placed.homes.iter().any(usable) {
+            true => Reach::Own,
+            false => Reach::Via(placed.homes.clone()),
+        }
+    }
+
+    /// Connections that this node may have open to a database.
+    pub fn connection_limit(&self, database: &DatabaseName) -> u32 {
+        match self.placed(database) {
+            Some(placed) => placed.sharing.limit(placed.is_home),
+            None => 1,
+        }
+    }
+
+    /// True when this node keeps connections to a database.
+    pub fn is_home(&self, database: &DatabaseName) -> bool {
+        self.placed(database).is_some_and(|placed| placed.is_home)
+    }
+
+    /// The other homes of a database and their stand-ins; none where all nodes are homes.
+    pub fn homes_of(&self, database: &DatabaseName) -> Vec<SocketAddr> {
+        let Some(placed) = self.placed(database) else {
+            return Vec::new();
+        };
+        placed.homes.to_vec()
+    }
+
+    fn placed(&self, database: &DatabaseName) -> Option<Rc<Placed>> {
+        if let Some(placed) = self.homes.placed.borrow().get(database) {
+            return Some(placed.clone());
+        }
+        let placed = Rc::new(self.place(database)?);
+        let mut known = self.homes.placed.borrow_mut();
+        known.insert(database.clone(), placed.clone());
+        Some(placed)
+    }
+
+    fn place(&self, database: &DatabaseName) -> Option<Placed> {
+        let (group, zone) = {
+            let directory = self.directory.borrow();
+            let announcement = &directory.member(database)?.announcement;
+            (announcement.group.clone(), announcement.zone.clone())
+        };
+        let routes = self.routes();
+        let limits = routes.groups.get(&group);
+        let granted = limits.map_or(GRANTED_ASSUMED, |limits| limits.connection_limit);
+        let nodes = self.membership.node_count();
+        let sharing = Sharing::of(granted, nodes);
+        if matches!(sharing, Sharing::Everyone(_)) {
+            return Some(Placed {
+                is_home: true,
+                sharing,
+                homes: Rc::default(),
+            });
+        }
+        let count = sharing.homes(nodes);
+        let locality = self.locality(&zone);
+        let own = NodeName::new(self.settings.node.name.as_str());
+        let nodes = self.membership.nodes();
+        let candidates = nodes.values().map(|node| node.candidate());
+        let ranked = placement::rank(database, &locality, candidates, count + STAND_INS);
+        let (homes, stand_ins) = ranked.split_at(count.min(ranked.len()));
+        let is_home = homes.contains(&&own);
+        let mut ordered = placement::preference(&own, homes);
+        ordered.extend(stand_ins);
+        let others = ordered.into_iter().filter(|name| **name != own);
+        let addresses = others.filter_map(|name| nodes.get(name));
+        Some(Placed {
+            is_home,
+            sharing,
+            homes: addresses.map(|node| node.address).collect(),
+        })
+    }
+
+    /// The locality of a zone.
+    pub fn locality(&self, zone: &ZoneName) -> Locality {
+        let region = self.settings.zones.get(zone.as_str());
+        Locality {
+            region: RegionName::new(region.map_or("", String::as_str)),
+            zone: zone.clone(),
+        }
+    }
+}
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! own to the databases, and takes part in electing the one node that replaces lost primaries. All
 //! tasks of a process run on one thread, so state is shared without locks.
 
+mod batch;
+mod checkout;
 mod confirm;
 mod connection;
 mod counters;
@@ -13,6 +15,9 @@
 mod follow;
 mod gateway;
 mod health;
+mod home;
+mod homes;
+mod link;
 mod membership;
 mod node;
 mod peer;
--- /dev/null
+++ b/crates/dyketally-gateway/src/link.rs
@@ -0,0 +1,271 @@
+//! Calls to the homes of databases: a home runs batches on connections that it keeps, and binds one
+//! to the caller's link for as long as a transaction is open on it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dyketally::identifiers::DatabaseName;
+use dyketally::statement::{FailureKind, TransactionState};
+use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::batch::Batch;
+use crate::checkout::{Claim, Refusal};
+use crate::connection::{Answer, Broken, set_silent_peer_limit};
+use crate::gateway::Gateway;
+use crate::relay::{self, Opening};
+
+/// Longest message between nodes.
+const LONGEST_MESSAGE: usize = 4 << 20;
+/// Longest time that connecting to a home may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// How long a link that isn't used is kept. A link that rested may lead to a machine that is gone.
+const REST_LIMIT: Duration = Duration::from_secs(3);
+/// Links to one home that are kept while they aren't used.
+const RESTING_AT_MOST: usize = 4;
+
+/// A batch for a database.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// The database.
+    pub database: DatabaseName,
+    /// Rank under scarcity; 0 goes first.
+    pub priority: u32,
+    /// How long the call may wait for a connection, in milliseconds.
+    pub patience_ms: u32,
+    /// What to run.
+    pub batch: Batch,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum CallReply {
+    /// The answers.
+    Answers(Vec<Answer>),
+    /// No step was run.
+    Refused(Refusal),
+    /// No step was run, since the home is about to stop: ask another.
+    Leaving,
+    /// The connection to the database broke; any step may have run.
+    Broken(String),
+}
+
+/// Why a call has no answers.
+#[derive(Clone, Debug)]
+pub enum CallError {
+    /// No step was run.
+    NotRun(Refusal),
+    /// The connection to the database broke; any step may have run.
+    DatabaseBroke(Broken),
+    /// The home didn't answer; any step may have run.
+    HomeLost(Broken),
+}
+
+/// Messages between two nodes.
+pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Divides a connection between nodes into messages.
+pub fn frames(stream: TcpStream) -> Frames {
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(LONGEST_MESSAGE);
+    Framed::new(stream, codec)
+}
+
+/// Links that rest, by home.
+#[derive(Default)]
+pub struct Links {
+    resting: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+}
+
+struct Link {
+    frames: Frames,
+    rests_since: Instant,
+}
+
+impl Link {
+    async fn open(home: SocketAddr) -> io::Result<Self> {
+        let opening = relay::open(home, &Opening::Calls);
+        let stream = tokio::time::timeout(CONNECT_LIMIT, opening).await??;
+        stream.set_nodelay(true)?;
+        set_silent_peer_limit(&stream);
+        Ok(Self {
+            frames: frames(stream),
+            rests_since: Instant::now(),
+        })
+    }
+
+    /// True when the home closed the link while it rested.
+    fn is_stale(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let quiet = self.frames.get_ref().try_read(&mut byte);
+        !quiet.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    async fn call(&mut self, call: &Call) -> Result<CallReply, Broken> {
+        let message = postcard::to_stdvec(call).map_err(broken)?;
+        self.frames
+            .send(Bytes::from(message))
+            .await
+            .map_err(broken)?;
+        match self.frames.next().await {
+            Some(Ok(reply)) => postcard::from_bytes(&reply).map_err(broken),
+            Some(Err(error)) => Err(broken(error)),
+            None => Err(broken("closed by the home")),
+        }
+    }
+}
+
+impl Links {
+    /// A link to `home`, one that rests or a new one.
+    async fn take(&self, home: SocketAddr) -> io::Result<Link> {
+        while let Some(link) = self.take_resting(home) {
+            if link.rests_since.elapsed() < REST_LIMIT && !link.is_stale() {
+                return Ok(link);
+            }
+        }
+        Link::open(home).await
+    }
+
+    fn take_resting(&self, home: SocketAddr) -> Option<Link> {
+        self.resting.borrow_mut().get_mut(&home)?.pop()
+    }
+
+    fn give_back(&self, home: SocketAddr, mut link: Link) {
+        link.rests_since = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        let links = resting.entry(home).or_default();
+        if links.len() < RESTING_AT_MOST {
+            links.push(link);
+        }
+    }
+
+    /// Closes the links that have rested for long.
+    pub fn tidy(&self) {
+        let mut resting = self.resting.borrow_mut();
+        resting.retain(|_, links| {
+            links.retain(|link| link.rests_since.elapsed() < REST_LIMIT);
+            !links.is_empty()
+        });
+    }
+
+    /// Closes the resting links to `home`.
+    pub fn close(&self, home: SocketAddr) {
+        self.resting.borrow_mut().remove(&home);
+    }
+}
+
+/// A connection to a database at one of its homes. Dropping it closes the link, and the home drops
+/// the transaction; [`HomeCall::give_back`] keeps the link.
+pub struct HomeCall {
+    gateway: Rc<Gateway>,
+    database: DatabaseName,
+    homes: Rc<[SocketAddr]>,
+    claim: Claim,
+    link: Option<(SocketAddr, Link)>,
+    /// True while the home keeps a connection for this call.
+    bound: bool,
+}
+
+impl HomeCall {
+    /// A call that hasn't begun.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        database: DatabaseName,
+        homes: Rc<[SocketAddr]>,
+        claim: Claim,
+    ) -> Self {
+        Self {
+            gateway,
+            database,
+            homes,
+            claim,
+            link: None,
+            bound: false,
+        }
+    }
+
+    /// Keeps the link for other calls. No transaction may be open.
+    pub fn give_back(mut self) {
+        if let Some((home, link)) = self.link.take() {
+            self.gateway.links.give_back(home, link);
+        }
+    }
+
+    /// Runs a batch. While a transaction is open, all batches run on the same connection.
+    ///
+    /// # Errors
+    /// There are no answers; tells whether anything may have run.
+    pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, CallError> {
+        loop {
+            let (home, mut link) = match self.link.take() {
+                Some(link) => link,
+                None => self.reach_home().await?,
+            };
+            let left = self.claim.until.saturating_duration_since(Instant::now());
+            let call = Call {
+                database: self.database.clone(),
+                priority: self.claim.priority,
+                patience_ms: left.as_millis().try_into().unwrap_or(u32::MAX),
+                batch: batch.clone(),
+            };
+            let reply = link.call(&call).await.map_err(|broken| {
+                self.pass_over(home);
+                CallError::HomeLost(broken)
+            })?;
+            self.link = Some((home, link));
+            match reply {
+                CallReply::Answers(answers) => {
+                    let last = answers.last().map(|answer| answer.state);
+                    self.bound = last != Some(TransactionState::Idle);
+                    return Ok(answers);
+                }
+                CallReply::Leaving if !self.bound => {
+                    self.link = None;
+                    self.pass_over(home);
+                }
+                CallReply::Leaving => return Err(CallError::HomeLost(broken("the home stops"))),
+                CallReply::Refused(refusal) => return Err(CallError::NotRun(refusal)),
+                CallReply::Broken(reason) => {
+                    return Err(CallError::DatabaseBroke(Broken { reason }));
+                }
+            }
+        }
+    }
+
+    fn pass_over(&self, home: SocketAddr) {
+        self.gateway.homes.pass_over(home);
+        self.gateway.links.close(home);
+    }
+
+    /// A link to the first home that can be reached.
+    async fn reach_home(&mut self) -> Result<(SocketAddr, Link), CallError> {
+        let homes = self.homes.clone();
+        for home in homes.iter() {
+            if self.gateway.homes.is_passed_over(home) || Instant::now() >= self.claim.until {
+                continue;
+            }
+            match self.gateway.links.take(*home).await {
+                Ok(link) => return Ok((*home, link)),
+                Err(_) => self.pass_over(*home),
+            }
+        }
+        Err(CallError::NotRun(Refusal {
+            kind: FailureKind::Busy,
+            unreachable: false,
+        }))
+    }
+}
+
+fn broken(reason: impl ToString) -> Broken {
+    Broken {
+        reason: reason.to_string(),
+    }
+}
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -1,14 +1,15 @@
 //! Nodes that run, and the duty of replacing primaries: both are keys in the store that are bound
 //! to a lease.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName};
+use dyketally::placement::Candidate;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
     Condition, Entry, Key, KeyRange, KeyValueStore, LeaseId, Operation, PutRequest, RangeRequest,
@@ -43,9 +44,25 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
     /// The node.
-    pub node: String,
+    pub node: NodeName,
     /// Where it hears other nodes.
     pub address: SocketAddr,
+    /// Where it runs.
+    pub locality: Locality,
+    /// Its share of the databases relative to other nodes.
+    pub weight: u16,
+}
+
+impl NodeRecord {
+    /// The node as a candidate for placement.
+    pub fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            node: &self.node,
+            locality: &self.locality,
+            weight: self.weight,
+            leaving: false,
+        }
+    }
 }
 
 /// The duty as this node holds it.
@@ -68,7 +85,7 @@
     pub attention: Notify,
     /// Primaries that some node suspects, and since when.
     pub suspicions: RefCell<HashMap<(GroupName, DatabaseName), Instant>>,
-    nodes: RefCell<BTreeMap<String, NodeRecord>>,
+    nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
     holder: RefCell<Option<NodeRecord>>,
     lease: Cell<Option<HeldLease>>,
     duty: Cell<Option<Duty>>,
@@ -82,10 +99,15 @@
         self.nodes.borrow().len().max(1)
     }
 
+    /// The nodes that run, by name.
+    pub fn nodes(&self) -> Ref<'_, BTreeMap<NodeName, NodeRecord>> {
+        self.nodes.borrow()
+    }
+
     /// The other nodes' addresses.
     pub fn others(&self, own: &str) -> Vec<SocketAddr> {
         let nodes = self.nodes.borrow();
-        let others = nodes.values().filter(|record| record.node != own);
+        let others = nodes.values().filter(|record| record.node.as_str() != own);
         others.map(|record| record.address).collect()
     }
 
@@ -141,9 +163,12 @@
     }
 
     fn record(&self) -> NodeRecord {
+        let settings = &self.gateway.settings;
         NodeRecord {
-            node: self.gateway.settings.node.name.clone(),
-            address: self.gateway.settings.listen.peers,
+            node: NodeName::new(settings.node.name.as_str()),
+            address: settings.listen.peers,
+            locality: self.gateway.locality(&settings.node.zone.as_str().into()),
+            weight: settings.node.weight(),
         }
     }
 
@@ -206,7 +231,10 @@
         }
         let text = key.to_string();
         if let Some((_, name)) = text.rsplit_once('/') {
-            self.membership().nodes.borrow_mut().remove(name);
+            self.membership()
+                .nodes
+                .borrow_mut()
+                .remove(&NodeName::new(name));
         }
     }
 
@@ -249,7 +277,8 @@
             return Ok(());
         };
         let record: Option<NodeRecord> = serde_json::from_slice(&entry.value).ok();
-        let own = record.is_some_and(|record| record.node == self.gateway.settings.node.name);
+        let own =
+            record.is_some_and(|record| record.node.as_str() == self.gateway.settings.node.name);
         match entry.lease.filter(|_| own) {
             Some(lease) => self.store.revoke_lease(lease).await,
             None => Ok(()),
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -152,7 +152,7 @@
 }
 
 async fn wait_for_sessions(gateway: &Rc<Gateway>, until: Instant) {
-    while gateway.sessions.get() > 0 && Instant::now() < until {
+    while gateway.sessions.get() + gateway.calls.get() > 0 && Instant::now() < until {
         tokio::time::sleep(STOP_LOOK).await;
     }
 }
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -8,6 +8,7 @@
 
 use dyketally::failover::Evidence;
 use dyketally::identifiers::{DatabaseName, GroupName};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -19,6 +20,8 @@
 /// How long other nodes may take to tell whether they reach a database.
 const RELAY_SEARCH: Duration = Duration::from_millis(450);
 const LONGEST_DATAGRAM: usize = 1_024;
+/// Nodes that are asked about a primary.
+const POLLED_AT_MOST: usize = 12;
 
 /// What nodes tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +82,8 @@
 /// A poll that collects votes until it is dropped.
 pub struct Poll {
     number: u64,
+    /// How many other nodes were asked.
+    pub asked: usize,
     peers: Rc<Peers>,
     /// The votes.
     pub votes: mpsc::UnboundedReceiver<Vote>,
@@ -175,19 +180,36 @@
         }
     }
 
-    /// Asks all other nodes what they see of a primary.
+    fn polled(&self, database: &DatabaseName) -> Vec<SocketAddr> {
+        let own = &self.gateway.settings.node.name;
+        let mut polled = self.gateway.homes_of(database);
+        let mut others = self.gateway.membership.others(own);
+        others.retain(|address| !polled.contains(address));
+        others.shuffle(&mut rand::rng());
+        polled.extend(others);
+        polled.truncate(POLLED_AT_MOST);
+        polled
+    }
+
+    /// Asks other nodes what they see of a primary: its homes, and others drawn at random, since
+    /// each of them may have to open a connection to find out.
     pub fn poll(self: &Rc<Self>, group: &GroupName, database: &DatabaseName) -> Poll {
         let number = self.next_poll.get();
         self.next_poll.set(number + 1);
         let (sender, votes) = mpsc::unbounded_channel();
         self.polls.borrow_mut().insert(number, sender);
-        self.broadcast(&PeerMessage::Poll {
+        let message = PeerMessage::Poll {
             poll: number,
             group: group.clone(),
             database: database.clone(),
-        });
+        };
+        let polled = self.polled(database);
+        for address in &polled {
+            self.send(*address, &message);
+        }
         Poll {
             number,
+            asked: polled.len(),
             peers: self.clone(),
             votes,
         }
@@ -211,14 +233,17 @@
         group: &GroupName,
         database: &DatabaseName,
     ) -> Option<Evidence> {
-        let target = self.known_target(group, database)?;
-        Some(self.evidence_of(&target).await)
+        let target = self.known_target(database)?;
+        match &target.group == group {
+            true => Some(self.evidence_of(&target).await),
+            false => None,
+        }
     }
 
-    fn known_target(&self, group: &GroupName, database: &DatabaseName) -> Option<Target> {
+    /// A database as a target.
+    pub fn known_target(&self, database: &DatabaseName) -> Option<Target> {
         let directory = self.directory.borrow();
-        let member = directory.member(database)?;
-        (&member.announcement.group == group).then(|| self.target(member, true))
+        Some(self.target(directory.member(database)?, true))
     }
 
     /// Asks the other nodes who reaches `target`, and has the first that does relay to it.
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -53,6 +53,7 @@
     idle: RefCell<Vec<Connection>>,
     open: Cell<u32>,
     limit: Cell<u32>,
+    keeps: Cell<bool>,
     refused: Cell<Option<(u32, Instant)>>,
     relay: Cell<Option<(SocketAddr, Instant)>>,
     waiters: RefCell<Vec<Waiter>>,
@@ -78,6 +79,7 @@
             idle: RefCell::default(),
             open: Cell::new(0),
             limit: Cell::new(limit),
+            keeps: Cell::new(true),
             refused: Cell::new(None),
             relay: Cell::new(None),
             waiters: RefCell::default(),
@@ -117,9 +119,10 @@
         }
     }
 
-    /// Changes how many connections may be open.
-    pub fn set_limit(&self, limit: u32) {
+    /// Changes how many connections may be open, and whether one is kept while nobody needs it.
+    pub fn set_limit(&self, limit: u32, keeps: bool) {
         self.limit.set(limit.max(1));
+        self.keeps.set(keeps);
         self.wake_next();
     }
 
@@ -246,7 +249,8 @@
     }
 
     fn close_surplus(&self) {
-        self.close_while(|idle, oldest| idle > 1 && oldest >= SURPLUS_IDLE_LIMIT);
+        let kept = usize::from(self.keeps.get());
+        self.close_while(|idle, oldest| idle > kept && oldest >= SURPLUS_IDLE_LIMIT);
     }
 
     /// Closes the connection that has been idle longest for as long as `close` says so, given the
--- a/crates/dyketally-gateway/src/ports.rs
+++ b/crates/dyketally-gateway/src/ports.rs
@@ -13,6 +13,7 @@
 use dyketally::statement::{
     DatabaseStatus, Failure, PreparedStatement, StatementKind, TransactionState,
 };
+use serde::{Deserialize, Serialize};
 
 /// A statement as a caller sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,7 +61,7 @@
 }
 
 /// A statement of the gateway's own.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OwnStatement {
     /// Opens a transaction that only a primary takes.
     Begin,
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -11,9 +11,10 @@
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
 
+use crate::batch::{Batch, Step};
 use crate::connection::{Answer, Broken};
 use crate::gateway::Gateway;
-use crate::ports::{DatabaseCommand, OwnStatement};
+use crate::ports::OwnStatement;
 use crate::request::{Request, Served};
 use crate::target::Target;
 use crate::write::{Attempt, RETRY_PAUSE};
@@ -147,29 +148,25 @@
             Ok(checkout) => checkout,
             Err(kind) => return Attempt::NotRun(kind),
         };
-        let (mut commands, name) = checkout
-            .connection()
-            .adopt(&request.values, request.prepared());
-        let statement = commands.len();
-        match proof {
-            Proof::Holds(position) => commands.push(request.command(name, Some(position))),
-            Proof::Leads => {
-                commands.push(DatabaseCommand::Own(OwnStatement::Begin));
-                commands.push(request.command(name, None));
-                commands.push(DatabaseCommand::Own(OwnStatement::Rollback));
-            }
-        }
+        let steps = match proof {
+            Proof::Holds(position) => vec![request.step(Some(position))],
+            Proof::Leads => vec![
+                Step::Own(OwnStatement::Begin),
+                request.step(None),
+                Step::Own(OwnStatement::Rollback),
+            ],
+        };
+        let batch = Batch::of(request.context(), steps);
         let sent = self.now();
-        let answers = match self.exchange(&mut checkout, target, &commands).await {
+        let answers = match self.exchange(&mut checkout, target, &batch).await {
             Ok(answers) => answers,
-            Err(broken) => return Attempt::Lost(broken),
+            Err(unanswered) => return unanswered.into(),
         };
-        checkout.connection().check_adoption(&answers, statement);
         let idle = answers.last().map(|answer| answer.state) == Some(TransactionState::Idle);
         if idle {
             checkout.give_back();
         }
-        let mut own = answers.into_iter().skip(statement);
+        let mut own = answers.into_iter();
         match proof {
             Proof::Holds(position) => self.judge_replica_read(target, position, own.next()),
             Proof::Leads => {
--- a/crates/dyketally-gateway/src/relay.rs
+++ b/crates/dyketally-gateway/src/relay.rs
@@ -1,6 +1,6 @@
-//! Connections to a database by way of another node, for nodes that are cut off from it.
-//!
-//! The node that relays only moves bytes; whoever asked speaks to the database itself.
+//! Connections between nodes: calls to homes, and connections to a database by way of another node
+//! for nodes that are cut off from it. A node that relays only moves bytes; whoever asked speaks to
+//! the database itself.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,16 +13,23 @@
 
 use crate::connection::set_silent_peer_limit;
 use crate::gateway::Gateway;
+use crate::home;
 use crate::pool::OPEN_LIMIT;
 
 const LONGEST_REQUEST: usize = 512;
 /// Connections that a node relays at one time.
 const RELAYED_AT_MOST: usize = 64;
 
-/// What a node sends first on a connection that is to be relayed, after its length in two bytes.
+/// What a node sends first on a connection to another, after its length in two bytes.
 #[derive(Debug, Serialize, Deserialize)]
-struct RelayRequest {
-    database: DatabaseName,
+pub enum Opening {
+    /// Relay what follows to a database.
+    Relay {
+        /// The database.
+        database: DatabaseName,
+    },
+    /// Calls to a home follow.
+    Calls,
 }
 
 /// Connects to `database` by way of the node at `relay`.
@@ -30,61 +37,83 @@
 /// # Errors
 /// The node can't be reached.
 pub async fn connect(relay: SocketAddr, database: &DatabaseName) -> std::io::Result<TcpStream> {
-    let mut stream = TcpStream::connect(relay).await?;
-    let request = RelayRequest {
-        database: database.clone(),
-    };
-    let body = postcard::to_stdvec(&request).map_err(std::io::Error::other)?;
+    let database = database.clone();
+    open(relay, &Opening::Relay { database }).await
+}
+
+/// Connects to the node at `address` for the purpose of `opening`.
+///
+/// # Errors
+/// The node can't be reached.
+pub async fn open(address: SocketAddr, opening: &Opening) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address).await?;
+    let body = postcard::to_stdvec(opening).map_err(std::io::Error::other)?;
     let mut message = (body.len() as u16).to_be_bytes().to_vec();
     message.extend(body);
     stream.write_all(&message).await?;
     Ok(stream)
 }
 
-/// Relays connections of other nodes until the process ends.
+/// Serves connections of other nodes until the process ends.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    let running = Rc::new(());
+    let relayed = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if Rc::strong_count(&running) > RELAYED_AT_MOST {
-            continue;
-        }
         let gateway = gateway.clone();
-        let counted = running.clone();
+        let relayed = relayed.clone();
         tokio::task::spawn_local(async move {
             // The asking node sees a connection that ends, whatever the reason.
-            let _ = relay(&gateway, stream).await;
-            drop(counted);
+            let _ = serve_one(gateway, stream, relayed).await;
         });
     }
 }
 
-async fn relay(gateway: &Rc<Gateway>, mut stream: TcpStream) -> std::io::Result<()> {
-    let opening = open(gateway, &mut stream);
-    let mut onward = tokio::time::timeout(OPEN_LIMIT, opening).await??;
-    for end in [&stream, &onward] {
-        end.set_nodelay(true)?;
-        set_silent_peer_limit(end);
+/// Serves one connection; `relayed` is shared by all that are relayed.
+async fn serve_one(
+    gateway: Rc<Gateway>,
+    mut stream: TcpStream,
+    relayed: Rc<()>,
+) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    set_silent_peer_limit(&stream);
+    match tokio::time::timeout(OPEN_LIMIT, read_opening(&mut stream)).await?? {
+        Opening::Relay { .. } if Rc::strong_count(&relayed) > RELAYED_AT_MOST => Ok(()),
+        Opening::Relay { database } => relay(&gateway, stream, &database).await,
+        Opening::Calls => {
+            drop(relayed);
+            home::serve(gateway, stream).await;
+            Ok(())
+        }
     }
+}
+
+async fn relay(
+    gateway: &Rc<Gateway>,
+    mut stream: TcpStream,
+    database: &DatabaseName,
+) -> std::io::Result<()> {
+    let address = {
+        let directory = gateway.directory.borrow();
+        let member = directory.member(database);
+        member.map(|member| member.announcement.address)
+    };
+    let address = address.ok_or(std::io::ErrorKind::NotFound)?;
+    let mut onward = tokio::time::timeout(OPEN_LIMIT, TcpStream::connect(address)).await??;
+    onward.set_nodelay(true)?;
+    set_silent_peer_limit(&onward);
     tokio::io::copy_bidirectional(&mut stream, &mut onward).await?;
     Ok(())
 }
 
-async fn open(gateway: &Rc<Gateway>, stream: &mut TcpStream) -> std::io::Result<TcpStream> {
+async fn read_opening(stream: &mut TcpStream) -> std::io::Result<Opening> {
     let length = usize::from(stream.read_u16().await?);
     if length > LONGEST_REQUEST {
         return Err(std::io::ErrorKind::InvalidData.into());
     }
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
-    let request: RelayRequest = postcard::from_bytes(&body).map_err(std::io::Error::other)?;
-    let address = {
-        let directory = gateway.directory.borrow();
-        let member = directory.member(&request.database);
-        member.map(|member| member.announcement.address)
-    };
-    TcpStream::connect(address.ok_or(std::io::ErrorKind::NotFound)?).await
+    postcard::from_bytes(&body).map_err(std::io::Error::other)
 }
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -12,10 +12,11 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
+use crate::batch::{SessionContext, Step};
+use crate::checkout::Claim;
 use crate::connection::Answer;
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::ports::DatabaseCommand;
 
 /// Left of the statement's time when a statement that isn't running is given up.
 const ANSWER_RESERVE: Duration = Duration::from_millis(30);
@@ -114,21 +115,24 @@
 }
 
 impl Request {
-    /// The command that runs the statement on a log that holds `after`; `prepared_name` is the
-    /// connection's name for a prepared statement.
-    pub fn command(
-        &self,
-        prepared_name: Option<String>,
-        after: Option<LogPosition>,
-    ) -> DatabaseCommand {
-        match (&self.execution, prepared_name) {
-            (Some(execution), Some(name)) => DatabaseCommand::Execute {
+    /// What a connection must know of the session.
+    pub fn context(&self) -> SessionContext {
+        let execution = self.execution.as_ref();
+        SessionContext {
+            values: self.values.clone(),
+            prepared: execution.map(|execution| execution.prepared.clone()),
+        }
+    }
+
+    /// The step that runs the statement on a log that holds `after`.
+    pub fn step(&self, after: Option<LogPosition>) -> Step {
+        match &self.execution {
+            Some(execution) => Step::Execute {
                 id: self.id.clone(),
-                name,
                 arguments: execution.arguments.clone(),
                 after,
             },
-            _ => DatabaseCommand::Run {
+            None => Step::Run {
                 id: self.id.clone(),
                 text: self.text.clone(),
                 after,
@@ -136,9 +140,12 @@
         }
     }
 
-    /// What has to be prepared on the connection.
-    pub fn prepared(&self) -> Option<&PreparedStatement> {
-        self.execution.as_ref().map(|execution| &execution.prepared)
+    /// Its rank and patience among those who want a connection.
+    pub fn claim(&self) -> Claim {
+        Claim {
+            priority: self.route.priority + 1,
+            until: self.give_up(),
+        }
     }
 
     /// When the statement is given up if it isn't running by then.
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dyketally::placement::NORMAL_WEIGHT;
 use serde::Deserialize;
 
 /// Everything a process of the gateway is told at its start. Unknown fields are ignored, since
@@ -53,6 +54,22 @@
     pub name: String,
     /// Its zone.
     pub zone: String,
+    /// The share of a processor that it may use: nodes with more keep connections to more
+    /// databases.
+    #[serde(default = "whole_processor")]
+    pub processor_share: f64,
+}
+
+fn whole_processor() -> f64 {
+    1.0
+}
+
+impl NodeSettings {
+    /// Its share of the databases that it keeps connections to, relative to other nodes.
+    pub fn weight(&self) -> u16 {
+        let weight = self.processor_share * f64::from(NORMAL_WEIGHT);
+        weight.round().clamp(1.0, f64::from(u16::MAX)) as u16
+    }
 }
 
 /// Where the node listens.
@@ -159,6 +176,9 @@
         if !(0.0..=10_000.0).contains(&self.reads.primary_penalty_ms) {
             return Err("`reads.primary_penalty_ms` must be from 0 to 10000".to_owned());
         }
+        if !(0.0..=1_024.0).contains(&self.node.processor_share) {
+            return Err("`node.processor_share` must be from 0 to 1024".to_owned());
+        }
         if self.bounds.stop_s <= 0.0 {
             return Err("`bounds.stop_s` must be above 0".to_owned());
         }
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -1,7 +1,6 @@
 //! Transactions: opened at a database with their first statement, and bound to that connection.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use dyketally::group::LogPosition;
 use dyketally::identifiers::DatabaseName;
@@ -10,17 +9,15 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
+use crate::batch::{Batch, Flow, Reset, Step};
+use crate::checkout::{Checkout, Unanswered};
 use crate::connection::Answer;
 use crate::gateway::Gateway;
-use crate::pool::Checkout;
-use crate::ports::{DatabaseCommand, OwnStatement};
+use crate::ports::OwnStatement;
 use crate::request::{Request, Served};
 use crate::target::Target;
 use crate::write::RETRY_PAUSE;
 
-/// Longest time that dropping a transaction may take before its connection is closed instead.
-const ROLLBACK_LIMIT: Duration = Duration::from_secs(2);
-
 /// A transaction of a session.
 pub struct Transaction {
     /// True when it promised not to write.
@@ -120,18 +117,11 @@
         if answer.state != TransactionState::Idle {
             self.drop_bound();
         } else if let Some(bound) = self.bound.take() {
-            self.release(bound, answer.end.is_ok());
+            bound.checkout.give_back();
         }
         ended(Served::from_database(answer))
     }
 
-    fn release(&self, mut bound: Bound, kept: bool) {
-        if self.set_values && !kept {
-            bound.checkout.connection().require_reset();
-        }
-        bound.checkout.give_back();
-    }
-
     /// Drops the transaction and its writes, without waiting for the database.
     pub fn roll_back(&mut self) {
         self.drop_bound();
@@ -141,8 +131,18 @@
         let Some(bound) = self.bound.take() else {
             return;
         };
-        let must_reset = self.set_values;
-        tokio::task::spawn_local(roll_back(bound.checkout, must_reset));
+        bound.checkout.roll_back(match self.set_values {
+            true => Reset::Always,
+            false => Reset::Never,
+        });
+    }
+
+    /// Values that were set in a transaction are uncertain when it fails.
+    fn reset_after_failure(&self) -> Reset {
+        match self.set_values {
+            true => Reset::AfterFailure,
+            false => Reset::Never,
+        }
     }
 
     async fn run_bound(
@@ -173,19 +173,14 @@
     }
 
     async fn send(&mut self, gateway: &Rc<Gateway>, request: &Request) -> Option<Answer> {
+        let reset = self.reset_after_failure();
         let bound = self.bound.as_mut()?;
         request.attempt(gateway);
-        let connection = bound.checkout.connection();
-        let (mut commands, name) = connection.adopt(&request.values, request.prepared());
-        let adopted = commands.len();
-        commands.push(request.command(name, None));
+        let mut batch = Batch::of(request.context(), vec![request.step(None)]);
+        batch.reset = reset;
         let sent = gateway.now();
-        let exchange = gateway.exchange(&mut bound.checkout, &bound.target, &commands);
+        let exchange = gateway.exchange(&mut bound.checkout, &bound.target, &batch);
         let mut answers = exchange.await.ok()?;
-        bound
-            .checkout
-            .connection()
-            .check_adoption(&answers, adopted);
         let answer = answers.pop()?;
         if bound.leads && answer.end.is_ok() {
             gateway.observe(&bound.target.group, answer.position, sent);
@@ -237,12 +232,22 @@
             Ok(checkout) => checkout,
             Err(_) => return First::NotRun,
         };
+        request.attempt(gateway);
+        let steps = vec![Step::Own(begin), request.step(None)];
+        let mut batch = Batch::of(request.context(), steps);
+        batch.flow = Flow::UntilFailure;
+        batch.reset = self.reset_after_failure();
         let sent = gateway.now();
-        let begin = [DatabaseCommand::Own(begin)];
-        let Ok(answers) = gateway.exchange(&mut checkout, &target, &begin).await else {
-            return First::Lost;
+        let answers = match gateway.exchange(&mut checkout, &target, &batch).await {
+            Ok(answers) => answers,
+            Err(Unanswered::NotRun(kind)) => {
+                note_refusal(gateway, &target, kind, after);
+                return First::NotRun;
+            }
+            Err(Unanswered::Lost(_)) => return First::Lost,
         };
-        let Some(begun) = answers.into_iter().next() else {
+        let mut answers = answers.into_iter();
+        let Some(begun) = answers.next() else {
             return First::Lost;
         };
         if let Err(failure) = &begun.end {
@@ -261,10 +266,12 @@
             target: target.clone(),
             leads,
         });
-        let Some(answer) = self.send(gateway, request).await else {
-            self.bound = None;
+        let Some(answer) = answers.next() else {
             return First::Lost;
         };
+        if leads && answer.end.is_ok() {
+            gateway.observe(&target.group, answer.position, sent);
+        }
         match &answer.end {
             Err(failure) if failure.kind.not_run() => {
                 note_refusal(gateway, &target, failure.kind, after);
@@ -389,18 +396,3 @@
         _ => {}
     }
 }
-
-async fn roll_back(mut checkout: Checkout, must_reset: bool) {
-    let command = [DatabaseCommand::Own(OwnStatement::Rollback)];
-    let exchange = checkout.connection().exchange(&command);
-    let rolled_back = tokio::time::timeout(ROLLBACK_LIMIT, exchange).await;
-    let Ok(Ok(answers)) = rolled_back else {
-        return;
-    };
-    if answers[0].state == TransactionState::Idle {
-        if must_reset {
-            checkout.connection().require_reset();
-        }
-        checkout.give_back();
-    }
-}
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -6,18 +6,15 @@
 use dyketally::statement::{FailureKind, TransactionState};
 use tokio::time::Instant;
 
-use crate::connection::{Answer, Broken, OpenError};
+use crate::batch::Batch;
+use crate::checkout::{Checkout, Unanswered};
+use crate::connection::{Answer, Broken};
 use crate::gateway::Gateway;
-use crate::health::InFlight;
-use crate::pool::{Checkout, CheckoutError};
-use crate::ports::DatabaseCommand;
 use crate::request::{Request, Served};
 use crate::target::Target;
 
 /// Pause before a statement that was not run is sent again.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(25);
-/// Silence after which a primary is probed while a statement goes on waiting for it.
-const SILENCE: Duration = Duration::from_millis(200);
 
 /// What became of one attempt.
 pub enum Attempt {
@@ -57,21 +54,14 @@
             Ok(checkout) => checkout,
             Err(kind) => return Attempt::NotRun(kind),
         };
-        let (mut commands, name) = checkout
-            .connection()
-            .adopt(&request.values, request.prepared());
-        let adopted = commands.len();
-        commands.push(request.command(name, None));
+        let batch = Batch::of(request.context(), vec![request.step(None)]);
         request.attempt(self);
         let sent = self.now();
-        let answers = self.exchange(&mut checkout, target, &commands).await;
-        if let Ok(answers) = &answers {
-            checkout.connection().check_adoption(answers, adopted);
-        }
+        let answers = self.exchange(&mut checkout, target, &batch).await;
         let answer = match answers.map(|mut answers| answers.pop()) {
             Ok(Some(answer)) => answer,
             Ok(None) => return Attempt::NotRun(FailureKind::Other),
-            Err(broken) => return Attempt::Lost(broken),
+            Err(unanswered) => return unanswered.into(),
         };
         if answer.state == TransactionState::Idle {
             checkout.give_back();
@@ -95,55 +85,16 @@
         request: &Request,
         target: &Target,
     ) -> Result<Checkout, FailureKind> {
-        let pool = &target.state.pool;
-        let priority = request.route.priority + 1;
-        let checkout = pool.checkout(&request.values, priority, request.give_up());
-        checkout.await.map_err(|error| match error {
-            CheckoutError::Exhausted => FailureKind::Busy,
-            CheckoutError::Open(OpenError::TurnedAway(failure)) => {
-                if failure.kind == FailureKind::WrongDatabase {
-                    self.unreachable(target);
-                }
-                failure.kind
-            }
-            CheckoutError::Open(OpenError::Refused | OpenError::Silent) => {
-                self.unreachable(target);
-                FailureKind::Busy
-            }
-        })
-    }
-
-    /// Takes in that `target` can't be reached.
-    pub fn unreachable(self: &Rc<Self>, target: &Target) {
-        target.state.failed();
-        self.suspect_primary(target);
+        let checkout = self.checkout_for(target, &request.values, request.claim());
+        checkout.await
     }
+}
 
-    /// Sends commands to `target` and reads the answers; probes it if it stays silent.
-    ///
-    /// # Errors
-    /// The connection broke.
-    pub async fn exchange(
-        self: &Rc<Self>,
-        checkout: &mut Checkout,
-        target: &Target,
-        commands: &[DatabaseCommand],
-    ) -> Result<Vec<Answer>, Broken> {
-        let _in_flight = InFlight::begin(&target.state);
-        let started = Instant::now();
-        let exchange = checkout.connection().exchange(commands);
-        tokio::pin!(exchange);
-        let result = match tokio::time::timeout(SILENCE, &mut exchange).await {
-            Ok(result) => result,
-            Err(_) => {
-                self.suspect_primary(target);
-                exchange.await
-            }
-        };
-        match &result {
-            Ok(_) => target.state.answered(started.elapsed()),
-            Err(_) => self.unreachable(target),
+impl From<Unanswered> for Attempt {
+    fn from(unanswered: Unanswered) -> Self {
+        match unanswered {
+            Unanswered::NotRun(kind) => Self::NotRun(kind),
+            Unanswered::Lost(broken) => Self::Lost(broken),
         }
-        result
     }
 }
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -7,10 +7,13 @@
 //! home; the database's own connection limit bounds the two together.
 
 mod score;
+mod sharing;
 mod tier;
 
 use crate::identifiers::{DatabaseName, Locality, NodeName};
 
+pub use sharing::Sharing;
+
 use score::{Key, Score};
 use tier::Tier;
 
@@ -73,6 +76,17 @@
     first_few(ranked.collect(), count)
 }
 
+/// The order in which `node` asks `homes`: its own for each node, so that nodes spread over them.
+pub fn preference<'a>(node: &NodeName, homes: &[&'a NodeName]) -> Vec<&'a NodeName> {
+    let key = Key::of_node(node);
+    let mut ordered = homes.to_vec();
+    ordered.sort_by(|one, other| {
+        let score = |home: &NodeName| key.score(home, NORMAL_WEIGHT);
+        score(other).cmp(&score(one))
+    });
+    ordered
+}
+
 /// The nodes of the zone at `locality` that watch the platform's service for the whole zone.
 pub fn relays<'a>(
     locality: &Locality,
--- a/crates/dyketally/src/placement/score.rs
+++ b/crates/dyketally/src/placement/score.rs
@@ -7,6 +7,7 @@
 use crate::identifiers::{DatabaseName, Locality, NodeName};
 
 const RELAY_KEY_SEED: u64 = 1;
+const NODE_KEY_SEED: u64 = 2;
 const UNIT_BITS: u32 = 53;
 
 /// What nodes are scored for.
@@ -18,6 +19,10 @@
         Self(xxh3_64(database.as_str().as_bytes()))
     }
 
+    pub(super) fn of_node(node: &NodeName) -> Self {
+        Self(xxh3_64_with_seed(node.as_str().as_bytes(), NODE_KEY_SEED))
+    }
+
     pub(super) fn of_relays(zone: &Locality) -> Self {
         let region = xxh3_64_with_seed(zone.region.as_str().as_bytes(), RELAY_KEY_SEED);
         Self(xxh3_64_with_seed(zone.zone.as_str().as_bytes(), region))
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -50,7 +50,7 @@
 }
 
 /// A prepared statement without its name: equal ones can share a name on a connection.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PreparedStatement {
     /// Whether it reads or writes.
     pub access: Access,
@@ -59,7 +59,7 @@
 }
 
 /// Where a session or a connection stands with respect to transactions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// No transaction is open.
     #[default]
@@ -117,7 +117,7 @@
 }
 
 /// A failure with what is told about it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// The kind, for programs.
     pub kind: FailureKind,
