--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -1,11 +1,12 @@
 //! Follows a prefix of the store for as long as the process runs.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
-    Entry, KeyRange, KeyValueStore, RangeRequest, StoreRevision, WatchEvent, WatchRequest,
+    Entry, Key, KeyRange, KeyValueStore, RangeRequest, StoreRevision, WatchEvent, WatchRequest,
     WatchStream,
 };
 use futures::StreamExt;
@@ -18,6 +19,8 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause before the store is asked again after a failure.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+/// Longest pause after a change before a watch goes on.
+const LONGEST_GATHERING: Duration = Duration::from_millis(600);
 
 /// What a follower is told.
 pub enum StoreUpdate {
@@ -27,28 +30,40 @@
     Changed(WatchEvent),
 }
 
-/// Follows `prefix` and passes on what changes, forever.
+/// What is followed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Followed {
+    /// What the keys begin with.
+    pub prefix: String,
+    /// Pause after a change before the watch goes on, for each key that is followed: changes that
+    /// come close together, as when many nodes start, then come with one call. Calls may be dear.
+    pub gathering_per_key: Duration,
+}
+
+/// Follows keys and passes on what changes, forever.
 pub async fn follow(
     gateway: Rc<Gateway>,
     store: Rc<dyn KeyValueStore>,
-    prefix: String,
+    followed: Followed,
     mut sink: impl FnMut(StoreUpdate),
 ) {
-    let mut pause = Pause::new(gateway, prefix.clone());
+    let mut progress = Progress::new(gateway, followed.prefix.clone());
     loop {
         let read = store
-            .range(RangeRequest::all(KeyRange::prefix(&prefix)))
+            .range(RangeRequest::all(KeyRange::prefix(&followed.prefix)))
             .await;
         let reply = match read {
             Ok(reply) => reply,
             Err(error) => {
-                pause.after(&error).await;
+                progress.after(&error).await;
                 continue;
             }
         };
-        pause.reset();
+        progress.reset();
+        progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
         sink(StoreUpdate::All(reply.entries));
-        watch_from(&store, &prefix, reply.store_revision, &mut sink, &mut pause).await;
+        let seen = reply.store_revision;
+        watch_from(&store, &followed, seen, &mut sink, &mut progress).await;
     }
 }
 
@@ -57,29 +72,35 @@
 /// reads all keys again.
 async fn watch_from(
     store: &Rc<dyn KeyValueStore>,
-    prefix: &str,
+    followed: &Followed,
     seen: StoreRevision,
     sink: &mut impl FnMut(StoreUpdate),
-    pause: &mut Pause,
+    progress: &mut Progress,
 ) {
     let request = WatchRequest {
-        range: KeyRange::prefix(prefix),
+        range: KeyRange::prefix(&followed.prefix),
         from: seen.next(),
     };
+    let gateway = progress.gateway.clone();
     let error = match store.watch(request).await {
-        Ok(batches) => watch_batches(batches, sink, pause).await,
+        Ok(batches) => tokio::select! {
+            error = watch_batches(batches, followed.gathering_per_key, sink, progress) => error,
+            // The watch may have been lost together with the store, and say nothing.
+            () = gateway.membership.store_regained.notified() => return,
+        },
         Err(error) => error,
     };
     if !matches!(error, StoreError::Compacted) {
-        pause.after(&error).await;
+        progress.after(&error).await;
     }
 }
 
 /// Passes on what a watch reports, until it ends.
 async fn watch_batches(
     batches: WatchStream,
+    gathering_per_key: Duration,
     sink: &mut impl FnMut(StoreUpdate),
-    pause: &mut Pause,
+    progress: &mut Progress,
 ) -> StoreError {
     // The first batch may be the client's own and prove nothing.
     let mut batches = batches.skip(1);
@@ -88,28 +109,44 @@
             Ok(batch) => batch,
             Err(error) => return error,
         };
-        pause.reset();
-        pause.gateway.membership.store_answered();
+        progress.reset();
+        progress.gateway.membership.store_answered();
+        let any = !batch.events.is_empty();
         for event in batch.events {
+            progress.note(&event);
             sink(StoreUpdate::Changed(event));
         }
+        if any {
+            let keys = u32::try_from(progress.keys.len()).unwrap_or(u32::MAX);
+            let gathering = gathering_per_key.saturating_mul(keys);
+            tokio::time::sleep(gathering.min(LONGEST_GATHERING)).await;
+        }
     }
     StoreError::Unavailable {
         reason: "the watch ended".to_owned(),
     }
 }
 
-struct Pause {
+struct Progress {
     gateway: Rc<Gateway>,
     prefix: String,
+    keys: HashSet<Key>,
     failures: u32,
 }
 
-impl Pause {
+impl Progress {
+    fn note(&mut self, event: &WatchEvent) {
+        match event {
+            WatchEvent::Put(entry) => self.keys.insert(entry.key.clone()),
+            WatchEvent::Deleted { key, .. } => self.keys.remove(key),
+        };
+    }
+
     fn new(gateway: Rc<Gateway>, prefix: String) -> Self {
         Self {
             gateway,
             prefix,
+            keys: HashSet::new(),
             failures: 0,
         }
     }
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -83,6 +83,8 @@
 pub struct Membership {
     /// Told when something needs the attention of the node that replaces primaries.
     pub attention: Notify,
+    /// Told when the store answers again after a renewal that failed.
+    pub store_regained: Notify,
     /// Primaries that some node suspects, and since when.
     pub suspicions: RefCell<HashMap<(GroupName, DatabaseName), Instant>>,
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
@@ -240,9 +242,15 @@
 
     /// Keeps the lease, the node's key and, when it is free, the duty; forever.
     pub async fn run(self: Rc<Self>) {
+        let mut joined_before = false;
         loop {
             match self.join().await {
-                Ok(lease) => self.hold(lease).await,
+                Ok(lease) => {
+                    if std::mem::replace(&mut joined_before, true) {
+                        self.membership().store_regained.notify_waiters();
+                    }
+                    self.hold(lease).await;
+                }
                 Err(_) => self.pause(RENEWAL_RETRY * 2).await,
             }
             self.lay_down("the lease ended");
@@ -292,6 +300,7 @@
 
     async fn hold(&self, lease: LeaseId) {
         let mut next = Instant::now() + RENEWAL;
+        let mut failed = false;
         loop {
             tokio::select! {
                 () = tokio::time::sleep_until(next) => {
@@ -301,9 +310,15 @@
                             self.membership().store_answered();
                             self.extend(lease, asked, time_to_live);
                             next = Instant::now() + RENEWAL;
+                            if std::mem::take(&mut failed) {
+                                self.membership().store_regained.notify_waiters();
+                            }
                         }
                         Err(StoreError::LeaseLapsed { .. }) => return,
-                        Err(_) => next = Instant::now() + RENEWAL_RETRY,
+                        Err(_) => {
+                            failed = true;
+                            next = Instant::now() + RENEWAL_RETRY;
+                        }
                     }
                 }
                 () = self.membership().duty_free.notified() => self.campaign(lease).await,
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -13,7 +13,7 @@
 
 use crate::event::Event;
 use crate::failover::Failover;
-use crate::follow::{StoreUpdate, follow};
+use crate::follow::{Followed, StoreUpdate, follow};
 use crate::gateway::{Gateway, StopPhase};
 use crate::membership::Member;
 use crate::peer::Peers;
@@ -34,6 +34,10 @@
 const NOTICED_AFTER: Duration = Duration::from_millis(2_300);
 /// How long giving back the node's keys may take.
 const LEAVE_LIMIT: Duration = Duration::from_millis(500);
+/// Pause after databases changed before further changes are taken in, for each database.
+const ANNOUNCEMENTS_GATHERING: Duration = Duration::from_millis(20);
+/// Pause after nodes came or went before further ones are taken in, for each node.
+const NODES_GATHERING: Duration = Duration::from_millis(7);
 /// Pause between two looks whether all sessions have ended.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -171,24 +175,31 @@
     tokio::task::spawn_local(follow(
         gateway.clone(),
         store.clone(),
-        documents.configuration_key(),
+        followed(documents.configuration_key(), Duration::ZERO),
         move |update| configuration.take_configuration(update),
     ));
     tokio::task::spawn_local(follow(
         gateway.clone(),
         store.clone(),
-        documents.announcements_prefix(),
+        followed(documents.announcements_prefix(), ANNOUNCEMENTS_GATHERING),
         move |update| reader.take_announcements(update),
     ));
     let member = member.clone();
     tokio::task::spawn_local(follow(
         gateway.clone(),
         store.clone(),
-        documents.own_prefix(),
+        followed(documents.own_prefix(), NODES_GATHERING),
         move |update| member.take_in(update),
     ));
 }
 
+fn followed(prefix: String, gathering_per_key: Duration) -> Followed {
+    Followed {
+        prefix,
+        gathering_per_key,
+    }
+}
+
 #[derive(Clone)]
 struct Reader {
     gateway: Rc<Gateway>,
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -265,7 +265,8 @@
         });
     }
 
-    /// Tells the node that replaces primaries that `target` doesn't answer.
+    /// Tells the node that replaces primaries, or all nodes if it isn't known, that `target` doesn't
+    /// answer.
     pub fn report_suspicion(&self, target: &Target) {
         if self.membership.last_duty().is_some() {
             self.suspected(target.group.clone(), target.name.clone());
@@ -276,8 +277,13 @@
             database: target.name.clone(),
         };
         let peers = self.peers.borrow();
-        if let (Some(peers), Some(holder)) = (peers.as_ref(), self.membership.holder()) {
-            peers.send(holder, &message);
+        let Some(peers) = peers.as_ref() else {
+            return;
+        };
+        match self.membership.holder() {
+            Some(holder) => peers.send(holder, &message),
+            // This node may not have heard yet who has the duty.
+            None => peers.broadcast(&message),
         }
     }
 }
--- a/crates/dyketally/tests/placement.rs
+++ b/crates/dyketally/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: order of nodes, and how much moves when a node joins or leaves.
 
 use dyketally::identifiers::{DatabaseName, Locality, NodeName};
-use dyketally::placement::{Candidate, NORMAL_WEIGHT, home, rank, relays};
+use dyketally::placement::{Candidate, NORMAL_WEIGHT, Sharing, home, preference, rank, relays};
 use rstest::rstest;
 
 const ZONES: usize = 6;
@@ -179,3 +179,57 @@
     assert_eq!(home(&"db-0".into(), &zone(0), []), None);
     assert!(rank(&"db-0".into(), &zone(0), [], 3).is_empty());
 }
+
+#[rstest]
+#[case::few_nodes(36, 7, Sharing::Everyone(4))]
+#[case::ample(50, 6, Sharing::Everyone(7))]
+#[case::alone(3, 1, Sharing::Everyone(2))]
+#[case::a_pair_never_needs_a_home(4, 2, Sharing::Everyone(1))]
+#[case::just_too_few(36, 9, Sharing::Homes { count: 2, each: 16 })]
+#[case::seventy_nodes(40, 73, Sharing::Homes { count: 3, each: 12 })]
+#[case::size_to_design_for(100, 610, Sharing::Homes { count: 7, each: 12 })]
+#[case::hardly_any(5, 100, Sharing::Homes { count: 1, each: 4 })]
+#[case::none_at_all(0, 100, Sharing::Homes { count: 1, each: 1 })]
+fn connections_are_shared_out(
+    #[case] granted: u32,
+    #[case] nodes: usize,
+    #[case] expected: Sharing,
+) {
+    assert_eq!(Sharing::of(granted, nodes), expected);
+}
+
+/// All nodes together never have more connections than are granted, but for the few that nodes
+/// may open which reach no home.
+#[test]
+fn what_is_shared_out_fits_into_what_is_granted() {
+    for granted in 3..200 {
+        for nodes in 1..300 {
+            let sharing = Sharing::of(granted, nodes);
+            let homes = sharing.homes(nodes) as u32;
+            let used = homes * sharing.limit(true);
+            assert!(used <= granted, "{granted} for {nodes}: {sharing:?}");
+            assert!(sharing.limit(true) >= 1);
+            assert!(homes >= 1 && homes as usize <= nodes);
+        }
+    }
+}
+
+#[test]
+fn nodes_spread_over_the_homes() {
+    let homes: Vec<NodeName> = (0..3)
+        .map(|it| format!("home-{it}").as_str().into())
+        .collect();
+    let homes: Vec<&NodeName> = homes.iter().collect();
+    let mut first = std::collections::HashMap::new();
+    for number in 0..300 {
+        let node: NodeName = format!("node-{number}").as_str().into();
+        let order = preference(&node, &homes);
+        assert_eq!(order, preference(&node, &homes));
+        assert_eq!(order.len(), homes.len());
+        *first.entry(order[0].clone()).or_insert(0) += 1;
+    }
+    assert!(
+        first.values().all(|count| (70..130).contains(count)),
+        "{first:?}"
+    );
+}
