Give node and duty leases of their own, and gather changes longer after the start

Ruled out: stale reads at the start (a read from before a compaction may miss a change). Change: the node's key has a lease of 6 s, renewed every 2 s or when a poll asks for evidence; the duty has one of 2.6 s that only its holder renews. The holder tells the others, who don't campaign then.

--- /dev/null
+++ b/crates/dyketally-gateway/src/duty.rs
@@ -0,0 +1,247 @@
+//! Takes and keeps the duty of replacing primaries, which one node has at a time.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally_store::StoreError;
+use dyketally_store::key_value::{
+    Condition, KeyRange, KeyValueStore, LeaseId, RangeRequest, StoreRevision, TransactionRequest,
+};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::event::Event;
+use crate::gateway::{Gateway, StopPhase};
+use crate::membership::{Duty, HeldLease, Holder, Keys, Membership};
+use crate::peer::{PeerMessage, Peers};
+
+/// Time after which the duty of a node that is lost is free.
+const LEASE: Duration = Duration::from_millis(2_600);
+/// Pause between two renewals of the lease.
+const RENEWAL: Duration = Duration::from_millis(800);
+/// Pause before a renewal that failed is tried again.
+const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+/// Longest pause before this node tries to take a duty that is free, and what each node that runs
+/// adds to it: few of them should try at one time.
+const CAMPAIGN_DELAY: Duration = Duration::from_millis(150);
+const CAMPAIGN_DELAY_PER_NODE: Duration = Duration::from_millis(3);
+/// Pause before a campaign that failed is repeated if nobody is known to have won.
+const CAMPAIGN_RETRY: Duration = Duration::from_secs(1);
+
+/// Keeps the duty while this node has it, and campaigns for it when it is free.
+pub struct DutyKeeper {
+    gateway: Rc<Gateway>,
+    store: Rc<dyn KeyValueStore>,
+    keys: Rc<Keys>,
+    peers: Rc<Peers>,
+}
+
+impl DutyKeeper {
+    /// A keeper that isn't running yet.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        store: Rc<dyn KeyValueStore>,
+        keys: Rc<Keys>,
+        peers: Rc<Peers>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            gateway,
+            store,
+            keys,
+            peers,
+        })
+    }
+
+    fn membership(&self) -> &Membership {
+        &self.gateway.membership
+    }
+
+    /// Takes the duty whenever it is free, and keeps it, until the process stops.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.membership().duty_free.notified() => {}
+                () = self.gateway.entered(StopPhase::Leaving) => return,
+            }
+            if let Some(lease) = self.campaign().await {
+                self.hold(lease).await;
+                self.membership().duty_free.notify_one();
+            }
+        }
+    }
+
+    /// Tries to take the duty; its lease if this node has it now.
+    async fn campaign(&self) -> Option<LeaseId> {
+        match self.membership().duty_key() {
+            Some(holder) if holder.record == *self.keys.record() => {
+                self.end_former(holder).await;
+                return None;
+            }
+            Some(_) => return None,
+            None => {}
+        }
+        self.pause_before_campaign().await;
+        if self.membership().duty_key().is_some() || self.gateway.is_stopping() {
+            return None;
+        }
+        if self.membership().heard_holder().is_some() {
+            self.try_again_later();
+            return None;
+        }
+        let asked = Instant::now();
+        let Ok(lease) = self.store.grant_lease(LEASE).await else {
+            self.try_again_later();
+            return None;
+        };
+        let free = Condition::Absent {
+            key: self.keys.duty(),
+        };
+        let Some(token) = self.put_duty(free, lease.id).await else {
+            self.try_again_later();
+            return None;
+        };
+        self.taken(lease.id, token, asked + lease.time_to_live);
+        Some(lease.id)
+    }
+
+    fn taken(&self, lease: LeaseId, token: u64, until: Instant) {
+        let record = self.keys.record().clone();
+        let membership = self.membership();
+        membership.hold_duty_lease(HeldLease { id: lease, until });
+        membership.hold_duty(Duty { token });
+        membership.set_holder(Holder {
+            record: record.clone(),
+            lease: Some(lease),
+        });
+        self.gateway.events.write(&Event::DutyTaken { token });
+        self.peers.broadcast(&PeerMessage::HasDuty { record });
+        membership.attention.notify_one();
+    }
+
+    async fn pause_before_campaign(&self) {
+        let nodes = u32::try_from(self.membership().node_count()).unwrap_or(u32::MAX);
+        let longest = CAMPAIGN_DELAY + CAMPAIGN_DELAY_PER_NODE.saturating_mul(nodes);
+        let share = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(longest.mul_f64(share)).await;
+    }
+
+    /// Ends the lease of an earlier process of this node, so that the duty is free at once.
+    async fn end_former(&self, holder: Holder) {
+        let Some(lease) = holder.lease else {
+            return;
+        };
+        if self.store.revoke_lease(lease).await.is_err() {
+            self.try_again_later();
+        }
+    }
+
+    /// Campaigns again if nobody is known to have the duty by then.
+    fn try_again_later(&self) {
+        let gateway = self.gateway.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(CAMPAIGN_RETRY).await;
+            gateway.membership.duty_free.notify_one();
+        });
+    }
+
+    /// Keeps the duty until it is lost or the process stops.
+    async fn hold(&self, lease: LeaseId) {
+        let mut next = Instant::now() + RENEWAL;
+        while self.membership().last_duty().is_some() {
+            tokio::select! {
+                () = tokio::time::sleep_until(next) => match self.renew(lease).await {
+                    Ok(()) => next = Instant::now() + RENEWAL,
+                    Err(StoreError::LeaseLapsed { .. }) => self.lay_down("the lease ended"),
+                    Err(_) => next = Instant::now() + RENEWAL_RETRY,
+                },
+                () = self.membership().duty_free.notified() => self.check(lease).await,
+                () = self.gateway.entered(StopPhase::Leaving) => {
+                    self.lay_down("the process stops");
+                    // If it fails the lease runs out by itself.
+                    let _ = self.store.revoke_lease(lease).await;
+                }
+            }
+        }
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let asked = Instant::now();
+        match self.store.keep_lease_alive(lease).await {
+            Ok(time_to_live) => {
+                let until = asked + time_to_live;
+                self.membership()
+                    .hold_duty_lease(HeldLease { id: lease, until });
+                if self.membership().store_answered() {
+                    self.membership().store_regained.notify_waiters();
+                }
+                Ok(())
+            }
+            Err(error) => {
+                self.membership().store_failed();
+                Err(error)
+            }
+        }
+    }
+
+    /// Finds out whether a duty whose key seems to be gone, or another's, is still held: what is
+    /// followed may be older than the key.
+    async fn check(&self, lease: LeaseId) {
+        let request = RangeRequest::all(KeyRange::key(self.keys.duty()));
+        match self.store.range(request).await {
+            Ok(reply) => {
+                let entry = reply.entries.first();
+                if entry.is_some_and(|entry| entry.lease == Some(lease)) {
+                    self.membership().set_holder(Holder {
+                        record: self.keys.record().clone(),
+                        lease: Some(lease),
+                    });
+                } else {
+                    self.lay_down("the duty's key is gone");
+                }
+            }
+            Err(_) => self.try_again_later(),
+        }
+    }
+
+    /// Puts the duty's key under `condition`; the revision of the change if it took effect.
+    async fn put_duty(&self, condition: Condition, lease: LeaseId) -> Option<u64> {
+        let request = TransactionRequest {
+            conditions: vec![condition],
+            then: vec![self.keys.put(self.keys.duty(), lease)],
+            otherwise: Vec::new(),
+        };
+        match self.store.transact(request).await {
+            Ok(reply) if reply.succeeded => Some(reply.store_revision.0),
+            Ok(_) => None,
+            Err(error) if error.may_have_taken_effect() => self.read_back(lease).await,
+            Err(_) => None,
+        }
+    }
+
+    async fn read_back(&self, lease: LeaseId) -> Option<u64> {
+        let request = RangeRequest::all(KeyRange::key(self.keys.duty()));
+        let reply = self.store.range(request).await.ok()?;
+        let entry = reply.entries.first()?;
+        (entry.lease == Some(lease)).then_some(entry.modified.0)
+    }
+
+    /// Gives the duty a greater token, so that earlier appointments which are still under way
+    /// are refused. `None` when the duty is lost or the store doesn't answer.
+    pub async fn renew_token(&self) -> Option<Duty> {
+        let duty = self.membership().duty()?;
+        let lease = self.membership().duty_lease()?;
+        let unchanged = Condition::Unchanged {
+            key: self.keys.duty(),
+            modified: StoreRevision(duty.token),
+        };
+        let token = self.put_duty(unchanged, lease.id).await?;
+        self.membership().hold_duty(Duty { token });
+        self.membership().duty()
+    }
+
+    fn lay_down(&self, reason: &str) {
+        if self.membership().lay_down_duty() {
+            self.gateway.events.write(&Event::DutyLost { reason });
+        }
+    }
+}
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -14,9 +14,10 @@
 use tokio::time::Instant;
 
 use crate::confirm::Confirmation;
+use crate::duty::DutyKeeper;
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::membership::{Duty, Member};
+use crate::membership::Duty;
 use crate::peer::{PeerMessage, Peers, Vote};
 use crate::ports::{Appointment, OwnStatement, PrimaryControl};
 use crate::probe::PROBE_LIMIT;
@@ -48,7 +49,7 @@
 /// Replaces primaries while this node has the duty.
 pub struct Failover {
     gateway: Rc<Gateway>,
-    member: Rc<Member>,
+    duty: Rc<DutyKeeper>,
     peers: Rc<Peers>,
     control: Rc<dyn PrimaryControl>,
     busy: RefCell<HashSet<GroupName>>,
@@ -76,13 +77,13 @@
     /// A replacer that isn't running yet.
     pub fn new(
         gateway: Rc<Gateway>,
-        member: Rc<Member>,
+        duty: Rc<DutyKeeper>,
         peers: Rc<Peers>,
         control: Rc<dyn PrimaryControl>,
     ) -> Rc<Self> {
         Rc::new(Self {
             gateway,
-            member,
+            duty,
             peers,
             control,
             busy: RefCell::default(),
@@ -421,7 +422,7 @@
         let unchallenged = membership.duty().is_some() || membership.store_lost();
         let duty = match (token_use, unchallenged) {
             (TokenUse::Use, true) => held,
-            _ => self.member.renew_token().await?,
+            _ => self.duty.renew_token().await?,
         };
         let mut appointments = self.appointments.borrow_mut();
         appointments.appointing(group, successor, duty.token);
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -11,6 +11,7 @@
 };
 use futures::StreamExt;
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::event::Event;
 use crate::gateway::Gateway;
@@ -20,7 +21,13 @@
 /// Longest pause before the store is asked again after a failure.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 /// Longest pause after a change before a watch goes on.
-const LONGEST_GATHERING: Duration = Duration::from_millis(600);
+const LONGEST_GATHERING: Duration = Duration::from_millis(1_200);
+/// So many keys are followed without any pause.
+const FEW_KEYS: usize = 6;
+/// For so long after its start a node pauses at least [`SETTLING_PER_NODE`] for each node that runs:
+/// databases and nodes then tend to start as well.
+const SETTLING: Duration = Duration::from_secs(6);
+const SETTLING_PER_NODE: Duration = Duration::from_millis(10);
 
 /// What a follower is told.
 pub enum StoreUpdate {
@@ -35,8 +42,8 @@
 pub struct Followed {
     /// What the keys begin with.
     pub prefix: String,
-    /// Pause after a change before the watch goes on, for each key that is followed: changes that
-    /// come close together, as when many nodes start, then come with one call. Calls may be dear.
+    /// Pause after a change before the watch goes on, for each key beyond a few: changes that come
+    /// close together, as when many nodes start, then come with one call. Calls may be dear.
     pub gathering_per_key: Duration,
 }
 
@@ -117,9 +124,7 @@
             sink(StoreUpdate::Changed(event));
         }
         if any {
-            let keys = u32::try_from(progress.keys.len()).unwrap_or(u32::MAX);
-            let gathering = gathering_per_key.saturating_mul(keys);
-            tokio::time::sleep(gathering.min(LONGEST_GATHERING)).await;
+            tokio::time::sleep(progress.gathering(gathering_per_key)).await;
         }
     }
     StoreError::Unavailable {
@@ -131,10 +136,26 @@
     gateway: Rc<Gateway>,
     prefix: String,
     keys: HashSet<Key>,
+    started: Instant,
     failures: u32,
 }
 
 impl Progress {
+    /// Pause behind a change, before the watch goes on.
+    fn gathering(&self, per_key: Duration) -> Duration {
+        if per_key.is_zero() {
+            return per_key;
+        }
+        let keys = self.keys.len().saturating_sub(FEW_KEYS);
+        let mut gathering = per_key.saturating_mul(u32::try_from(keys).unwrap_or(u32::MAX));
+        if self.started.elapsed() < SETTLING {
+            let nodes = self.gateway.membership.node_count();
+            let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+            gathering = gathering.max(SETTLING_PER_NODE.saturating_mul(nodes));
+        }
+        gathering.min(LONGEST_GATHERING)
+    }
+
     fn note(&mut self, event: &WatchEvent) {
         match event {
             WatchEvent::Put(entry) => self.keys.insert(entry.key.clone()),
@@ -147,6 +168,7 @@
             gateway,
             prefix,
             keys: HashSet::new(),
+            started: Instant::now(),
             failures: 0,
         }
     }
--- /dev/null
+++ b/crates/dyketally-gateway/src/member.rs
@@ -0,0 +1,123 @@
+//! Keeps this node's key in the store, so that other nodes know that it runs.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally_store::StoreError;
+use dyketally_store::key_value::{KeyValueStore, LeaseId, TransactionRequest};
+use rand::Rng;
+use tokio::time::Instant;
+
+use crate::follow::StoreUpdate;
+use crate::gateway::Gateway;
+use crate::membership::{Keys, Membership};
+
+/// Time after which the key of a node that is lost goes. Until then it is passed over by those who
+/// fail to reach it, so this may be long, which saves renewals.
+const LEASE: Duration = Duration::from_secs(6);
+/// Pause between two renewals of the lease.
+const RENEWAL: Duration = Duration::from_secs(2);
+/// Pause before a renewal that failed is tried again.
+const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+/// Age of the last word of the store from which on it is asked anew when that matters.
+const CONTACT_AGE: Duration = Duration::from_millis(700);
+
+/// Keeps this node's key.
+pub struct Member {
+    gateway: Rc<Gateway>,
+    store: Rc<dyn KeyValueStore>,
+    keys: Rc<Keys>,
+}
+
+impl Member {
+    /// A member that isn't kept yet.
+    pub fn new(gateway: Rc<Gateway>, store: Rc<dyn KeyValueStore>, keys: Rc<Keys>) -> Rc<Self> {
+        Rc::new(Self {
+            gateway,
+            store,
+            keys,
+        })
+    }
+
+    fn membership(&self) -> &Membership {
+        &self.gateway.membership
+    }
+
+    /// Takes in a change of the nodes' keys.
+    pub fn take_in(&self, update: StoreUpdate) {
+        self.membership().take_in(update, &self.keys);
+        self.gateway.apply_connection_limits();
+    }
+
+    /// Keeps the lease and the node's key until the process stops.
+    pub async fn run(self: Rc<Self>) {
+        while !self.gateway.is_stopping() {
+            match self.join().await {
+                Ok(lease) => {
+                    self.answered();
+                    self.hold(lease).await;
+                }
+                Err(_) => {
+                    self.membership().store_failed();
+                    pause(RENEWAL_RETRY * 2).await;
+                }
+            }
+        }
+    }
+
+    async fn join(&self) -> Result<LeaseId, StoreError> {
+        let lease = self.store.grant_lease(LEASE).await?;
+        let put = self.keys.put(self.keys.node(), lease.id);
+        self.store
+            .transact(TransactionRequest {
+                then: vec![put],
+                ..TransactionRequest::default()
+            })
+            .await?;
+        Ok(lease.id)
+    }
+
+    fn answered(&self) {
+        if self.membership().store_answered() {
+            self.membership().store_regained.notify_waiters();
+        }
+    }
+
+    /// Renews the lease until it has ended; ends it when the process stops.
+    async fn hold(&self, lease: LeaseId) {
+        let mut next = Instant::now() + RENEWAL;
+        let mut renewed = Instant::now();
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(next) => {}
+                () = self.membership().check_store.notified() => {
+                    if renewed.elapsed() < CONTACT_AGE {
+                        continue;
+                    }
+                }
+                () = self.gateway.entered(crate::gateway::StopPhase::Leaving) => {
+                    // If it fails the lease runs out by itself.
+                    let _ = self.store.revoke_lease(lease).await;
+                    return;
+                }
+            }
+            match self.store.keep_lease_alive(lease).await {
+                Ok(_) => {
+                    self.answered();
+                    renewed = Instant::now();
+                    next = renewed + RENEWAL;
+                }
+                Err(StoreError::LeaseLapsed { .. }) => return,
+                Err(_) => {
+                    self.membership().store_failed();
+                    next = Instant::now() + RENEWAL_RETRY;
+                }
+            }
+        }
+    }
+}
+
+async fn pause(longest: Duration) {
+    let share = rand::rng().random_range(0.5..1.0);
+    tokio::time::sleep(longest.mul_f64(share)).await;
+}
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -1,41 +1,27 @@
-//! Nodes that run, and the duty of replacing primaries: both are keys in the store that are bound
-//! to a lease.
+//! What is known of the nodes that run and of the duty of replacing primaries. Both are keys in the
+//! store that are bound to leases; `member` and `duty` keep this node's.
 
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName};
 use dyketally::placement::Candidate;
-use dyketally_store::StoreError;
-use dyketally_store::key_value::{
-    Condition, Entry, Key, KeyRange, KeyValueStore, LeaseId, Operation, PutRequest, RangeRequest,
-    StoreRevision, TransactionRequest, WatchEvent,
-};
-use rand::Rng;
+use dyketally_store::key_value::{Entry, Key, LeaseId, Operation, PutRequest, WatchEvent};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::event::Event;
 use crate::follow::StoreUpdate;
-use crate::gateway::Gateway;
-
-/// Time after which the keys of a node that is lost go.
-const LEASE: Duration = Duration::from_millis(2_600);
-/// Pause between two renewals of the lease.
-const RENEWAL: Duration = Duration::from_millis(800);
-/// Pause before a renewal that failed is tried again.
-const RENEWAL_RETRY: Duration = Duration::from_millis(150);
-/// The duty is laid down this long before the lease can end.
+
+/// The duty is laid down this long before its lease can end.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
-/// Silence after which the store counts as lost.
+/// Silence after which the store counts as lost, once a call has failed.
 const STORE_LOST: Duration = Duration::from_millis(1_800);
-/// Longest pause before this node tries to take a duty that is free.
-const CAMPAIGN_DELAY_MS: u64 = 150;
+/// How long a node counts as holder that said so itself, until the store confirms it.
+const HEARSAY_HOLDS: Duration = Duration::from_secs(3);
 
 const NODES: &str = "nodes/";
 const DUTY: &str = "duty/primary-control";
@@ -65,6 +51,46 @@
     }
 }
 
+/// This node's keys in the store.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    prefix: String,
+    record: NodeRecord,
+}
+
+impl Keys {
+    /// The keys of the node that `record` describes, below `prefix`.
+    pub fn new(prefix: String, record: NodeRecord) -> Self {
+        Self { prefix, record }
+    }
+
+    /// What this node keeps there.
+    pub fn record(&self) -> &NodeRecord {
+        &self.record
+    }
+
+    /// The key of this node.
+    pub fn node(&self) -> Key {
+        let name = &self.record.node;
+        Key::from(format!("{}{NODES}{name}", self.prefix))
+    }
+
+    /// The key of the duty.
+    pub fn duty(&self) -> Key {
+        Key::from(format!("{}{DUTY}", self.prefix))
+    }
+
+    /// Puts this node's record under `key`, for as long as `lease` runs.
+    pub fn put(&self, key: Key, lease: LeaseId) -> Operation {
+        let value = serde_json::to_vec(&self.record).unwrap_or_default();
+        Operation::Put(PutRequest {
+            key,
+            value: Bytes::from(value),
+            lease: Some(lease),
+        })
+    }
+}
+
 /// The duty as this node holds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Duty {
@@ -72,10 +98,22 @@
     pub token: u64,
 }
 
+/// A lease as its holder knows it.
 #[derive(Clone, Copy, Debug)]
-struct HeldLease {
-    id: LeaseId,
-    until: Instant,
+pub struct HeldLease {
+    /// The lease.
+    pub id: LeaseId,
+    /// Until when it surely runs.
+    pub until: Instant,
+}
+
+/// The duty's key in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Who has the duty.
+    pub record: NodeRecord,
+    /// The lease that the key is bound to.
+    pub lease: Option<LeaseId>,
 }
 
 /// What is known of the nodes and the duty.
@@ -85,14 +123,19 @@
     pub attention: Notify,
     /// Told when the store answers again after a renewal that failed.
     pub store_regained: Notify,
+    /// Told when it matters whether the store can be reached.
+    pub check_store: Notify,
+    /// Told when the duty seems to be free, or held by a former process of this node.
+    pub duty_free: Notify,
     /// Primaries that some node suspects, and since when.
     pub suspicions: RefCell<HashMap<(GroupName, DatabaseName), Instant>>,
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
-    holder: RefCell<Option<NodeRecord>>,
-    lease: Cell<Option<HeldLease>>,
+    holder: RefCell<Option<Holder>>,
+    heard_holder: RefCell<Option<(NodeRecord, Instant)>>,
+    duty_lease: Cell<Option<HeldLease>>,
     duty: Cell<Option<Duty>>,
     store_contact: Cell<Option<Instant>>,
-    duty_free: Notify,
+    store_failing: Cell<bool>,
 }
 
 impl Membership {
@@ -113,329 +156,130 @@
         others.map(|record| record.address).collect()
     }
 
-    /// Where the node with the duty hears other nodes.
-    pub fn holder(&self) -> Option<SocketAddr> {
-        self.holder.borrow().as_ref().map(|record| record.address)
-    }
-
-    /// True when this node has heard nothing from the store for a while.
-    pub fn store_lost(&self) -> bool {
-        let contact = self.store_contact.get();
-        contact.is_some_and(|at| at.elapsed() > STORE_LOST)
-    }
-
-    /// Takes in that the store answered.
-    pub fn store_answered(&self) {
-        self.store_contact.set(Some(Instant::now()));
-    }
-
-    /// The duty, if this node held it last as far as it knows, even if its lease may have ended.
-    /// Nobody else can have taken it while no node reaches the store.
-    pub fn last_duty(&self) -> Option<Duty> {
-        self.duty.get()
-    }
-
-    /// The duty, if this node holds it and its lease surely runs.
-    pub fn duty(&self) -> Option<Duty> {
-        let lease = self.lease.get()?;
-        let runs = Instant::now() + LEASE_MARGIN < lease.until;
-        self.duty.get().filter(|_| runs)
-    }
-}
-
-/// Keeps this node's keys in the store.
-pub struct Member {
-    gateway: Rc<Gateway>,
-    store: Rc<dyn KeyValueStore>,
-    prefix: String,
-}
-
-impl Member {
-    /// A member whose keys lie under `prefix`.
-    pub fn new(gateway: Rc<Gateway>, store: Rc<dyn KeyValueStore>, prefix: String) -> Rc<Self> {
-        Rc::new(Self {
-            gateway,
-            store,
-            prefix,
-        })
-    }
-
-    fn membership(&self) -> &Membership {
-        &self.gateway.membership
-    }
-
-    fn record(&self) -> NodeRecord {
-        let settings = &self.gateway.settings;
-        NodeRecord {
-            node: NodeName::new(settings.node.name.as_str()),
-            address: settings.listen.peers,
-            locality: self.gateway.locality(&settings.node.zone.as_str().into()),
-            weight: settings.node.weight(),
-        }
-    }
-
-    fn node_key(&self) -> Key {
-        let name = &self.gateway.settings.node.name;
-        Key::from(format!("{}{NODES}{name}", self.prefix))
-    }
-
-    fn duty_key(&self) -> Key {
-        Key::from(format!("{}{DUTY}", self.prefix))
-    }
-
-    fn put_record(&self, key: Key, lease: LeaseId) -> Operation {
-        let value = serde_json::to_vec(&self.record()).unwrap_or_default();
-        Operation::Put(PutRequest {
-            key,
-            value: Bytes::from(value),
-            lease: Some(lease),
-        })
-    }
-
-    /// Takes in a change of the keys.
-    pub fn take_in(&self, update: StoreUpdate) {
+    /// Takes in what the store holds of nodes and duty, or a change of it; `keys` are this node's.
+    pub fn take_in(&self, update: StoreUpdate, keys: &Keys) {
         match update {
             StoreUpdate::All(entries) => {
-                self.membership().nodes.borrow_mut().clear();
-                self.membership().holder.take();
+                self.nodes.borrow_mut().clear();
+                self.holder.take();
                 for entry in entries {
-                    self.take_entry(&entry);
+                    self.take_entry(&entry, keys);
                 }
             }
-            StoreUpdate::Changed(WatchEvent::Put(entry)) => self.take_entry(&entry),
-            StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => self.take_deletion(&key),
+            StoreUpdate::Changed(WatchEvent::Put(entry)) => self.take_entry(&entry, keys),
+            StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => self.take_deletion(&key, keys),
         }
-        if self.membership().holder.borrow().is_none() {
-            self.membership().duty_free.notify_one();
+        let holder = self.holder.borrow();
+        let record = holder.as_ref().map(|holder| &holder.record);
+        let is_free = record.is_none();
+        let is_own = record == Some(keys.record());
+        if is_free || is_own != self.duty.get().is_some() {
+            self.duty_free.notify_one();
         }
-        self.gateway.apply_connection_limits();
     }
 
-    fn take_entry(&self, entry: &Entry) {
+    fn take_entry(&self, entry: &Entry, keys: &Keys) {
         let Ok(record) = serde_json::from_slice::<NodeRecord>(&entry.value) else {
             return;
         };
-        if entry.key == self.duty_key() {
-            if record != self.record() {
-                self.lay_down("another node holds the duty");
-            }
-            *self.membership().holder.borrow_mut() = Some(record);
+        if entry.key == keys.duty() {
+            let lease = entry.lease;
+            self.heard_holder.take();
+            *self.holder.borrow_mut() = Some(Holder { record, lease });
         } else {
             let name = record.node.clone();
-            self.membership().nodes.borrow_mut().insert(name, record);
+            self.nodes.borrow_mut().insert(name, record);
         }
     }
 
-    fn take_deletion(&self, key: &Key) {
-        if key == &self.duty_key() {
-            self.membership().holder.take();
+    fn take_deletion(&self, key: &Key, keys: &Keys) {
+        if key == &keys.duty() {
+            self.holder.take();
             return;
         }
         let text = key.to_string();
         if let Some((_, name)) = text.rsplit_once('/') {
-            self.membership()
-                .nodes
-                .borrow_mut()
-                .remove(&NodeName::new(name));
+            self.nodes.borrow_mut().remove(&NodeName::new(name));
         }
     }
 
-    /// Keeps the lease, the node's key and, when it is free, the duty; forever.
-    pub async fn run(self: Rc<Self>) {
-        let mut joined_before = false;
-        loop {
-            match self.join().await {
-                Ok(lease) => {
-                    if std::mem::replace(&mut joined_before, true) {
-                        self.membership().store_regained.notify_waiters();
-                    }
-                    self.hold(lease).await;
-                }
-                Err(_) => self.pause(RENEWAL_RETRY * 2).await,
-            }
-            self.lay_down("the lease ended");
-            self.membership().lease.set(None);
-            if self.gateway.is_stopping() {
-                return;
-            }
-        }
+    /// The duty's key, as far as it is known.
+    pub fn duty_key(&self) -> Option<Holder> {
+        self.holder.borrow().clone()
     }
 
-    async fn join(&self) -> Result<LeaseId, StoreError> {
-        self.end_former_lease().await?;
-        let asked = Instant::now();
-        let lease = self.store.grant_lease(LEASE).await?;
-        self.membership().store_answered();
-        self.extend(lease.id, asked, lease.time_to_live);
-        let put = self.put_record(self.node_key(), lease.id);
-        self.store
-            .transact(TransactionRequest {
-                then: vec![put],
-                ..TransactionRequest::default()
-            })
-            .await?;
-        Ok(lease.id)
+    /// Takes in that this node holds the duty's key.
+    pub fn set_holder(&self, holder: Holder) {
+        *self.holder.borrow_mut() = Some(holder);
     }
 
-    /// Ends the lease of an earlier process of this node, so that the duty is free at once.
-    async fn end_former_lease(&self) -> Result<(), StoreError> {
-        let request = RangeRequest::all(KeyRange::key(self.duty_key()));
-        let reply = self.store.range(request).await?;
-        let Some(entry) = reply.entries.first() else {
-            return Ok(());
-        };
-        let record: Option<NodeRecord> = serde_json::from_slice(&entry.value).ok();
-        let own =
-            record.is_some_and(|record| record.node.as_str() == self.gateway.settings.node.name);
-        match entry.lease.filter(|_| own) {
-            Some(lease) => self.store.revoke_lease(lease).await,
-            None => Ok(()),
-        }
+    /// Takes in that a node says that it has the duty. The store's word goes first.
+    pub fn heard_of_holder(&self, record: NodeRecord) {
+        *self.heard_holder.borrow_mut() = Some((record, Instant::now()));
     }
 
-    fn extend(&self, id: LeaseId, asked: Instant, time_to_live: Duration) {
-        let until = asked + time_to_live;
-        self.membership().lease.set(Some(HeldLease { id, until }));
+    /// Where the node hears others that says it has the duty, if it said so lately.
+    pub fn heard_holder(&self) -> Option<SocketAddr> {
+        let heard = self.heard_holder.borrow();
+        let (record, at) = heard.as_ref()?;
+        (at.elapsed() < HEARSAY_HOLDS).then_some(record.address)
     }
 
-    async fn hold(&self, lease: LeaseId) {
-        let mut next = Instant::now() + RENEWAL;
-        let mut failed = false;
-        loop {
-            tokio::select! {
-                () = tokio::time::sleep_until(next) => {
-                    let asked = Instant::now();
-                    match self.store.keep_lease_alive(lease).await {
-                        Ok(time_to_live) => {
-                            self.membership().store_answered();
-                            self.extend(lease, asked, time_to_live);
-                            next = Instant::now() + RENEWAL;
-                            if std::mem::take(&mut failed) {
-                                self.membership().store_regained.notify_waiters();
-                            }
-                        }
-                        Err(StoreError::LeaseLapsed { .. }) => return,
-                        Err(_) => {
-                            failed = true;
-                            next = Instant::now() + RENEWAL_RETRY;
-                        }
-                    }
-                }
-                () = self.membership().duty_free.notified() => self.campaign(lease).await,
-            }
-        }
+    /// Where the node with the duty hears other nodes.
+    pub fn holder(&self) -> Option<SocketAddr> {
+        let holder = self.holder.borrow();
+        let known = holder.as_ref().map(|holder| holder.record.address);
+        known.or_else(|| self.heard_holder())
     }
 
-    async fn campaign(&self, lease: LeaseId) {
-        if self.gateway.is_stopping() {
-            return;
-        }
-        if self.membership().duty.get().is_some() {
-            self.check_duty(lease).await;
-            return;
-        }
-        let delay = rand::rng().random_range(0..CAMPAIGN_DELAY_MS);
-        self.pause(Duration::from_millis(delay)).await;
-        if self.membership().holder.borrow().is_some() {
-            return;
-        }
-        let free = Condition::Absent {
-            key: self.duty_key(),
-        };
-        match self.put_duty(free, lease).await {
-            Some(token) => {
-                *self.membership().holder.borrow_mut() = Some(self.record());
-                self.membership().duty.set(Some(Duty { token }));
-                self.gateway.events.write(&Event::DutyTaken { token });
-                self.membership().attention.notify_one();
-            }
-            None => self.try_again_soon(),
-        }
+    /// True when the store fails this node and has been silent for a while.
+    pub fn store_lost(&self) -> bool {
+        let contact = self.store_contact.get();
+        self.store_failing.get() && contact.is_some_and(|at| at.elapsed() > STORE_LOST)
     }
 
-    /// Finds out whether a duty whose key seems to be gone is still held: what is followed may be
-    /// older than the key.
-    async fn check_duty(&self, lease: LeaseId) {
-        let request = RangeRequest::all(KeyRange::key(self.duty_key()));
-        match self.store.range(request).await {
-            Ok(reply) => {
-                let entry = reply.entries.first();
-                if entry.is_some_and(|entry| entry.lease == Some(lease)) {
-                    *self.membership().holder.borrow_mut() = Some(self.record());
-                } else {
-                    self.lay_down("the duty's key is gone");
-                    self.membership().duty_free.notify_one();
-                }
-            }
-            Err(_) => self.try_again_soon(),
-        }
+    /// Takes in that the store answered; true if it had failed before.
+    pub fn store_answered(&self) -> bool {
+        self.store_contact.set(Some(Instant::now()));
+        self.store_failing.replace(false)
     }
 
-    /// Campaigns again if nobody took the duty meanwhile.
-    fn try_again_soon(&self) {
-        let gateway = self.gateway.clone();
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(RENEWAL_RETRY * 2).await;
-            if gateway.membership.holder.borrow().is_none() {
-                gateway.membership.duty_free.notify_one();
-            }
-        });
+    /// Takes in that the store didn't answer a renewal.
+    pub fn store_failed(&self) {
+        self.store_failing.set(true);
     }
 
-    /// Puts the duty's key under `condition`; the revision of the change if it took effect.
-    async fn put_duty(&self, condition: Condition, lease: LeaseId) -> Option<u64> {
-        let request = TransactionRequest {
-            conditions: vec![condition],
-            then: vec![self.put_record(self.duty_key(), lease)],
-            otherwise: Vec::new(),
-        };
-        match self.store.transact(request).await {
-            Ok(reply) if reply.succeeded => Some(reply.store_revision.0),
-            Ok(_) => None,
-            Err(error) if error.may_have_taken_effect() => self.read_back(lease).await,
-            Err(_) => None,
-        }
+    /// The duty, if this node held it last as far as it knows, even if its lease may have ended.
+    /// Nobody else can have taken it while no node reaches the store.
+    pub fn last_duty(&self) -> Option<Duty> {
+        self.duty.get()
     }
 
-    async fn read_back(&self, lease: LeaseId) -> Option<u64> {
-        let request = RangeRequest::all(KeyRange::key(self.duty_key()));
-        let reply = self.store.range(request).await.ok()?;
-        let entry = reply.entries.first()?;
-        (entry.lease == Some(lease)).then_some(entry.modified.0)
+    /// The lease of the duty, if this node holds it.
+    pub fn duty_lease(&self) -> Option<HeldLease> {
+        self.duty_lease.get()
     }
 
-    /// Gives the duty a greater token, so that earlier appointments which are still under way
-    /// are refused. `None` when the duty is lost or the store doesn't answer.
-    pub async fn renew_token(&self) -> Option<Duty> {
-        let duty = self.membership().duty()?;
-        let lease = self.membership().lease.get()?;
-        let unchanged = Condition::Unchanged {
-            key: self.duty_key(),
-            modified: StoreRevision(duty.token),
-        };
-        let token = self.put_duty(unchanged, lease.id).await?;
-        let duty = Duty { token };
-        self.membership().duty.set(Some(duty));
-        self.membership().duty()
+    /// The duty, if this node holds it and its lease surely runs.
+    pub fn duty(&self) -> Option<Duty> {
+        let lease = self.duty_lease.get()?;
+        let runs = Instant::now() + LEASE_MARGIN < lease.until;
+        self.duty.get().filter(|_| runs)
     }
 
-    /// Gives back the node's keys at a planned stop.
-    pub async fn leave(&self) {
-        self.lay_down("the process stops");
-        if let Some(lease) = self.membership().lease.get() {
-            // If it fails the lease runs out by itself.
-            let _ = self.store.revoke_lease(lease.id).await;
-        }
+    /// Takes in that this node holds the duty.
+    pub fn hold_duty(&self, duty: Duty) {
+        self.duty.set(Some(duty));
     }
 
-    fn lay_down(&self, reason: &str) {
-        if self.membership().duty.take().is_some() {
-            self.gateway.events.write(&Event::DutyLost { reason });
-        }
+    /// Takes in until when the duty's lease runs.
+    pub fn hold_duty_lease(&self, lease: HeldLease) {
+        self.duty_lease.set(Some(lease));
     }
 
-    async fn pause(&self, longest: Duration) {
-        let share = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(longest.mul_f64(share)).await;
+    /// Takes in that this node no longer holds the duty; true if it did.
+    pub fn lay_down_duty(&self) -> bool {
+        self.duty_lease.set(None);
+        self.duty.take().is_some()
     }
 }
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dyketally::directory::{Announcement, DirectoryChange};
+use dyketally::identifiers::NodeName;
 use dyketally_store::KeyValueStore;
 use dyketally_store::key_value::{Entry, Key, WatchEvent};
 use eyre::WrapErr;
@@ -11,11 +12,13 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::Instant;
 
+use crate::duty::DutyKeeper;
 use crate::event::Event;
 use crate::failover::Failover;
 use crate::follow::{Followed, StoreUpdate, follow};
 use crate::gateway::{Gateway, StopPhase};
-use crate::membership::Member;
+use crate::member::Member;
+use crate::membership::{Keys, NodeRecord};
 use crate::peer::Peers;
 use crate::ports::{
     PrimaryControl, ReadinessProtocol, SharedCallerProtocol, SharedDatabaseProtocol,
@@ -37,7 +40,7 @@
 /// Pause after databases changed before further changes are taken in, for each database.
 const ANNOUNCEMENTS_GATHERING: Duration = Duration::from_millis(20);
 /// Pause after nodes came or went before further ones are taken in, for each node.
-const NODES_GATHERING: Duration = Duration::from_millis(7);
+const NODES_GATHERING: Duration = Duration::from_millis(14);
 /// Pause between two looks whether all sessions have ended.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -77,10 +80,13 @@
     let peers = Peers::new(gateway.clone(), socket);
     *gateway.peers.borrow_mut() = Some(peers.clone());
     let prefix = adapters.documents.own_prefix();
-    let member = Member::new(gateway.clone(), adapters.store.clone(), prefix.clone());
+    let keys = Rc::new(Keys::new(prefix, own_record(&gateway)));
+    let store = &adapters.store;
+    let member = Member::new(gateway.clone(), store.clone(), keys.clone());
+    let duty = DutyKeeper::new(gateway.clone(), store.clone(), keys, peers.clone());
     let failover = Failover::new(
         gateway.clone(),
-        member.clone(),
+        duty.clone(),
         peers.clone(),
         adapters.control,
     );
@@ -92,7 +98,8 @@
     tokio::task::spawn_local(relay::serve(gateway.clone(), relayed));
     tokio::task::spawn_local(peers.run());
     tokio::task::spawn_local(failover.run());
-    tokio::task::spawn_local(member.clone().run());
+    let joined = tokio::task::spawn_local(member.clone().run());
+    let on_duty = tokio::task::spawn_local(duty.run());
     tokio::task::spawn_local(tidy(gateway.clone()));
     follow_store(&gateway, &adapters.store, &adapters.documents, &member);
     let accepting = tokio::task::spawn_local(accept(gateway.clone(), callers));
@@ -104,7 +111,8 @@
             }),
         }
     }
-    stop(&gateway, &member, accepting).await;
+    let left = futures::future::join(joined, on_duty);
+    stop(&gateway, left, accepting).await;
     Ok(())
 }
 
@@ -132,7 +140,19 @@
     }
 }
 
-async fn stop(gateway: &Rc<Gateway>, member: &Rc<Member>, accepting: tokio::task::JoinHandle<()>) {
+/// What other nodes have to know of this one.
+fn own_record(gateway: &Gateway) -> NodeRecord {
+    let settings = &gateway.settings;
+    NodeRecord {
+        node: NodeName::new(settings.node.name.as_str()),
+        address: settings.listen.peers,
+        locality: gateway.locality(&settings.node.zone.as_str().into()),
+        weight: settings.node.weight(),
+    }
+}
+
+/// Stops as planned. `left` ends once the node's keys are given back.
+async fn stop(gateway: &Rc<Gateway>, left: impl Future, accepting: tokio::task::JoinHandle<()>) {
     let began = Instant::now();
     let bound = gateway.settings.bounds.stop();
     let last = began + bound.mul_f64(STOP_SHARE);
@@ -141,9 +161,8 @@
         sessions: gateway.sessions.get(),
     });
     gateway.enter(StopPhase::Leaving);
-    let leaving = member.leave();
-    // The lease runs out by itself if the store doesn't answer.
-    let _ = tokio::time::timeout(LEAVE_LIMIT, leaving).await;
+    // The leases run out by themselves if the store doesn't answer.
+    let _ = tokio::time::timeout(LEAVE_LIMIT, left).await;
     tokio::time::sleep_until((began + NOTICED_AFTER).min(transactions)).await;
     accepting.abort();
     gateway.enter(StopPhase::ClosingSessions);
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
+use crate::membership::NodeRecord;
 use crate::target::Target;
 
 /// How long other nodes may take to tell whether they reach a database.
@@ -51,6 +52,11 @@
         /// True when it has lost the store.
         store_lost: bool,
     },
+    /// The sender has the duty of replacing primaries.
+    HasDuty {
+        /// The sender.
+        record: NodeRecord,
+    },
     /// The database leads its group now.
     Leads {
         /// The group.
@@ -127,6 +133,7 @@
                 group,
                 database,
             } => {
+                self.gateway.membership.check_store.notify_one();
                 let peers = self.clone();
                 tokio::task::spawn_local(async move {
                     let evidence = peers.gateway.evidence(&group, &database).await;
@@ -155,6 +162,7 @@
                     });
                 }
             }
+            PeerMessage::HasDuty { record } => self.gateway.membership.heard_of_holder(record),
             PeerMessage::Leads { database, .. } => {
                 let mut directory = self.gateway.directory.borrow_mut();
                 directory.acted_as_primary(&database);
