Pass announcements and nodes on within a zone, and take up lost watches whoever hears first

Change 1: beyond 12 nodes two relays a zone watch for the others, which follow one over a link: whole copy first, then changes and a sign of life each second. A copy that is behind is refused; a relay that doesn't watch itself serves nobody; without a relay a node watches the store. The configuration is still watched by every node. Change 2: Membership::store_answered itself tells all who wait.

--- a/crates/dyketally-gateway/src/duty.rs
+++ b/crates/dyketally-gateway/src/duty.rs
@@ -171,9 +171,7 @@
                 let until = asked + time_to_live;
                 self.membership()
                     .hold_duty_lease(HeldLease { id: lease, until });
-                if self.membership().store_answered() {
-                    self.membership().store_regained.notify_waiters();
-                }
+                self.membership().store_answered();
                 Ok(())
             }
             Err(error) => {
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -54,6 +54,18 @@
         /// What changed.
         change: String,
     },
+    /// This node no longer watches the store but follows a relay.
+    RelayFollowed {
+        /// The relay.
+        relay: String,
+    },
+    /// The relay that this node followed is lost.
+    RelayLost {
+        /// The relay.
+        relay: String,
+        /// Why.
+        reason: &'a str,
+    },
     /// The store was lost.
     StoreLost {
         /// What is followed there.
--- /dev/null
+++ b/crates/dyketally-gateway/src/feed.rs
@@ -0,0 +1,458 @@
+//! Keys of the store passed on between nodes, so that in a large fleet not every node has to watch
+//! the store: in each zone a few relays do, and the others follow one of these over a link.
+//!
+//! What a node has is never replaced by something older: a relay whose copy is behind is passed
+//! over. A relay serves only while it watches the store itself and its watches stand, so a chain
+//! or a ring can't form. A node that finds no relay watches the store itself.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dyketally::identifiers::NodeName;
+use dyketally::placement;
+use dyketally_store::key_value::{Entry, Key, LeaseId, StoreRevision, WatchEvent};
+use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use tokio::sync::{broadcast, watch};
+use tokio::time::Instant;
+
+use crate::event::Event;
+use crate::follow::StoreUpdate;
+use crate::gateway::Gateway;
+use crate::link::{Frames, frames};
+use crate::passed_over::PassedOver;
+use crate::relay::{self, Opening};
+
+/// Nodes up to which every node watches the store itself.
+const SMALL_FLEET: usize = 12;
+/// Nodes of a zone that watch the store for the others.
+const RELAYS_PER_ZONE: usize = 2;
+/// Pause between two signs of life of a relay.
+const ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Silence after which a relay is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Longest time that connecting to a relay may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// How long after its start a node looks for a relay: first it must know its neighbours.
+const SETTLING: Duration = Duration::from_secs(3);
+/// Pause between two searches for a relay.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(400);
+/// How long a node that lost its relay looks for another before it asks the store.
+const SEARCH_LIMIT: Duration = Duration::from_millis(900);
+/// How long a relay whose watch was lost is still followed: when the store is down, asking it from
+/// everywhere helps nobody.
+const OUTAGE_BORNE: Duration = Duration::from_secs(3);
+/// Changes that a slow follower may be behind.
+const CHANGES_KEPT: usize = 256;
+
+/// What is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Subject {
+    /// The databases' announcements.
+    Announcements,
+    /// The nodes' keys and the duty.
+    Nodes,
+}
+
+const SUBJECTS: [Subject; 2] = [Subject::Announcements, Subject::Nodes];
+
+/// One key as it is passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct FedEntry {
+    key: Bytes,
+    value: Bytes,
+    created: u64,
+    modified: u64,
+    lease: Option<i64>,
+}
+
+impl From<&Entry> for FedEntry {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            key: entry.key.as_bytes().clone(),
+            value: entry.value.clone(),
+            created: entry.created.0,
+            modified: entry.modified.0,
+            lease: entry.lease.map(|lease| lease.0),
+        }
+    }
+}
+
+impl From<FedEntry> for Entry {
+    fn from(fed: FedEntry) -> Self {
+        Self {
+            key: Key::new(fed.key),
+            value: fed.value,
+            created: StoreRevision(fed.created),
+            modified: StoreRevision(fed.modified),
+            lease: fed.lease.map(LeaseId),
+        }
+    }
+}
+
+/// What a relay sends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum FeedMessage {
+    /// All keys of a subject, with the revision of the last change.
+    Whole {
+        subject: Subject,
+        revision: u64,
+        entries: Vec<FedEntry>,
+    },
+    /// A key was set.
+    Put { subject: Subject, entry: FedEntry },
+    /// A key was deleted.
+    Deleted {
+        subject: Subject,
+        key: Bytes,
+        revision: u64,
+    },
+    /// Nothing changed.
+    Alive,
+}
+
+/// This node's copy of one subject.
+#[derive(Debug, Default)]
+struct Copy {
+    entries: BTreeMap<Key, Entry>,
+    /// The revision of the last change that is known.
+    revision: StoreRevision,
+    watch: OwnWatch,
+}
+
+/// This node's own watch of a subject.
+#[derive(Clone, Copy, Debug, Default)]
+enum OwnWatch {
+    #[default]
+    Never,
+    Stands,
+    LostAt(Instant),
+}
+
+impl OwnWatch {
+    /// True when followers may rely on it: it stands, or may be back soon.
+    fn is_reliable(self) -> bool {
+        match self {
+            Self::Never => false,
+            Self::Stands => true,
+            Self::LostAt(at) => at.elapsed() < OUTAGE_BORNE,
+        }
+    }
+}
+
+impl Copy {
+    fn replace(&mut self, entries: &[Entry], revision: StoreRevision) {
+        self.entries = entries
+            .iter()
+            .map(|it| (it.key.clone(), it.clone()))
+            .collect();
+        let newest = entries.iter().map(|entry| entry.modified).max();
+        self.revision = self.revision.max(revision).max(newest.unwrap_or_default());
+    }
+
+    fn change(&mut self, event: &WatchEvent) {
+        let revision = match event {
+            WatchEvent::Put(entry) => {
+                self.entries.insert(entry.key.clone(), entry.clone());
+                entry.modified
+            }
+            WatchEvent::Deleted {
+                key,
+                store_revision,
+            } => {
+                self.entries.remove(key);
+                *store_revision
+            }
+        };
+        self.revision = self.revision.max(revision);
+    }
+}
+
+/// What this node has of the subjects, and who follows it.
+pub struct Feed {
+    copies: RefCell<HashMap<Subject, Copy>>,
+    changes: broadcast::Sender<Bytes>,
+    fed: watch::Sender<bool>,
+    /// Relays that failed or are behind.
+    passed_over: PassedOver,
+}
+
+impl Default for Feed {
+    fn default() -> Self {
+        Self {
+            copies: RefCell::default(),
+            changes: broadcast::Sender::new(CHANGES_KEPT),
+            fed: watch::Sender::new(false),
+            passed_over: PassedOver::default(),
+        }
+    }
+}
+
+impl Feed {
+    /// Takes in what this node's own watch or its relay told.
+    pub fn take(&self, subject: Subject, update: &StoreUpdate) {
+        let mut copies = self.copies.borrow_mut();
+        let copy = copies.entry(subject).or_default();
+        match update {
+            StoreUpdate::All(entries) => copy.replace(entries, StoreRevision::default()),
+            StoreUpdate::Changed(event) => {
+                copy.change(event);
+                drop(copies);
+                self.pass_on(subject, event);
+            }
+        }
+    }
+
+    fn pass_on(&self, subject: Subject, event: &WatchEvent) {
+        let message = match event {
+            WatchEvent::Put(entry) => FeedMessage::Put {
+                subject,
+                entry: entry.into(),
+            },
+            WatchEvent::Deleted {
+                key,
+                store_revision,
+            } => FeedMessage::Deleted {
+                subject,
+                key: key.as_bytes().clone(),
+                revision: store_revision.0,
+            },
+        };
+        if let Some(message) = encode(&message) {
+            // Nobody may follow.
+            let _ = self.changes.send(message);
+        }
+    }
+
+    /// Takes in whether this node's own watch of a subject stands.
+    pub fn set_watched(&self, subject: Subject, watched: bool) {
+        let mut copies = self.copies.borrow_mut();
+        copies.entry(subject).or_default().watch = match watched {
+            true => OwnWatch::Stands,
+            false => OwnWatch::LostAt(Instant::now()),
+        };
+    }
+
+    /// True while others may follow this node.
+    fn is_reliable(&self) -> bool {
+        let copies = self.copies.borrow();
+        let reliable = |subject| {
+            let copy = copies.get(subject);
+            copy.is_some_and(|copy: &Copy| copy.watch.is_reliable())
+        };
+        !*self.fed.borrow() && SUBJECTS.iter().all(reliable)
+    }
+
+    fn revision(&self, subject: Subject) -> StoreRevision {
+        let copies = self.copies.borrow();
+        let copy = copies.get(&subject);
+        copy.map_or(StoreRevision::default(), |copy| copy.revision)
+    }
+
+    fn whole(&self, subject: Subject) -> FeedMessage {
+        let copies = self.copies.borrow();
+        let copy = copies.get(&subject);
+        let entries = copy.into_iter().flat_map(|copy| copy.entries.values());
+        FeedMessage::Whole {
+            subject,
+            revision: copy.map_or(0, |copy| copy.revision.0),
+            entries: entries.map(FedEntry::from).collect(),
+        }
+    }
+
+    /// Waits until a relay feeds this node.
+    pub async fn until_fed(&self) {
+        let mut fed = self.fed.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = fed.wait_for(|fed| *fed).await;
+    }
+
+    /// Waits until this node has to ask the store itself: no relay feeds it, and none was found
+    /// for a while if one did before.
+    pub async fn until_unfed(&self) {
+        let mut fed = self.fed.subscribe();
+        while *fed.borrow_and_update() {
+            // The sender lives as long as the gateway.
+            let _ = fed.wait_for(|fed| !*fed).await;
+            tokio::time::sleep(SEARCH_LIMIT).await;
+        }
+    }
+}
+
+fn encode(message: &FeedMessage) -> Option<Bytes> {
+    postcard::to_stdvec(message).ok().map(Bytes::from)
+}
+
+/// Serves a node that follows this one, for as long as this one watches the store itself.
+pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let mut frames = frames(stream);
+    let mut changes = gateway.feed.changes.subscribe();
+    let may_serve = || {
+        let reliable = gateway.feed.is_reliable() && !gateway.membership.store_lost();
+        reliable && !gateway.is_stopping()
+    };
+    if !may_serve() {
+        return;
+    }
+    for subject in SUBJECTS {
+        let Some(message) = encode(&gateway.feed.whole(subject)) else {
+            return;
+        };
+        if frames.send(message).await.is_err() {
+            return;
+        }
+    }
+    while may_serve() {
+        let message = match tokio::time::timeout(ALIVE_INTERVAL, changes.recv()).await {
+            Ok(Ok(change)) => Some(change),
+            // The follower is too far behind, and begins anew.
+            Ok(Err(_)) => return,
+            Err(_) => encode(&FeedMessage::Alive),
+        };
+        let Some(message) = message else {
+            return;
+        };
+        if frames.send(message).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes in what relays pass on of a subject.
+pub type Sink = Rc<dyn Fn(StoreUpdate)>;
+
+/// Follows relays while there are any, until the process ends.
+pub async fn follow_relays(gateway: Rc<Gateway>, sinks: HashMap<Subject, Sink>) {
+    tokio::time::sleep(SETTLING).await;
+    loop {
+        if let Some(relay) = gateway.relay_to_follow() {
+            let ended = follow_one(&gateway, relay, &sinks).await;
+            if gateway.feed.fed.send_replace(false) {
+                gateway.events.write(&Event::RelayLost {
+                    relay: relay.to_string(),
+                    reason: &ended,
+                });
+            }
+            gateway.feed.passed_over.add(relay);
+        } else {
+            tokio::time::sleep(SEARCH_INTERVAL).await;
+        }
+    }
+}
+
+/// Follows one relay until it is lost; tells why.
+async fn follow_one(
+    gateway: &Rc<Gateway>,
+    relay: SocketAddr,
+    sinks: &HashMap<Subject, Sink>,
+) -> String {
+    let opening = relay::open(relay, &Opening::Feed);
+    let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_LIMIT, opening).await else {
+        return "it can't be reached".to_owned();
+    };
+    let mut frames = frames(stream);
+    let mut whole = 0;
+    loop {
+        let Some(message) = next(&mut frames).await else {
+            return "it is silent, or watches the store no longer".to_owned();
+        };
+        if let FeedMessage::Whole {
+            subject, revision, ..
+        } = &message
+        {
+            if StoreRevision(*revision) < gateway.feed.revision(*subject) {
+                return "it is behind".to_owned();
+            }
+            whole += 1;
+        }
+        take_in(gateway, message, sinks);
+        if whole == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
+            gateway.events.write(&Event::RelayFollowed {
+                relay: relay.to_string(),
+            });
+        }
+        if gateway.is_relay() {
+            return "this node became a relay".to_owned();
+        }
+    }
+}
+
+async fn next(frames: &mut Frames) -> Option<FeedMessage> {
+    let message = tokio::time::timeout(SILENCE_LIMIT, frames.next()).await;
+    let message = message.ok()??.ok()?;
+    postcard::from_bytes(&message).ok()
+}
+
+fn take_in(gateway: &Rc<Gateway>, message: FeedMessage, sinks: &HashMap<Subject, Sink>) {
+    let (subject, update) = match message {
+        FeedMessage::Alive => return,
+        FeedMessage::Whole {
+            subject, entries, ..
+        } => {
+            let entries = entries.into_iter().map(Entry::from);
+            (subject, StoreUpdate::All(entries.collect()))
+        }
+        FeedMessage::Put { subject, entry } => {
+            let event = WatchEvent::Put(entry.into());
+            (subject, StoreUpdate::Changed(event))
+        }
+        FeedMessage::Deleted {
+            subject,
+            key,
+            revision,
+        } => {
+            let event = WatchEvent::Deleted {
+                key: Key::new(key),
+                store_revision: StoreRevision(revision),
+            };
+            (subject, StoreUpdate::Changed(event))
+        }
+    };
+    gateway.feed.take(subject, &update);
+    if let Some(sink) = sinks.get(&subject) {
+        sink(update);
+    }
+}
+
+impl Gateway {
+    /// The relays of this node's zone, in the order in which it follows them; none in a small
+    /// fleet.
+    fn zone_relays(&self) -> Vec<NodeName> {
+        let nodes = self.membership.nodes();
+        if nodes.len() <= SMALL_FLEET {
+            return Vec::new();
+        }
+        let own = NodeName::new(self.settings.node.name.as_str());
+        let zone = self.locality(&self.settings.node.zone.as_str().into());
+        let candidates = nodes.values().map(|node| node.candidate());
+        let relays = placement::relays(&zone, candidates, RELAYS_PER_ZONE);
+        let ordered = placement::preference(&own, &relays);
+        ordered.into_iter().cloned().collect()
+    }
+
+    fn is_relay(&self) -> bool {
+        let relays = self.zone_relays();
+        relays
+            .iter()
+            .any(|relay| relay.as_str() == self.settings.node.name)
+    }
+
+    fn relay_to_follow(&self) -> Option<SocketAddr> {
+        let relays = self.zone_relays();
+        let own = &self.settings.node.name;
+        if relays.iter().any(|relay| relay.as_str() == own) {
+            return None;
+        }
+        let nodes = self.membership.nodes();
+        let addresses = relays.iter().filter_map(|relay| nodes.get(relay));
+        let mut addresses = addresses.map(|node| node.address);
+        addresses.find(|address| !self.feed.passed_over.contains(address))
+    }
+}
+
+const _: () = assert!(ALIVE_INTERVAL.as_millis() * 2 < SILENCE_LIMIT.as_millis());
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
+use crate::feed::{Sink, Subject};
 use crate::gateway::Gateway;
 
 /// Shortest pause before the store is asked again after a failure.
@@ -45,6 +46,8 @@
     /// Pause after a change before the watch goes on, for each key beyond a few: changes that come
     /// close together, as when many nodes start, then come with one call. Calls may be dear.
     pub gathering_per_key: Duration,
+    /// Set when relays may pass the keys on, so that this node needn't watch them itself.
+    pub subject: Option<Subject>,
 }
 
 /// Follows keys and passes on what changes, forever.
@@ -52,10 +55,20 @@
     gateway: Rc<Gateway>,
     store: Rc<dyn KeyValueStore>,
     followed: Followed,
-    mut sink: impl FnMut(StoreUpdate),
+    sink: Sink,
 ) {
-    let mut progress = Progress::new(gateway, followed.prefix.clone());
+    let mut progress = Progress::new(gateway.clone(), followed.prefix.clone());
+    let feed = &gateway.feed;
+    let sink = |update: StoreUpdate| {
+        if let Some(subject) = followed.subject {
+            feed.take(subject, &update);
+        }
+        sink(update);
+    };
     loop {
+        if followed.subject.is_some() {
+            feed.until_unfed().await;
+        }
         let read = store
             .range(RangeRequest::all(KeyRange::prefix(&followed.prefix)))
             .await;
@@ -70,7 +83,18 @@
         progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
         sink(StoreUpdate::All(reply.entries));
         let seen = reply.store_revision;
-        watch_from(&store, &followed, seen, &mut sink, &mut progress).await;
+        let watching = watch_from(&store, &followed, seen, &sink, &mut progress);
+        match followed.subject {
+            None => watching.await,
+            Some(subject) => {
+                feed.set_watched(subject, true);
+                tokio::select! {
+                    () = watching => {}
+                    () = feed.until_fed() => {}
+                }
+                feed.set_watched(subject, false);
+            }
+        }
     }
 }
 
@@ -81,7 +105,7 @@
     store: &Rc<dyn KeyValueStore>,
     followed: &Followed,
     seen: StoreRevision,
-    sink: &mut impl FnMut(StoreUpdate),
+    sink: &impl Fn(StoreUpdate),
     progress: &mut Progress,
 ) {
     let request = WatchRequest {
@@ -106,7 +130,7 @@
 async fn watch_batches(
     batches: WatchStream,
     gathering_per_key: Duration,
-    sink: &mut impl FnMut(StoreUpdate),
+    sink: &impl Fn(StoreUpdate),
     progress: &mut Progress,
 ) -> StoreError {
     // The first batch may be the client's own and prove nothing.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 
 use crate::counters::Counters;
 use crate::event::{Event, EventLog};
+use crate::feed::Feed;
 use crate::health::DatabaseState;
 use crate::homes::Homes;
 use crate::link::Links;
@@ -84,6 +85,8 @@
     pub homes: Homes,
     /// Links to the homes of databases.
     pub links: Links,
+    /// Copies of the store's keys, as they are passed on between nodes.
+    pub feed: Feed,
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
@@ -116,6 +119,7 @@
             calls: Cell::new(0),
             homes: Homes::default(),
             links: Links::default(),
+            feed: Feed::default(),
             listed: Cell::new(None),
             settling: Cell::new(false),
             stop: watch::Sender::new(StopPhase::Serving),
--- a/crates/dyketally-gateway/src/homes.rs
+++ b/crates/dyketally-gateway/src/homes.rs
@@ -5,20 +5,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
+use crate::gateway::Gateway;
+use crate::passed_over::PassedOver;
 use dyketally::identifiers::{DatabaseName, Locality, NodeName, RegionName, ZoneName};
 use dyketally::placement::{self, Sharing};
-use tokio::time::Instant;
-
-use crate::gateway::Gateway;
 
 /// Connections assumed where the configuration doesn't tell.
 const GRANTED_ASSUMED: u32 = 16;
 /// Further nodes that are asked when no home can be.
 const STAND_INS: usize = 1;
-/// How long a home that failed or leaves is passed over.
-const PASSED_OVER: Duration = Duration::from_millis(1_500);
 
 /// How this node reaches a database.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,7 +38,8 @@
 #[derive(Default)]
 pub struct Homes {
     placed: RefCell<HashMap<DatabaseName, Rc<Placed>>>,
-    passed_over: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Homes that failed or leave.
+    pub passed_over: PassedOver,
 }
 
 impl Homes {
@@ -50,18 +47,6 @@
     pub fn forget(&self) {
         self.placed.borrow_mut().clear();
     }
-
-    /// Passes over a home for a while.
-    pub fn pass_over(&self, home: SocketAddr) {
-        self.passed_over.borrow_mut().insert(home, Instant::now());
-    }
-
-    /// True when a home is passed over.
-    pub fn is_passed_over(&self, home: &SocketAddr) -> bool {
-        let passed_over = self.passed_over.borrow();
-        let since = passed_over.get(home);
-        since.is_some_and(|since| since.elapsed() < PASSED_OVER)
-    }
 }
 
 impl Gateway {
@@ -70,7 +55,7 @@
         let Some(placed) = self.placed(database) else {
             return Reach::Own;
         };
-        let usable = |home: &SocketAddr| !self.homes.is_passed_over(home);
+        let usable = |home: &SocketAddr| !self.homes.passed_over.contains(home);
         match placed.is_home || !placed.homes.iter().any(usable) {
             true => Reach::Own,
             false => Reach::Via(placed.homes.clone()),
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/link.rs
@@ -241,7 +241,7 @@
     }
 
     fn pass_over(&self, home: SocketAddr) {
-        self.gateway.homes.pass_over(home);
+        self.gateway.homes.passed_over.add(home);
         self.gateway.links.close(home);
     }
 
@@ -249,7 +249,7 @@
     async fn reach_home(&mut self) -> Result<(SocketAddr, Link), CallError> {
         let homes = self.homes.clone();
         for home in homes.iter() {
-            if self.gateway.homes.is_passed_over(home) || Instant::now() >= self.claim.until {
+            if self.gateway.homes.passed_over.contains(home) || Instant::now() >= self.claim.until {
                 continue;
             }
             match self.gateway.links.take(*home).await {
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -54,7 +54,7 @@
         while !self.gateway.is_stopping() {
             match self.join().await {
                 Ok(lease) => {
-                    self.answered();
+                    self.membership().store_answered();
                     self.hold(lease).await;
                 }
                 Err(_) => {
@@ -77,12 +77,6 @@
         Ok(lease.id)
     }
 
-    fn answered(&self) {
-        if self.membership().store_answered() {
-            self.membership().store_regained.notify_waiters();
-        }
-    }
-
     /// Renews the lease until it has ended; ends it when the process stops.
     async fn hold(&self, lease: LeaseId) {
         let mut next = Instant::now() + RENEWAL;
@@ -103,7 +97,7 @@
             }
             match self.store.keep_lease_alive(lease).await {
                 Ok(_) => {
-                    self.answered();
+                    self.membership().store_answered();
                     renewed = Instant::now();
                     next = renewed + RENEWAL;
                 }
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -121,7 +121,7 @@
 pub struct Membership {
     /// Told when something needs the attention of the node that replaces primaries.
     pub attention: Notify,
-    /// Told when the store answers again after a renewal that failed.
+    /// Told when the store answers again after a call that failed.
     pub store_regained: Notify,
     /// Told when it matters whether the store can be reached.
     pub check_store: Notify,
@@ -238,10 +238,13 @@
         self.store_failing.get() && contact.is_some_and(|at| at.elapsed() > STORE_LOST)
     }
 
-    /// Takes in that the store answered; true if it had failed before.
-    pub fn store_answered(&self) -> bool {
+    /// Takes in that the store answered. Whoever hears of it first after a failure tells the others:
+    /// a watch that was lost with the store says nothing by itself.
+    pub fn store_answered(&self) {
         self.store_contact.set(Some(Instant::now()));
-        self.store_failing.replace(false)
+        if self.store_failing.replace(false) {
+            self.store_regained.notify_waiters();
+        }
     }
 
     /// Takes in that the store didn't answer a renewal.
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! One process of the gateway, assembled from settings and adapters, from start to planned stop.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use crate::duty::DutyKeeper;
 use crate::event::Event;
 use crate::failover::Failover;
+use crate::feed::{Sink, Subject, follow_relays};
 use crate::follow::{Followed, StoreUpdate, follow};
 use crate::gateway::{Gateway, StopPhase};
 use crate::member::Member;
@@ -191,32 +193,42 @@
         documents: documents.clone(),
     };
     let configuration = reader.clone();
-    tokio::task::spawn_local(follow(
-        gateway.clone(),
-        store.clone(),
-        followed(documents.configuration_key(), Duration::ZERO),
-        move |update| configuration.take_configuration(update),
-    ));
-    tokio::task::spawn_local(follow(
-        gateway.clone(),
-        store.clone(),
-        followed(documents.announcements_prefix(), ANNOUNCEMENTS_GATHERING),
-        move |update| reader.take_announcements(update),
-    ));
+    let configuration: Sink = Rc::new(move |update| configuration.take_configuration(update));
+    let announcements: Sink = Rc::new(move |update| reader.take_announcements(update));
     let member = member.clone();
-    tokio::task::spawn_local(follow(
-        gateway.clone(),
-        store.clone(),
-        followed(documents.own_prefix(), NODES_GATHERING),
-        move |update| member.take_in(update),
-    ));
-}
-
-fn followed(prefix: String, gathering_per_key: Duration) -> Followed {
-    Followed {
-        prefix,
-        gathering_per_key,
-    }
+    let nodes: Sink = Rc::new(move |update| member.take_in(update));
+    let start = |prefix, gathering_per_key, subject, sink: &Sink| {
+        let followed = Followed {
+            prefix,
+            gathering_per_key,
+            subject,
+        };
+        let following = follow(gateway.clone(), store.clone(), followed, sink.clone());
+        tokio::task::spawn_local(following);
+    };
+    start(
+        documents.configuration_key(),
+        Duration::ZERO,
+        None,
+        &configuration,
+    );
+    start(
+        documents.announcements_prefix(),
+        ANNOUNCEMENTS_GATHERING,
+        Some(Subject::Announcements),
+        &announcements,
+    );
+    start(
+        documents.own_prefix(),
+        NODES_GATHERING,
+        Some(Subject::Nodes),
+        &nodes,
+    );
+    let sinks = HashMap::from([
+        (Subject::Announcements, announcements),
+        (Subject::Nodes, nodes),
+    ]);
+    tokio::task::spawn_local(follow_relays(gateway.clone(), sinks));
 }
 
 #[derive(Clone)]
--- a/crates/dyketally-gateway/src/relay.rs
+++ b/crates/dyketally-gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::connection::set_silent_peer_limit;
+use crate::feed;
 use crate::gateway::Gateway;
 use crate::home;
 use crate::pool::OPEN_LIMIT;
@@ -30,6 +31,8 @@
     },
     /// Calls to a home follow.
     Calls,
+    /// The sender follows the receiver's copy of the store.
+    Feed,
 }
 
 /// Connects to `database` by way of the node at `relay`.
@@ -87,6 +90,11 @@
             home::serve(gateway, stream).await;
             Ok(())
         }
+        Opening::Feed => {
+            drop(relayed);
+            feed::serve(gateway, stream).await;
+            Ok(())
+        }
     }
 }
 
