Keep some connections of a pool free of transactions

Cause: transactions that rest keep their connection; callers that begin one, write and rest can take all connections of a home, and single statements wait behind them. Change: one in four connections of a pool is never kept by a transaction.

--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -30,6 +30,17 @@
     pub priority: u32,
     /// How long it may wait.
     pub until: Instant,
+    /// What the connection is wanted for.
+    pub work: Work,
+}
+
+/// What a connection is wanted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Work {
+    /// Single statements: the connection is free again once they are answered.
+    Statements,
+    /// A transaction, which keeps the connection for as long as its caller likes.
+    Transaction,
 }
 
 /// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
@@ -116,7 +127,7 @@
         claim: Claim,
     ) -> Result<pool::Checkout, Refusal> {
         let pool = &target.state.pool;
-        let checkout = pool.checkout(values, claim.priority, claim.until);
+        let checkout = pool.checkout(values, claim);
         checkout.await.map_err(|error| {
             let (kind, unreachable) = match error {
                 CheckoutError::Exhausted => (FailureKind::Busy, false),
--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::batch::Batch;
-use crate::checkout::Claim;
+use crate::checkout::{Claim, Work};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
 use crate::target::Target;
@@ -99,6 +99,7 @@
         let claim = Claim {
             priority: OWN_PRIORITY,
             until,
+            work: Work::Statements,
         };
         let values = BTreeMap::new();
         let checkout = self.checkout_for(target, &values, claim);
@@ -179,6 +180,7 @@
         let claim = Claim {
             priority: OWN_PRIORITY,
             until,
+            work: Work::Statements,
         };
         let values = BTreeMap::new();
         let exchange = async {
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/link.rs
@@ -18,7 +18,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::batch::Batch;
-use crate::checkout::{Claim, Refusal};
+use crate::checkout::{Claim, Refusal, Work};
 use crate::connection::{Answer, Broken, set_silent_peer_limit};
 use crate::gateway::Gateway;
 use crate::relay::{self, Opening};
@@ -41,6 +41,8 @@
     pub priority: u32,
     /// How long the call may wait for a connection, in milliseconds.
     pub patience_ms: u32,
+    /// What the connection is wanted for.
+    pub work: Work,
     /// What to run.
     pub batch: Batch,
 }
@@ -214,6 +216,7 @@
                 database: self.database.clone(),
                 priority: self.claim.priority,
                 patience_ms: left.as_millis().try_into().unwrap_or(u32::MAX),
+                work: self.claim.work,
                 batch: batch.clone(),
             };
             let reply = link.call(&call).await.map_err(|broken| {
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::checkout::{Claim, Work};
 use crate::connection::{Connection, OpenError, Route};
 use crate::ports::SharedDatabaseProtocol;
 
@@ -24,6 +25,8 @@
 /// How long the pool stays within the size at which the database refused to grow it.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
 
+/// One in so many connections is kept free of transactions.
+const RESERVED_SHARE: u32 = 4;
 /// How long a relay is used without being found again.
 const RELAY_HOLDS: Duration = Duration::from_millis(2_500);
 
@@ -41,6 +44,7 @@
 struct Waiter {
     priority: u32,
     number: u64,
+    work: Work,
     wake: oneshot::Sender<()>,
 }
 
@@ -58,6 +62,8 @@
     relay: Cell<Option<(SocketAddr, Instant)>>,
     waiters: RefCell<Vec<Waiter>>,
     next_number: Cell<u64>,
+    /// Connections that transactions keep.
+    pinned: Cell<u32>,
     /// Connections opened since the start.
     pub opened: Cell<u64>,
 }
@@ -84,6 +90,7 @@
             relay: Cell::new(None),
             waiters: RefCell::default(),
             next_number: Cell::new(0),
+            pinned: Cell::new(0),
             opened: Cell::new(0),
         })
     }
@@ -141,20 +148,31 @@
     pub async fn checkout(
         self: &Rc<Self>,
         values: &BTreeMap<String, String>,
-        priority: u32,
-        until: Instant,
+        claim: Claim,
     ) -> Result<Checkout, CheckoutError> {
         loop {
-            if let Some(connection) = self.take_idle(values) {
-                return Ok(Checkout::new(self.clone(), connection));
-            }
-            if self.open.get() < self.effective_limit() {
-                return self.open_one(until).await;
+            if self.admits(claim.work) {
+                if let Some(connection) = self.take_idle(values) {
+                    let pinned = Pinned::take(self, claim.work);
+                    return Ok(Checkout::new(self.clone(), connection, pinned));
+                }
+                if self.open.get() < self.effective_limit() {
+                    let pinned = Pinned::take(self, claim.work);
+                    return self.open_one(claim.until, pinned).await;
+                }
             }
-            self.wait(priority, until).await?;
+            self.wait(claim).await?;
         }
     }
 
+    /// Transactions never take all connections: a few are left for single statements, which need
+    /// them for a moment only.
+    fn admits(&self, work: Work) -> bool {
+        let limit = self.effective_limit();
+        let reserved = limit / RESERVED_SHARE;
+        work == Work::Statements || self.pinned.get() < limit.saturating_sub(reserved).max(1)
+    }
+
     fn take_idle(&self, values: &BTreeMap<String, String>) -> Option<Connection> {
         loop {
             let mut idle = self.idle.borrow_mut();
@@ -170,7 +188,11 @@
         }
     }
 
-    async fn open_one(self: &Rc<Self>, until: Instant) -> Result<Checkout, CheckoutError> {
+    async fn open_one(
+        self: &Rc<Self>,
+        until: Instant,
+        pinned: Option<Pinned>,
+    ) -> Result<Checkout, CheckoutError> {
         let left = until.saturating_duration_since(Instant::now());
         let slot = OpenSlot::take(self);
         let connection = Connection::open(
@@ -184,7 +206,7 @@
             Ok(connection) => {
                 slot.keep();
                 self.opened.set(self.opened.get() + 1);
-                Ok(Checkout::new(self.clone(), connection))
+                Ok(Checkout::new(self.clone(), connection, pinned))
             }
             Err(error) => {
                 if is_overload(&error) {
@@ -200,16 +222,17 @@
         }
     }
 
-    async fn wait(&self, priority: u32, until: Instant) -> Result<(), CheckoutError> {
+    async fn wait(&self, claim: Claim) -> Result<(), CheckoutError> {
         let (wake, woken) = oneshot::channel();
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         self.waiters.borrow_mut().push(Waiter {
-            priority,
+            priority: claim.priority,
             number,
+            work: claim.work,
             wake,
         });
-        let result = tokio::time::timeout_at(until, woken).await;
+        let result = tokio::time::timeout_at(claim.until, woken).await;
         if result.is_ok() {
             return Ok(());
         }
@@ -222,7 +245,8 @@
         loop {
             let mut waiters = self.waiters.borrow_mut();
             let indexed = waiters.iter().enumerate();
-            let first = indexed.min_by_key(|(_, waiter)| (waiter.priority, waiter.number));
+            let admitted = indexed.filter(|(_, waiter)| self.admits(waiter.work));
+            let first = admitted.min_by_key(|(_, waiter)| (waiter.priority, waiter.number));
             let Some(index) = first.map(|(index, _)| index) else {
                 return;
             };
@@ -305,17 +329,41 @@
     }
 }
 
+/// Counts a connection as kept by a transaction until it is dropped.
+struct Pinned {
+    pool: Rc<Pool>,
+}
+
+impl Pinned {
+    fn take(pool: &Rc<Pool>, work: Work) -> Option<Self> {
+        if work == Work::Statements {
+            return None;
+        }
+        pool.pinned.set(pool.pinned.get() + 1);
+        Some(Self { pool: pool.clone() })
+    }
+}
+
+impl Drop for Pinned {
+    fn drop(&mut self) {
+        self.pool.pinned.set(self.pool.pinned.get() - 1);
+        self.pool.wake_next();
+    }
+}
+
 /// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
 pub struct Checkout {
     pool: Rc<Pool>,
     connection: Option<Connection>,
+    pinned: Option<Pinned>,
 }
 
 impl Checkout {
-    fn new(pool: Rc<Pool>, connection: Connection) -> Self {
+    fn new(pool: Rc<Pool>, connection: Connection, pinned: Option<Pinned>) -> Self {
         Self {
             pool,
             connection: Some(connection),
+            pinned,
         }
     }
 
@@ -331,6 +379,7 @@
         let Some(mut connection) = self.connection.take() else {
             return;
         };
+        self.pinned = None;
         connection.idle_since = Instant::now();
         if self.pool.open.get() > self.pool.limit.get() {
             drop(connection);
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::batch::{Batch, Step};
+use crate::checkout::Work;
 use crate::connection::{Answer, Broken};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
@@ -144,7 +145,7 @@
         target: &Target,
         proof: Proof,
     ) -> Attempt {
-        let mut checkout = match self.checkout(request, target).await {
+        let mut checkout = match self.checkout(request, target, Work::Statements).await {
             Ok(checkout) => checkout,
             Err(kind) => return Attempt::NotRun(kind),
         };
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::batch::{SessionContext, Step};
-use crate::checkout::Claim;
+use crate::checkout::{Claim, Work};
 use crate::connection::Answer;
 use crate::event::Event;
 use crate::gateway::Gateway;
@@ -140,11 +140,12 @@
         }
     }
 
-    /// Its rank and patience among those who want a connection.
-    pub fn claim(&self) -> Claim {
+    /// Its rank and patience among those who want a connection for `work`.
+    pub fn claim(&self, work: Work) -> Claim {
         Claim {
             priority: self.route.priority + 1,
             until: self.give_up(),
+            work,
         }
     }
 
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::batch::{Batch, Flow, Reset, Step};
-use crate::checkout::{Checkout, Unanswered};
+use crate::checkout::{Checkout, Unanswered, Work};
 use crate::connection::Answer;
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
@@ -228,7 +228,7 @@
             None => OwnStatement::Begin,
         };
         passed_over.push(target.name.clone());
-        let mut checkout = match gateway.checkout(request, &target).await {
+        let mut checkout = match gateway.checkout(request, &target, Work::Transaction).await {
             Ok(checkout) => checkout,
             Err(_) => return First::NotRun,
         };
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::batch::Batch;
-use crate::checkout::{Checkout, Unanswered};
+use crate::checkout::{Checkout, Unanswered, Work};
 use crate::connection::{Answer, Broken};
 use crate::gateway::Gateway;
 use crate::request::{Request, Served};
@@ -50,7 +50,7 @@
     }
 
     async fn write_once(self: &Rc<Self>, request: &Request, target: &Target) -> Attempt {
-        let mut checkout = match self.checkout(request, target).await {
+        let mut checkout = match self.checkout(request, target, Work::Statements).await {
             Ok(checkout) => checkout,
             Err(kind) => return Attempt::NotRun(kind),
         };
@@ -79,13 +79,14 @@
         Attempt::Answered(answer)
     }
 
-    /// A connection to `target` for `request`, or why there is none.
+    /// A connection to `target` for `work` of `request`, or why there is none.
     pub async fn checkout(
         self: &Rc<Self>,
         request: &Request,
         target: &Target,
+        work: Work,
     ) -> Result<Checkout, FailureKind> {
-        let checkout = self.checkout_for(target, &request.values, request.claim());
+        let checkout = self.checkout_for(target, &request.values, request.claim(work));
         checkout.await
     }
 }
