Refuse statements that find too long a queue for a connection

Statements waited for a connection up to the route's time-out, a second; so all of them were late, also after the replicas were back (from second 14 on). Change: a statement waits for a connection for a quarter of its objective at most, and is told that it has not run once two fifths have passed.

--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -28,8 +28,10 @@
 pub struct Claim {
     /// Rank under scarcity; 0 goes first.
     pub priority: u32,
-    /// How long it may wait.
+    /// How long it may wait for a database to be reached.
     pub until: Instant,
+    /// How long it may wait for a connection that others use.
+    pub queue: Duration,
     /// What the connection is wanted for.
     pub work: Work,
 }
@@ -130,7 +132,7 @@
         let checkout = pool.checkout(values, claim);
         checkout.await.map_err(|error| {
             let (kind, unreachable) = match error {
-                CheckoutError::Exhausted => (FailureKind::Busy, false),
+                CheckoutError::Exhausted => (FailureKind::Overloaded, false),
                 CheckoutError::Open(OpenError::TurnedAway(failure)) => {
                     (failure.kind, failure.kind == FailureKind::WrongDatabase)
                 }
--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -99,6 +99,7 @@
         let claim = Claim {
             priority: OWN_PRIORITY,
             until,
+            queue: CONFIRM_LIMIT,
             work: Work::Statements,
         };
         let values = BTreeMap::new();
@@ -180,6 +181,7 @@
         let claim = Claim {
             priority: OWN_PRIORITY,
             until,
+            queue: CONFIRM_LIMIT,
             work: Work::Statements,
         };
         let values = BTreeMap::new();
--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/home.rs
@@ -137,6 +137,7 @@
     let claim = Claim {
         priority: call.priority,
         until: Instant::now() + Duration::from_millis(call.patience_ms.into()),
+        queue: Duration::from_millis(call.queue_ms.into()),
         work: call.work,
     };
     let checkout = gateway.own_checkout(&target, values, claim);
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/link.rs
@@ -39,8 +39,10 @@
     pub database: DatabaseName,
     /// Rank under scarcity; 0 goes first.
     pub priority: u32,
-    /// How long the call may wait for a connection, in milliseconds.
+    /// How long the call may take to reach the database, in milliseconds.
     pub patience_ms: u32,
+    /// How long the call may wait for a connection that others use, in milliseconds.
+    pub queue_ms: u32,
     /// What the connection is wanted for.
     pub work: Work,
     /// What to run.
@@ -216,6 +218,7 @@
                 database: self.database.clone(),
                 priority: self.claim.priority,
                 patience_ms: left.as_millis().try_into().unwrap_or(u32::MAX),
+                queue_ms: self.claim.queue.as_millis().try_into().unwrap_or(u32::MAX),
                 work: self.claim.work,
                 batch: batch.clone(),
             };
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -232,7 +232,8 @@
             work: claim.work,
             wake,
         });
-        let result = tokio::time::timeout_at(claim.until, woken).await;
+        let until = claim.until.min(Instant::now() + claim.queue);
+        let result = tokio::time::timeout_at(until, woken).await;
         if result.is_ok() {
             return Ok(());
         }
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -63,6 +63,9 @@
                     Some(Ok(Attempt::Answered(answer))) => return Served::from_database(answer),
                     Some(Ok(Attempt::NotRun(kind))) => {
                         refusal = kind;
+                        if request.is_hopeless(self, kind) && running.is_empty() {
+                            return Served::not_run(kind);
+                        }
                         if kind == FailureKind::Busy {
                             tokio::time::sleep(RETRY_PAUSE / 2).await;
                         }
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -20,6 +20,12 @@
 
 /// Left of the statement's time when a statement that isn't running is given up.
 const ANSWER_RESERVE: Duration = Duration::from_millis(30);
+/// Share of a route's objective for which a statement waits for a connection. In a queue that is
+/// longer all statements are late.
+const QUEUE_SHARE: f64 = 0.25;
+const SHORTEST_QUEUE: Duration = Duration::from_millis(100);
+/// Share of a route's objective after which a statement that found too long a queue is refused.
+const REFUSED_AFTER_SHARE: f64 = 0.4;
 /// When callers are told to come back after a refusal.
 const COME_BACK_MS: u64 = 250;
 
@@ -91,8 +97,13 @@
 
     /// The statement has not run; the caller should come back.
     pub fn not_run(kind: FailureKind) -> Self {
+        // That connections were short is this node's own affair.
+        let told = match kind {
+            FailureKind::Overloaded => FailureKind::Busy,
+            kind => kind,
+        };
         Self::failed(
-            kind,
+            told,
             &format!("the statement has not run; come back after {COME_BACK_MS} ms"),
         )
     }
@@ -145,6 +156,11 @@
         Claim {
             priority: self.route.priority + 1,
             until: self.give_up(),
+            queue: self
+                .route
+                .latency_objective
+                .mul_f64(QUEUE_SHARE)
+                .max(SHORTEST_QUEUE),
             work,
         }
     }
@@ -154,6 +170,14 @@
         self.deadline - ANSWER_RESERVE
     }
 
+    /// True when the statement should be refused, given why it wasn't run: it found too long a queue,
+    /// and would be late if it waited in another.
+    pub fn is_hopeless(&self, gateway: &Gateway, refusal: FailureKind) -> bool {
+        let limit = self.route.latency_objective.mul_f64(REFUSED_AFTER_SHARE);
+        let elapsed = gateway.now().saturating_since(self.arrived);
+        refusal == FailureKind::Overloaded && elapsed >= limit
+    }
+
     /// Counts an attempt at a database.
     pub fn attempt(&self, gateway: &Gateway) {
         if self.attempts.get() > 0 {
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -49,7 +49,7 @@
 
 enum First {
     Served(Answer),
-    NotRun,
+    NotRun(FailureKind),
     Lost,
 }
 
@@ -201,7 +201,11 @@
             let first = self.try_first(gateway, request, &mut passed_over);
             match tokio::time::timeout_at(request.deadline, first).await {
                 Ok(First::Served(answer)) => return Ok(answer),
-                Ok(First::NotRun | First::Lost) => self.drop_bound(),
+                Ok(First::NotRun(kind)) if request.is_hopeless(gateway, kind) => {
+                    self.drop_bound();
+                    return Err("the queue for the database was too long");
+                }
+                Ok(First::NotRun(_) | First::Lost) => self.drop_bound(),
                 Err(_) => {
                     self.bound = None;
                     return Err("the transaction's first statement got no answer in time");
@@ -221,7 +225,7 @@
         passed_over: &mut Vec<DatabaseName>,
     ) -> First {
         let Some((target, after)) = self.choose(gateway, request, passed_over).await else {
-            return First::NotRun;
+            return First::NotRun(FailureKind::Busy);
         };
         let begin = match after {
             Some(_) => OwnStatement::BeginReadOnly { after },
@@ -230,7 +234,7 @@
         passed_over.push(target.name.clone());
         let mut checkout = match gateway.checkout(request, &target, Work::Transaction).await {
             Ok(checkout) => checkout,
-            Err(_) => return First::NotRun,
+            Err(kind) => return First::NotRun(kind),
         };
         request.attempt(gateway);
         let steps = vec![Step::Own(begin), request.step(None)];
@@ -242,7 +246,7 @@
             Ok(answers) => answers,
             Err(Unanswered::NotRun(kind)) => {
                 note_refusal(gateway, &target, kind, after);
-                return First::NotRun;
+                return First::NotRun(kind);
             }
             Err(Unanswered::Lost(_)) => return First::Lost,
         };
@@ -255,7 +259,7 @@
             if begun.state == TransactionState::Idle {
                 checkout.give_back();
             }
-            return First::NotRun;
+            return First::NotRun(failure.kind);
         }
         let leads = after.is_none();
         if leads {
@@ -275,7 +279,7 @@
         match &answer.end {
             Err(failure) if failure.kind.not_run() => {
                 note_refusal(gateway, &target, failure.kind, after);
-                First::NotRun
+                First::NotRun(failure.kind)
             }
             _ => First::Served(answer),
         }
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -38,6 +38,9 @@
             let attempt = self.write_once(request, &target);
             match tokio::time::timeout_at(request.deadline, attempt).await {
                 Ok(Attempt::Answered(answer)) => return Served::from_database(answer),
+                Ok(Attempt::NotRun(kind)) if request.is_hopeless(self, kind) => {
+                    return Served::not_run(kind);
+                }
                 Ok(Attempt::NotRun(kind)) => refusal = kind,
                 Ok(Attempt::Lost(broken)) => return Served::in_doubt(&broken.reason),
                 Err(_) => return Served::timed_out(),
