--- a/crates/dyketally-gateway/src/feed.rs
+++ b/crates/dyketally-gateway/src/feed.rs
@@ -98,10 +98,11 @@
 /// What a relay sends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum FeedMessage {
-    /// All keys of a subject, with the revision of the last change.
+    /// All keys of a subject, and the store's revision up to which nothing is missing: a deletion
+    /// before it leaves no other trace.
     Whole {
         subject: Subject,
-        revision: u64,
+        complete_to: u64,
         entries: Vec<FedEntry>,
     },
     /// A key was set.
@@ -122,6 +123,8 @@
     entries: BTreeMap<Key, Entry>,
     /// The revision of the last change that is known.
     revision: StoreRevision,
+    /// The store's revision up to which this copy lacks nothing.
+    complete_to: StoreRevision,
     watch: OwnWatch,
 }
 
@@ -146,13 +149,13 @@
 }
 
 impl Copy {
-    fn replace(&mut self, entries: &[Entry], revision: StoreRevision) {
+    fn replace(&mut self, entries: &[Entry]) {
         self.entries = entries
             .iter()
             .map(|it| (it.key.clone(), it.clone()))
             .collect();
         let newest = entries.iter().map(|entry| entry.modified).max();
-        self.revision = self.revision.max(revision).max(newest.unwrap_or_default());
+        self.revision = self.revision.max(newest.unwrap_or_default());
     }
 
     fn change(&mut self, event: &WatchEvent) {
@@ -199,7 +202,7 @@
         let mut copies = self.copies.borrow_mut();
         let copy = copies.entry(subject).or_default();
         match update {
-            StoreUpdate::All(entries) => copy.replace(entries, StoreRevision::default()),
+            StoreUpdate::All(entries) => copy.replace(entries),
             StoreUpdate::Changed(event) => {
                 copy.change(event);
                 drop(copies);
@@ -229,13 +232,18 @@
         }
     }
 
-    /// Takes in whether this node's own watch of a subject stands.
-    pub fn set_watched(&self, subject: Subject, watched: bool) {
+    /// Takes in that this node read a subject from the store at `revision` and watches it.
+    pub fn watched(&self, subject: Subject, revision: StoreRevision) {
         let mut copies = self.copies.borrow_mut();
-        copies.entry(subject).or_default().watch = match watched {
-            true => OwnWatch::Stands,
-            false => OwnWatch::LostAt(Instant::now()),
-        };
+        let copy = copies.entry(subject).or_default();
+        copy.complete_to = revision;
+        copy.watch = OwnWatch::Stands;
+    }
+
+    /// Takes in that this node's own watch of a subject was lost or given up.
+    pub fn unwatched(&self, subject: Subject) {
+        let mut copies = self.copies.borrow_mut();
+        copies.entry(subject).or_default().watch = OwnWatch::LostAt(Instant::now());
     }
 
     /// True while others may follow this node.
@@ -260,7 +268,7 @@
         let entries = copy.into_iter().flat_map(|copy| copy.entries.values());
         FeedMessage::Whole {
             subject,
-            revision: copy.map_or(0, |copy| copy.revision.0),
+            complete_to: copy.map_or(0, |copy| copy.revision.max(copy.complete_to).0),
             entries: entries.map(FedEntry::from).collect(),
         }
     }
@@ -362,10 +370,12 @@
             return "it is silent, or watches the store no longer".to_owned();
         };
         if let FeedMessage::Whole {
-            subject, revision, ..
+            subject,
+            complete_to,
+            ..
         } = &message
         {
-            if StoreRevision(*revision) < gateway.feed.revision(*subject) {
+            if StoreRevision(*complete_to) < gateway.feed.revision(*subject) {
                 return "it is behind".to_owned();
             }
             whole += 1;
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -87,12 +87,12 @@
         match followed.subject {
             None => watching.await,
             Some(subject) => {
-                feed.set_watched(subject, true);
+                feed.watched(subject, seen);
                 tokio::select! {
                     () = watching => {}
                     () = feed.until_fed() => {}
                 }
-                feed.set_watched(subject, false);
+                feed.unwatched(subject);
             }
         }
     }
