Tell a missing connection from an overloaded node by a kind of its own

Change: FailureKind::NoConnection, spelled BUSY on the platform's wire; the mapping goes. Before: a_node_without_a_configuration_says_that_it_is_overloaded fails (ERROR BUSY). After: it passes, and so do the tests of the gateway and the platform.

--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -132,7 +132,7 @@
         let checkout = pool.checkout(values, claim);
         checkout.await.map_err(|error| {
             let (kind, unreachable) = match error {
-                CheckoutError::Exhausted => (FailureKind::Overloaded, false),
+                CheckoutError::Exhausted => (FailureKind::NoConnection, false),
                 CheckoutError::Open(OpenError::TurnedAway(failure)) => {
                     (failure.kind, failure.kind == FailureKind::WrongDatabase)
                 }
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -97,13 +97,8 @@
 
     /// The statement has not run; the caller should come back.
     pub fn not_run(kind: FailureKind) -> Self {
-        // That connections were short is this node's own affair.
-        let told = match kind {
-            FailureKind::Overloaded => FailureKind::Busy,
-            kind => kind,
-        };
         Self::failed(
-            told,
+            kind,
             &format!("the statement has not run; come back after {COME_BACK_MS} ms"),
         )
     }
@@ -175,7 +170,7 @@
     pub fn is_hopeless(&self, gateway: &Gateway, refusal: FailureKind) -> bool {
         let limit = self.route.latency_objective.mul_f64(REFUSED_AFTER_SHARE);
         let elapsed = gateway.now().saturating_since(self.arrived);
-        refusal == FailureKind::Overloaded && elapsed >= limit
+        refusal == FailureKind::NoConnection && elapsed >= limit
     }
 
     /// Counts an attempt at a database.
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -77,6 +77,8 @@
     UnknownDatabase,
     /// The database has no free slot.
     Busy,
+    /// No connection to the database was free in time.
+    NoConnection,
     /// The transaction was given up and nothing of it is kept.
     Aborted,
     /// The replica's log lacks the position asked for.
@@ -107,6 +109,7 @@
         matches!(
             self,
             FailureKind::Busy
+                | FailureKind::NoConnection
                 | FailureKind::ReplicaBehind
                 | FailureKind::ReadOnly
                 | FailureKind::WrongDatabase
