Call what stands once: sockets, backoff, distance, names of nodes and places

Behaviour: the same but that a follower's link to its relay now also has no delay and the limit for silent peers, and that a socket which refuses 'no delay' is used all the same, as elsewhere.

--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::statement::{FailureKind, TransactionState};
+use dyketally::statement::FailureKind;
 use tokio::time::Instant;
 
 use crate::batch::{Batch, Reset};
-use crate::connection::{Answer, Broken, OpenError};
+use crate::connection::{Answer, Broken, OpenError, leave_idle};
 use crate::gateway::Gateway;
 use crate::health::InFlight;
 use crate::homes::Reach;
@@ -72,8 +72,7 @@
             let Ok(Ok(answers)) = rolled_back else {
                 return;
             };
-            let last = answers.last().map(|answer| answer.state);
-            if last == Some(TransactionState::Idle) {
+            if leave_idle(&answers) {
                 checkout.give_back();
             }
         });
--- a/crates/dyketally-gateway/src/connection.rs
+++ b/crates/dyketally-gateway/src/connection.rs
@@ -55,6 +55,15 @@
     pub reason: String,
 }
 
+impl Broken {
+    /// A connection that broke for `reason`.
+    pub fn new(reason: impl ToString) -> Self {
+        Self {
+            reason: reason.to_string(),
+        }
+    }
+}
+
 /// The whole answer to one command.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
@@ -68,6 +77,12 @@
     pub position: Option<LogPosition>,
 }
 
+/// True when no transaction is open behind `answers`.
+pub fn leave_idle(answers: &[Answer]) -> bool {
+    let last = answers.last();
+    last.is_some_and(|answer| answer.state == TransactionState::Idle)
+}
+
 /// A connection that is open to a database.
 pub struct Connection {
     stream: TcpStream,
@@ -191,7 +206,7 @@
     }
 
     async fn exchange(&mut self, commands: &[DatabaseCommand]) -> Result<Vec<Answer>, Broken> {
-        self.send(commands).await.map_err(broken)?;
+        self.send(commands).await.map_err(Broken::new)?;
         let mut answers = Vec::with_capacity(commands.len());
         for _ in commands {
             answers.push(self.answer().await?);
@@ -233,23 +248,20 @@
     async fn next_reply(&mut self) -> Result<Reply, Broken> {
         loop {
             let decoded = self.protocol.decode(&mut self.input);
-            if let Some(reply) = decoded.map_err(broken)? {
+            if let Some(reply) = decoded.map_err(Broken::new)? {
                 return Ok(reply);
             }
             self.input.reserve(READ_CHUNK);
             let read = self.stream.read_buf(&mut self.input).await;
-            if read.map_err(broken)? == 0 {
-                return Err(broken("closed by the database"));
+            if read.map_err(Broken::new)? == 0 {
+                return Err(Broken::new("closed by the database"));
             }
         }
     }
 
     /// True when the connection was closed, or has bytes that nobody asked for.
     pub fn is_stale(&self) -> bool {
-        let mut byte = [0_u8; 1];
-        let would_block = |error: &io::Error| error.kind() == io::ErrorKind::WouldBlock;
-        let quiet = self.stream.try_read(&mut byte);
-        !quiet.as_ref().is_err_and(would_block) || !self.input.is_empty()
+        !is_quiet(&self.stream) || !self.input.is_empty()
     }
 
     /// How much has to be sent before a session with `values` can use it: 0 for nothing.
@@ -321,27 +333,25 @@
     }
 }
 
-fn prepare_socket(stream: &TcpStream) {
+/// Makes `stream` send at once, and the system give it up when its peer acknowledges nothing for
+/// [`SILENT_PEER`].
+pub fn prepare_socket(stream: &TcpStream) {
     // Both are improvements only: a socket that refuses them still works.
     let _ = stream.set_nodelay(true);
-    set_silent_peer_limit(stream);
-}
-
-/// Makes the system give up `stream` when its peer acknowledges nothing for [`SILENT_PEER`].
-pub fn set_silent_peer_limit(stream: &TcpStream) {
     let limit = SILENT_PEER.as_millis() as u32;
     let _ = rustix::net::sockopt::set_tcp_user_timeout(stream, limit);
 }
 
+/// True while `stream` is open and nothing came that wasn't read.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0_u8; 1];
+    let read = stream.try_read(&mut byte);
+    read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 fn open_error(error: io::Error) -> OpenError {
     match error.kind() {
         io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable => OpenError::Silent,
         _ => OpenError::Refused,
     }
 }
-
-fn broken(reason: impl ToString) -> Broken {
-    Broken {
-        reason: reason.to_string(),
-    }
-}
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/failover.rs
@@ -397,7 +397,7 @@
                 );
                 return false;
             };
-            let holder = &self.gateway.settings.node.name;
+            let holder = self.gateway.settings.node.name.as_str();
             let appointed = self.control.appoint(group, successor, holder, duty.token);
             let appointment = appointed.await;
             let detail = format!("{successor} with token {}: {appointment:?}", duty.token);
--- a/crates/dyketally-gateway/src/feed.rs
+++ b/crates/dyketally-gateway/src/feed.rs
@@ -437,25 +437,20 @@
         if nodes.len() <= SMALL_FLEET {
             return Vec::new();
         }
-        let own = NodeName::new(self.settings.node.name.as_str());
-        let zone = self.locality(&self.settings.node.zone.as_str().into());
+        let zone = self.settings.own_locality();
         let candidates = nodes.values().map(|node| node.candidate());
         let relays = placement::relays(&zone, candidates, RELAYS_PER_ZONE);
-        let ordered = placement::preference(&own, &relays);
+        let ordered = placement::preference(&self.settings.node.name, &relays);
         ordered.into_iter().cloned().collect()
     }
 
     fn is_relay(&self) -> bool {
-        let relays = self.zone_relays();
-        relays
-            .iter()
-            .any(|relay| relay.as_str() == self.settings.node.name)
+        self.zone_relays().contains(&self.settings.node.name)
     }
 
     fn relay_to_follow(&self) -> Option<SocketAddr> {
         let relays = self.zone_relays();
-        let own = &self.settings.node.name;
-        if relays.iter().any(|relay| relay.as_str() == own) {
+        if relays.contains(&self.settings.node.name) {
             return None;
         }
         let nodes = self.membership.nodes();
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -4,23 +4,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::retry::Backoff;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
     Entry, Key, KeyRange, KeyValueStore, RangeRequest, StoreRevision, WatchEvent, WatchRequest,
     WatchStream,
 };
 use futures::StreamExt;
-use rand::Rng;
 use tokio::time::Instant;
 
 use crate::event::Event;
 use crate::feed::{Sink, Subject};
 use crate::gateway::Gateway;
 
-/// Shortest pause before the store is asked again after a failure.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(60);
-/// Longest pause before the store is asked again after a failure.
-const LONGEST_PAUSE: Duration = Duration::from_millis(700);
+/// Pause before the store is asked again after failures.
+const PAUSE: Backoff = Backoff {
+    first: Duration::from_millis(60),
+    longest: Duration::from_millis(700),
+};
 /// Longest pause after a change before a watch goes on.
 const LONGEST_GATHERING: Duration = Duration::from_millis(1_200);
 /// So many keys are followed without any pause.
@@ -213,10 +214,7 @@
                 reason: error.to_string(),
             });
         }
-        let doubled = SHORTEST_PAUSE * 2_u32.pow(self.failures.min(5));
         self.failures += 1;
-        let longest = doubled.min(LONGEST_PAUSE);
-        let share = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(longest.mul_f64(share)).await;
+        tokio::time::sleep(PAUSE.delay(self.failures, &mut rand::rng())).await;
     }
 }
--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/home.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dyketally::statement::{FailureKind, TransactionState};
+use dyketally::statement::FailureKind;
 use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::batch::Reset;
 use crate::checkout::{Checkout, Claim, Refusal, Unanswered};
+use crate::connection::leave_idle;
 use crate::gateway::Gateway;
 use crate::link::{Call, CallReply, Frames, frames};
 use crate::target::Target;
@@ -105,8 +106,7 @@
     let target = bound.target.clone();
     match gateway.exchange(&mut checkout, &target, &call.batch).await {
         Ok(answers) => {
-            let last = answers.last().map(|answer| answer.state);
-            if last == Some(TransactionState::Idle) {
+            if leave_idle(&answers) {
                 checkout.give_back();
                 return (CallReply::Answers(answers), None);
             }
--- a/crates/dyketally-gateway/src/homes.rs
+++ b/crates/dyketally-gateway/src/homes.rs
@@ -6,10 +6,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use dyketally::identifiers::DatabaseName;
+use dyketally::placement::{self, Sharing};
+
 use crate::gateway::Gateway;
 use crate::passed_over::PassedOver;
-use dyketally::identifiers::{DatabaseName, Locality, NodeName, RegionName, ZoneName};
-use dyketally::placement::{self, Sharing};
 
 /// Connections assumed where the configuration doesn't tell.
 const GRANTED_ASSUMED: u32 = 16;
@@ -112,16 +113,16 @@
             });
         }
         let count = sharing.homes(nodes);
-        let locality = self.locality(&zone);
-        let own = NodeName::new(self.settings.node.name.as_str());
+        let locality = self.settings.locality(&zone);
+        let own = &self.settings.node.name;
         let nodes = self.membership.nodes();
         let candidates = nodes.values().map(|node| node.candidate());
         let ranked = placement::rank(database, &locality, candidates, count + STAND_INS);
         let (homes, stand_ins) = ranked.split_at(count.min(ranked.len()));
-        let is_home = homes.contains(&&own);
-        let mut ordered = placement::preference(&own, homes);
+        let is_home = homes.contains(&own);
+        let mut ordered = placement::preference(own, homes);
         ordered.extend(stand_ins);
-        let others = ordered.into_iter().filter(|name| **name != own);
+        let others = ordered.into_iter().filter(|name| *name != own);
         let addresses = others.filter_map(|name| nodes.get(name));
         Some(Placed {
             is_home,
@@ -129,13 +130,4 @@
             homes: addresses.map(|node| node.address).collect(),
         })
     }
-
-    /// The locality of a zone.
-    pub fn locality(&self, zone: &ZoneName) -> Locality {
-        let region = self.settings.zones.get(zone.as_str());
-        Locality {
-            region: RegionName::new(region.map_or("", String::as_str)),
-            zone: zone.clone(),
-        }
-    }
 }
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/link.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use dyketally::identifiers::DatabaseName;
-use dyketally::statement::{FailureKind, TransactionState};
+use dyketally::statement::FailureKind;
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
@@ -19,7 +19,7 @@
 
 use crate::batch::Batch;
 use crate::checkout::{Claim, Refusal, Work};
-use crate::connection::{Answer, Broken, set_silent_peer_limit};
+use crate::connection::{Answer, Broken, is_quiet, leave_idle};
 use crate::gateway::Gateway;
 use crate::relay::{self, Opening};
 
@@ -98,8 +98,6 @@
     async fn open(home: SocketAddr) -> io::Result<Self> {
         let opening = relay::open(home, &Opening::Calls);
         let stream = tokio::time::timeout(CONNECT_LIMIT, opening).await??;
-        stream.set_nodelay(true)?;
-        set_silent_peer_limit(&stream);
         Ok(Self {
             frames: frames(stream),
             rests_since: Instant::now(),
@@ -108,21 +106,19 @@
 
     /// True when the home closed the link while it rested.
     fn is_stale(&self) -> bool {
-        let mut byte = [0_u8; 1];
-        let quiet = self.frames.get_ref().try_read(&mut byte);
-        !quiet.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        !is_quiet(self.frames.get_ref())
     }
 
     async fn call(&mut self, call: &Call) -> Result<CallReply, Broken> {
-        let message = postcard::to_stdvec(call).map_err(broken)?;
+        let message = postcard::to_stdvec(call).map_err(Broken::new)?;
         self.frames
             .send(Bytes::from(message))
             .await
-            .map_err(broken)?;
+            .map_err(Broken::new)?;
         match self.frames.next().await {
-            Some(Ok(reply)) => postcard::from_bytes(&reply).map_err(broken),
-            Some(Err(error)) => Err(broken(error)),
-            None => Err(broken("closed by the home")),
+            Some(Ok(reply)) => postcard::from_bytes(&reply).map_err(Broken::new),
+            Some(Err(error)) => Err(Broken::new(error)),
+            None => Err(Broken::new("closed by the home")),
         }
     }
 }
@@ -229,18 +225,19 @@
             self.link = Some((home, link));
             match reply {
                 CallReply::Answers(answers) => {
-                    let last = answers.last().map(|answer| answer.state);
-                    self.bound = last != Some(TransactionState::Idle);
+                    self.bound = !leave_idle(&answers);
                     return Ok(answers);
                 }
                 CallReply::Leaving if !self.bound => {
                     self.link = None;
                     self.pass_over(home);
                 }
-                CallReply::Leaving => return Err(CallError::HomeLost(broken("the home stops"))),
+                CallReply::Leaving => {
+                    return Err(CallError::HomeLost(Broken::new("the home stops")));
+                }
                 CallReply::Refused(refusal) => return Err(CallError::NotRun(refusal)),
                 CallReply::Broken(reason) => {
-                    return Err(CallError::DatabaseBroke(Broken { reason }));
+                    return Err(CallError::DatabaseBroke(Broken::new(reason)));
                 }
             }
         }
@@ -269,9 +266,3 @@
         }))
     }
 }
-
-fn broken(reason: impl ToString) -> Broken {
-    Broken {
-        reason: reason.to_string(),
-    }
-}
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::retry::Backoff;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{KeyValueStore, LeaseId, TransactionRequest};
-use rand::Rng;
 use tokio::time::Instant;
 
 use crate::follow::StoreUpdate;
@@ -19,6 +19,11 @@
 const RENEWAL: Duration = Duration::from_secs(2);
 /// Pause before a renewal that failed is tried again.
 const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+/// Pause before joining is tried again.
+const JOIN_RETRY: Backoff = Backoff {
+    first: Duration::from_millis(300),
+    longest: Duration::from_millis(300),
+};
 /// Age of the last word of the store from which on it is asked anew when that matters.
 const CONTACT_AGE: Duration = Duration::from_millis(700);
 
@@ -59,7 +64,7 @@
                 }
                 Err(_) => {
                     self.membership().store_failed();
-                    pause(RENEWAL_RETRY * 2).await;
+                    tokio::time::sleep(JOIN_RETRY.delay(1, &mut rand::rng())).await;
                 }
             }
         }
@@ -110,8 +115,3 @@
         }
     }
 }
-
-async fn pause(longest: Duration) {
-    let share = rand::rng().random_range(0.5..1.0);
-    tokio::time::sleep(longest.mul_f64(share)).await;
-}
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -150,9 +150,9 @@
     }
 
     /// The other nodes' addresses.
-    pub fn others(&self, own: &str) -> Vec<SocketAddr> {
+    pub fn others(&self, own: &NodeName) -> Vec<SocketAddr> {
         let nodes = self.nodes.borrow();
-        let others = nodes.values().filter(|record| record.node.as_str() != own);
+        let others = nodes.values().filter(|record| record.node != *own);
         others.map(|record| record.address).collect()
     }
 
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use dyketally::directory::{Announcement, DirectoryChange};
-use dyketally::identifiers::NodeName;
 use dyketally_store::KeyValueStore;
 use dyketally_store::key_value::{Entry, Key, WatchEvent};
 use eyre::WrapErr;
@@ -77,7 +76,7 @@
     let relayed = bind(settings.listen.peers, "listen.peers").await?;
     let gateway = Gateway::new(settings, adapters.callers, adapters.databases);
     gateway.events.write(&Event::Started {
-        node: &gateway.settings.node.name,
+        node: gateway.settings.node.name.as_str(),
     });
     let peers = Peers::new(gateway.clone(), socket);
     *gateway.peers.borrow_mut() = Some(peers.clone());
@@ -146,9 +145,9 @@
 fn own_record(gateway: &Gateway) -> NodeRecord {
     let settings = &gateway.settings;
     NodeRecord {
-        node: NodeName::new(settings.node.name.as_str()),
+        node: settings.node.name.clone(),
         address: settings.listen.peers,
-        locality: gateway.locality(&settings.node.zone.as_str().into()),
+        locality: settings.own_locality(),
         weight: settings.node.weight(),
     }
 }
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -6,14 +6,14 @@
 
 use dyketally::group::LogPosition;
 use dyketally::identifiers::DatabaseName;
-use dyketally::statement::{FailureKind, TransactionState};
+use dyketally::statement::FailureKind;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
 
 use crate::batch::{Batch, Step};
 use crate::checkout::Work;
-use crate::connection::{Answer, Broken};
+use crate::connection::{Answer, Broken, leave_idle};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
 use crate::request::{Request, Served};
@@ -102,9 +102,7 @@
             let last = request.deadline + LATE_ANSWER_LIMIT;
             match tokio::time::timeout_at(last, attempt).await {
                 Ok(attempt) => attempt,
-                Err(_) => Attempt::Lost(Broken {
-                    reason: "no answer came".to_owned(),
-                }),
+                Err(_) => Attempt::Lost(Broken::new("no answer came")),
             }
         }))
     }
@@ -166,8 +164,7 @@
             Ok(answers) => answers,
             Err(unanswered) => return unanswered.into(),
         };
-        let idle = answers.last().map(|answer| answer.state) == Some(TransactionState::Idle);
-        if idle {
+        if leave_idle(&answers) {
             checkout.give_back();
         }
         let mut own = answers.into_iter();
--- a/crates/dyketally-gateway/src/relay.rs
+++ b/crates/dyketally-gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::connection::set_silent_peer_limit;
+use crate::connection::prepare_socket;
 use crate::feed;
 use crate::gateway::Gateway;
 use crate::home;
@@ -50,6 +50,7 @@
 /// The node can't be reached.
 pub async fn open(address: SocketAddr, opening: &Opening) -> std::io::Result<TcpStream> {
     let mut stream = TcpStream::connect(address).await?;
+    prepare_socket(&stream);
     let body = postcard::to_stdvec(opening).map_err(std::io::Error::other)?;
     let mut message = (body.len() as u16).to_be_bytes().to_vec();
     message.extend(body);
@@ -80,8 +81,7 @@
     mut stream: TcpStream,
     relayed: Rc<()>,
 ) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    set_silent_peer_limit(&stream);
+    prepare_socket(&stream);
     match tokio::time::timeout(OPEN_LIMIT, read_opening(&mut stream)).await?? {
         Opening::Relay { .. } if Rc::strong_count(&relayed) > RELAYED_AT_MOST => Ok(()),
         Opening::Relay { database } => relay(&gateway, stream, &database).await,
@@ -110,8 +110,7 @@
     };
     let address = address.ok_or(std::io::ErrorKind::NotFound)?;
     let mut onward = tokio::time::timeout(OPEN_LIMIT, TcpStream::connect(address)).await??;
-    onward.set_nodelay(true)?;
-    set_silent_peer_limit(&onward);
+    prepare_socket(&onward);
     tokio::io::copy_bidirectional(&mut stream, &mut onward).await?;
     Ok(())
 }
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::connection::set_silent_peer_limit;
+use crate::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement, Reply};
 use crate::request::{Execution, Request, Served};
@@ -34,9 +34,7 @@
 
 /// Serves one caller until it leaves or the process stops.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
-    // Without it, answers are later but right.
-    let _ = stream.set_nodelay(true);
-    set_silent_peer_limit(&stream);
+    prepare_socket(&stream);
     gateway.sessions.set(gateway.sessions.get() + 1);
     gateway.counters.sessions.add();
     let mut caller = Caller {
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dyketally::identifiers::{Locality, NodeName, RegionName, ZoneName};
 use dyketally::placement::NORMAL_WEIGHT;
 use serde::Deserialize;
 
@@ -17,7 +18,7 @@
     pub listen: ListenSettings,
     /// The region of each zone.
     #[serde(default)]
-    pub zones: BTreeMap<String, String>,
+    pub zones: BTreeMap<ZoneName, RegionName>,
     /// The key-value store.
     pub store: ServiceSettings,
     /// The service that appoints primaries.
@@ -51,9 +52,9 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct NodeSettings {
     /// Its name, unique among the nodes.
-    pub name: String,
+    pub name: NodeName,
     /// Its zone.
-    pub zone: String,
+    pub zone: ZoneName,
     /// The share of a processor that it may use: nodes with more keep connections to more
     /// databases.
     #[serde(default = "whole_processor")]
@@ -166,8 +167,22 @@
 }
 
 impl Settings {
+    /// Where a zone is; one that isn't in `zones` has a region without a name.
+    pub fn locality(&self, zone: &ZoneName) -> Locality {
+        let region = self.zones.get(zone).cloned();
+        Locality {
+            region: region.unwrap_or_else(|| RegionName::new("")),
+            zone: zone.clone(),
+        }
+    }
+
+    /// Where this node is.
+    pub fn own_locality(&self) -> Locality {
+        self.locality(&self.node.zone)
+    }
+
     fn validate(&self) -> Result<(), String> {
-        if self.node.name.is_empty() {
+        if self.node.name.as_str().is_empty() {
             return Err("`node.name` is empty".to_owned());
         }
         if !self.zones.is_empty() && !self.zones.contains_key(&self.node.zone) {
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/target.rs
@@ -6,6 +6,7 @@
 use dyketally::directory::{Member, MemberState};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::placement::Distance;
 use tokio::time::Instant;
 
 use crate::gateway::Gateway;
@@ -146,26 +147,7 @@
 
     /// How far a member is from this node.
     pub fn distance(&self, member: &Member) -> Distance {
-        let own = &self.settings.node.zone;
-        let other = member.announcement.zone.as_str();
-        if own == other {
-            return Distance::SameZone;
-        }
-        let zones = &self.settings.zones;
-        match zones.get(own) == zones.get(other) {
-            true => Distance::SameRegion,
-            false => Distance::OtherRegion,
-        }
+        let place = self.settings.locality(&member.announcement.zone);
+        Distance::between(&self.settings.own_locality(), &place)
     }
 }
-
-/// How far a database is from this node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Distance {
-    /// In the same zone.
-    SameZone,
-    /// In another zone of the region.
-    SameRegion,
-    /// In another region.
-    OtherRegion,
-}
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -13,6 +13,7 @@
 use crate::identifiers::{DatabaseName, Locality, NodeName};
 
 pub use sharing::Sharing;
+pub use tier::Distance;
 
 use score::{Key, Score};
 use tier::Tier;
--- a/crates/dyketally/src/placement/tier.rs
+++ b/crates/dyketally/src/placement/tier.rs
@@ -11,10 +11,14 @@
     distance: Distance,
 }
 
+/// How far two places are from each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Distance {
+pub enum Distance {
+    /// In one zone.
     SameZone,
+    /// In two zones of one region.
     SameRegion,
+    /// In two regions.
     OtherRegion,
 }
 
@@ -28,7 +32,8 @@
 }
 
 impl Distance {
-    fn between(one: &Locality, other: &Locality) -> Self {
+    /// The distance between two places.
+    pub fn between(one: &Locality, other: &Locality) -> Self {
         if one.region != other.region {
             Self::OtherRegion
         } else if one.zone != other.zone {
