Work out homes once for changes that come together, and pass on the store's own events

Cause: each single change of a node gave all pools their share anew, which ranks all nodes for every database; a follower ranked all nodes again behind each message of its relay. When a fleet starts, that work grows with the square of the nodes. feed.rs had copies of the store's entries and events beside the types of dyketally-store, and encoded each change also where nobody follows. Ruled out: a change of what is told; the messages between nodes carry the same, encoded otherwise.

--- a/crates/dyketally-gateway/src/feed.rs
+++ b/crates/dyketally-gateway/src/feed.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use dyketally::identifiers::NodeName;
 use dyketally::placement;
-use dyketally_store::key_value::{Entry, Key, LeaseId, StoreRevision, WatchEvent};
+use dyketally_store::key_value::{Entry, Key, StoreRevision, WatchEvent};
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
@@ -61,40 +61,6 @@
 
 const SUBJECTS: [Subject; 2] = [Subject::Announcements, Subject::Nodes];
 
-/// One key as it is passed on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct FedEntry {
-    key: Bytes,
-    value: Bytes,
-    created: u64,
-    modified: u64,
-    lease: Option<i64>,
-}
-
-impl From<&Entry> for FedEntry {
-    fn from(entry: &Entry) -> Self {
-        Self {
-            key: entry.key.as_bytes().clone(),
-            value: entry.value.clone(),
-            created: entry.created.0,
-            modified: entry.modified.0,
-            lease: entry.lease.map(|lease| lease.0),
-        }
-    }
-}
-
-impl From<FedEntry> for Entry {
-    fn from(fed: FedEntry) -> Self {
-        Self {
-            key: Key::new(fed.key),
-            value: fed.value,
-            created: StoreRevision(fed.created),
-            modified: StoreRevision(fed.modified),
-            lease: fed.lease.map(LeaseId),
-        }
-    }
-}
-
 /// What a relay sends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum FeedMessage {
@@ -102,17 +68,11 @@
     /// before it leaves no other trace.
     Whole {
         subject: Subject,
-        complete_to: u64,
-        entries: Vec<FedEntry>,
-    },
-    /// A key was set.
-    Put { subject: Subject, entry: FedEntry },
-    /// A key was deleted.
-    Deleted {
-        subject: Subject,
-        key: Bytes,
-        revision: u64,
+        complete_to: StoreRevision,
+        entries: Vec<Entry>,
     },
+    /// A key changed.
+    Changed { subject: Subject, event: WatchEvent },
     /// Nothing changed.
     Alive,
 }
@@ -212,22 +172,12 @@
     }
 
     fn pass_on(&self, subject: Subject, event: &WatchEvent) {
-        let message = match event {
-            WatchEvent::Put(entry) => FeedMessage::Put {
-                subject,
-                entry: entry.into(),
-            },
-            WatchEvent::Deleted {
-                key,
-                store_revision,
-            } => FeedMessage::Deleted {
-                subject,
-                key: key.as_bytes().clone(),
-                revision: store_revision.0,
-            },
-        };
-        if let Some(message) = encode(&message) {
-            // Nobody may follow.
+        if self.changes.receiver_count() == 0 {
+            return;
+        }
+        let event = event.clone();
+        if let Some(message) = encode(&FeedMessage::Changed { subject, event }) {
+            // The last follower may just have left.
             let _ = self.changes.send(message);
         }
     }
@@ -266,10 +216,11 @@
         let copies = self.copies.borrow();
         let copy = copies.get(&subject);
         let entries = copy.into_iter().flat_map(|copy| copy.entries.values());
+        let complete_to = copy.map(|copy| copy.revision.max(copy.complete_to));
         FeedMessage::Whole {
             subject,
-            complete_to: copy.map_or(0, |copy| copy.revision.max(copy.complete_to).0),
-            entries: entries.map(FedEntry::from).collect(),
+            complete_to: complete_to.unwrap_or_default(),
+            entries: entries.cloned().collect(),
         }
     }
 
@@ -365,6 +316,7 @@
     };
     let mut frames = frames(stream);
     let mut whole = 0;
+    let mut looked = Instant::now();
     loop {
         let Some(message) = next(&mut frames).await else {
             return "it is silent, or watches the store no longer".to_owned();
@@ -375,7 +327,7 @@
             ..
         } = &message
         {
-            if StoreRevision(*complete_to) < gateway.feed.revision(*subject) {
+            if *complete_to < gateway.feed.revision(*subject) {
                 return "it is behind".to_owned();
             }
             whole += 1;
@@ -386,8 +338,12 @@
                 relay: relay.to_string(),
             });
         }
-        if gateway.is_relay() {
-            return "this node became a relay".to_owned();
+        // Ranking all nodes behind each of many changes would cost more than they do.
+        if looked.elapsed() >= SEARCH_INTERVAL {
+            looked = Instant::now();
+            if gateway.is_relay() {
+                return "this node became a relay".to_owned();
+            }
         }
     }
 }
@@ -403,25 +359,8 @@
         FeedMessage::Alive => return,
         FeedMessage::Whole {
             subject, entries, ..
-        } => {
-            let entries = entries.into_iter().map(Entry::from);
-            (subject, StoreUpdate::All(entries.collect()))
-        }
-        FeedMessage::Put { subject, entry } => {
-            let event = WatchEvent::Put(entry.into());
-            (subject, StoreUpdate::Changed(event))
-        }
-        FeedMessage::Deleted {
-            subject,
-            key,
-            revision,
-        } => {
-            let event = WatchEvent::Deleted {
-                key: Key::new(key),
-                store_revision: StoreRevision(revision),
-            };
-            (subject, StoreUpdate::Changed(event))
-        }
+        } => (subject, StoreUpdate::All(entries)),
+        FeedMessage::Changed { subject, event } => (subject, StoreUpdate::Changed(event)),
     };
     gateway.feed.take(subject, &update);
     if let Some(sink) = sinks.get(&subject) {
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -90,6 +90,8 @@
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
+    /// True while pools are about to get their share of connections.
+    sharing_out: Cell<bool>,
     stop: watch::Sender<StopPhase>,
     changed: watch::Sender<u64>,
     started: Instant,
@@ -122,6 +124,7 @@
             feed: Feed::default(),
             listed: Cell::new(None),
             settling: Cell::new(false),
+            sharing_out: Cell::new(false),
             stop: watch::Sender::new(StopPhase::Serving),
             changed: watch::Sender::new(0),
             started: Instant::now(),
@@ -354,8 +357,23 @@
         database
     }
 
+    /// Takes in that nodes came or went: each pool gets another share of its database's
+    /// connections, once for all changes that come together.
+    pub fn nodes_changed(self: &Rc<Self>) {
+        self.homes.forget();
+        if self.sharing_out.replace(true) {
+            return;
+        }
+        let gateway = self.clone();
+        // It runs when whoever passes on the changes is done with them.
+        tokio::task::spawn_local(async move {
+            gateway.sharing_out.set(false);
+            gateway.apply_connection_limits();
+        });
+    }
+
     /// Gives each pool its share of its database's connections.
-    pub fn apply_connection_limits(&self) {
+    fn apply_connection_limits(&self) {
         self.homes.forget();
         for (name, database) in self.databases.borrow().iter() {
             database
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -51,7 +51,7 @@
     /// Takes in a change of the nodes' keys.
     pub fn take_in(&self, update: StoreUpdate) {
         self.membership().take_in(update, &self.keys);
-        self.gateway.apply_connection_limits();
+        self.gateway.nodes_changed();
     }
 
     /// Keeps the lease and the node's key until the process stops.
--- a/crates/dyketally-store/src/key_value.rs
+++ b/crates/dyketally-store/src/key_value.rs
@@ -7,11 +7,12 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::Stream;
+use serde::{Deserialize, Serialize};
 
 use super::error::StoreError;
 
 /// A key of the service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(Bytes);
 
 impl Key {
@@ -46,7 +47,9 @@
 
 /// A revision of the whole store: one more with each transaction that changes it. Unrelated to
 /// the revision of dyketally's configuration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct StoreRevision(pub u64);
 
 impl StoreRevision {
@@ -57,7 +60,7 @@
 }
 
 /// A lease that the service granted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LeaseId(pub i64);
 
 impl fmt::Display for LeaseId {
@@ -149,7 +152,7 @@
 }
 
 /// One key with its value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The key.
     pub key: Key,
@@ -283,7 +286,7 @@
 }
 
 /// One change of a watched key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WatchEvent {
     /// The key was set.
     Put(Entry),
