Send a call's batch without copying it first

Cause: each call to a home copied the whole batch, values of the session included, only to serialize it. Change: the call borrows it; the receiver owns what it reads.

--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/home.rs
@@ -56,7 +56,7 @@
     let mut frames = frames(stream);
     let mut bound = None;
     while let Some(Ok(message)) = frames.next().await {
-        let Ok(call) = postcard::from_bytes::<Call>(&message) else {
+        let Ok(call) = postcard::from_bytes::<Call<'_>>(&message) else {
             return;
         };
         let _busy = Busy::begin(&gateway);
@@ -91,7 +91,7 @@
 async fn run(
     gateway: &Rc<Gateway>,
     bound: Option<(Bound, Busy)>,
-    call: Call,
+    call: Call<'_>,
 ) -> (CallReply, Option<Bound>) {
     let mut bound = match bound {
         Some((bound, _)) => bound,
@@ -121,7 +121,7 @@
     }
 }
 
-async fn bind(gateway: &Rc<Gateway>, call: &Call) -> Result<Bound, CallReply> {
+async fn bind(gateway: &Rc<Gateway>, call: &Call<'_>) -> Result<Bound, CallReply> {
     if gateway.is_stopping() {
         return Err(CallReply::Leaving);
     }
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/link.rs
@@ -1,6 +1,7 @@
 //! Calls to the homes of databases: a home runs batches on connections that it keeps, and binds one
 //! to the caller's link for as long as a transaction is open on it.
 
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -34,7 +35,7 @@
 
 /// A batch for a database.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Call {
+pub struct Call<'a> {
     /// The database.
     pub database: DatabaseName,
     /// Rank under scarcity; 0 goes first.
@@ -45,8 +46,8 @@
     pub queue_ms: u32,
     /// What the connection is wanted for.
     pub work: Work,
-    /// What to run.
-    pub batch: Batch,
+    /// What to run; only the receiver has one of its own.
+    pub batch: Cow<'a, Batch>,
 }
 
 /// What became of a call.
@@ -109,7 +110,7 @@
         !is_quiet(self.frames.get_ref())
     }
 
-    async fn call(&mut self, call: &Call) -> Result<CallReply, Broken> {
+    async fn call(&mut self, call: &Call<'_>) -> Result<CallReply, Broken> {
         let message = postcard::to_stdvec(call).map_err(Broken::new)?;
         self.frames
             .send(Bytes::from(message))
@@ -216,7 +217,7 @@
                 patience_ms: left.as_millis().try_into().unwrap_or(u32::MAX),
                 queue_ms: self.claim.queue.as_millis().try_into().unwrap_or(u32::MAX),
                 work: self.claim.work,
-                batch: batch.clone(),
+                batch: Cow::Borrowed(batch),
             };
             let reply = link.call(&call).await.map_err(|broken| {
                 self.pass_over(home);
