Write once how a watch ends, how a lease is renewed and how tests lose a primary

Change: dyketally-store has WatchSource and batches_of, which drop a source behind its first error; Membership::renew serves both leases; own_claim; the fixture has wait_until_busy, cut_off_primary and another_primary, and the tests keep their assertions. Behaviour: one difference, in the duty's renewal: an answer that its lease has lapsed no longer counts as a failure of the store, as it didn't for the node's lease. Left as they are: rows of the fault tables and the two status fixtures, which are data of their own, and the lists of routes of two stand-ins.

--- a/crates/dyketally-gateway/src/confirm.rs
+++ b/crates/dyketally-gateway/src/confirm.rs
@@ -96,12 +96,7 @@
     }
 
     async fn exchange_as_leader(self: &Rc<Self>, target: &Target, until: Instant) -> Confirmation {
-        let claim = Claim {
-            priority: OWN_PRIORITY,
-            until,
-            queue: CONFIRM_LIMIT,
-            work: Work::Statements,
-        };
+        let claim = own_claim(until);
         let values = BTreeMap::new();
         let checkout = self.checkout_for(target, &values, claim);
         let Ok(mut checkout) = checkout.await else {
@@ -178,12 +173,7 @@
         limit: Duration,
     ) -> Option<DatabaseStatus> {
         let until = Instant::now() + limit;
-        let claim = Claim {
-            priority: OWN_PRIORITY,
-            until,
-            queue: CONFIRM_LIMIT,
-            work: Work::Statements,
-        };
+        let claim = own_claim(until);
         let values = BTreeMap::new();
         let exchange = async {
             loop {
@@ -205,3 +195,13 @@
         tokio::time::timeout_at(until, exchange).await.ok()?
     }
 }
+
+/// The claim of the gateway's own exchanges.
+fn own_claim(until: Instant) -> Claim {
+    Claim {
+        priority: OWN_PRIORITY,
+        until,
+        queue: CONFIRM_LIMIT,
+        work: Work::Statements,
+    }
+}
--- a/crates/dyketally-gateway/src/duty.rs
+++ b/crates/dyketally-gateway/src/duty.rs
@@ -166,19 +166,11 @@
 
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
         let asked = Instant::now();
-        match self.store.keep_lease_alive(lease).await {
-            Ok(time_to_live) => {
-                let until = asked + time_to_live;
-                self.membership()
-                    .hold_duty_lease(HeldLease { id: lease, until });
-                self.membership().store_answered();
-                Ok(())
-            }
-            Err(error) => {
-                self.membership().store_failed();
-                Err(error)
-            }
-        }
+        let time_to_live = self.membership().renew(&*self.store, lease).await?;
+        let until = asked + time_to_live;
+        self.membership()
+            .hold_duty_lease(HeldLease { id: lease, until });
+        Ok(())
     }
 
     /// Finds out whether a duty whose key seems to be gone, or another's, is still held: what is
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::follow::StoreUpdate;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, StopPhase};
 use crate::membership::{Keys, Membership};
 
 /// Time after which the key of a node that is lost goes. Until then it is passed over by those who
@@ -94,23 +94,19 @@
                         continue;
                     }
                 }
-                () = self.gateway.entered(crate::gateway::StopPhase::Leaving) => {
+                () = self.gateway.entered(StopPhase::Leaving) => {
                     // If it fails the lease runs out by itself.
                     let _ = self.store.revoke_lease(lease).await;
                     return;
                 }
             }
-            match self.store.keep_lease_alive(lease).await {
+            match self.membership().renew(&*self.store, lease).await {
                 Ok(_) => {
-                    self.membership().store_answered();
                     renewed = Instant::now();
                     next = renewed + RENEWAL;
                 }
                 Err(StoreError::LeaseLapsed { .. }) => return,
-                Err(_) => {
-                    self.membership().store_failed();
-                    next = Instant::now() + RENEWAL_RETRY;
-                }
+                Err(_) => next = Instant::now() + RENEWAL_RETRY,
             }
         }
     }
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -9,7 +9,10 @@
 use bytes::Bytes;
 use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName};
 use dyketally::placement::Candidate;
-use dyketally_store::key_value::{Entry, Key, LeaseId, Operation, PutRequest, WatchEvent};
+use dyketally_store::StoreError;
+use dyketally_store::key_value::{
+    Entry, Key, KeyValueStore, LeaseId, Operation, PutRequest, WatchEvent,
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -252,6 +255,25 @@
         self.store_failing.set(true);
     }
 
+    /// Renews a lease at `store`, and takes in what that tells of the store.
+    ///
+    /// # Errors
+    /// The lease has lapsed, or the store didn't answer.
+    pub async fn renew(
+        &self,
+        store: &dyn KeyValueStore,
+        lease: LeaseId,
+    ) -> Result<Duration, StoreError> {
+        let renewed = store.keep_lease_alive(lease).await;
+        match &renewed {
+            Ok(_) => self.store_answered(),
+            // The store answered, but whether it is well again the next call tells.
+            Err(StoreError::LeaseLapsed { .. }) => {}
+            Err(_) => self.store_failed(),
+        }
+        renewed
+    }
+
     /// The duty, if this node held it last as far as it knows, even if its lease may have ended.
     /// Nobody else can have taken it while no node reaches the store.
     pub fn last_duty(&self) -> Option<Duty> {
--- a/crates/dyketally-lab/tests/home/reads.rs
+++ b/crates/dyketally-lab/tests/home/reads.rs
@@ -97,22 +97,8 @@
 async fn withholds_a_current_read_of_a_cut_off_primary() {
     let fixture = Fixture::start().await;
     let primary = fixture.primary;
-    let others: Vec<_> = fixture.replicas();
-    let control = fixture.databases[primary].control();
-    control.set_stay_leading(true).await.unwrap();
-    control
-        .cut(others.iter().map(|other| fixture.name(*other)).collect())
-        .await
-        .unwrap();
-    crate::support::eventually("another primary", || async {
-        for other in &others {
-            if fixture.state(*other).await.is_primary() {
-                return Some(());
-            }
-        }
-        None
-    })
-    .await;
+    fixture.cut_off_primary().await;
+    fixture.another_primary().await;
     let read = ExecuteRequest {
         time_left: Duration::from_secs(2),
         ..fixture.read(primary, Freshness::Current, &select("a"))
--- a/crates/dyketally-lab/tests/home/recorded.rs
+++ b/crates/dyketally-lab/tests/home/recorded.rs
@@ -6,7 +6,7 @@
 use dyketally_proxy::home::{AddressRoutes, Home, HomeOptions};
 
 use crate::relay::{Mode, Relay};
-use crate::support::{Fixture, Setup, eventually, insert};
+use crate::support::{Fixture, Setup, insert};
 
 fn recorded(fixture: &Fixture, text: &str) -> ExecuteRequest {
     ExecuteRequest {
@@ -24,21 +24,6 @@
     rows.expect("control address").len()
 }
 
-/// The member that leads after the one that led at the start is gone.
-async fn next_primary(fixture: &Fixture) -> usize {
-    eventually("another primary", || async {
-        for member in fixture.replicas() {
-            let mut databases = fixture.databases.iter();
-            let database = databases.find(|held| held.settings.name == fixture.name(member))?;
-            if database.control().state().await.ok()?.is_primary() {
-                return Some(member);
-            }
-        }
-        None
-    })
-    .await
-}
-
 #[tokio::test]
 async fn records_a_statement_with_its_reply() {
     let fixture = Fixture::start().await;
@@ -82,11 +67,7 @@
     let mut fixture = Fixture::start().await;
     let primary = fixture.primary;
     let pending = fixture.submit(recorded(&fixture, "SELECT pg_sleep(20)"));
-    eventually("the statement runs", || async {
-        let state = fixture.databases[primary].control().state().await.ok()?;
-        (state.busy_slots > 0).then_some(())
-    })
-    .await;
+    fixture.wait_until_busy().await;
     drop(fixture.databases.remove(primary));
     let answer = pending.answer().await;
     assert!(
@@ -94,7 +75,7 @@
         "{answer:?}"
     );
     // The key that bars the statement.
-    let new = next_primary(&fixture).await;
+    let new = fixture.another_primary().await;
     assert_eq!(rows(&fixture, new, "ledger").await, 1);
 }
 
@@ -115,7 +96,7 @@
         ),
         "{answer:?}"
     );
-    let new = next_primary(&fixture).await;
+    let new = fixture.another_primary().await;
     assert_eq!(rows(&fixture, new, "orders").await, 0);
 }
 
--- a/crates/dyketally-lab/tests/home/support.rs
+++ b/crates/dyketally-lab/tests/home/support.rs
@@ -120,6 +120,38 @@
         state.expect("control address")
     }
 
+    /// Waits until the primary of the start runs a statement.
+    pub async fn wait_until_busy(&self) {
+        eventually("the statement runs", || async {
+            let state = self.databases[self.primary].control().state().await.ok()?;
+            (state.busy_slots > 0).then_some(())
+        })
+        .await;
+    }
+
+    /// Cuts the primary of the start off from the others, while it goes on believing that it leads.
+    pub async fn cut_off_primary(&self) {
+        let control = self.databases[self.primary].control();
+        control.set_stay_leading(true).await.unwrap();
+        let others = self.replicas().into_iter().map(|other| self.name(other));
+        control.cut(others.collect()).await.unwrap();
+    }
+
+    /// Waits until one of those that followed at the start leads; others may be gone.
+    pub async fn another_primary(&self) -> usize {
+        eventually("another primary", || async {
+            for member in self.replicas() {
+                let mut databases = self.databases.iter();
+                let database = databases.find(|held| held.settings.name == self.name(member))?;
+                if database.control().state().await.ok()?.is_primary() {
+                    return Some(member);
+                }
+            }
+            None
+        })
+        .await
+    }
+
     /// A statement outside of a transaction, in a session of its own.
     pub fn request(&self, member: usize, access: Access, text: &str) -> ExecuteRequest {
         let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
--- a/crates/dyketally-lab/tests/home/transactions.rs
+++ b/crates/dyketally-lab/tests/home/transactions.rs
@@ -106,22 +106,8 @@
     let begin = fixture.write(primary, "BEGIN");
     assert!(fixture.run(begin.clone()).await.is_done());
     assert!(fixture.run_next(&begin, 0, &insert("a")).await.is_done());
-    let others: Vec<_> = fixture.replicas();
-    let control = fixture.databases[primary].control();
-    control.set_stay_leading(true).await.unwrap();
-    control
-        .cut(others.iter().map(|other| fixture.name(*other)).collect())
-        .await
-        .unwrap();
-    let new = eventually("another primary", || async {
-        for other in &others {
-            if fixture.state(*other).await.is_primary() {
-                return Some(*other);
-            }
-        }
-        None
-    })
-    .await;
+    fixture.cut_off_primary().await;
+    let new = fixture.another_primary().await;
     let answer = fixture.run_next(&begin, 0, "COMMIT").await;
     // Rolled back if its home has heard of the election before it sent the commit.
     let refused = [
--- a/crates/dyketally-lab/tests/home/writes.rs
+++ b/crates/dyketally-lab/tests/home/writes.rs
@@ -88,22 +88,8 @@
 async fn sends_writes_on_after_an_election() {
     let fixture = Fixture::start().await;
     let old = fixture.primary;
-    let control = fixture.databases[old].control();
-    let others = fixture.replicas();
-    control.set_stay_leading(true).await.unwrap();
-    control
-        .cut(others.iter().map(|other| fixture.name(*other)).collect())
-        .await
-        .unwrap();
-    let new = eventually("another primary", || async {
-        for other in &others {
-            if fixture.state(*other).await.is_primary() {
-                return Some(*other);
-            }
-        }
-        None
-    })
-    .await;
+    fixture.cut_off_primary().await;
+    let new = fixture.another_primary().await;
     let redirected = fixture.run(fixture.write(old, &insert("a"))).await;
     let known = matches!(
         &redirected.completion,
@@ -145,11 +131,7 @@
     let mut fixture = Fixture::start().await;
     let primary = fixture.primary;
     let pending = fixture.submit(fixture.write(primary, "SELECT pg_sleep(20)"));
-    eventually("the statement runs", || async {
-        let state = fixture.databases[primary].control().state().await.ok()?;
-        (state.busy_slots > 0).then_some(())
-    })
-    .await;
+    fixture.wait_until_busy().await;
     drop(fixture.databases.remove(primary));
     let answer = pending.answer().await;
     assert_eq!(
--- a/crates/dyketally-proxy/src/stores/etcd/watch.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/watch.rs
@@ -1,8 +1,10 @@
 //! The stream of a watch: one JSON message a line.
 
+use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
+use dyketally_store::watch::{WatchSource, batches_of};
 use futures::StreamExt;
-use futures::stream::{self, BoxStream};
+use futures::stream::BoxStream;
 use reqwest::Response;
 
 use super::transport::{describe, parse, stream_result};
@@ -18,33 +20,25 @@
     let reader = WatchReader {
         body: response.bytes_stream().boxed(),
         buffer: BytesMut::new(),
-        ended: false,
     };
-    stream::unfold(reader, WatchReader::step).boxed()
+    batches_of(reader)
 }
 
 struct WatchReader {
     body: BoxStream<'static, Result<Bytes, reqwest::Error>>,
     buffer: BytesMut,
-    ended: bool,
 }
 
-impl WatchReader {
-    async fn step(mut self) -> Option<(Result<WatchBatch, StoreError>, Self)> {
-        if self.ended {
-            return None;
-        }
-        let batch = self.next_batch().await;
-        self.ended = batch.is_err();
-        Some((batch, self))
-    }
-
+#[async_trait]
+impl WatchSource for WatchReader {
     async fn next_batch(&mut self) -> Result<WatchBatch, StoreError> {
         let line = self.next_line().await?;
         let item: StreamItem<WatchResponse> = parse(&line)?;
         batch(stream_result(item)?)
     }
+}
 
+impl WatchReader {
     async fn next_line(&mut self) -> Result<Bytes, StoreError> {
         let mut searched = 0;
         loop {
--- a/crates/dyketally-proxy/src/stores/memory/store.rs
+++ b/crates/dyketally-proxy/src/stores/memory/store.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use dyketally::time::Timestamp;
-use futures::stream::{self, StreamExt};
+use dyketally_store::watch::{WatchSource, batches_of};
 use tokio::sync::watch;
 
 use super::faults::{FaultPlan, Outage, TokenCount};
@@ -178,9 +178,8 @@
             signal: self.signal.subscribe(),
             request,
             established: false,
-            ended: false,
         };
-        stream::unfold(follower, Follower::step).boxed()
+        batches_of(follower)
     }
 
     fn take_token(&self) -> Result<(), Refusal> {
@@ -313,19 +312,10 @@
     signal: watch::Receiver<Signal>,
     request: WatchRequest,
     established: bool,
-    ended: bool,
 }
 
-impl Follower {
-    async fn step(mut self) -> Option<(Result<WatchBatch, StoreError>, Self)> {
-        if self.ended {
-            return None;
-        }
-        let batch = self.next_batch().await;
-        self.ended = batch.is_err();
-        Some((batch, self))
-    }
-
+#[async_trait]
+impl WatchSource for Follower {
     async fn next_batch(&mut self) -> Result<WatchBatch, StoreError> {
         loop {
             let outage = self.signal.borrow_and_update().outage;
@@ -342,7 +332,9 @@
             changed.map_err(|_| unavailable("the store is gone"))?;
         }
     }
+}
 
+impl Follower {
     fn poll(&mut self) -> Result<Option<WatchBatch>, StoreError> {
         let changes = self.store.lock().state.changes_since(&self.request);
         let mut batch = changes.map_err(|_| StoreError::Compacted)?;
