--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -165,12 +165,13 @@
         self.deadline - ANSWER_RESERVE
     }
 
-    /// True when the statement should be refused, given why it wasn't run: it found too long a queue,
-    /// and would be late if it waited in another.
+    /// True when the statement should be refused, given why it wasn't run: connections are short,
+    /// here or at the database, and it would be late if it waited longer.
     pub fn is_hopeless(&self, gateway: &Gateway, refusal: FailureKind) -> bool {
         let limit = self.route.latency_objective.mul_f64(REFUSED_AFTER_SHARE);
         let elapsed = gateway.now().saturating_since(self.arrived);
-        refusal == FailureKind::NoConnection && elapsed >= limit
+        let short = matches!(refusal, FailureKind::NoConnection | FailureKind::Overloaded);
+        short && elapsed >= limit
     }
 
     /// Counts an attempt at a database.
