Give the gateway's succession of primaries a folder of its own

Cause: 33 files lie flat in the gateway; who leads a group (confirming, probing, the duty, failover) is one matter and gets further files now. Moved only; no behaviour changes. Checked by building it.

--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -7,12 +7,9 @@
 
 mod batch;
 mod checkout;
-mod confirm;
 mod connection;
 mod counters;
-mod duty;
 mod event;
-mod failover;
 mod feed;
 mod follow;
 mod gateway;
@@ -27,13 +24,13 @@
 mod peer;
 mod pool;
 pub mod ports;
-mod probe;
 mod read;
 mod readiness;
 mod relay;
 mod request;
 mod session;
 pub mod settings;
+mod succession;
 mod target;
 mod transaction;
 mod write;
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -12,9 +12,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::Instant;
 
-use crate::duty::DutyKeeper;
 use crate::event::Event;
-use crate::failover::Failover;
 use crate::feed::{Sink, Subject, follow_relays};
 use crate::follow::{Followed, StoreUpdate, follow};
 use crate::gateway::{Gateway, StopPhase};
@@ -26,6 +24,8 @@
     StoredDocuments,
 };
 use crate::settings::Settings;
+use crate::succession::duty::DutyKeeper;
+use crate::succession::failover::Failover;
 use crate::{readiness, relay, session};
 
 /// Pause between two rounds of tidying up.
--- a/crates/dyketally-gateway/src/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -13,14 +13,14 @@
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
-use crate::confirm::Confirmation;
-use crate::duty::DutyKeeper;
 use crate::event::Event;
 use crate::gateway::Gateway;
 use crate::membership::Duty;
 use crate::peer::{PeerMessage, Peers, Vote};
 use crate::ports::{Appointment, OwnStatement, PrimaryControl};
-use crate::probe::PROBE_LIMIT;
+use crate::succession::confirm::Confirmation;
+use crate::succession::duty::DutyKeeper;
+use crate::succession::probe::PROBE_LIMIT;
 use crate::target::Target;
 
 /// How often the holder of the duty looks at all groups without being told to.
--- /dev/null
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -0,0 +1,6 @@
+//! Who leads a group: confirming it, noticing that a primary is lost, and replacing it.
+
+pub mod confirm;
+pub mod duty;
+pub mod failover;
+pub mod probe;
