--- a/crates/dyketally-gateway/src/batch.rs
+++ b/crates/dyketally-gateway/src/batch.rs
@@ -108,6 +108,15 @@
         }
     }
 
+    /// True when the batch begins with what only a leading database may answer.
+    pub fn needs_leader(&self) -> bool {
+        match self.steps.first() {
+            Some(Step::Own(statement)) => *statement == OwnStatement::Begin,
+            Some(Step::Run { after, .. } | Step::Execute { after, .. }) => after.is_none(),
+            None => false,
+        }
+    }
+
     /// Steps of a session.
     pub fn of(context: SessionContext, steps: Vec<Step>) -> Self {
         Self {
--- a/crates/dyketally-gateway/src/connection.rs
+++ b/crates/dyketally-gateway/src/connection.rs
@@ -62,6 +62,11 @@
             reason: reason.to_string(),
         }
     }
+
+    /// An answer that counts for nothing, since its database was replaced meanwhile.
+    pub fn replaced() -> Self {
+        Self::new("another database has taken the lead")
+    }
 }
 
 /// The whole answer to one command.
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -88,6 +88,11 @@
         /// Why.
         reason: &'a str,
     },
+    /// This node has been in touch with neither the store nor enough nodes: it makes sure of each
+    /// primary's answers at the group's other databases.
+    Isolated,
+    /// This node would hear again of primaries that are replaced.
+    InTouch,
     /// A primary doesn't answer this node.
     PrimarySuspected {
         /// The group.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -26,6 +26,8 @@
 use crate::pool::Pool;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::settings::Settings;
+use crate::succession::fence::Fences;
+use crate::succession::lead::{Touch, Vettings};
 
 /// Observations are kept for at least this long.
 const OBSERVED_AT_LEAST: Duration = Duration::from_secs(1);
@@ -57,6 +59,8 @@
     pub searching: Cell<bool>,
     /// When the running confirmation was sent, if one runs.
     pub confirming: Cell<Option<Timestamp>>,
+    /// What an isolated node learnt of the group's other databases.
+    pub vettings: Vettings,
 }
 
 /// The shared state.
@@ -87,6 +91,10 @@
     pub links: Links,
     /// Copies of the store's keys, as they are passed on between nodes.
     pub feed: Feed,
+    /// Databases that are being replaced.
+    pub fences: Fences,
+    /// Whether this node would hear of a primary that is replaced.
+    pub touch: Touch,
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
@@ -122,6 +130,8 @@
             homes: Homes::default(),
             links: Links::default(),
             feed: Feed::default(),
+            fences: Fences::default(),
+            touch: Touch::default(),
             listed: Cell::new(None),
             settling: Cell::new(false),
             sharing_out: Cell::new(false),
@@ -307,6 +317,7 @@
             observed: Notify::new(),
             searching: Cell::new(false),
             confirming: Cell::new(None),
+            vettings: Vettings::default(),
         });
         self.groups.borrow_mut().insert(name.clone(), group.clone());
         group
@@ -317,7 +328,8 @@
         bound.max(OBSERVED_AT_LEAST)
     }
 
-    /// Takes in what a leading database showed in reply to a statement sent at `sent`.
+    /// Takes in what a leading database showed in reply to a statement sent at `sent`. That it led
+    /// must be sure, see [`Gateway::is_upheld`].
     pub fn observe(&self, group: &GroupName, position: Option<LogPosition>, sent: Timestamp) {
         let Some(position) = position else {
             return;
--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/home.rs
@@ -12,7 +12,7 @@
 
 use crate::batch::Reset;
 use crate::checkout::{Checkout, Claim, Refusal, Unanswered};
-use crate::connection::leave_idle;
+use crate::connection::{Broken, leave_idle};
 use crate::gateway::Gateway;
 use crate::link::{Call, CallReply, Frames, frames};
 use crate::target::Target;
@@ -105,6 +105,9 @@
     };
     let target = bound.target.clone();
     match gateway.exchange(&mut checkout, &target, &call.batch).await {
+        Ok(_) if call.batch.needs_leader() && gateway.fences.holds(&target.name) => {
+            (CallReply::Broken(Broken::replaced().reason), None)
+        }
         Ok(answers) => {
             if leave_idle(&answers) {
                 checkout.give_back();
@@ -131,6 +134,12 @@
             unreachable: true,
         }));
     };
+    if call.batch.needs_leader() && gateway.fences.holds(&target.name) {
+        return Err(CallReply::Refused(Refusal {
+            kind: FailureKind::ReadOnly,
+            unreachable: false,
+        }));
+    }
     let none = BTreeMap::new();
     let context = call.batch.context.as_ref();
     let values = context.map_or(&none, |context| &context.values);
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -5,7 +5,7 @@
 
 use dyketally::retry::Backoff;
 use dyketally_store::StoreError;
-use dyketally_store::key_value::{KeyValueStore, LeaseId, TransactionRequest};
+use dyketally_store::key_value::{KeyValueStore, LeaseId, TransactionRequest, WatchEvent};
 use tokio::time::Instant;
 
 use crate::follow::StoreUpdate;
@@ -50,10 +50,23 @@
 
     /// Takes in a change of the nodes' keys.
     pub fn take_in(&self, update: StoreUpdate) {
+        self.take_fences(&update);
         self.membership().take_in(update, &self.keys);
         self.gateway.nodes_changed();
     }
 
+    fn take_fences(&self, update: &StoreUpdate) {
+        let entries = match update {
+            StoreUpdate::All(entries) => entries.as_slice(),
+            StoreUpdate::Changed(WatchEvent::Put(entry)) => std::slice::from_ref(entry),
+            StoreUpdate::Changed(WatchEvent::Deleted { .. }) => &[],
+        };
+        let fenced = entries
+            .iter()
+            .filter_map(|entry| self.keys.fenced(&entry.key));
+        fenced.for_each(|database| self.gateway.fences.put_up(database));
+    }
+
     /// Keeps the lease and the node's key until the process stops.
     pub async fn run(self: Rc<Self>) {
         while !self.gateway.is_stopping() {
@@ -71,7 +84,9 @@
     }
 
     async fn join(&self) -> Result<LeaseId, StoreError> {
+        let asked = self.gateway.now();
         let lease = self.store.grant_lease(LEASE).await?;
+        self.gateway.store_replied(asked);
         let put = self.keys.put(self.keys.node(), lease.id);
         self.store
             .transact(TransactionRequest {
@@ -100,7 +115,7 @@
                     return;
                 }
             }
-            match self.membership().renew(&*self.store, lease).await {
+            match self.gateway.renew_lease(&*self.store, lease).await {
                 Ok(_) => {
                     renewed = Instant::now();
                     next = renewed + RENEWAL;
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -26,8 +26,12 @@
 /// How long a node counts as holder that said so itself, until the store confirms it.
 const HEARSAY_HOLDS: Duration = Duration::from_secs(3);
 
+/// How long a node whose key is gone is taken for one that may still run, cut off from the store.
+const DEPARTED_REMEMBERED: Duration = Duration::from_secs(30);
+
 const NODES: &str = "nodes/";
 const DUTY: &str = "duty/primary-control";
+const FENCES: &str = "fences/";
 
 /// What a node keeps in the store under its name, and the holder under the duty.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -83,6 +87,18 @@
         Key::from(format!("{}{DUTY}", self.prefix))
     }
 
+    /// The key that tells that a primary is being replaced.
+    pub fn fence(&self, database: &DatabaseName) -> Key {
+        Key::from(format!("{}{FENCES}{database}", self.prefix))
+    }
+
+    /// The database that `key` tells of, if it is one of [`Keys::fence`].
+    pub fn fenced(&self, key: &Key) -> Option<DatabaseName> {
+        let text = key.to_string();
+        let database = text.strip_prefix(&self.prefix)?.strip_prefix(FENCES)?;
+        Some(DatabaseName::from(database))
+    }
+
     /// Puts this node's record under `key`, for as long as `lease` runs.
     pub fn put(&self, key: Key, lease: LeaseId) -> Operation {
         let value = serde_json::to_vec(&self.record).unwrap_or_default();
@@ -133,6 +149,8 @@
     /// Primaries that some node suspects, and since when.
     pub suspicions: RefCell<HashMap<(GroupName, DatabaseName), Instant>>,
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
+    /// Nodes whose key is gone, and since when.
+    departed: RefCell<BTreeMap<NodeName, (NodeRecord, Instant)>>,
     holder: RefCell<Option<Holder>>,
     heard_holder: RefCell<Option<(NodeRecord, Instant)>>,
     duty_lease: Cell<Option<HeldLease>>,
@@ -163,7 +181,8 @@
     pub fn take_in(&self, update: StoreUpdate, keys: &Keys) {
         match update {
             StoreUpdate::All(entries) => {
-                self.nodes.borrow_mut().clear();
+                let listed = std::mem::take(&mut *self.nodes.borrow_mut());
+                listed.into_values().for_each(|node| self.departed(node));
                 self.holder.take();
                 for entry in entries {
                     self.take_entry(&entry, keys);
@@ -182,6 +201,9 @@
     }
 
     fn take_entry(&self, entry: &Entry, keys: &Keys) {
+        if keys.fenced(&entry.key).is_some() {
+            return;
+        }
         let Ok(record) = serde_json::from_slice::<NodeRecord>(&entry.value) else {
             return;
         };
@@ -191,10 +213,33 @@
             *self.holder.borrow_mut() = Some(Holder { record, lease });
         } else {
             let name = record.node.clone();
+            self.departed.borrow_mut().remove(&name);
             self.nodes.borrow_mut().insert(name, record);
         }
     }
 
+    fn departed(&self, node: NodeRecord) {
+        let mut departed = self.departed.borrow_mut();
+        departed.retain(|_, (_, at)| at.elapsed() < DEPARTED_REMEMBERED);
+        departed.insert(node.node.clone(), (node, Instant::now()));
+    }
+
+    /// Takes in that a node's process has ended.
+    pub fn ended(&self, node: &NodeName) {
+        self.departed.borrow_mut().remove(node);
+    }
+
+    /// The addresses of all other nodes that may still run, whether or not the store lists them.
+    pub fn electorate(&self, own: &NodeName) -> Vec<SocketAddr> {
+        let departed = self.departed.borrow();
+        let departed = departed.values();
+        let remembered =
+            departed.filter(|(node, at)| node.node != *own && at.elapsed() < DEPARTED_REMEMBERED);
+        let mut addresses = self.others(own);
+        addresses.extend(remembered.map(|(node, _)| node.address));
+        addresses
+    }
+
     fn take_deletion(&self, key: &Key, keys: &Keys) {
         if key == &keys.duty() {
             self.holder.take();
@@ -202,7 +247,8 @@
         }
         let text = key.to_string();
         if let Some((_, name)) = text.rsplit_once('/') {
-            self.nodes.borrow_mut().remove(&NodeName::new(name));
+            let node = self.nodes.borrow_mut().remove(&NodeName::new(name));
+            node.into_iter().for_each(|node| self.departed(node));
         }
     }
 
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -18,7 +18,7 @@
 use crate::gateway::{Gateway, StopPhase};
 use crate::member::Member;
 use crate::membership::{Keys, NodeRecord};
-use crate::peer::Peers;
+use crate::peer::{PeerMessage, Peers};
 use crate::ports::{
     PrimaryControl, ReadinessProtocol, SharedCallerProtocol, SharedDatabaseProtocol,
     StoredDocuments,
@@ -26,6 +26,8 @@
 use crate::settings::Settings;
 use crate::succession::duty::DutyKeeper;
 use crate::succession::failover::Failover;
+use crate::succession::fence::FenceKeeper;
+use crate::succession::lead::keep_in_touch;
 use crate::{readiness, relay, session};
 
 /// Pause between two rounds of tidying up.
@@ -84,12 +86,14 @@
     let keys = Rc::new(Keys::new(prefix, own_record(&gateway)));
     let store = &adapters.store;
     let member = Member::new(gateway.clone(), store.clone(), keys.clone());
+    let fences = FenceKeeper::new(gateway.clone(), peers.clone(), store.clone(), keys.clone());
     let duty = DutyKeeper::new(gateway.clone(), store.clone(), keys, peers.clone());
     let failover = Failover::new(
         gateway.clone(),
         duty.clone(),
         peers.clone(),
         adapters.control,
+        fences,
     );
     tokio::task::spawn_local(readiness::serve(
         gateway.clone(),
@@ -97,7 +101,8 @@
         probes,
     ));
     tokio::task::spawn_local(relay::serve(gateway.clone(), relayed));
-    tokio::task::spawn_local(peers.run());
+    tokio::task::spawn_local(peers.clone().run());
+    tokio::task::spawn_local(keep_in_touch(gateway.clone(), peers.clone()));
     tokio::task::spawn_local(failover.run());
     let joined = tokio::task::spawn_local(member.clone().run());
     let on_duty = tokio::task::spawn_local(duty.run());
@@ -114,6 +119,9 @@
     }
     let left = futures::future::join(joined, on_duty);
     stop(&gateway, left, accepting).await;
+    peers.broadcast(&PeerMessage::Ends {
+        node: gateway.settings.node.name.clone(),
+    });
     Ok(())
 }
 
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dyketally::failover::Evidence;
-use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::identifiers::{DatabaseName, GroupName, NodeName};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -57,6 +57,44 @@
         /// The sender.
         record: NodeRecord,
     },
+    /// The receiver must no longer take a database for the leader of its group.
+    Fence {
+        /// Names the question in replies.
+        round: u64,
+        /// The database.
+        database: DatabaseName,
+        /// How long ago it was suspected, in milliseconds.
+        suspected_ms: u32,
+    },
+    /// Whether the sender has put up the fence.
+    FenceReply {
+        /// The question.
+        round: u64,
+        /// True when it hasn't, since the database has answered it after the suspicion.
+        contested: bool,
+    },
+    /// A database that was fenced isn't replaced.
+    LiftFence {
+        /// The database.
+        database: DatabaseName,
+    },
+    /// Asks for a sign of life.
+    AreYouThere {
+        /// Names the question in replies.
+        round: u64,
+    },
+    /// A sign of life.
+    Here {
+        /// The question.
+        round: u64,
+        /// Databases that the sender doesn't take for leaders.
+        fenced: Vec<DatabaseName>,
+    },
+    /// The sender's process ends.
+    Ends {
+        /// The sender.
+        node: NodeName,
+    },
     /// The database leads its group now.
     Leads {
         /// The group.
@@ -70,8 +108,37 @@
 pub struct Peers {
     gateway: Rc<Gateway>,
     socket: UdpSocket,
-    polls: RefCell<HashMap<u64, mpsc::UnboundedSender<Vote>>>,
-    next_poll: Cell<u64>,
+    polls: Rounds<Vote>,
+    fence_rounds: Rounds<FenceReply>,
+    life_rounds: Rounds<SocketAddr>,
+    next_round: Cell<u64>,
+}
+
+/// Who waits for the replies of which round.
+type Rounds<T> = Rc<RefCell<HashMap<u64, mpsc::UnboundedSender<T>>>>;
+
+/// The replies of one round, collected until it is dropped.
+pub struct Replies<T> {
+    /// Names the round in questions and replies.
+    pub round: u64,
+    /// The replies.
+    pub receiver: mpsc::UnboundedReceiver<T>,
+    rounds: Rounds<T>,
+}
+
+impl<T> Drop for Replies<T> {
+    fn drop(&mut self) {
+        self.rounds.borrow_mut().remove(&self.round);
+    }
+}
+
+/// What one node replied to a fence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FenceReply {
+    /// Where the node hears others.
+    pub from: SocketAddr,
+    /// True when the database has answered it since the suspicion.
+    pub contested: bool,
 }
 
 /// What one node replied to a poll.
@@ -87,18 +154,10 @@
 
 /// A poll that collects votes until it is dropped.
 pub struct Poll {
-    number: u64,
     /// How many other nodes were asked.
     pub asked: usize,
-    peers: Rc<Peers>,
     /// The votes.
-    pub votes: mpsc::UnboundedReceiver<Vote>,
-}
-
-impl Drop for Poll {
-    fn drop(&mut self) {
-        self.peers.polls.borrow_mut().remove(&self.number);
-    }
+    pub votes: Replies<Vote>,
 }
 
 impl Peers {
@@ -107,8 +166,10 @@
         Rc::new(Self {
             gateway,
             socket,
-            polls: RefCell::default(),
-            next_poll: Cell::new(1),
+            polls: Rounds::default(),
+            fence_rounds: Rounds::default(),
+            life_rounds: Rounds::default(),
+            next_round: Cell::new(1),
         })
     }
 
@@ -153,21 +214,43 @@
                 evidence,
                 store_lost,
             } => {
-                if let Some(votes) = self.polls.borrow().get(&poll) {
-                    // The poll may just have ended.
-                    let _ = votes.send(Vote {
-                        evidence,
-                        store_lost,
-                        from,
-                    });
+                let vote = Vote {
+                    evidence,
+                    store_lost,
+                    from,
+                };
+                pass_on(&self.polls, poll, vote);
+            }
+            PeerMessage::Fence {
+                round,
+                database,
+                suspected_ms,
+            } => {
+                let suspected = Duration::from_millis(suspected_ms.into());
+                let contested = !self.gateway.fence(&database, suspected);
+                self.send(from, &PeerMessage::FenceReply { round, contested });
+            }
+            PeerMessage::FenceReply { round, contested } => {
+                pass_on(&self.fence_rounds, round, FenceReply { from, contested });
+            }
+            PeerMessage::LiftFence { database } => self.gateway.lift_fence(&database),
+            PeerMessage::AreYouThere { round } => {
+                let fenced = self.gateway.fences.standing();
+                self.send(from, &PeerMessage::Here { round, fenced });
+            }
+            PeerMessage::Here { round, fenced } => {
+                for database in fenced {
+                    self.gateway.fences.put_up(database);
                 }
+                pass_on(&self.life_rounds, round, from);
             }
+            PeerMessage::Ends { node } => self.gateway.membership.ended(&node),
             PeerMessage::HasDuty { record } => self.gateway.membership.heard_of_holder(record),
             PeerMessage::Leads { database, .. } => {
                 let mut directory = self.gateway.directory.borrow_mut();
                 directory.acted_as_primary(&database);
                 drop(directory);
-                self.gateway.tell_change();
+                self.gateway.lift_fence(&database);
             }
         }
     }
@@ -191,7 +274,7 @@
     fn polled(&self, database: &DatabaseName) -> Vec<SocketAddr> {
         let own = &self.gateway.settings.node.name;
         let mut polled = self.gateway.homes_of(database);
-        let mut others = self.gateway.membership.others(own);
+        let mut others = self.gateway.membership.electorate(own);
         others.retain(|address| !polled.contains(address));
         others.shuffle(&mut rand::rng());
         polled.extend(others);
@@ -201,13 +284,10 @@
 
     /// Asks other nodes what they see of a primary: its homes, and others drawn at random, since
     /// each of them may have to open a connection to find out.
-    pub fn poll(self: &Rc<Self>, group: &GroupName, database: &DatabaseName) -> Poll {
-        let number = self.next_poll.get();
-        self.next_poll.set(number + 1);
-        let (sender, votes) = mpsc::unbounded_channel();
-        self.polls.borrow_mut().insert(number, sender);
+    pub fn poll(&self, group: &GroupName, database: &DatabaseName) -> Poll {
+        let votes = self.collect(&self.polls);
         let message = PeerMessage::Poll {
-            poll: number,
+            poll: votes.round,
             group: group.clone(),
             database: database.clone(),
         };
@@ -216,12 +296,39 @@
             self.send(*address, &message);
         }
         Poll {
-            number,
             asked: polled.len(),
-            peers: self.clone(),
             votes,
         }
     }
+
+    /// Collects the replies to a fence.
+    pub fn collect_fence_replies(&self) -> Replies<FenceReply> {
+        self.collect(&self.fence_rounds)
+    }
+
+    /// Collects signs of life: the addresses of the nodes that reply.
+    pub fn collect_signs_of_life(&self) -> Replies<SocketAddr> {
+        self.collect(&self.life_rounds)
+    }
+
+    fn collect<T>(&self, rounds: &Rounds<T>) -> Replies<T> {
+        let round = self.next_round.get();
+        self.next_round.set(round + 1);
+        let (sender, receiver) = mpsc::unbounded_channel();
+        rounds.borrow_mut().insert(round, sender);
+        Replies {
+            round,
+            receiver,
+            rounds: rounds.clone(),
+        }
+    }
+}
+
+fn pass_on<T>(rounds: &Rounds<T>, round: u64, reply: T) {
+    if let Some(sender) = rounds.borrow().get(&round) {
+        // The round may just have ended.
+        let _ = sender.send(reply);
+    }
 }
 
 impl Gateway {
@@ -263,7 +370,9 @@
         tokio::task::spawn_local(async move {
             let mut poll = peers.poll(&target.group, &target.name);
             let until = Instant::now() + RELAY_SEARCH;
-            while let Ok(Some(vote)) = tokio::time::timeout_at(until, poll.votes.recv()).await {
+            while let Ok(Some(vote)) =
+                tokio::time::timeout_at(until, poll.votes.receiver.recv()).await
+            {
                 if vote.evidence == Evidence::Answered {
                     target.state.pool.relay_by(vote.from);
                     peers.gateway.tell_change();
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -128,7 +128,7 @@
             return Some((first, Proof::Holds(position)));
         }
         if first.leads {
-            return Some((first, Proof::Leads));
+            return Some((self.primary_target(group)?, Proof::Leads));
         }
         let confirmed = self.ensure_observation(group, need.covered, request.give_up());
         if confirmed.await.is_some()
@@ -172,7 +172,7 @@
             Proof::Holds(position) => self.judge_replica_read(target, position, own.next()),
             Proof::Leads => {
                 let (begun, answer) = (own.next(), own.next());
-                self.judge_primary_read(target, sent, begun, answer)
+                self.judge_primary_read(target, sent, begun, answer).await
             }
         }
     }
@@ -204,7 +204,7 @@
         }
     }
 
-    fn judge_primary_read(
+    async fn judge_primary_read(
         self: &Rc<Self>,
         target: &Target,
         sent: dyketally::time::Timestamp,
@@ -219,6 +219,7 @@
             Some(failure.kind)
         });
         match failed {
+            None if !self.is_upheld(target).await => Attempt::NotRun(FailureKind::ReadOnly),
             None => {
                 self.counters.reads_at_primaries.add();
                 self.observe(&target.group, answer.position, sent);
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -113,7 +113,7 @@
             checkout.give_back();
         }
         match &answers[0].end {
-            Ok(_) if answers[1].end.is_ok() && ended => {
+            Ok(_) if answers[1].end.is_ok() && ended && self.is_unrivalled(target).await => {
                 self.observe(&target.group, answers[0].position, sent);
                 Confirmation::Leads
             }
@@ -155,7 +155,7 @@
     /// Takes in that a database acts as primary.
     pub fn leads(&self, target: &Target) {
         self.directory.borrow_mut().acted_as_primary(&target.name);
-        self.tell_change();
+        self.lift_fence(&target.name);
     }
 
     /// Takes in that a database refused to act as primary.
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -20,6 +20,7 @@
 use crate::ports::{Appointment, OwnStatement, PrimaryControl};
 use crate::succession::confirm::Confirmation;
 use crate::succession::duty::DutyKeeper;
+use crate::succession::fence::FenceKeeper;
 use crate::succession::probe::PROBE_LIMIT;
 use crate::target::Target;
 
@@ -31,6 +32,8 @@
 const PROLONGED: Duration = Duration::from_millis(2_500);
 /// How long a database may take to tell its status.
 const STATUS_LIMIT: Duration = Duration::from_millis(400);
+/// How long a primary that should hand over is asked to.
+const STEP_DOWN_LIMIT: Duration = Duration::from_millis(1_200);
 /// How long a planned handover waits for the successor's log.
 const CATCH_UP_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause between two looks at the successor's log.
@@ -52,6 +55,7 @@
     duty: Rc<DutyKeeper>,
     peers: Rc<Peers>,
     control: Rc<dyn PrimaryControl>,
+    fences: FenceKeeper,
     busy: RefCell<HashSet<GroupName>>,
     appointments: RefCell<Appointments>,
 }
@@ -59,14 +63,32 @@
 /// Why a primary is replaced.
 #[derive(Clone, Debug)]
 enum Cause {
-    /// It leaves, and can still hand over.
+    /// It said that it leaves, and can still hand over.
     Leaves(Target),
-    /// No node reaches it.
-    Lost(Target),
+    /// It no longer announces itself, which may be the store's fault or its path to the store's: it
+    /// may lead as before, and should hand over.
+    Unlisted(Target),
+    /// No node reaches it. It was suspected this long ago.
+    Lost(Target, Duration),
     /// Nobody leads.
     Leaderless,
 }
 
+impl Cause {
+    /// The primary that is replaced.
+    fn old(&self) -> Option<&Target> {
+        match self {
+            Self::Leaves(old) | Self::Unlisted(old) | Self::Lost(old, _) => Some(old),
+            Self::Leaderless => None,
+        }
+    }
+
+    /// True when the primary is asked to hand over.
+    fn is_planned(&self) -> bool {
+        matches!(self, Self::Leaves(_) | Self::Unlisted(_))
+    }
+}
+
 impl std::fmt::Debug for Target {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(formatter, "{}", self.name)
@@ -80,8 +102,10 @@
         duty: Rc<DutyKeeper>,
         peers: Rc<Peers>,
         control: Rc<dyn PrimaryControl>,
+        fences: FenceKeeper,
     ) -> Rc<Self> {
         Rc::new(Self {
+            fences,
             gateway,
             duty,
             peers,
@@ -149,8 +173,10 @@
                 false => None,
             };
         };
-        if holds && state != MemberState::Ready {
-            return Some(Cause::Leaves(primary));
+        match state {
+            MemberState::Draining if holds => return Some(Cause::Leaves(primary)),
+            MemberState::Gone if holds => return Some(Cause::Unlisted(primary)),
+            _ => {}
         }
         let key = (group.clone(), primary.name.clone());
         let since = self.suspicions().borrow().get(&key).copied()?;
@@ -162,7 +188,7 @@
             Verdict::Undecided => None,
             Verdict::Lost => {
                 self.suspicions().borrow_mut().remove(&key);
-                Some(Cause::Lost(primary))
+                Some(Cause::Lost(primary, since.elapsed()))
             }
         }
     }
@@ -213,7 +239,7 @@
                     let from = self.gateway.settings.listen.peers;
                     Some(Vote { evidence, store_lost, from })
                 }
-                vote = poll.votes.recv() => vote,
+                vote = poll.votes.receiver.recv() => vote,
                 () = tokio::time::sleep_until(until) => None,
             };
             match vote {
@@ -239,12 +265,9 @@
 
     /// Gives the group another primary; true when it leads.
     async fn replace(self: &Rc<Self>, group: &GroupName, cause: &Cause) -> bool {
-        let old = match cause {
-            Cause::Leaves(old) | Cause::Lost(old) => Some(old),
-            Cause::Leaderless => None,
-        };
+        let old = cause.old();
         let succeeded = self.hand_over(group, cause, old).await;
-        let suspends = self.acknowledging(group) > 0 && !matches!(cause, Cause::Leaves(_));
+        let suspends = self.acknowledging(group) > 0 && !cause.is_planned();
         if suspends && !succeeded {
             self.survey(group, old, OwnStatement::Resume).await;
         }
@@ -264,24 +287,74 @@
             self.gateway.leads(&leading);
             return true;
         }
-        if acknowledging > 0 && !matches!(cause, Cause::Leaves(_)) {
+        if acknowledging > 0 && !cause.is_planned() {
             let term = surveyed.newest_term + 1;
             surveyed = self
                 .survey(group, old, OwnStatement::Suspend { term })
                 .await;
         }
         let replicas = self.replica_count(group, old);
-        let mut choice = choose_successor(&surveyed.candidates, replicas, acknowledging);
-        if let (Cause::Leaves(old), Succession::Promote(_)) = (cause, &choice)
-            && let Some(position) = self.step_down(old, surveyed.newest_term + 1).await
-        {
-            choice = self.caught_up(group, old, position, choice).await;
+        let choice = choose_successor(&surveyed.candidates, replicas, acknowledging);
+        if !matches!(choice, Succession::Promote(_)) {
+            self.step(group, "no successor", format!("{choice:?}"));
+            return false;
         }
+        let ended = self.end_lead(group, cause, &surveyed).await;
+        let choice = match ended {
+            Ended::At(position) => self.caught_up(group, old, position, choice).await,
+            Ended::Fenced => choice,
+            Ended::Not => return false,
+        };
         let Succession::Promote(successor) = choice else {
-            self.step(group, "no successor", format!("{choice:?}"));
             return false;
         };
-        self.appoint(group, &successor).await
+        let appointed = self.appoint(group, &successor).await;
+        if !appointed && let (Ended::Fenced, Some(old)) = (ended, old) {
+            self.fences.lift(&old.name);
+        }
+        appointed
+    }
+
+    /// Makes sure that the old primary no longer leads for anyone, before another one does: it
+    /// steps down, or all nodes stop using it.
+    async fn end_lead(
+        self: &Rc<Self>,
+        group: &GroupName,
+        cause: &Cause,
+        surveyed: &Survey,
+    ) -> Ended {
+        let term = surveyed.newest_term + 1;
+        let (old, suspected) = match cause {
+            Cause::Leaves(old) | Cause::Unlisted(old) => {
+                if let Some(position) = self.step_down(old, term).await {
+                    return Ended::At(position);
+                }
+                (old, STEP_DOWN_LIMIT)
+            }
+            Cause::Lost(old, suspected) => (old, *suspected),
+            Cause::Leaderless => {
+                return self
+                    .fence_silent(group, &surveyed.silent(), LEADERLESS)
+                    .await;
+            }
+        };
+        let old = std::slice::from_ref(&old.name);
+        self.fence_silent(group, old, suspected).await
+    }
+
+    /// Fences databases that can't be asked whether they lead.
+    async fn fence_silent(
+        &self,
+        group: &GroupName,
+        silent: &[DatabaseName],
+        suspected: Duration,
+    ) -> Ended {
+        for database in silent {
+            if !self.fences.close(group, database, suspected).await {
+                return Ended::Not;
+            }
+        }
+        Ended::Fenced
     }
 
     fn acknowledging(&self, group: &GroupName) -> usize {
@@ -345,26 +418,35 @@
         described.collect()
     }
 
-    /// Takes the lead from `old`, so that its log ends; the end of that log.
+    /// Takes the lead from `old`, so that its log ends; the end of that log. Goes by way of another
+    /// node if this one doesn't reach it.
     async fn step_down(&self, old: &Target, term: u64) -> Option<LogPosition> {
-        let statement = OwnStatement::StepDown { term };
-        let status = self.gateway.ask_status(old, statement, STATUS_LIMIT).await;
-        self.step(&old.group, "step down", format!("{old:?}: {status:?}"));
-        Some(status?.received)
+        let until = Instant::now() + STEP_DOWN_LIMIT;
+        while Instant::now() < until {
+            let statement = OwnStatement::StepDown { term };
+            let status = self.gateway.ask_status(old, statement, STATUS_LIMIT).await;
+            self.step(&old.group, "step down", format!("{old:?}: {status:?}"));
+            if let Some(status) = status {
+                return Some(status.received);
+            }
+            self.gateway.find_relay(old);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        None
     }
 
     /// Waits until a ready database has received `position`; the first that has is chosen.
     async fn caught_up(
         &self,
         group: &GroupName,
-        old: &Target,
+        old: Option<&Target>,
         position: LogPosition,
         chosen: Succession,
     ) -> Succession {
         let until = Instant::now() + CATCH_UP_LIMIT;
         let mut chosen = chosen;
         while Instant::now() < until {
-            let survey = self.survey(group, Some(old), OwnStatement::Status).await;
+            let survey = self.survey(group, old, OwnStatement::Status).await;
             let candidates: Vec<Candidate> = survey
                 .candidates
                 .into_iter()
@@ -461,6 +543,17 @@
     }
 }
 
+/// How the old primary's lead has ended.
+#[derive(Clone, Copy, Debug)]
+enum Ended {
+    /// It stepped down, and its log ends here.
+    At(LogPosition),
+    /// No node uses it any more.
+    Fenced,
+    /// It may still lead for some node.
+    Not,
+}
+
 #[derive(Debug, Default)]
 struct Survey {
     candidates: Vec<Candidate>,
@@ -468,4 +561,13 @@
     leading: Option<Target>,
 }
 
+impl Survey {
+    /// The databases that didn't tell their status.
+    fn silent(&self) -> Vec<DatabaseName> {
+        let silent = self.candidates.iter();
+        let silent = silent.filter(|candidate| candidate.received.is_none());
+        silent.map(|candidate| candidate.name.clone()).collect()
+    }
+}
+
 const _: () = assert!(PROBE_LIMIT.as_millis() < VOTES_LIMIT.as_millis());
--- /dev/null
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -0,0 +1,237 @@
+//! Fences: before a successor is appointed, all nodes stop taking the former primary for the
+//! leader of its group.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::failover::{FenceRound, FenceVerdict};
+use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::time::Timestamp;
+use dyketally_store::key_value::{KeyRange, KeyValueStore, Operation, TransactionRequest};
+use tokio::time::Instant;
+
+use crate::event::Event;
+use crate::gateway::Gateway;
+use crate::membership::Keys;
+use crate::peer::{FenceReply, PeerMessage, Peers, Replies};
+
+/// How long a fence stands that nobody lifts.
+const FENCE_HOLDS: Duration = Duration::from_secs(8);
+/// Pause before nodes that didn't confirm are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(150);
+
+/// The databases that this node no longer takes for leaders.
+#[derive(Debug, Default)]
+pub struct Fences {
+    since: RefCell<HashMap<DatabaseName, Instant>>,
+}
+
+impl Fences {
+    /// Puts up a fence.
+    pub fn put_up(&self, database: DatabaseName) {
+        let mut since = self.since.borrow_mut();
+        since.retain(|_, at| at.elapsed() < FENCE_HOLDS);
+        since.insert(database, Instant::now());
+    }
+
+    /// Lifts a fence: the database leads, or wasn't replaced.
+    pub fn lift(&self, database: &DatabaseName) {
+        self.since.borrow_mut().remove(database);
+    }
+
+    /// All databases that mustn't be taken for leaders.
+    pub fn standing(&self) -> Vec<DatabaseName> {
+        let since = self.since.borrow();
+        let standing = since.iter().filter(|(_, at)| at.elapsed() < FENCE_HOLDS);
+        standing.map(|(database, _)| database.clone()).collect()
+    }
+
+    /// True while a database mustn't be taken for a leader.
+    pub fn holds(&self, database: &DatabaseName) -> bool {
+        let since = self.since.borrow();
+        since
+            .get(database)
+            .is_some_and(|at| at.elapsed() < FENCE_HOLDS)
+    }
+}
+
+impl Gateway {
+    /// Stops taking `database` for the leader of `group`; false when it has answered this node
+    /// since it was suspected `suspected` ago, so that it shouldn't be replaced.
+    pub fn fence(&self, database: &DatabaseName, suspected: Duration) -> bool {
+        if self.has_answered_within(database, suspected) {
+            return false;
+        }
+        self.fences.put_up(database.clone());
+        self.tell_change();
+        true
+    }
+
+    /// Takes `database` for a leader again.
+    pub fn lift_fence(&self, database: &DatabaseName) {
+        self.fences.lift(database);
+        self.tell_change();
+    }
+
+    fn has_answered_within(&self, database: &DatabaseName, age: Duration) -> bool {
+        let target = self.known_target(database);
+        let since = Instant::now().checked_sub(age);
+        match (target, since) {
+            (Some(target), Some(since)) => target.state.answered_since(since),
+            _ => false,
+        }
+    }
+}
+
+/// Puts up fences on all nodes.
+pub struct FenceKeeper {
+    gateway: Rc<Gateway>,
+    peers: Rc<Peers>,
+    store: Rc<dyn KeyValueStore>,
+    keys: Rc<Keys>,
+}
+
+impl FenceKeeper {
+    /// A keeper for the node of `gateway`.
+    pub fn new(
+        gateway: Rc<Gateway>,
+        peers: Rc<Peers>,
+        store: Rc<dyn KeyValueStore>,
+        keys: Rc<Keys>,
+    ) -> Self {
+        Self {
+            gateway,
+            peers,
+            store,
+            keys,
+        }
+    }
+
+    /// Has all nodes stop taking `database` for the leader of `group`, which was suspected
+    /// `suspected` ago; false when a successor mustn't be appointed.
+    pub async fn close(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        suspected: Duration,
+    ) -> bool {
+        let (verdict, round) = self.ask_until_judged(database, suspected).await;
+        self.gateway.events.write(&Event::FailoverStep {
+            group: group.as_str(),
+            step: "fence",
+            detail: format!("{database}: {verdict:?}, {round:?}"),
+        });
+        if verdict != FenceVerdict::Closed {
+            self.lift(database);
+        }
+        verdict == FenceVerdict::Closed
+    }
+
+    /// Has all nodes take `database` for a leader again.
+    pub fn lift(&self, database: &DatabaseName) {
+        self.gateway.lift_fence(database);
+        self.peers.broadcast(&PeerMessage::LiftFence {
+            database: database.clone(),
+        });
+    }
+
+    async fn ask_until_judged(
+        &self,
+        database: &DatabaseName,
+        suspected: Duration,
+    ) -> (FenceVerdict, FenceRound) {
+        let began = Instant::now();
+        let gateway = &self.gateway;
+        let mut replies = self.peers.collect_fence_replies();
+        let mut silent = self.others();
+        let mut round = FenceRound::new(gateway.now(), silent.len() + 1);
+        match gateway.fence(database, suspected) {
+            true => round.confirmed(gateway.now()),
+            false => round.contested(),
+        }
+        let mut ask_at = began;
+        let mut published: Option<Rc<Cell<Option<Timestamp>>>> = None;
+        loop {
+            if let Some(at) = published.as_ref().and_then(|published| published.get()) {
+                round.published(at);
+            }
+            let verdict = round.verdict(gateway.now());
+            if verdict != FenceVerdict::Open {
+                return (verdict, round);
+            }
+            if Instant::now() >= ask_at {
+                if began.elapsed() >= ASK_AGAIN {
+                    published.get_or_insert_with(|| self.publish(database));
+                }
+                self.ask(&silent, &replies, database, suspected + began.elapsed());
+                ask_at = Instant::now() + ASK_AGAIN;
+            }
+            let reply = tokio::time::timeout_at(ask_at, replies.receiver.recv()).await;
+            match reply {
+                Ok(Some(reply)) if reply.contested => round.contested(),
+                Ok(Some(reply)) if silent.remove(&reply.from) => round.confirmed(gateway.now()),
+                _ => {}
+            }
+        }
+    }
+
+    /// Tells nodes that don't hear this one, by way of the store, for as long as the fence holds;
+    /// since when the store tells it.
+    fn publish(&self, database: &DatabaseName) -> Rc<Cell<Option<Timestamp>>> {
+        let since = Rc::new(Cell::new(None));
+        let Some(lease) = self.gateway.membership.duty_lease() else {
+            return since;
+        };
+        let key = self.keys.fence(database);
+        let put = self.keys.put(key.clone(), lease.id);
+        let store = self.store.clone();
+        let published = since.clone();
+        let gateway = self.gateway.clone();
+        tokio::task::spawn_local(async move {
+            if store.transact(unconditional(put)).await.is_ok() {
+                published.set(Some(gateway.now()));
+            }
+            tokio::time::sleep(FENCE_HOLDS).await;
+            let deletion = Operation::Delete(KeyRange::key(key));
+            // The key goes with the lease if this fails.
+            let _ = store.transact(unconditional(deletion)).await;
+        });
+        since
+    }
+
+    fn others(&self) -> HashSet<SocketAddr> {
+        let own = &self.gateway.settings.node.name;
+        self.gateway
+            .membership
+            .electorate(own)
+            .into_iter()
+            .collect()
+    }
+
+    fn ask(
+        &self,
+        nodes: &HashSet<SocketAddr>,
+        replies: &Replies<FenceReply>,
+        database: &DatabaseName,
+        suspected: Duration,
+    ) {
+        let message = PeerMessage::Fence {
+            round: replies.round,
+            database: database.clone(),
+            suspected_ms: suspected.as_millis().try_into().unwrap_or(u32::MAX),
+        };
+        for node in nodes {
+            self.peers.send(*node, &message);
+        }
+    }
+}
+
+fn unconditional(operation: Operation) -> TransactionRequest {
+    TransactionRequest {
+        then: vec![operation],
+        ..TransactionRequest::default()
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -0,0 +1,233 @@
+//! Whether a database may still be taken for the leader of its group.
+//!
+//! A node that is in touch would hear of a successor: it has the fence before the successor is
+//! appointed. An isolated node asks the group's other databases after each answer, and takes it for
+//! a leader's only if none of them leads.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::failover::{Contact, is_majority};
+use dyketally::identifiers::GroupName;
+use dyketally::time::Timestamp;
+use dyketally_store::StoreError;
+use dyketally_store::key_value::{KeyValueStore, LeaseId};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::event::Event;
+use crate::gateway::Gateway;
+use crate::peer::{PeerMessage, Peers};
+use crate::ports::OwnStatement;
+use crate::target::Target;
+
+/// How long a database may take to tell whether it leads.
+const ROLE_LIMIT: Duration = Duration::from_millis(300);
+/// How long an isolated node takes no database of a group for its leader once the others couldn't
+/// be asked.
+const UNCLEAR_HOLDS: Duration = Duration::from_millis(700);
+/// How long replies of other nodes are waited for.
+const REPLIES_LIMIT: Duration = Duration::from_millis(300);
+/// Pause before the contact is looked at again when there is nothing to ask.
+const REST: Duration = Duration::from_millis(500);
+
+/// What an isolated node found when it asked the other databases of a group.
+#[derive(Clone, Copy, Debug)]
+struct Vetting {
+    /// When they were asked.
+    asked: Timestamp,
+    /// True when all replied and none leads.
+    unrivalled: bool,
+}
+
+/// The vettings of one group.
+#[derive(Debug, Default)]
+pub struct Vettings {
+    last: Cell<Option<Vetting>>,
+    running: Cell<bool>,
+    done: Notify,
+}
+
+/// Whether this node is in touch.
+#[derive(Debug, Default)]
+pub struct Touch {
+    contact: RefCell<Contact>,
+}
+
+impl Gateway {
+    /// True when this node would hear of a primary that is replaced.
+    pub fn is_in_touch(&self) -> bool {
+        self.touch.contact.borrow().is_held(self.now())
+    }
+
+    /// Renews a lease at `store`, and takes in what that tells of the store.
+    ///
+    /// # Errors
+    /// The lease has lapsed, or the store didn't answer.
+    pub async fn renew_lease(
+        &self,
+        store: &dyn KeyValueStore,
+        lease: LeaseId,
+    ) -> Result<Duration, StoreError> {
+        let asked = self.now();
+        let renewed = self.membership.renew(store, lease).await;
+        if renewed.is_ok() {
+            self.store_replied(asked);
+        }
+        renewed
+    }
+
+    /// Takes in that the store replied to what was asked at `asked`.
+    pub fn store_replied(&self, asked: Timestamp) {
+        self.touch.contact.borrow_mut().store_replied(asked);
+    }
+
+    /// True when `target` must not be taken for a leader, whatever it says: it is being replaced,
+    /// or another database is known to lead.
+    fn is_replaced(&self, target: &Target) -> bool {
+        if self.fences.holds(&target.name) {
+            return true;
+        }
+        let directory = self.directory.borrow();
+        let primary = directory.primary(&target.group);
+        primary.is_some_and(|primary| {
+            primary.name() != &target.name && !self.fences.holds(primary.name())
+        })
+    }
+
+    /// True when it is clear without asking that an answer of `target` is a leader's.
+    pub fn surely_leads(&self, target: &Target) -> bool {
+        !self.is_replaced(target) && self.is_in_touch()
+    }
+
+    /// True when an answer of `target` that has just arrived is a leader's: no other database had
+    /// taken the lead before.
+    pub async fn is_upheld(self: &Rc<Self>, target: &Target) -> bool {
+        if self.is_replaced(target) {
+            return false;
+        }
+        self.is_unrivalled(target).await
+    }
+
+    /// True when no other database of the group can have taken the lead by now: this node would
+    /// have heard of it, or all others deny it.
+    pub async fn is_unrivalled(self: &Rc<Self>, target: &Target) -> bool {
+        if self.fences.holds(&target.name) {
+            return false;
+        }
+        self.is_in_touch() || self.others_deny_leading(target).await
+    }
+
+    /// True while this node is isolated and couldn't make sure lately that nobody else leads.
+    pub fn is_unclear(&self, group: &GroupName) -> bool {
+        if self.is_in_touch() {
+            return false;
+        }
+        let last = self.group(group).vettings.last.get();
+        last.is_some_and(|last| {
+            !last.unrivalled && self.now().saturating_since(last.asked) < UNCLEAR_HOLDS
+        })
+    }
+
+    /// Asks the group's other databases whether they lead; one round for all who wait.
+    async fn others_deny_leading(self: &Rc<Self>, target: &Target) -> bool {
+        let needed = self.now();
+        let state = self.group(&target.group);
+        let until = Instant::now() + ROLE_LIMIT * 2;
+        loop {
+            let done = state.vettings.done.notified();
+            if let Some(last) = state.vettings.last.get()
+                && last.asked >= needed
+            {
+                return last.unrivalled;
+            }
+            self.start_vetting(target);
+            if tokio::time::timeout_at(until, done).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    fn start_vetting(self: &Rc<Self>, target: &Target) {
+        let state = self.group(&target.group);
+        if state.vettings.running.replace(true) {
+            return;
+        }
+        let gateway = self.clone();
+        let target = target.clone();
+        tokio::task::spawn_local(async move {
+            let asked = gateway.now();
+            let unrivalled = gateway.others_follow(&target).await;
+            let vetting = Vetting { asked, unrivalled };
+            state.vettings.last.set(Some(vetting));
+            state.vettings.running.set(false);
+            state.vettings.done.notify_waiters();
+        });
+    }
+
+    async fn others_follow(self: &Rc<Self>, target: &Target) -> bool {
+        let others = self.other_members(target);
+        let asked = others
+            .iter()
+            .map(|other| self.ask_status(other, OwnStatement::Status, ROLE_LIMIT));
+        let replies = futures::future::join_all(asked).await;
+        let mut replies = replies.into_iter();
+        replies.all(|status| status.is_some_and(|status| !status.leads))
+    }
+
+    fn other_members(&self, target: &Target) -> Vec<Target> {
+        let directory = self.directory.borrow();
+        let members = directory.members(&target.group);
+        let others = members.filter(|member| member.name() != &target.name);
+        others.map(|member| self.target(member, false)).collect()
+    }
+}
+
+/// Asks the other nodes for a sign of life while the store doesn't reply, forever.
+pub async fn keep_in_touch(gateway: Rc<Gateway>, peers: Rc<Peers>) {
+    let mut last_asked = None;
+    let mut was_in_touch = true;
+    loop {
+        let in_touch = gateway.is_in_touch();
+        if in_touch != std::mem::replace(&mut was_in_touch, in_touch) {
+            gateway.events.write(match in_touch {
+                true => &Event::InTouch,
+                false => &Event::Isolated,
+            });
+        }
+        let due = gateway.touch.contact.borrow().ask_nodes_at(last_asked);
+        let now = gateway.now();
+        match due {
+            Some(due) if due <= now => {
+                last_asked = Some(now);
+                let asking = ask_nodes(gateway.clone(), peers.clone(), now);
+                tokio::task::spawn_local(asking);
+            }
+            Some(due) => tokio::time::sleep(due.saturating_since(now)).await,
+            None => tokio::time::sleep(REST).await,
+        }
+    }
+}
+
+async fn ask_nodes(gateway: Rc<Gateway>, peers: Rc<Peers>, asked: Timestamp) {
+    let own = &gateway.settings.node.name;
+    let nodes = gateway.membership.electorate(own);
+    let mut replies = peers.collect_signs_of_life();
+    let message = PeerMessage::AreYouThere {
+        round: replies.round,
+    };
+    for node in &nodes {
+        peers.send(*node, &message);
+    }
+    let until = Instant::now() + REPLIES_LIMIT;
+    let mut replied = Vec::new();
+    while !is_majority(replied.len(), nodes.len() + 1) {
+        match tokio::time::timeout_at(until, replies.receiver.recv()).await {
+            Ok(Some(from)) if !replied.contains(&from) => replied.push(from),
+            Ok(Some(_)) => {}
+            Ok(None) | Err(_) => return,
+        }
+    }
+    gateway.touch.contact.borrow_mut().majority_replied(asked);
+}
--- a/crates/dyketally-gateway/src/succession/mod.rs
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -3,4 +3,6 @@
 pub mod confirm;
 pub mod duty;
 pub mod failover;
+pub mod fence;
+pub mod lead;
 pub mod probe;
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/target.rs
@@ -37,7 +37,8 @@
     pub fn primary_target(&self, group: &GroupName) -> Option<Target> {
         let directory = self.directory.borrow();
         let primary = directory.primary(group)?;
-        self.may_lead(primary).then(|| self.target(primary, true))
+        let usable = self.may_lead(primary) && !self.fences.holds(primary.name());
+        (usable && !self.is_unclear(group)).then(|| self.target(primary, true))
     }
 
     fn may_lead(&self, primary: &Member) -> bool {
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -11,7 +11,7 @@
 
 use crate::batch::{Batch, Flow, Reset, Step};
 use crate::checkout::{Checkout, Unanswered, Work};
-use crate::connection::Answer;
+use crate::connection::{Answer, Broken};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
 use crate::request::{Request, Served};
@@ -96,11 +96,11 @@
             let Ok(answer) = self.run_first(gateway, request).await else {
                 return self.give_up_idle(gateway, request);
             };
-            return self.committed(answer);
+            return self.committed(gateway, request, answer).await;
         }
         let commit = self.send(gateway, request);
         match tokio::time::timeout_at(request.deadline, commit).await {
-            Ok(Some(answer)) => self.committed(answer),
+            Ok(Some(answer)) => self.committed(gateway, request, answer).await,
             Ok(None) if self.wrote => {
                 self.bound = None;
                 ended(Served::in_doubt("the connection broke during the commit"))
@@ -113,7 +113,18 @@
         }
     }
 
-    fn committed(&mut self, answer: Answer) -> TransactionAnswer {
+    async fn committed(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+        answer: Answer,
+    ) -> TransactionAnswer {
+        if self.wrote && answer.end.is_ok() && !self.is_upheld(gateway).await {
+            self.bound = None;
+            let served = Served::in_doubt(&Broken::replaced().reason);
+            request.log(gateway, &served, "the transaction's database was replaced");
+            return ended(served);
+        }
         if answer.state != TransactionState::Idle {
             self.drop_bound();
         } else if let Some(bound) = self.bound.take() {
@@ -122,6 +133,14 @@
         ended(Served::from_database(answer))
     }
 
+    /// True unless the transaction runs at a database that led the group and no longer does.
+    async fn is_upheld(&self, gateway: &Rc<Gateway>) -> bool {
+        match &self.bound {
+            Some(bound) if bound.leads => gateway.is_upheld(&bound.target).await,
+            _ => true,
+        }
+    }
+
     /// Drops the transaction and its writes, without waiting for the database.
     pub fn roll_back(&mut self) {
         self.drop_bound();
@@ -182,7 +201,7 @@
         let exchange = gateway.exchange(&mut bound.checkout, &bound.target, &batch);
         let mut answers = exchange.await.ok()?;
         let answer = answers.pop()?;
-        if bound.leads && answer.end.is_ok() {
+        if bound.leads && answer.end.is_ok() && gateway.surely_leads(&bound.target) {
             gateway.observe(&bound.target.group, answer.position, sent);
         }
         Some(answer)
@@ -262,6 +281,9 @@
             return First::NotRun(failure.kind);
         }
         let leads = after.is_none();
+        if leads && !gateway.is_upheld(&target).await {
+            return First::NotRun(FailureKind::ReadOnly);
+        }
         if leads {
             gateway.observe(&target.group, begun.position, sent);
         }
@@ -273,7 +295,7 @@
         let Some(answer) = answers.next() else {
             return First::Lost;
         };
-        if leads && answer.end.is_ok() {
+        if leads && answer.end.is_ok() && gateway.surely_leads(&target) {
             gateway.observe(&target.group, answer.position, sent);
         }
         match &answer.end {
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/write.rs
@@ -70,6 +70,7 @@
             checkout.give_back();
         }
         match &answer.end {
+            Ok(_) if !self.is_upheld(target).await => return Attempt::Lost(Broken::replaced()),
             Ok(_) => self.observe(&target.group, answer.position, sent),
             Err(failure) if failure.kind.not_run() => {
                 if failure.kind == FailureKind::ReadOnly {
--- /dev/null
+++ b/crates/dyketally/src/failover/fence.rs
@@ -0,0 +1,102 @@
+//! When a fence around a primary is closed, so that a successor may be appointed.
+//!
+//! A node that confirms a fence no longer takes the primary for the leader of its group. A node
+//! that can't be asked may still use it, until it hears of the fence from the store or from another
+//! node, or [`Contact`](super::Contact) tells it that it is isolated. So a successor may be appointed
+//! at once when all nodes confirm; when some don't, only once those are surely isolated.
+
+use std::time::Duration;
+
+use super::contact::{MAJORITY_HOLDS, STORE_HOLDS};
+use crate::time::Timestamp;
+
+/// Allowed for clocks that run at different rates, and for messages under way.
+const MARGIN: Duration = Duration::from_millis(300);
+/// Once the store has told of a fence for this long, no node that missed it is in touch with the
+/// store.
+const STORE_ISOLATES: Duration = STORE_HOLDS.saturating_add(MARGIN);
+/// Once half of the nodes have confirmed for this long, no other node is in touch with a majority.
+const QUORUM_ISOLATES: Duration = MAJORITY_HOLDS.saturating_add(MARGIN);
+/// How long nodes that don't confirm are asked while too few confirm or the store isn't told.
+const GIVE_UP: Duration = Duration::from_secs(4);
+
+/// What follows for the fence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FenceVerdict {
+    /// No node uses the primary any more.
+    Closed,
+    /// Some nodes didn't confirm and may still use it: ask them again.
+    Open,
+    /// Some node reaches the primary.
+    Contested,
+    /// The nodes that didn't confirm can't be taken for isolated.
+    NoQuorum,
+}
+
+/// A fence that is being put up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FenceRound {
+    nodes: usize,
+    confirmed: usize,
+    contested: bool,
+    began: Timestamp,
+    /// Since when half of the nodes have confirmed.
+    quorum: Option<Timestamp>,
+    /// Since when the store tells of the fence.
+    published: Option<Timestamp>,
+}
+
+impl FenceRound {
+    /// Begins at `now`, where `nodes` may use the primary, the asking one included.
+    pub fn new(now: Timestamp, nodes: usize) -> Self {
+        Self {
+            nodes,
+            confirmed: 0,
+            contested: false,
+            began: now,
+            quorum: None,
+            published: None,
+        }
+    }
+
+    /// Takes in that one more node no longer uses the primary.
+    pub fn confirmed(&mut self, now: Timestamp) {
+        self.confirmed += 1;
+        if self.confirmed * 2 >= self.nodes {
+            self.quorum.get_or_insert(now);
+        }
+    }
+
+    /// Takes in that the primary has answered some node since it was suspected.
+    pub fn contested(&mut self) {
+        self.contested = true;
+    }
+
+    /// Takes in that nodes in touch with the store hear of the fence there.
+    pub fn published(&mut self, now: Timestamp) {
+        self.published.get_or_insert(now);
+    }
+
+    /// What follows at `now`.
+    pub fn verdict(&self, now: Timestamp) -> FenceVerdict {
+        if self.contested {
+            return FenceVerdict::Contested;
+        }
+        if self.confirmed >= self.nodes {
+            return FenceVerdict::Closed;
+        }
+        let lasted = |since: Option<Timestamp>, time| {
+            since.is_some_and(|since| now.saturating_since(since) >= time)
+        };
+        if lasted(self.published, STORE_ISOLATES) && lasted(self.quorum, QUORUM_ISOLATES) {
+            return FenceVerdict::Closed;
+        }
+        let pending = self.published.is_some() && self.quorum.is_some();
+        match !pending && lasted(Some(self.began), GIVE_UP) {
+            true => FenceVerdict::NoQuorum,
+            false => FenceVerdict::Open,
+        }
+    }
+}
+
+const _: () = assert!(STORE_ISOLATES.as_millis() < GIVE_UP.as_millis());
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -1,9 +1,13 @@
 //! Decisions of a failover: is the primary lost, and who succeeds it. No I/O.
 
 mod appointments;
+mod contact;
+mod fence;
 mod successor;
 mod verdict;
 
 pub use appointments::{Appointments, TokenUse};
+pub use contact::{Contact, is_majority};
+pub use fence::{FenceRound, FenceVerdict};
 pub use successor::{Candidate, Succession, choose_successor};
 pub use verdict::{Evidence, PollResult, Verdict, judge};
