Ask a store that fails by renewals only, and watch it later in a large fleet

While the store fails, each of three followers a node asks it again and again at the full price, where a renewal costs a tenth.

Change: a follower that has read its keys once waits until a renewal finds the store well; a renewal behind a failed one is cut off after 400 ms; a node whose lease lapsed renews that lease to find out whether the store replies, and only then asks for another. In a large fleet a node reads at its start and watches a second later, by when a relay may feed it.

--- a/crates/dyketally-gateway/src/feed.rs
+++ b/crates/dyketally-gateway/src/feed.rs
@@ -39,7 +39,7 @@
 /// Longest time that connecting to a relay may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// How long after its start a node looks for a relay: first it must know its neighbours.
-const SETTLING: Duration = Duration::from_secs(3);
+const SETTLING: Duration = Duration::from_millis(1_500);
 /// Pause between two searches for a relay.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(400);
 /// How long a node that lost its relay looks for another before it asks the store.
@@ -372,10 +372,10 @@
     /// The relays of this node's zone, in the order in which it follows them; none in a small
     /// fleet.
     fn zone_relays(&self) -> Vec<NodeName> {
-        let nodes = self.membership.nodes();
-        if nodes.len() <= SMALL_FLEET {
+        if self.is_small_fleet() {
             return Vec::new();
         }
+        let nodes = self.membership.nodes();
         let zone = self.settings.own_locality();
         let candidates = nodes.values().map(|node| node.candidate());
         let relays = placement::relays(&zone, candidates, RELAYS_PER_ZONE);
@@ -383,6 +383,11 @@
         ordered.into_iter().cloned().collect()
     }
 
+    /// True while every node watches the store itself.
+    pub fn is_small_fleet(&self) -> bool {
+        self.membership.node_count() <= SMALL_FLEET
+    }
+
     fn is_relay(&self) -> bool {
         self.zone_relays().contains(&self.settings.node.name)
     }
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -22,6 +22,12 @@
     first: Duration::from_millis(60),
     longest: Duration::from_millis(700),
 };
+/// Longest wait for a store that fails to be found well by whoever renews a lease: renewals are the
+/// cheapest calls, so only they ask it again and again.
+const OUTAGE_LOOK: Duration = Duration::from_secs(4);
+/// Pause in a large fleet between reading keys at the start and watching them: by then a relay may
+/// pass them on.
+const FIRST_GATHERING: Duration = Duration::from_secs(1);
 /// Longest pause after a change before a watch goes on.
 const LONGEST_GATHERING: Duration = Duration::from_millis(1_200);
 /// So many keys are followed without any pause.
@@ -81,10 +87,16 @@
             }
         };
         progress.reset();
+        progress.was_read = true;
         progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
         sink(StoreUpdate::All(reply.entries));
         let seen = reply.store_revision;
-        let watching = watch_from(&store, &followed, seen, &sink, &mut progress);
+        let watching = async {
+            if followed.subject.is_some() {
+                tokio::time::sleep(progress.until_first_watch()).await;
+            }
+            watch_from(&store, &followed, seen, &sink, &mut progress).await;
+        };
         match followed.subject {
             None => watching.await,
             Some(subject) => {
@@ -162,6 +174,8 @@
     prefix: String,
     keys: HashSet<Key>,
     started: Instant,
+    /// True once all keys were read.
+    was_read: bool,
     failures: u32,
 }
 
@@ -194,6 +208,7 @@
             prefix,
             keys: HashSet::new(),
             started: Instant::now(),
+            was_read: false,
             failures: 0,
         }
     }
@@ -207,6 +222,15 @@
         }
     }
 
+    /// Pause before the first watch after the start.
+    fn until_first_watch(&self) -> Duration {
+        if self.gateway.is_small_fleet() {
+            return Duration::ZERO;
+        }
+        FIRST_GATHERING.saturating_sub(self.started.elapsed())
+    }
+
+    /// Waits behind a failure until it makes sense to ask the store again.
     async fn after(&mut self, error: &StoreError) {
         if self.failures == 0 {
             self.gateway.events.write(&Event::StoreLost {
@@ -215,6 +239,14 @@
             });
         }
         self.failures += 1;
+        let membership = &self.gateway.membership;
+        membership.check_store.notify_one();
+        let regained = membership.store_regained.notified();
         tokio::time::sleep(PAUSE.delay(self.failures, &mut rand::rng())).await;
+        // Before its first read a node has nothing to serve with, so it goes on asking.
+        if self.was_read && membership.store_is_failing() {
+            // Either way it is time to ask.
+            let _ = tokio::time::timeout(OUTAGE_LOOK, regained).await;
+        }
     }
 }
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -19,6 +19,9 @@
 const RENEWAL: Duration = Duration::from_secs(2);
 /// Pause before a renewal that failed is tried again.
 const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+/// How long a renewal behind one that failed may take. A call that began while the store was away
+/// may never be answered, so it shouldn't hold up the next for long.
+const RETRY_LIMIT: Duration = Duration::from_millis(400);
 /// Pause before joining is tried again.
 const JOIN_RETRY: Backoff = Backoff {
     first: Duration::from_millis(300),
@@ -69,20 +72,41 @@
 
     /// Keeps the lease and the node's key until the process stops.
     pub async fn run(self: Rc<Self>) {
+        let mut former = None;
         while !self.gateway.is_stopping() {
             match self.join().await {
                 Ok(lease) => {
                     self.membership().store_answered();
+                    former = Some(lease);
                     self.hold(lease).await;
                 }
                 Err(_) => {
                     self.membership().store_failed();
-                    tokio::time::sleep(JOIN_RETRY.delay(1, &mut rand::rng())).await;
+                    self.until_store_replies(former).await;
                 }
             }
         }
     }
 
+    /// Waits behind a join that failed. The former lease, if there is one, has lapsed; but to renew
+    /// it is the cheapest way to find out whether the store replies again.
+    async fn until_store_replies(&self, former: Option<LeaseId>) {
+        loop {
+            tokio::time::sleep(JOIN_RETRY.delay(1, &mut rand::rng())).await;
+            let Some(former) = former else {
+                return;
+            };
+            let renewal = self.store.keep_lease_alive(former);
+            let replied = matches!(
+                tokio::time::timeout(RETRY_LIMIT, renewal).await,
+                Ok(Ok(_) | Err(StoreError::LeaseLapsed { .. }))
+            );
+            if replied || self.gateway.is_stopping() {
+                return;
+            }
+        }
+    }
+
     async fn join(&self) -> Result<LeaseId, StoreError> {
         let asked = self.gateway.now();
         let lease = self.store.grant_lease(LEASE).await?;
@@ -115,13 +139,18 @@
                     return;
                 }
             }
-            match self.gateway.renew_lease(&*self.store, lease).await {
-                Ok(_) => {
+            let renewal = self.gateway.renew_lease(&*self.store, lease);
+            let outcome = match self.membership().store_is_failing() {
+                true => tokio::time::timeout(RETRY_LIMIT, renewal).await.ok(),
+                false => Some(renewal.await),
+            };
+            match outcome {
+                Some(Ok(_)) => {
                     renewed = Instant::now();
                     next = renewed + RENEWAL;
                 }
-                Err(StoreError::LeaseLapsed { .. }) => return,
-                Err(_) => next = Instant::now() + RENEWAL_RETRY,
+                Some(Err(StoreError::LeaseLapsed { .. })) => return,
+                Some(Err(_)) | None => next = Instant::now() + RENEWAL_RETRY,
             }
         }
     }
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -287,6 +287,11 @@
         self.store_failing.get() && contact.is_some_and(|at| at.elapsed() > STORE_LOST)
     }
 
+    /// True when the last renewal found the store failing.
+    pub fn store_is_failing(&self) -> bool {
+        self.store_failing.get()
+    }
+
     /// Takes in that the store answered. Whoever hears of it first after a failure tells the others:
     /// a watch that was lost with the store says nothing by itself.
     pub fn store_answered(&self) {
