Queue before each database where its connections are, and refuse early what would wait too long

Cause: while replicas lag, a primary has up to half as much again to do as it can. Statements waited in the database's queue, transactions lost their place with each statement, a COMMIT without a free slot wasted its transaction, and reads were sent to replicas known to be behind.

Change: a gate for each database limits what is in flight, lets transactions go on first, and refuses at once what would wait longer than an eighth of its objective. COMMIT is sent again while the database is busy. A replica that was behind is asked less and less, and not while the primary may serve.

--- a/crates/dyketally-gateway/src/batch.rs
+++ b/crates/dyketally-gateway/src/batch.rs
@@ -98,6 +98,11 @@
 }
 
 impl Batch {
+    /// True when the batch has a caller's statement, which takes a slot of the database.
+    pub fn takes_slot(&self) -> bool {
+        self.steps.iter().any(|step| !matches!(step, Step::Own(_)))
+    }
+
     /// Statements of the gateway's own, for which no session's context matters.
     pub fn own(statements: impl IntoIterator<Item = OwnStatement>) -> Self {
         Self {
--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -81,7 +81,7 @@
     async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, CallError> {
         match self {
             Self::Own(checkout) => {
-                let run = checkout.connection().run(batch);
+                let run = checkout.run(batch);
                 run.await.map_err(CallError::DatabaseBroke)
             }
             Self::Remote(call) => call.run(batch).await,
@@ -132,6 +132,7 @@
         checkout.await.map_err(|error| {
             let (kind, unreachable) = match error {
                 CheckoutError::Exhausted => (FailureKind::NoConnection, false),
+                CheckoutError::QueueTooLong => (FailureKind::QueueTooLong, false),
                 CheckoutError::Open(OpenError::TurnedAway(failure)) => {
                     (failure.kind, failure.kind == FailureKind::WrongDatabase)
                 }
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -364,6 +364,7 @@
             address,
             self.connection_limit(name),
         );
+        self.share_out_slots(name, &pool);
         let database = DatabaseState::new(pool, expected_ms);
         databases.insert(name.clone(), database.clone());
         database
@@ -388,9 +389,16 @@
     fn apply_connection_limits(&self) {
         self.homes.forget();
         for (name, database) in self.databases.borrow().iter() {
-            database
-                .pool
-                .set_limit(self.connection_limit(name), self.is_home(name));
+            let pool = &database.pool;
+            pool.set_limit(self.connection_limit(name), self.is_home(name));
+            self.share_out_slots(name, pool);
+        }
+    }
+
+    fn share_out_slots(&self, name: &DatabaseName, pool: &Pool) {
+        let directory = self.directory.borrow();
+        if let Some(member) = directory.member(name) {
+            pool.share_out(member.announcement.slots, self.holders(name));
         }
     }
 }
--- a/crates/dyketally-gateway/src/health.rs
+++ b/crates/dyketally-gateway/src/health.rs
@@ -6,6 +6,7 @@
 
 use dyketally::failover::Evidence;
 use dyketally::group::LogPosition;
+use dyketally::retry::Backoff;
 use tokio::time::Instant;
 
 use crate::pool::Pool;
@@ -16,8 +17,12 @@
 const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
 /// How long a database that failed is passed over by reads.
 const SUSPENSION: Duration = Duration::from_millis(700);
-/// How long a replica that was behind is passed over by reads that need more than it had.
-const BEHIND: Duration = Duration::from_millis(60);
+/// How long a replica that was behind is passed over by reads that need more than it had; twice as
+/// long each time that it still is.
+const BEHIND: Backoff = Backoff {
+    first: Duration::from_millis(60),
+    longest: Duration::from_millis(1_000),
+};
 
 /// A database as this node uses it.
 pub struct DatabaseState {
@@ -32,7 +37,22 @@
     answered: Cell<Option<Instant>>,
     evidence: Cell<Option<(Evidence, Instant)>>,
     suspended: Cell<Option<Instant>>,
-    behind: Cell<Option<(LogPosition, Instant)>>,
+    behind: Cell<Option<Behind>>,
+}
+
+/// What a replica lacked when it was last asked for it.
+#[derive(Clone, Copy)]
+struct Behind {
+    needed: LogPosition,
+    at: Instant,
+    /// How often in a row it was behind, counted once each time that it was asked again.
+    times: u32,
+}
+
+impl Behind {
+    fn is_held(&self) -> bool {
+        self.at.elapsed() < BEHIND.longest_delay(self.times)
+    }
 }
 
 impl DatabaseState {
@@ -69,7 +89,18 @@
 
     /// Takes in that its log lacked `needed`.
     pub fn was_behind(&self, needed: LogPosition) {
-        self.behind.set(Some((needed, Instant::now())));
+        let times = match self.behind.get() {
+            Some(behind) if behind.is_held() => behind.times,
+            Some(behind) => behind.times + 1,
+            None => 1,
+        };
+        let at = Instant::now();
+        self.behind.set(Some(Behind { needed, at, times }));
+    }
+
+    /// Takes in that its log held what a read needed.
+    pub fn was_fresh(&self) {
+        self.behind.set(None);
     }
 
     /// True when reads should go elsewhere if they can.
@@ -82,7 +113,7 @@
     /// True when its log probably still lacks `needed`.
     pub fn is_behind(&self, needed: LogPosition) -> bool {
         let behind = self.behind.get();
-        behind.is_some_and(|(lacked, at)| lacked <= needed && at.elapsed() < BEHIND)
+        behind.is_some_and(|behind| behind.needed <= needed && behind.is_held())
     }
 
     /// True when it answered since `time`.
--- a/crates/dyketally-gateway/src/homes.rs
+++ b/crates/dyketally-gateway/src/homes.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Nodes that keep connections to a database.
+    pub fn holders(&self, database: &DatabaseName) -> usize {
+        let nodes = self.membership.node_count();
+        let placed = self.placed(database);
+        placed.map_or(nodes, |placed| placed.sharing.homes(nodes))
+    }
+
     /// True when this node keeps connections to a database.
     pub fn is_home(&self, database: &DatabaseName) -> bool {
         self.placed(database).is_some_and(|placed| placed.is_home)
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -6,13 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::admission::{Gate, Rank};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::statement::FailureKind;
+use dyketally::time::Timestamp;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::batch::Batch;
 use crate::checkout::{Claim, Work};
-use crate::connection::{Connection, OpenError, Route};
+use crate::connection::{Answer, Broken, Connection, OpenError, Route};
 use crate::ports::SharedDatabaseProtocol;
 
 /// Longest time that opening a connection may take.
@@ -25,6 +28,12 @@
 /// How long the pool stays within the size at which the database refused to grow it.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
 
+/// Priority of the gateway's own exchanges: before all callers.
+pub const OWN_PRIORITY: u32 = 0;
+/// Priority of transactions that go on.
+const FIRST: u32 = 0;
+/// How long a transaction that goes on waits before it looks again.
+const TURN_LOOK: Duration = Duration::from_secs(1);
 /// One in so many connections is kept free of transactions.
 const RESERVED_SHARE: u32 = 4;
 /// How long a relay is used without being found again.
@@ -36,15 +45,27 @@
     /// All connections stayed in use until the limit of the wait.
     #[error("all connections of this node to the database stayed in use")]
     Exhausted,
+    /// Whoever waits already would use up the limit of the wait.
+    #[error("too many statements wait for the database")]
+    QueueTooLong,
     /// A connection could not be opened.
     #[error(transparent)]
     Open(#[from] OpenError),
 }
 
+/// What someone waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Want {
+    /// A connection, and to run something on it.
+    Connection(Work),
+    /// To go on with a transaction.
+    Turn,
+}
+
 struct Waiter {
     priority: u32,
     number: u64,
-    work: Work,
+    want: Want,
     wake: oneshot::Sender<()>,
 }
 
@@ -64,6 +85,9 @@
     next_number: Cell<u64>,
     /// Connections that transactions keep.
     pinned: Cell<u32>,
+    /// What is in flight, and how long others wait.
+    gate: RefCell<Gate>,
+    started: Instant,
     /// Connections opened since the start.
     pub opened: Cell<u64>,
 }
@@ -91,6 +115,8 @@
             waiters: RefCell::default(),
             next_number: Cell::new(0),
             pinned: Cell::new(0),
+            gate: RefCell::default(),
+            started: Instant::now(),
             opened: Cell::new(0),
         })
     }
@@ -133,6 +159,12 @@
         self.wake_next();
     }
 
+    /// Takes in the database's slots, and how many nodes keep connections to it.
+    pub fn share_out(&self, slots: u32, holders: usize) {
+        self.gate.borrow_mut().share_out(slots, holders);
+        self.wake_next();
+    }
+
     fn effective_limit(&self) -> u32 {
         let limit = self.limit.get();
         match self.refused.get() {
@@ -151,23 +183,65 @@
         claim: Claim,
     ) -> Result<Checkout, CheckoutError> {
         loop {
-            if self.admits(claim.work) {
+            if self.admits(claim.priority, Want::Connection(claim.work)) {
                 if let Some(connection) = self.take_idle(values) {
+                    let running = Running::begin(self);
                     let pinned = Pinned::take(self, claim.work);
-                    return Ok(Checkout::new(self.clone(), connection, pinned));
+                    return Ok(Checkout::new(self.clone(), connection, pinned, running));
                 }
                 if self.open.get() < self.effective_limit() {
+                    let running = Running::begin(self);
                     let pinned = Pinned::take(self, claim.work);
-                    return self.open_one(claim.until, pinned).await;
+                    return self.open_one(claim.until, pinned, running).await;
                 }
             }
-            self.wait(claim).await?;
+            let expected = self.gate.borrow().expected_wait(claim.priority);
+            if expected.is_some_and(|expected| expected > claim.queue) {
+                return Err(CheckoutError::QueueTooLong);
+            }
+            let until = claim.until.min(Instant::now() + claim.queue);
+            self.wait(claim.priority, Want::Connection(claim.work), until)
+                .await?;
+        }
+    }
+
+    /// Waits until a transaction that keeps a connection may go on: before all who have yet to begin.
+    async fn turn(self: &Rc<Self>) -> Running {
+        while !self.admits(FIRST, Want::Turn) {
+            // It ends when whoever waits gives up.
+            let _ = self
+                .wait(FIRST, Want::Turn, Instant::now() + TURN_LOOK)
+                .await;
+        }
+        Running::begin(self)
+    }
+
+    fn note_answers(&self, answers: &[Answer]) {
+        let busy = |answer: &Answer| matches!(&answer.end, Err(failure) if failure.kind == FailureKind::Busy);
+        let mut gate = self.gate.borrow_mut();
+        match answers.iter().any(busy) {
+            true => gate.turned_away(self.now()),
+            false => gate.ran(),
         }
     }
 
+    fn now(&self) -> Timestamp {
+        Timestamp::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
     /// Transactions never take all connections: a few are left for single statements, which need
     /// them for a moment only.
-    fn admits(&self, work: Work) -> bool {
+    fn admits(&self, priority: u32, want: Want) -> bool {
+        let may_run = self.gate.borrow().admits();
+        match want {
+            // The gateway's own statements are few, and tell it what it must know.
+            Want::Connection(_) if priority == OWN_PRIORITY => true,
+            Want::Connection(work) => may_run && self.admits_work(work),
+            Want::Turn => may_run,
+        }
+    }
+
+    fn admits_work(&self, work: Work) -> bool {
         let limit = self.effective_limit();
         let reserved = limit / RESERVED_SHARE;
         work == Work::Statements || self.pinned.get() < limit.saturating_sub(reserved).max(1)
@@ -192,6 +266,7 @@
         self: &Rc<Self>,
         until: Instant,
         pinned: Option<Pinned>,
+        running: Running,
     ) -> Result<Checkout, CheckoutError> {
         let left = until.saturating_duration_since(Instant::now());
         let slot = OpenSlot::take(self);
@@ -206,7 +281,7 @@
             Ok(connection) => {
                 slot.keep();
                 self.opened.set(self.opened.get() + 1);
-                Ok(Checkout::new(self.clone(), connection, pinned))
+                Ok(Checkout::new(self.clone(), connection, pinned, running))
             }
             Err(error) => {
                 if is_overload(&error) {
@@ -222,18 +297,24 @@
         }
     }
 
-    async fn wait(&self, claim: Claim) -> Result<(), CheckoutError> {
+    async fn wait(
+        self: &Rc<Self>,
+        priority: u32,
+        want: Want,
+        until: Instant,
+    ) -> Result<(), CheckoutError> {
         let (wake, woken) = oneshot::channel();
         let number = self.next_number.get();
         self.next_number.set(number + 1);
         self.waiters.borrow_mut().push(Waiter {
-            priority: claim.priority,
+            priority,
             number,
-            work: claim.work,
+            want,
             wake,
         });
-        let until = claim.until.min(Instant::now() + claim.queue);
+        let waiting = Waiting::begin(self, priority);
         let result = tokio::time::timeout_at(until, woken).await;
+        drop(waiting);
         if result.is_ok() {
             return Ok(());
         }
@@ -246,7 +327,7 @@
         loop {
             let mut waiters = self.waiters.borrow_mut();
             let indexed = waiters.iter().enumerate();
-            let admitted = indexed.filter(|(_, waiter)| self.admits(waiter.work));
+            let admitted = indexed.filter(|(_, waiter)| self.admits(waiter.priority, waiter.want));
             let first = admitted.min_by_key(|(_, waiter)| (waiter.priority, waiter.number));
             let Some(index) = first.map(|(index, _)| index) else {
                 return;
@@ -352,27 +433,87 @@
     }
 }
 
+/// Counts a statement as in flight until it is dropped.
+struct Running {
+    pool: Rc<Pool>,
+}
+
+impl Running {
+    fn begin(pool: &Rc<Pool>) -> Self {
+        pool.gate.borrow_mut().begins();
+        Self { pool: pool.clone() }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.pool.gate.borrow_mut().ended(self.pool.now());
+        self.pool.wake_next();
+    }
+}
+
+/// Counts someone as waiting until it is dropped.
+struct Waiting {
+    pool: Rc<Pool>,
+    rank: Rank,
+}
+
+impl Waiting {
+    fn begin(pool: &Rc<Pool>, rank: Rank) -> Self {
+        pool.gate.borrow_mut().waits(rank);
+        Self {
+            pool: pool.clone(),
+            rank,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.pool.gate.borrow_mut().waits_no_more(self.rank);
+    }
+}
+
 /// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
 pub struct Checkout {
     pool: Rc<Pool>,
     connection: Option<Connection>,
     pinned: Option<Pinned>,
+    /// Set from the time at which something may run to the end of what runs.
+    running: Option<Running>,
 }
 
 impl Checkout {
-    fn new(pool: Rc<Pool>, connection: Connection, pinned: Option<Pinned>) -> Self {
+    fn new(
+        pool: Rc<Pool>,
+        connection: Connection,
+        pinned: Option<Pinned>,
+        running: Running,
+    ) -> Self {
         Self {
             pool,
             connection: Some(connection),
             pinned,
+            running: Some(running),
         }
     }
 
-    /// The connection.
-    pub fn connection(&mut self) -> &mut Connection {
-        self.connection
+    /// Runs a batch; one that goes on with a transaction waits for its turn first.
+    ///
+    /// # Errors
+    /// The connection broke; any of the steps may have run.
+    pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, Broken> {
+        if self.running.is_none() && batch.takes_slot() {
+            self.running = Some(self.pool.turn().await);
+        }
+        let connection = self
+            .connection
             .as_mut()
-            .expect("a checkout has its connection until it is given back")
+            .expect("a checkout has its connection until it is given back");
+        let answers = connection.run(batch).await?;
+        self.pool.note_answers(&answers);
+        self.running = None;
+        Ok(answers)
     }
 
     /// Returns the connection for others to use. It must be outside any transaction.
@@ -381,6 +522,7 @@
             return;
         };
         self.pinned = None;
+        self.running = None;
         connection.idle_since = Instant::now();
         if self.pool.open.get() > self.pool.limit.get() {
             drop(connection);
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/read.rs
@@ -63,7 +63,8 @@
                     Some(Ok(Attempt::Answered(answer))) => return Served::from_database(answer),
                     Some(Ok(Attempt::NotRun(kind))) => {
                         refusal = kind;
-                        if request.is_hopeless(self, kind) && running.is_empty() {
+                        let hopeless = request.is_hopeless(self, kind) && running.is_empty();
+                        if hopeless && !self.may_try_another(request, &tried) {
                             return Served::not_run(kind);
                         }
                         if kind == FailureKind::Busy {
@@ -107,15 +108,23 @@
         }))
     }
 
+    /// True when a database that wasn't tried may serve the read.
+    fn may_try_another(&self, request: &Request, tried: &[DatabaseName]) -> bool {
+        let Some(need) = request.need() else {
+            return false;
+        };
+        let group = &request.route.group;
+        let known = need.position(&self.group(group).observations.borrow());
+        self.has_untried(group, known, tried)
+    }
+
     async fn choose_read(
         self: &Rc<Self>,
         request: &Request,
         tried: &mut Vec<DatabaseName>,
     ) -> Option<(Target, Proof)> {
         let group = &request.route.group;
-        let consistency = request.route.consistency;
-        let need = consistency.need(request.arrived, request.connected, request.own_commit);
-        let Some(need) = need else {
+        let Some(need) = request.need() else {
             self.counters.reads_bound_to_primaries.add();
             let pause = Instant::now() + RETRY_PAUSE;
             let target = self.primary_by(group, pause.min(request.give_up())).await?;
@@ -195,6 +204,7 @@
                 Attempt::NotRun(failure.kind)
             }
             _ => {
+                target.state.was_fresh();
                 match target.leads {
                     true => self.counters.reads_at_primaries.add(),
                     false => self.counters.reads_at_replicas.add(),
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::freshness::FreshnessNeed;
 use dyketally::group::LogPosition;
 use dyketally::route_policy::RoutePolicy;
 use dyketally::statement::{Failure, FailureKind, PreparedStatement};
@@ -22,8 +23,8 @@
 const ANSWER_RESERVE: Duration = Duration::from_millis(30);
 /// Share of a route's objective for which a statement waits for a connection. In a queue that is
 /// longer all statements are late.
-const QUEUE_SHARE: f64 = 0.25;
-const SHORTEST_QUEUE: Duration = Duration::from_millis(100);
+const QUEUE_SHARE: f64 = 0.125;
+const SHORTEST_QUEUE: Duration = Duration::from_millis(50);
 /// Share of a route's objective after which a statement that found too long a queue is refused.
 const REFUSED_AFTER_SHARE: f64 = 0.4;
 /// When callers are told to come back after a refusal.
@@ -160,6 +161,12 @@
         }
     }
 
+    /// Which commits a read has to see; `None` when only the primary will do.
+    pub fn need(&self) -> Option<FreshnessNeed> {
+        let consistency = self.route.consistency;
+        consistency.need(self.arrived, self.connected, self.own_commit)
+    }
+
     /// When the statement is given up if it isn't running by then.
     pub fn give_up(&self) -> Instant {
         self.deadline - ANSWER_RESERVE
@@ -170,8 +177,11 @@
     pub fn is_hopeless(&self, gateway: &Gateway, refusal: FailureKind) -> bool {
         let limit = self.route.latency_objective.mul_f64(REFUSED_AFTER_SHARE);
         let elapsed = gateway.now().saturating_since(self.arrived);
-        let short = matches!(refusal, FailureKind::NoConnection | FailureKind::Overloaded);
-        short && elapsed >= limit
+        match refusal {
+            FailureKind::QueueTooLong => true,
+            FailureKind::NoConnection | FailureKind::Overloaded => elapsed >= limit,
+            _ => false,
+        }
     }
 
     /// Counts an attempt at a database.
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -15,11 +15,10 @@
 use crate::batch::Batch;
 use crate::checkout::{Claim, Work};
 use crate::gateway::Gateway;
+use crate::pool::OWN_PRIORITY;
 use crate::ports::OwnStatement;
 use crate::target::Target;
 
-/// Priority of the gateway's own exchanges: before all callers.
-const OWN_PRIORITY: u32 = 0;
 /// Longest time that a confirmation may take.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 /// Pause between two searches for a primary.
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/target.rs
@@ -81,9 +81,30 @@
             })
             .collect();
         ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let behind = |target: &Target| {
+            !target.leads && needed.is_some_and(|needed| target.state.is_behind(needed))
+        };
+        // To ask a replica that is behind is of use only while nothing else can be asked.
+        let has_primary = ranked.iter().any(|(_, target)| target.leads);
+        ranked.retain(|(_, target)| !has_primary || !behind(target));
         ranked.into_iter().map(|(_, target)| target).collect()
     }
 
+    /// True when some database that wasn't tried may serve a read as well.
+    pub fn has_untried(
+        &self,
+        group: &GroupName,
+        needed: Option<LogPosition>,
+        tried: &[DatabaseName],
+    ) -> bool {
+        let targets = self.read_targets(group, needed);
+        let usable = |target: &Target| {
+            let behind = needed.is_some_and(|needed| target.state.is_behind(needed));
+            !tried.contains(&target.name) && !behind && !target.state.is_suspended()
+        };
+        targets.iter().any(usable)
+    }
+
     /// The best database that wasn't tried; once all were, the best of all, and `tried` begins anew.
     pub fn first_untried(
         &self,
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/transaction.rs
@@ -2,12 +2,14 @@
 
 use std::rc::Rc;
 
+use dyketally::freshness::FreshnessNeed;
 use dyketally::group::LogPosition;
 use dyketally::identifiers::DatabaseName;
 use dyketally::policy::Access;
 use dyketally::statement::{FailureKind, TransactionState};
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
+use tokio::time::error::Elapsed;
 
 use crate::batch::{Batch, Flow, Reset, Step};
 use crate::checkout::{Checkout, Unanswered, Work};
@@ -98,8 +100,7 @@
             };
             return self.committed(gateway, request, answer).await;
         }
-        let commit = self.send(gateway, request);
-        match tokio::time::timeout_at(request.deadline, commit).await {
+        match self.send_until_run(gateway, request).await {
             Ok(Some(answer)) => self.committed(gateway, request, answer).await,
             Ok(None) if self.wrote => {
                 self.bound = None;
@@ -169,23 +170,37 @@
         gateway: &Rc<Gateway>,
         request: &Request,
     ) -> Result<Answer, &'static str> {
+        match self.send_until_run(gateway, request).await {
+            Ok(Some(answer)) => Ok(answer),
+            Ok(None) => {
+                self.bound = None;
+                Err("the transaction's connection broke")
+            }
+            Err(_) => {
+                self.bound = None;
+                Err("the transaction's database stayed silent")
+            }
+        }
+    }
+
+    /// Sends a statement to the transaction's database, again and again while the database is too
+    /// busy to run it: giving up would waste what the transaction has done. `None` when the
+    /// connection broke.
+    async fn send_until_run(
+        &mut self,
+        gateway: &Rc<Gateway>,
+        request: &Request,
+    ) -> Result<Option<Answer>, Elapsed> {
         loop {
             let sending = self.send(gateway, request);
-            let answer = match tokio::time::timeout_at(request.deadline, sending).await {
-                Ok(Some(answer)) => answer,
-                Ok(None) => {
-                    self.bound = None;
-                    return Err("the transaction's connection broke");
-                }
-                Err(_) => {
-                    self.bound = None;
-                    return Err("the transaction's database stayed silent");
-                }
+            let answer = tokio::time::timeout_at(request.deadline, sending).await?;
+            let Some(answer) = answer else {
+                return Ok(None);
             };
             let busy = matches!(&answer.end, Err(failure) if failure.kind == FailureKind::Busy);
             let time_left = Instant::now() + RETRY_PAUSE < request.give_up();
             if !busy || answer.state != TransactionState::Open || !time_left {
-                return Ok(answer);
+                return Ok(Some(answer));
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
@@ -220,7 +235,10 @@
             let first = self.try_first(gateway, request, &mut passed_over);
             match tokio::time::timeout_at(request.deadline, first).await {
                 Ok(First::Served(answer)) => return Ok(answer),
-                Ok(First::NotRun(kind)) if request.is_hopeless(gateway, kind) => {
+                Ok(First::NotRun(kind))
+                    if request.is_hopeless(gateway, kind)
+                        && !self.may_try_another(gateway, request, &passed_over) =>
+                {
                     self.drop_bound();
                     return Err("the queue for the database was too long");
                 }
@@ -281,6 +299,9 @@
             return First::NotRun(failure.kind);
         }
         let leads = after.is_none();
+        if !leads {
+            target.state.was_fresh();
+        }
         if leads && !gateway.is_upheld(&target).await {
             return First::NotRun(FailureKind::ReadOnly);
         }
@@ -307,6 +328,28 @@
         }
     }
 
+    /// What the transaction has to see; `None` when it needs the primary.
+    fn need(&self, request: &Request) -> Option<FreshnessNeed> {
+        let consistency = request.route.consistency;
+        let need = consistency.need(self.begun, request.connected, request.own_commit);
+        need.filter(|_| self.read_only)
+    }
+
+    /// True when a database that wasn't tried may take the transaction.
+    fn may_try_another(
+        &self,
+        gateway: &Gateway,
+        request: &Request,
+        tried: &[DatabaseName],
+    ) -> bool {
+        let Some(need) = self.need(request) else {
+            return false;
+        };
+        let group = &request.route.group;
+        let known = need.position(&gateway.group(group).observations.borrow());
+        gateway.has_untried(group, known, tried)
+    }
+
     async fn choose(
         &self,
         gateway: &Rc<Gateway>,
@@ -314,11 +357,8 @@
         passed_over: &mut Vec<DatabaseName>,
     ) -> Option<(Target, Option<LogPosition>)> {
         let group = &request.route.group;
-        let consistency = request.route.consistency;
-        let need = consistency.need(self.begun, request.connected, request.own_commit);
         let until = (Instant::now() + RETRY_PAUSE).min(request.give_up());
-        let need = need.filter(|_| self.read_only);
-        let Some(need) = need else {
+        let Some(need) = self.need(request) else {
             return Some((gateway.primary_by(group, until).await?, None));
         };
         let state = gateway.group(group);
--- /dev/null
+++ b/crates/dyketally/src/admission/gate.rs
@@ -0,0 +1,84 @@
+//! The gate in front of one database: how many statements are in flight, who waits, and for how long
+//! a newcomer would.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::average::MovingAverage;
+use super::in_flight::InFlightLimit;
+use crate::time::Timestamp;
+
+/// Rank among those who wait; smaller goes first.
+pub type Rank = u32;
+
+/// Counts what is in flight at a database and who waits for it, and estimates waits from the rate at
+/// which statements finish. Whoever holds the connections also keeps the waiters themselves.
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    limit: InFlightLimit,
+    in_flight: u32,
+    waiting: BTreeMap<Rank, u32>,
+    /// Time between two statements that finish while others wait.
+    interval: MovingAverage,
+    finished: Option<Timestamp>,
+}
+
+impl Gate {
+    /// Limits a database of `slots` slots that `holders` nodes keep connections to.
+    pub fn share_out(&mut self, slots: u32, holders: usize) {
+        self.limit.share_out(slots, holders);
+    }
+
+    /// True when one more statement may begin.
+    pub fn admits(&self) -> bool {
+        self.limit.admits(self.in_flight)
+    }
+
+    /// Takes in that a statement begins.
+    pub fn begins(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Takes in that a statement ended, however it did.
+    pub fn ended(&mut self, now: Timestamp) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let waited = !self.waiting.is_empty();
+        if let Some(former) = self.finished
+            && waited
+        {
+            self.interval.record(now.saturating_since(former));
+        }
+        self.finished = waited.then_some(now);
+    }
+
+    /// Takes in that the database ran a statement.
+    pub fn ran(&mut self) {
+        self.limit.ran();
+    }
+
+    /// Takes in that the database turned a statement away.
+    pub fn turned_away(&mut self, now: Timestamp) {
+        self.limit.turned_away(now);
+    }
+
+    /// Takes in that someone waits.
+    pub fn waits(&mut self, rank: Rank) {
+        *self.waiting.entry(rank).or_default() += 1;
+    }
+
+    /// Takes in that someone no longer waits.
+    pub fn waits_no_more(&mut self, rank: Rank) {
+        if let Some(count) = self.waiting.get_mut(&rank) {
+            *count -= 1;
+            if *count == 0 {
+                self.waiting.remove(&rank);
+            }
+        }
+    }
+
+    /// How long someone of `rank` who comes now would wait; `None` before anything was measured.
+    pub fn expected_wait(&self, rank: Rank) -> Option<Duration> {
+        let ahead: u32 = self.waiting.range(..=rank).map(|(_, count)| count).sum();
+        Some(self.interval.value()? * (ahead + 1))
+    }
+}
--- a/crates/dyketally/src/admission/mod.rs
+++ b/crates/dyketally/src/admission/mod.rs
@@ -9,12 +9,16 @@
 
 mod average;
 mod drain_rate;
+mod gate;
+mod in_flight;
 mod queue;
 mod schedule;
 mod status;
 mod submission;
 mod tenant;
 
+pub use gate::{Gate, Rank};
+pub use in_flight::InFlightLimit;
 pub use queue::FairQueue;
 pub use schedule::SAVED_SLOT_TIME;
 pub use status::{QueueStatus, TenantCounters, TenantStatus};
--- a/crates/dyketally/src/retry/backoff.rs
+++ b/crates/dyketally/src/retry/backoff.rs
@@ -21,11 +21,16 @@
 impl Backoff {
     /// The delay after `failures` failures in a row; none before the first.
     pub fn delay(&self, failures: u32, random: &mut impl Rng) -> Duration {
+        self.longest_delay(failures)
+            .mul_f64(random.random_range(JITTER))
+    }
+
+    /// The longest delay after `failures` failures in a row.
+    pub fn longest_delay(&self, failures: u32) -> Duration {
         let Some(doublings) = failures.checked_sub(1) else {
             return Duration::ZERO;
         };
         let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
-        let upper = self.first.saturating_mul(factor).min(self.longest);
-        upper.mul_f64(random.random_range(JITTER))
+        self.first.saturating_mul(factor).min(self.longest)
     }
 }
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -79,6 +79,8 @@
     Busy,
     /// No connection to the database was free in time.
     NoConnection,
+    /// So many wait for the database that the statement would have been late.
+    QueueTooLong,
     /// The transaction was given up and nothing of it is kept.
     Aborted,
     /// The replica's log lacks the position asked for.
@@ -110,6 +112,7 @@
             self,
             FailureKind::Busy
                 | FailureKind::NoConnection
+                | FailureKind::QueueTooLong
                 | FailureKind::ReplicaBehind
                 | FailureKind::ReadOnly
                 | FailureKind::WrongDatabase
--- /dev/null
+++ b/crates/dyketally/tests/gate.rs
@@ -0,0 +1,125 @@
+//! The gate in front of a database: limits on what is in flight, and expected waits.
+
+use std::time::Duration;
+
+use dyketally::admission::{Gate, InFlightLimit};
+use dyketally::time::Timestamp;
+use rstest::rstest;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+/// How many may be in flight.
+fn room(limit: &InFlightLimit) -> u32 {
+    (0..1_000)
+        .find(|in_flight| !limit.admits(*in_flight))
+        .unwrap_or(u32::MAX)
+}
+
+#[rstest]
+#[case::one_home(3, 1, 9)]
+#[case::three_homes(3, 3, 3)]
+#[case::shares_are_rounded_up(5, 4, 4)]
+#[case::many_nodes(3, 71, 2)]
+#[case::no_node_is_known(3, 0, 9)]
+fn slots_are_shared_out(#[case] slots: u32, #[case] holders: usize, #[case] expected: u32) {
+    let mut limit = InFlightLimit::default();
+    limit.share_out(slots, holders);
+    assert_eq!(room(&limit), expected);
+}
+
+#[test]
+fn a_database_that_turns_away_gets_less_and_then_more_again() {
+    let mut limit = InFlightLimit::default();
+    limit.share_out(8, 1);
+    limit.turned_away(at(0));
+    assert_eq!(room(&limit), 18);
+    for _ in 0..500 {
+        limit.ran();
+    }
+    assert_eq!(room(&limit), 24);
+}
+
+#[test]
+fn refusals_that_come_together_count_once_and_leave_room_for_one() {
+    let mut limit = InFlightLimit::default();
+    limit.share_out(8, 1);
+    limit.turned_away(at(0));
+    limit.turned_away(at(10));
+    assert_eq!(room(&limit), 18);
+    for refusal in 1..100 {
+        limit.turned_away(at(refusal * 100));
+    }
+    assert_eq!(room(&limit), 1);
+}
+
+#[test]
+fn a_new_share_keeps_what_was_learnt() {
+    let mut limit = InFlightLimit::default();
+    limit.share_out(8, 1);
+    limit.turned_away(at(0));
+    limit.share_out(8, 2);
+    assert_eq!(room(&limit), 12);
+    limit.share_out(8, 1);
+    assert_eq!(room(&limit), 12);
+}
+
+/// A gate before one slot at which a statement ends each 10 ms while others wait.
+fn busy_gate() -> Gate {
+    let mut gate = Gate::default();
+    gate.share_out(1, 1);
+    for _ in 0..3 {
+        gate.begins();
+    }
+    gate.waits(2);
+    for ended in 1..20 {
+        gate.ended(at(ended * 10));
+        gate.begins();
+    }
+    gate
+}
+
+#[test]
+fn nothing_is_expected_before_anything_is_measured() {
+    assert_eq!(Gate::default().expected_wait(1), None);
+}
+
+#[rstest]
+#[case::behind_nobody(1, 10)]
+#[case::behind_one_of_its_rank(2, 20)]
+#[case::behind_one_of_a_better_rank(3, 20)]
+fn the_wait_follows_from_who_is_ahead(#[case] rank: u32, #[case] expected_ms: u64) {
+    let expected = busy_gate().expected_wait(rank);
+    assert_eq!(expected, Some(Duration::from_millis(expected_ms)));
+}
+
+#[test]
+fn whoever_gives_up_waiting_is_no_longer_ahead() {
+    let mut gate = busy_gate();
+    gate.waits_no_more(2);
+    assert_eq!(gate.expected_wait(2), Some(Duration::from_millis(10)));
+}
+
+#[test]
+fn times_without_waiters_are_not_measured() {
+    let mut gate = busy_gate();
+    gate.waits_no_more(2);
+    gate.ended(at(200));
+    gate.begins();
+    gate.ended(at(60_000));
+    assert_eq!(gate.expected_wait(2), Some(Duration::from_millis(10)));
+}
+
+#[test]
+fn a_full_gate_admits_again_when_something_ends() {
+    let mut gate = Gate::default();
+    gate.share_out(1, 1);
+    for _ in 0..3 {
+        assert!(gate.admits());
+        gate.begins();
+    }
+    assert!(!gate.admits());
+    gate.ended(at(1));
+    assert!(gate.admits());
+}
