Count calls to the store by kind, and let statements without an answer leave the gate

Change: a store around the store counts its calls; they stand in the counters' line. After the time that few answers exceed a statement without one no longer counts as in flight.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -1,9 +1,12 @@
 //! What the process has done since its start.
 
 use std::cell::Cell;
+use std::sync::Arc;
 
 use serde::Serialize;
 
+use crate::metered_store::StoreCalls;
+
 /// One count.
 #[derive(Debug, Default)]
 pub struct Counter(Cell<u64>);
@@ -42,4 +45,17 @@
     pub further_attempts: Counter,
     /// Empty transactions that asked a primary for its position.
     pub confirmations: Counter,
+    /// Calls to the store.
+    #[serde(flatten)]
+    pub store: Arc<StoreCalls>,
+}
+
+impl Counters {
+    /// Counts from zero; `store` is counted by whoever calls it.
+    pub fn new(store: Arc<StoreCalls>) -> Self {
+        Self {
+            store,
+            ..Self::default()
+        }
+    }
 }
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dyketally::directory::{Directory, DirectoryChange};
@@ -22,6 +23,7 @@
 use crate::homes::Homes;
 use crate::link::Links;
 use crate::membership::Membership;
+use crate::metered_store::StoreCalls;
 use crate::peer::Peers;
 use crate::pool::Pool;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
@@ -115,6 +117,7 @@
         settings: Settings,
         caller_protocol: SharedCallerProtocol,
         database_protocol: SharedDatabaseProtocol,
+        store_calls: Arc<StoreCalls>,
     ) -> Rc<Self> {
         Rc::new(Self {
             settings,
@@ -124,7 +127,7 @@
             directory: RefCell::default(),
             membership: Membership::default(),
             peers: RefCell::default(),
-            counters: Counters::default(),
+            counters: Counters::new(store_calls),
             sessions: Cell::new(0),
             calls: Cell::new(0),
             homes: Homes::default(),
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod link;
 mod member;
 pub mod membership;
+pub mod metered_store;
 mod node;
 mod passed_over;
 mod peer;
--- /dev/null
+++ b/crates/dyketally-gateway/src/metered_store.rs
@@ -0,0 +1,93 @@
+//! Counts the calls that this process makes to the store, by kind: they are limited and may be priced.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dyketally_store::StoreError;
+use dyketally_store::key_value::{
+    KeyValueStore, Lease, LeaseId, PutRequest, RangeReply, RangeRequest, StoreRevision,
+    TransactionReply, TransactionRequest, WatchRequest, WatchStream,
+};
+use futures::StreamExt;
+use serde::Serialize;
+
+/// Calls since the start of the process, failed ones included. Names are documented in
+/// `docs/logs.md`.
+#[derive(Debug, Default, Serialize)]
+pub struct StoreCalls {
+    /// Ranges read.
+    store_reads: AtomicU64,
+    /// Transactions and single keys written.
+    store_writes: AtomicU64,
+    /// Waits for changes that ended.
+    store_watches: AtomicU64,
+    /// Leases granted or ended.
+    store_leases: AtomicU64,
+    /// Leases renewed.
+    store_renewals: AtomicU64,
+}
+
+fn count(calls: &AtomicU64) {
+    calls.fetch_add(1, Ordering::Relaxed);
+}
+
+/// A store whose calls are counted.
+pub struct MeteredStore<S> {
+    inner: S,
+    calls: Arc<StoreCalls>,
+}
+
+impl<S> MeteredStore<S> {
+    /// Counts the calls to `inner` in `calls`.
+    pub fn new(inner: S, calls: Arc<StoreCalls>) -> Self {
+        Self { inner, calls }
+    }
+}
+
+#[async_trait]
+impl<S: KeyValueStore> KeyValueStore for MeteredStore<S> {
+    async fn range(&self, request: RangeRequest) -> Result<RangeReply, StoreError> {
+        count(&self.calls.store_reads);
+        self.inner.range(request).await
+    }
+
+    async fn transact(&self, request: TransactionRequest) -> Result<TransactionReply, StoreError> {
+        count(&self.calls.store_writes);
+        self.inner.transact(request).await
+    }
+
+    async fn put(&self, request: PutRequest) -> Result<StoreRevision, StoreError> {
+        count(&self.calls.store_writes);
+        self.inner.put(request).await
+    }
+
+    async fn grant_lease(&self, time_to_live: Duration) -> Result<Lease, StoreError> {
+        count(&self.calls.store_leases);
+        self.inner.grant_lease(time_to_live).await
+    }
+
+    async fn keep_lease_alive(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        count(&self.calls.store_renewals);
+        self.inner.keep_lease_alive(lease).await
+    }
+
+    async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        count(&self.calls.store_leases);
+        self.inner.revoke_lease(lease).await
+    }
+
+    async fn watch(&self, request: WatchRequest) -> Result<WatchStream, StoreError> {
+        let calls = self.calls.clone();
+        let batches = self.inner.watch(request).await?;
+        // The first batch is the client's own.
+        let counted = batches.enumerate().map(move |(number, batch)| {
+            if number > 0 {
+                count(&calls.store_watches);
+            }
+            batch
+        });
+        Ok(Box::pin(counted))
+    }
+}
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use dyketally::directory::{Announcement, DirectoryChange};
@@ -18,6 +19,7 @@
 use crate::gateway::{Gateway, StopPhase};
 use crate::member::Member;
 use crate::membership::{Keys, NodeRecord};
+use crate::metered_store::StoreCalls;
 use crate::peer::{PeerMessage, Peers};
 use crate::ports::{
     PrimaryControl, ReadinessProtocol, SharedCallerProtocol, SharedDatabaseProtocol,
@@ -55,6 +57,8 @@
     pub databases: SharedDatabaseProtocol,
     /// The store.
     pub store: Rc<dyn KeyValueStore>,
+    /// What a [`MeteredStore`](crate::metered_store::MeteredStore) around it counts.
+    pub store_calls: Arc<StoreCalls>,
     /// What lies in the store.
     pub documents: Rc<dyn StoredDocuments>,
     /// Who appoints primaries.
@@ -76,7 +80,12 @@
         .await
         .wrap_err("can't listen on `listen.peers`; choose a free address of this machine")?;
     let relayed = bind(settings.listen.peers, "listen.peers").await?;
-    let gateway = Gateway::new(settings, adapters.callers, adapters.databases);
+    let gateway = Gateway::new(
+        settings,
+        adapters.callers,
+        adapters.databases,
+        adapters.store_calls,
+    );
     gateway.events.write(&Event::Started {
         node: gateway.settings.node.name.as_str(),
     });
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -216,12 +216,12 @@
         Running::begin(self)
     }
 
-    fn note_answers(&self, answers: &[Answer]) {
+    fn note_answers(&self, answers: &[Answer], elapsed: Duration) {
         let busy = |answer: &Answer| matches!(&answer.end, Err(failure) if failure.kind == FailureKind::Busy);
         let mut gate = self.gate.borrow_mut();
         match answers.iter().any(busy) {
             true => gate.turned_away(self.now()),
-            false => gate.ran(),
+            false => gate.ran(elapsed),
         }
     }
 
@@ -510,9 +510,19 @@
             .connection
             .as_mut()
             .expect("a checkout has its connection until it is given back");
-        let answers = connection.run(batch).await?;
-        self.pool.note_answers(&answers);
+        let began = Instant::now();
+        let silence = self.pool.gate.borrow().silence();
+        let run = connection.run(batch);
+        tokio::pin!(run);
+        let answers = match tokio::time::timeout(silence, &mut run).await {
+            Ok(answers) => answers?,
+            Err(_) => {
+                self.running = None;
+                run.await?
+            }
+        };
         self.running = None;
+        self.pool.note_answers(&answers, began.elapsed());
         Ok(answers)
     }
 
--- a/crates/dyketally-gateway/tests/logs_page.rs
+++ b/crates/dyketally-gateway/tests/logs_page.rs
@@ -34,10 +34,17 @@
 }
 
 fn counters() -> Vec<String> {
-    let text = source("src/counters.rs");
+    let own = fields("src/counters.rs", ": Counter,");
+    let store = fields("src/metered_store.rs", ": AtomicU64,");
+    [own, store].concat()
+}
+
+/// The fields whose lines end with `suffix`.
+fn fields(file: &str, suffix: &str) -> Vec<String> {
+    let text = source(file);
     let fields = text
         .lines()
-        .filter_map(|line| line.trim().strip_suffix(": Counter,"));
+        .filter_map(|line| line.trim().strip_suffix(suffix));
     fields.map(|field| field.replace("pub ", "")).collect()
 }
 
--- a/crates/dyketally/src/admission/gate.rs
+++ b/crates/dyketally/src/admission/gate.rs
@@ -4,10 +4,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::average::MovingAverage;
+use super::average::{Estimate, MovingAverage};
 use super::in_flight::InFlightLimit;
 use crate::time::Timestamp;
 
+/// Bounds of the time after which a statement without an answer no longer counts as in flight, and
+/// that time before anything was measured.
+const SHORTEST_SILENCE: Duration = Duration::from_millis(60);
+const LONGEST_SILENCE: Duration = Duration::from_millis(400);
+const SILENCE_ASSUMED: Duration = Duration::from_millis(200);
+
 /// Rank among those who wait; smaller goes first.
 pub type Rank = u32;
 
@@ -21,6 +27,8 @@
     /// Time between two statements that finish while others wait.
     interval: MovingAverage,
     finished: Option<Timestamp>,
+    /// Time that statements which were answered took.
+    answered_in: Estimate,
 }
 
 impl Gate {
@@ -51,9 +59,22 @@
         self.finished = waited.then_some(now);
     }
 
-    /// Takes in that the database ran a statement.
-    pub fn ran(&mut self) {
+    /// Takes in that the database ran a statement and took `elapsed` to answer it.
+    pub fn ran(&mut self, elapsed: Duration) {
         self.limit.ran();
+        self.answered_in.record(elapsed);
+    }
+
+    /// After this time a statement without an answer no longer counts as in flight: its answer is
+    /// probably lost, and the database has a slot free.
+    pub fn silence(&self) -> Duration {
+        match self.answered_in.average() {
+            None => SILENCE_ASSUMED,
+            Some(_) => self
+                .answered_in
+                .upper()
+                .clamp(SHORTEST_SILENCE, LONGEST_SILENCE),
+        }
     }
 
     /// Takes in that the database turned a statement away.
--- a/crates/dyketally/tests/gate.rs
+++ b/crates/dyketally/tests/gate.rs
@@ -123,3 +123,22 @@
     gate.ended(at(1));
     assert!(gate.admits());
 }
+
+#[test]
+fn silence_is_judged_by_what_the_database_usually_needs() {
+    let mut gate = Gate::default();
+    assert_eq!(gate.silence(), Duration::from_millis(200));
+    for _ in 0..50 {
+        gate.ran(Duration::from_millis(10));
+    }
+    assert_eq!(gate.silence(), Duration::from_millis(60));
+    for _ in 0..50 {
+        gate.ran(Duration::from_millis(100));
+    }
+    let silence = gate.silence();
+    assert!(silence >= Duration::from_millis(99), "{silence:?}");
+    for _ in 0..50 {
+        gate.ran(Duration::from_secs(5));
+    }
+    assert_eq!(gate.silence(), Duration::from_millis(400));
+}
