Gather configurations that come in bursts, and wait for a relay after an outage

Change: the watch of the configuration pauses 60 ms, 120 ms ... at most 500 ms within a burst; a single change is seen at once as before. A node of a large fleet waits up to 1.2 s for a relay behind an outage.

--- a/crates/dyketally-gateway/src/feed.rs
+++ b/crates/dyketally-gateway/src/feed.rs
@@ -392,7 +392,8 @@
         self.zone_relays().contains(&self.settings.node.name)
     }
 
-    fn relay_to_follow(&self) -> Option<SocketAddr> {
+    /// The relay that this node should follow, if there is one.
+    pub fn relay_to_follow(&self) -> Option<SocketAddr> {
         let relays = self.zone_relays();
         if relays.contains(&self.settings.node.name) {
             return None;
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -36,6 +36,14 @@
 /// databases and nodes then tend to start as well.
 const SETTLING: Duration = Duration::from_secs(6);
 const SETTLING_PER_NODE: Duration = Duration::from_millis(10);
+/// Pause behind changes that come one upon the other, and the quiet that ends such a burst.
+const BURST_PAUSE: Backoff = Backoff {
+    first: Duration::from_millis(60),
+    longest: Duration::from_millis(500),
+};
+const BURST_ENDS: Duration = Duration::from_secs(1);
+/// How long a node of a large fleet waits for a relay once the store is back, before it asks itself.
+const RELAY_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// What a follower is told.
 pub enum StoreUpdate {
@@ -50,13 +58,22 @@
 pub struct Followed {
     /// What the keys begin with.
     pub prefix: String,
-    /// Pause after a change before the watch goes on, for each key beyond a few: changes that come
-    /// close together, as when many nodes start, then come with one call. Calls may be dear.
-    pub gathering_per_key: Duration,
+    /// Pause after a change before the watch goes on: changes that come close together then come
+    /// with one call. Calls may be dear.
+    pub gathering: Gathering,
     /// Set when relays may pass the keys on, so that this node needn't watch them itself.
     pub subject: Option<Subject>,
 }
 
+/// How long to pause behind a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gathering {
+    /// So long for each key beyond a few, since many nodes tend to start together.
+    PerKey(Duration),
+    /// Longer and longer within a burst of changes.
+    Bursts,
+}
+
 /// Follows keys and passes on what changes, forever.
 pub async fn follow(
     gateway: Rc<Gateway>,
@@ -83,6 +100,10 @@
             Ok(reply) => reply,
             Err(error) => {
                 progress.after(&error).await;
+                if followed.subject.is_some() && gateway.relay_to_follow().is_some() {
+                    // If none feeds this node by then it asks the store itself.
+                    let _ = tokio::time::timeout(RELAY_LIMIT, feed.until_fed()).await;
+                }
                 continue;
             }
         };
@@ -128,7 +149,7 @@
     let gateway = progress.gateway.clone();
     let error = match store.watch(request).await {
         Ok(batches) => tokio::select! {
-            error = watch_batches(batches, followed.gathering_per_key, sink, progress) => error,
+            error = watch_batches(batches, followed.gathering, sink, progress) => error,
             // The watch may have been lost together with the store, and say nothing.
             () = gateway.membership.store_regained.notified() => return,
         },
@@ -142,7 +163,7 @@
 /// Passes on what a watch reports, until it ends.
 async fn watch_batches(
     batches: WatchStream,
-    gathering_per_key: Duration,
+    gathering: Gathering,
     sink: &impl Fn(StoreUpdate),
     progress: &mut Progress,
 ) -> StoreError {
@@ -161,7 +182,7 @@
             sink(StoreUpdate::Changed(event));
         }
         if any {
-            tokio::time::sleep(progress.gathering(gathering_per_key)).await;
+            tokio::time::sleep(progress.pause(gathering)).await;
         }
     }
     StoreError::Unavailable {
@@ -176,23 +197,43 @@
     started: Instant,
     /// True once all keys were read.
     was_read: bool,
+    /// When the last change came, and how many came in this burst before it.
+    changed: Option<Instant>,
+    burst: u32,
     failures: u32,
 }
 
 impl Progress {
     /// Pause behind a change, before the watch goes on.
-    fn gathering(&self, per_key: Duration) -> Duration {
-        if per_key.is_zero() {
-            return per_key;
+    fn pause(&mut self, gathering: Gathering) -> Duration {
+        match gathering {
+            Gathering::PerKey(per_key) => self.pause_per_key(per_key),
+            Gathering::Bursts => self.pause_in_burst(),
         }
+    }
+
+    fn pause_per_key(&self, per_key: Duration) -> Duration {
         let keys = self.keys.len().saturating_sub(FEW_KEYS);
-        let mut gathering = per_key.saturating_mul(u32::try_from(keys).unwrap_or(u32::MAX));
+        let mut pause = per_key.saturating_mul(u32::try_from(keys).unwrap_or(u32::MAX));
         if self.started.elapsed() < SETTLING {
             let nodes = self.gateway.membership.node_count();
             let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-            gathering = gathering.max(SETTLING_PER_NODE.saturating_mul(nodes));
+            pause = pause.max(SETTLING_PER_NODE.saturating_mul(nodes));
         }
-        gathering.min(LONGEST_GATHERING)
+        pause.min(LONGEST_GATHERING)
+    }
+
+    fn pause_in_burst(&mut self) -> Duration {
+        let now = Instant::now();
+        let goes_on = self
+            .changed
+            .is_some_and(|at| now.duration_since(at) < BURST_ENDS);
+        self.burst = match goes_on {
+            true => self.burst + 1,
+            false => 0,
+        };
+        self.changed = Some(now);
+        BURST_PAUSE.longest_delay(self.burst)
     }
 
     fn note(&mut self, event: &WatchEvent) {
@@ -209,6 +250,8 @@
             keys: HashSet::new(),
             started: Instant::now(),
             was_read: false,
+            changed: None,
+            burst: 0,
             failures: 0,
         }
     }
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node.rs
@@ -15,7 +15,7 @@
 
 use crate::event::Event;
 use crate::feed::{Sink, Subject, follow_relays};
-use crate::follow::{Followed, StoreUpdate, follow};
+use crate::follow::{Followed, Gathering, StoreUpdate, follow};
 use crate::gateway::{Gateway, StopPhase};
 use crate::member::Member;
 use crate::membership::{Keys, NodeRecord};
@@ -213,10 +213,10 @@
     let announcements: Sink = Rc::new(move |update| reader.take_announcements(update));
     let member = member.clone();
     let nodes: Sink = Rc::new(move |update| member.take_in(update));
-    let start = |prefix, gathering_per_key, subject, sink: &Sink| {
+    let start = |prefix, gathering, subject, sink: &Sink| {
         let followed = Followed {
             prefix,
-            gathering_per_key,
+            gathering,
             subject,
         };
         let following = follow(gateway.clone(), store.clone(), followed, sink.clone());
@@ -224,19 +224,19 @@
     };
     start(
         documents.configuration_key(),
-        Duration::ZERO,
+        Gathering::Bursts,
         None,
         &configuration,
     );
     start(
         documents.announcements_prefix(),
-        ANNOUNCEMENTS_GATHERING,
+        Gathering::PerKey(ANNOUNCEMENTS_GATHERING),
         Some(Subject::Announcements),
         &announcements,
     );
     start(
         documents.own_prefix(),
-        NODES_GATHERING,
+        Gathering::PerKey(NODES_GATHERING),
         Some(Subject::Nodes),
         &nodes,
     );
