Let queues be longer while they even out a burst

Change: a gate whose queue was empty within the last second has patience of half the objective, else of an eighth. Followers of the store hear at once when any call of the node is answered again.

--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/checkout.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::admission::Patience;
 use dyketally::statement::FailureKind;
 use tokio::time::Instant;
 
@@ -30,8 +31,8 @@
     pub priority: u32,
     /// How long it may wait for a database to be reached.
     pub until: Instant,
-    /// How long it may wait for a connection that others use.
-    pub queue: Duration,
+    /// How long it may wait behind others.
+    pub patience: Patience,
     /// What the connection is wanted for.
     pub work: Work,
 }
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/follow.rs
@@ -108,6 +108,7 @@
             }
         };
         progress.reset();
+        gateway.membership.store_answered();
         progress.was_read = true;
         progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
         sink(StoreUpdate::All(reply.entries));
@@ -285,7 +286,11 @@
         let membership = &self.gateway.membership;
         membership.check_store.notify_one();
         let regained = membership.store_regained.notified();
-        tokio::time::sleep(PAUSE.delay(self.failures, &mut rand::rng())).await;
+        tokio::pin!(regained);
+        let pause = PAUSE.delay(self.failures, &mut rand::rng());
+        if tokio::time::timeout(pause, &mut regained).await.is_ok() {
+            return;
+        }
         // Before its first read a node has nothing to serve with, so it goes on asking.
         if self.was_read && membership.store_is_failing() {
             // Either way it is time to ask.
--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/home.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::admission::Patience;
 use dyketally::statement::FailureKind;
 use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
@@ -146,7 +147,10 @@
     let claim = Claim {
         priority: call.priority,
         until: Instant::now() + Duration::from_millis(call.patience_ms.into()),
-        queue: Duration::from_millis(call.queue_ms.into()),
+        patience: Patience {
+            burst: Duration::from_millis(call.burst_ms.into()),
+            standing: Duration::from_millis(call.standing_ms.into()),
+        },
         work: call.work,
     };
     let checkout = gateway.own_checkout(&target, values, claim);
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/link.rs
@@ -42,8 +42,11 @@
     pub priority: u32,
     /// How long the call may take to reach the database, in milliseconds.
     pub patience_ms: u32,
-    /// How long the call may wait for a connection that others use, in milliseconds.
-    pub queue_ms: u32,
+    /// How long the call may wait behind others while their queue evens out a burst, in
+    /// milliseconds.
+    pub burst_ms: u32,
+    /// The same while their queue stands.
+    pub standing_ms: u32,
     /// What the connection is wanted for.
     pub work: Work,
     /// What to run; only the receiver has one of its own.
@@ -214,8 +217,9 @@
             let call = Call {
                 database: self.database.clone(),
                 priority: self.claim.priority,
-                patience_ms: left.as_millis().try_into().unwrap_or(u32::MAX),
-                queue_ms: self.claim.queue.as_millis().try_into().unwrap_or(u32::MAX),
+                patience_ms: milliseconds(left),
+                burst_ms: milliseconds(self.claim.patience.burst),
+                standing_ms: milliseconds(self.claim.patience.standing),
                 work: self.claim.work,
                 batch: Cow::Borrowed(batch),
             };
@@ -267,3 +271,7 @@
         }))
     }
 }
+
+fn milliseconds(duration: Duration) -> u32 {
+    duration.as_millis().try_into().unwrap_or(u32::MAX)
+}
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/pool.rs
@@ -195,11 +195,12 @@
                     return self.open_one(claim.until, pinned, running).await;
                 }
             }
+            let patience = self.gate.borrow().patience(self.now(), claim.patience);
             let expected = self.gate.borrow().expected_wait(claim.priority);
-            if expected.is_some_and(|expected| expected > claim.queue) {
+            if expected.is_some_and(|expected| expected > patience) {
                 return Err(CheckoutError::QueueTooLong);
             }
-            let until = claim.until.min(Instant::now() + claim.queue);
+            let until = claim.until.min(Instant::now() + patience);
             self.wait(claim.priority, Want::Connection(claim.work), until)
                 .await?;
         }
@@ -460,7 +461,7 @@
 
 impl Waiting {
     fn begin(pool: &Rc<Pool>, rank: Rank) -> Self {
-        pool.gate.borrow_mut().waits(rank);
+        pool.gate.borrow_mut().waits(pool.now(), rank);
         Self {
             pool: pool.clone(),
             rank,
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/request.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::admission::Patience;
 use dyketally::freshness::FreshnessNeed;
 use dyketally::group::LogPosition;
 use dyketally::route_policy::RoutePolicy;
@@ -21,9 +22,10 @@
 
 /// Left of the statement's time when a statement that isn't running is given up.
 const ANSWER_RESERVE: Duration = Duration::from_millis(30);
-/// Share of a route's objective for which a statement waits for a connection. In a queue that is
-/// longer all statements are late.
-const QUEUE_SHARE: f64 = 0.125;
+/// Shares of a route's objective for which a statement waits behind others: in a queue that stands all
+/// who wait would be late, and what is refused at once can come back in time.
+const STANDING_QUEUE_SHARE: f64 = 0.125;
+const BURST_QUEUE_SHARE: f64 = 0.5;
 const SHORTEST_QUEUE: Duration = Duration::from_millis(50);
 /// Share of a route's objective after which a statement that found too long a queue is refused.
 const REFUSED_AFTER_SHARE: f64 = 0.4;
@@ -152,11 +154,10 @@
         Claim {
             priority: self.route.priority + 1,
             until: self.give_up(),
-            queue: self
-                .route
-                .latency_objective
-                .mul_f64(QUEUE_SHARE)
-                .max(SHORTEST_QUEUE),
+            patience: Patience {
+                burst: self.share(BURST_QUEUE_SHARE),
+                standing: self.share(STANDING_QUEUE_SHARE),
+            },
             work,
         }
     }
@@ -167,6 +168,11 @@
         consistency.need(self.arrived, self.connected, self.own_commit)
     }
 
+    fn share(&self, share: f64) -> Duration {
+        let objective = self.route.latency_objective;
+        objective.mul_f64(share).max(SHORTEST_QUEUE)
+    }
+
     /// When the statement is given up if it isn't running by then.
     pub fn give_up(&self) -> Instant {
         self.deadline - ANSWER_RESERVE
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::admission::Patience;
 use dyketally::directory::MemberState;
 use dyketally::group::LogPosition;
 use dyketally::identifiers::GroupName;
@@ -200,7 +201,10 @@
     Claim {
         priority: OWN_PRIORITY,
         until,
-        queue: CONFIRM_LIMIT,
+        patience: Patience {
+            burst: CONFIRM_LIMIT,
+            standing: CONFIRM_LIMIT,
+        },
         work: Work::Statements,
     }
 }
--- a/crates/dyketally/src/admission/gate.rs
+++ b/crates/dyketally/src/admission/gate.rs
@@ -14,6 +14,18 @@
 const LONGEST_SILENCE: Duration = Duration::from_millis(400);
 const SILENCE_ASSUMED: Duration = Duration::from_millis(200);
 
+/// A queue that hasn't been empty for so long stands: it no longer evens out a burst.
+const STANDING: Duration = Duration::from_secs(1);
+
+/// How long a statement may wait for its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// While the queue evens out a burst, so that waiting gets the statement served.
+    pub burst: Duration,
+    /// While the queue stands: all who wait would then wait as long as they may.
+    pub standing: Duration,
+}
+
 /// Rank among those who wait; smaller goes first.
 pub type Rank = u32;
 
@@ -24,6 +36,8 @@
     limit: InFlightLimit,
     in_flight: u32,
     waiting: BTreeMap<Rank, u32>,
+    /// Since when someone has waited at any time.
+    waited_since: Option<Timestamp>,
     /// Time between two statements that finish while others wait.
     interval: MovingAverage,
     finished: Option<Timestamp>,
@@ -83,7 +97,8 @@
     }
 
     /// Takes in that someone waits.
-    pub fn waits(&mut self, rank: Rank) {
+    pub fn waits(&mut self, now: Timestamp, rank: Rank) {
+        self.waited_since.get_or_insert(now);
         *self.waiting.entry(rank).or_default() += 1;
     }
 
@@ -95,6 +110,20 @@
                 self.waiting.remove(&rank);
             }
         }
+        if self.waiting.is_empty() {
+            self.waited_since = None;
+        }
+    }
+
+    /// How long someone with `patience` may wait now.
+    pub fn patience(&self, now: Timestamp, patience: Patience) -> Duration {
+        let stands = self
+            .waited_since
+            .is_some_and(|since| now.saturating_since(since) >= STANDING);
+        match stands {
+            true => patience.standing,
+            false => patience.burst,
+        }
     }
 
     /// How long someone of `rank` who comes now would wait; `None` before anything was measured.
--- a/crates/dyketally/src/admission/mod.rs
+++ b/crates/dyketally/src/admission/mod.rs
@@ -17,7 +17,7 @@
 mod submission;
 mod tenant;
 
-pub use gate::{Gate, Rank};
+pub use gate::{Gate, Patience, Rank};
 pub use in_flight::InFlightLimit;
 pub use queue::FairQueue;
 pub use schedule::SAVED_SLOT_TIME;
--- a/crates/dyketally/tests/gate.rs
+++ b/crates/dyketally/tests/gate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dyketally::admission::{Gate, InFlightLimit};
+use dyketally::admission::{Gate, InFlightLimit, Patience};
 use dyketally::time::Timestamp;
 use rstest::rstest;
 
@@ -72,7 +72,7 @@
     for _ in 0..3 {
         gate.begins();
     }
-    gate.waits(2);
+    gate.waits(at(0), 2);
     for ended in 1..20 {
         gate.ended(at(ended * 10));
         gate.begins();
@@ -142,3 +142,37 @@
     }
     assert_eq!(gate.silence(), Duration::from_millis(400));
 }
+
+#[rstest]
+#[case::a_queue_that_has_just_formed(0, 999, 500)]
+#[case::a_queue_that_stands(0, 1_000, 50)]
+fn patience_ends_when_the_queue_stands(
+    #[case] began: u64,
+    #[case] now: u64,
+    #[case] expected_ms: u64,
+) {
+    let patience = Patience {
+        burst: Duration::from_millis(500),
+        standing: Duration::from_millis(50),
+    };
+    let mut gate = Gate::default();
+    gate.waits(at(began), 2);
+    let expected = Duration::from_millis(expected_ms);
+    assert_eq!(gate.patience(at(now), patience), expected);
+}
+
+#[test]
+fn a_queue_that_was_empty_evens_out_bursts_again() {
+    let patience = Patience {
+        burst: Duration::from_millis(500),
+        standing: Duration::from_millis(50),
+    };
+    let mut gate = Gate::default();
+    gate.waits(at(0), 2);
+    gate.waits(at(500), 1);
+    gate.waits_no_more(2);
+    assert_eq!(gate.patience(at(1_500), patience), patience.standing);
+    gate.waits_no_more(1);
+    gate.waits(at(1_600), 2);
+    assert_eq!(gate.patience(at(1_700), patience), patience.burst);
+}
