Tell handovers from takeovers, and don't wait for a former holder that is isolated already

A handover whose step-down got no answer went on with positions from before a slow fence, and without suspending replicas where these acknowledge commits.

Change: while a node holds the duty only the duty's renewals count as its contact, which ends before that lease lapses; a fence that only the former holder doesn't confirm closes at once. Fence and survey go side by side. A handover without an answer becomes a takeover, with everything that belongs to it. Fences stand while an appointment may yet take effect. failover.rs is split: noticing, replacing, appointing.

--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/membership.rs
@@ -152,6 +152,8 @@
     /// Nodes whose key is gone, and since when.
     departed: RefCell<BTreeMap<NodeName, (NodeRecord, Instant)>>,
     holder: RefCell<Option<Holder>>,
+    /// Where the last holder heard others whose key went, and since when it is gone.
+    former_holder: Cell<Option<(SocketAddr, Instant)>>,
     heard_holder: RefCell<Option<(NodeRecord, Instant)>>,
     duty_lease: Cell<Option<HeldLease>>,
     duty: Cell<Option<Duty>>,
@@ -242,7 +244,9 @@
 
     fn take_deletion(&self, key: &Key, keys: &Keys) {
         if key == &keys.duty() {
-            self.holder.take();
+            let former = self.holder.take();
+            let former = former.map(|holder| (holder.record.address, Instant::now()));
+            self.former_holder.set(former.or(self.former_holder.get()));
             return;
         }
         let text = key.to_string();
@@ -274,6 +278,12 @@
         (at.elapsed() < HEARSAY_HOLDS).then_some(record.address)
     }
 
+    /// Where the node heard others that held the duty until its lease lapsed, if that was lately.
+    pub fn former_holder(&self) -> Option<SocketAddr> {
+        let (address, since) = self.former_holder.get()?;
+        (since.elapsed() < DEPARTED_REMEMBERED).then_some(address)
+    }
+
     /// Where the node with the duty hears other nodes.
     pub fn holder(&self) -> Option<SocketAddr> {
         let holder = self.holder.borrow();
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -20,6 +20,8 @@
 
 /// How long other nodes may take to tell whether they reach a database.
 const RELAY_SEARCH: Duration = Duration::from_millis(450);
+/// For longer than this no node counts a sign of life that this one gave it.
+const SIGN_OF_LIFE_HOLDS: Duration = Duration::from_millis(1_200);
 const LONGEST_DATAGRAM: usize = 1_024;
 /// Nodes that are asked about a primary.
 const POLLED_AT_MOST: usize = 12;
@@ -72,6 +74,8 @@
         round: u64,
         /// True when it hasn't, since the database has answered it after the suspicion.
         contested: bool,
+        /// Nodes to which the sender has lately given a sign of life.
+        heard: Vec<SocketAddr>,
     },
     /// A database that was fenced isn't replaced.
     LiftFence {
@@ -112,6 +116,8 @@
     fence_rounds: Rounds<FenceReply>,
     life_rounds: Rounds<SocketAddr>,
     next_round: Cell<u64>,
+    /// Nodes that asked this one for a sign of life, and when.
+    asked_by: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 /// Who waits for the replies of which round.
@@ -133,12 +139,14 @@
 }
 
 /// What one node replied to a fence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FenceReply {
     /// Where the node hears others.
     pub from: SocketAddr,
     /// True when the database has answered it since the suspicion.
     pub contested: bool,
+    /// Nodes to which it has lately given a sign of life.
+    pub heard: Vec<SocketAddr>,
 }
 
 /// What one node replied to a poll.
@@ -170,6 +178,7 @@
             fence_rounds: Rounds::default(),
             life_rounds: Rounds::default(),
             next_round: Cell::new(1),
+            asked_by: RefCell::default(),
         })
     }
 
@@ -228,13 +237,28 @@
             } => {
                 let suspected = Duration::from_millis(suspected_ms.into());
                 let contested = !self.gateway.fence(&database, suspected);
-                self.send(from, &PeerMessage::FenceReply { round, contested });
+                let reply = PeerMessage::FenceReply {
+                    round,
+                    contested,
+                    heard: self.heard(),
+                };
+                self.send(from, &reply);
             }
-            PeerMessage::FenceReply { round, contested } => {
-                pass_on(&self.fence_rounds, round, FenceReply { from, contested });
+            PeerMessage::FenceReply {
+                round,
+                contested,
+                heard,
+            } => {
+                let reply = FenceReply {
+                    from,
+                    contested,
+                    heard,
+                };
+                pass_on(&self.fence_rounds, round, reply);
             }
             PeerMessage::LiftFence { database } => self.gateway.lift_fence(&database),
             PeerMessage::AreYouThere { round } => {
+                self.asked_by.borrow_mut().insert(from, Instant::now());
                 let fenced = self.gateway.fences.standing();
                 self.send(from, &PeerMessage::Here { round, fenced });
             }
@@ -255,6 +279,13 @@
         }
     }
 
+    /// Nodes that may count this one among those they are in touch with.
+    pub fn heard(&self) -> Vec<SocketAddr> {
+        let mut asked_by = self.asked_by.borrow_mut();
+        asked_by.retain(|_, at| at.elapsed() < SIGN_OF_LIFE_HOLDS);
+        asked_by.keys().copied().collect()
+    }
+
     /// Sends one message; it may get lost.
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         if let Ok(bytes) = postcard::to_stdvec(message) {
--- /dev/null
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -0,0 +1,119 @@
+//! Appoints a database as primary, with a fencing token that appointed no other one of its group.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::failover::TokenUse;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use tokio::time::Instant;
+
+use crate::membership::Duty;
+use crate::peer::PeerMessage;
+use crate::ports::Appointment;
+use crate::succession::confirm::Confirmation;
+use crate::succession::failover::Failover;
+use crate::target::Target;
+
+/// How long an appointed database may take to lead.
+const TAKE_LEAD_LIMIT: Duration = Duration::from_millis(3_500);
+/// Pause between two looks whether it leads.
+const TAKE_LEAD_PAUSE: Duration = Duration::from_millis(60);
+/// Appointments of one successor in a row that get no answer.
+const APPOINTMENTS_AT_MOST: u32 = 6;
+
+/// What became of an appointment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Appointed {
+    /// The database leads.
+    Leads,
+    /// It may yet take the lead.
+    Perhaps,
+    /// It won't.
+    Never,
+}
+
+impl Failover {
+    /// Appoints `successor` and waits until it leads. An appointment without an answer is repeated.
+    pub(super) async fn appoint(
+        self: &Rc<Self>,
+        group: &GroupName,
+        successor: &DatabaseName,
+    ) -> Appointed {
+        let mut otherwise = Appointed::Never;
+        for _ in 0..APPOINTMENTS_AT_MOST {
+            let Some(duty) = self.token_for(group, successor).await else {
+                self.step(
+                    group,
+                    "no token",
+                    "the duty could not be renewed".to_owned(),
+                );
+                return otherwise;
+            };
+            let holder = self.gateway.settings.node.name.as_str();
+            let appointed = self.control.appoint(group, successor, holder, duty.token);
+            let appointment = appointed.await;
+            let detail = format!("{successor} with token {}: {appointment:?}", duty.token);
+            self.step(group, "appoint", detail);
+            match appointment {
+                Appointment::Accepted => {
+                    return match self.wait_for_lead(group, successor).await {
+                        true => Appointed::Leads,
+                        false => Appointed::Perhaps,
+                    };
+                }
+                Appointment::Unknown => otherwise = Appointed::Perhaps,
+                Appointment::Refused | Appointment::Later => return otherwise,
+            }
+        }
+        otherwise
+    }
+
+    /// A token with which no other database of the group was appointed.
+    async fn token_for(&self, group: &GroupName, successor: &DatabaseName) -> Option<Duty> {
+        let membership = &self.gateway.membership;
+        let held = membership.last_duty()?;
+        let token_use = self
+            .appointments
+            .borrow()
+            .token_use(group, successor, held.token);
+        let unchallenged = membership.duty().is_some() || membership.store_lost();
+        let duty = match (token_use, unchallenged) {
+            (TokenUse::Use, true) => held,
+            _ => self.duty.renew_token().await?,
+        };
+        let mut appointments = self.appointments.borrow_mut();
+        appointments.appointing(group, successor, duty.token);
+        Some(duty)
+    }
+
+    async fn wait_for_lead(self: &Rc<Self>, group: &GroupName, successor: &DatabaseName) -> bool {
+        let Some(target) = self.member_target(successor) else {
+            return false;
+        };
+        let until = Instant::now() + TAKE_LEAD_LIMIT;
+        while Instant::now() < until {
+            if self.gateway.confirm_leader(&target).await == Confirmation::Leads {
+                self.gateway.leads(&target);
+                self.peers.broadcast(&PeerMessage::Leads {
+                    group: group.clone(),
+                    database: successor.clone(),
+                });
+                self.step(group, "done", format!("{successor} leads"));
+                return true;
+            }
+            tokio::time::sleep(TAKE_LEAD_PAUSE).await;
+        }
+        self.step(
+            group,
+            "not led",
+            format!("{successor} didn't take the lead"),
+        );
+        false
+    }
+
+    fn member_target(&self, name: &DatabaseName) -> Option<Target> {
+        let directory = self.gateway.directory.borrow();
+        let member = directory.member(name)?;
+        Some(self.gateway.target(member, false))
+    }
+}
--- a/crates/dyketally-gateway/src/succession/duty.rs
+++ b/crates/dyketally-gateway/src/succession/duty.rs
@@ -166,7 +166,7 @@
 
     async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
         let asked = Instant::now();
-        let time_to_live = self.gateway.renew_lease(&*self.store, lease).await?;
+        let time_to_live = self.gateway.renew_duty(&*self.store, lease).await?;
         let until = asked + time_to_live;
         self.membership()
             .hold_duty_lease(HeldLease { id: lease, until });
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -152,12 +152,18 @@
             true => round.confirmed(gateway.now()),
             false => round.contested(),
         }
+        // Silent nodes that may be in touch with a majority by way of those that confirm.
+        let mut heard: HashSet<SocketAddr> = self.peers.heard().into_iter().collect();
         let mut ask_at = began;
         let mut published: Option<Rc<Cell<Option<Timestamp>>>> = None;
         loop {
             if let Some(at) = published.as_ref().and_then(|published| published.get()) {
                 round.published(at);
             }
+            let former_holder = gateway.membership.former_holder();
+            let lapsed = former_holder
+                .is_some_and(|holder| silent.contains(&holder) && !heard.contains(&holder));
+            round.lapsed(usize::from(lapsed));
             let verdict = round.verdict(gateway.now());
             if verdict != FenceVerdict::Open {
                 return (verdict, round);
@@ -170,10 +176,14 @@
                 ask_at = Instant::now() + ASK_AGAIN;
             }
             let reply = tokio::time::timeout_at(ask_at, replies.receiver.recv()).await;
-            match reply {
-                Ok(Some(reply)) if reply.contested => round.contested(),
-                Ok(Some(reply)) if silent.remove(&reply.from) => round.confirmed(gateway.now()),
-                _ => {}
+            let Ok(Some(reply)) = reply else {
+                continue;
+            };
+            heard.extend(reply.heard);
+            match reply.contested {
+                true => round.contested(),
+                false if silent.remove(&reply.from) => round.confirmed(gateway.now()),
+                false => {}
             }
         }
     }
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -29,6 +29,9 @@
 const UNCLEAR_HOLDS: Duration = Duration::from_millis(700);
 /// How long replies of other nodes are waited for.
 const REPLIES_LIMIT: Duration = Duration::from_millis(300);
+/// By so much the contact of a renewal of the duty's lease ends sooner than that of another one:
+/// before the lease does.
+const DUTY_CONTACT_SHORTER: Duration = Duration::from_millis(600);
 /// Pause before the contact is looked at again when there is nothing to ask.
 const REST: Duration = Duration::from_millis(500);
 
@@ -61,7 +64,8 @@
         self.touch.contact.borrow().is_held(self.now())
     }
 
-    /// Renews a lease at `store`, and takes in what that tells of the store.
+    /// Renews this node's own lease at `store`, and takes in what that tells of the store. While the
+    /// node holds the duty only [`Gateway::renew_duty`] counts as contact.
     ///
     /// # Errors
     /// The lease has lapsed, or the store didn't answer.
@@ -72,12 +76,35 @@
     ) -> Result<Duration, StoreError> {
         let asked = self.now();
         let renewed = self.membership.renew(store, lease).await;
-        if renewed.is_ok() {
+        if renewed.is_ok() && self.membership.last_duty().is_none() {
             self.store_replied(asked);
         }
         renewed
     }
 
+    /// Renews the duty's lease at `store`. The contact that follows ends before the lease can lapse,
+    /// so that whoever takes the duty next knows that its former holder is out of touch.
+    ///
+    /// # Errors
+    /// The lease has lapsed, or the store didn't answer.
+    pub async fn renew_duty(
+        &self,
+        store: &dyn KeyValueStore,
+        lease: LeaseId,
+    ) -> Result<Duration, StoreError> {
+        let asked = self.now();
+        let renewed = self.membership.renew(store, lease).await;
+        if renewed.is_ok() {
+            self.store_replied(asked - DUTY_CONTACT_SHORTER);
+        }
+        renewed
+    }
+
+    /// Takes in that this node gives back its leases.
+    pub fn gives_back_leases(&self) {
+        self.touch.contact.borrow_mut().store_given_up();
+    }
+
     /// Takes in that the store replied to what was asked at `asked`.
     pub fn store_replied(&self, asked: Timestamp) {
         self.touch.contact.borrow_mut().store_replied(asked);
--- /dev/null
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -0,0 +1,313 @@
+//! Replaces a primary: a planned handover where it answers, else a fence around it; and the choice of
+//! the database that succeeds it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dyketally::directory::MemberState;
+use dyketally::failover::{Candidate, Succession, choose_successor};
+use dyketally::group::LogPosition;
+use dyketally::identifiers::{DatabaseName, GroupName};
+use tokio::time::Instant;
+
+use crate::ports::OwnStatement;
+use crate::succession::appointment::Appointed;
+use crate::succession::failover::{Cause, Failover, LEADERLESS, RETRY_PAUSE};
+use crate::target::Target;
+
+/// How long a database may take to tell its status.
+const STATUS_LIMIT: Duration = Duration::from_millis(400);
+/// How long the databases' positions may be taken for those of now.
+const SURVEY_HOLDS: Duration = Duration::from_millis(250);
+/// How long a primary that should hand over is asked to.
+const STEP_DOWN_LIMIT: Duration = Duration::from_millis(1_200);
+/// How long a planned handover waits for the successor's log.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at the successor's log.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(15);
+
+impl Failover {
+    /// Gives the group another primary; true when it leads.
+    pub(super) async fn replace(self: &Rc<Self>, group: &GroupName, cause: &Cause) -> bool {
+        let succeeded = match cause {
+            Cause::Leaves(old) | Cause::Unlisted(old) => match self.hand_over(group, old).await {
+                Handover::Leads => true,
+                Handover::Failed => false,
+                // It doesn't answer, so it is replaced like one that is lost.
+                Handover::Unheard => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
+            },
+            Cause::Lost(old, suspected) => self.take_over(group, Some(old), *suspected).await,
+            Cause::Leaderless => self.take_over(group, None, LEADERLESS).await,
+        };
+        if self.acknowledging(group) > 0 && !succeeded {
+            self.survey(group, cause.old(), OwnStatement::Resume).await;
+        }
+        succeeded
+    }
+
+    /// Has the old primary step down, and the database succeed it that has its whole log.
+    async fn hand_over(self: &Rc<Self>, group: &GroupName, old: &Target) -> Handover {
+        let surveyed = self.survey(group, Some(old), OwnStatement::Status).await;
+        if let Some(leading) = &surveyed.leading {
+            self.found(group, leading);
+            return Handover::Leads;
+        }
+        let Some(successor) = self.choose(group, Some(old), &surveyed) else {
+            return Handover::Failed;
+        };
+        let Some(position) = self.step_down(old, surveyed.newest_term + 1).await else {
+            return Handover::Unheard;
+        };
+        let successor = self.caught_up(group, old, position, successor).await;
+        match self.appoint(group, &successor).await {
+            Appointed::Leads => Handover::Leads,
+            Appointed::Perhaps | Appointed::Never => Handover::Failed,
+        }
+    }
+
+    /// Replaces a primary that can't be asked to hand over, which was suspected `suspected` ago; or
+    /// gives a group a primary of which none is known.
+    async fn take_over(
+        self: &Rc<Self>,
+        group: &GroupName,
+        old: Option<&Target>,
+        suspected: Duration,
+    ) -> bool {
+        let Some((surveyed, fenced)) = self.fence_and_survey(group, old, suspected).await else {
+            return false;
+        };
+        let appointed = match &surveyed.leading {
+            Some(leading) => {
+                self.found(group, leading);
+                Appointed::Leads
+            }
+            None => self.appoint_best(group, old, surveyed).await,
+        };
+        // While an appointment may yet take effect the fences stand until they run out.
+        if appointed == Appointed::Never {
+            fenced
+                .iter()
+                .for_each(|database| self.fences.lift(database));
+        }
+        appointed == Appointed::Leads
+    }
+
+    async fn appoint_best(
+        self: &Rc<Self>,
+        group: &GroupName,
+        old: Option<&Target>,
+        mut surveyed: Survey,
+    ) -> Appointed {
+        if self.acknowledging(group) > 0 {
+            let term = surveyed.newest_term + 1;
+            let suspend = OwnStatement::Suspend { term };
+            surveyed = self.survey(group, old, suspend).await;
+        }
+        match self.choose(group, old, &surveyed) {
+            Some(successor) => self.appoint(group, &successor).await,
+            None => Appointed::Never,
+        }
+    }
+
+    /// Has all nodes stop using the old primary, or where none is known those databases that can't
+    /// be asked; and asks the others for their status. `None` when some node may still use one.
+    async fn fence_and_survey(
+        self: &Rc<Self>,
+        group: &GroupName,
+        old: Option<&Target>,
+        suspected: Duration,
+    ) -> Option<(Survey, Vec<DatabaseName>)> {
+        let survey = || self.survey(group, old, OwnStatement::Status);
+        let began = Instant::now();
+        let Some(old) = old else {
+            let surveyed = survey().await;
+            let silent = surveyed.silent();
+            let closed = self.close_fences(group, &silent, suspected).await;
+            return closed.then_some((surveyed, silent));
+        };
+        let fenced = vec![old.name.clone()];
+        let closing = self.close_fences(group, &fenced, suspected);
+        let (closed, surveyed) = futures::join!(closing, survey());
+        if !closed {
+            return None;
+        }
+        // While the fence was closed slowly the replicas may have received more.
+        match began.elapsed() < SURVEY_HOLDS {
+            true => Some((surveyed, fenced)),
+            false => Some((survey().await, fenced)),
+        }
+    }
+
+    async fn close_fences(
+        &self,
+        group: &GroupName,
+        databases: &[DatabaseName],
+        suspected: Duration,
+    ) -> bool {
+        for database in databases {
+            if !self.fences.close(group, database, suspected).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn choose(
+        &self,
+        group: &GroupName,
+        old: Option<&Target>,
+        surveyed: &Survey,
+    ) -> Option<DatabaseName> {
+        let replicas = self.replica_count(group, old);
+        let acknowledging = self.acknowledging(group);
+        match choose_successor(&surveyed.candidates, replicas, acknowledging) {
+            Succession::Promote(successor) => Some(successor),
+            choice => {
+                self.step(group, "no successor", format!("{choice:?}"));
+                None
+            }
+        }
+    }
+
+    fn found(&self, group: &GroupName, leading: &Target) {
+        self.step(group, "found", format!("{leading:?} leads already"));
+        self.gateway.leads(leading);
+    }
+
+    fn acknowledging(&self, group: &GroupName) -> usize {
+        let routes = self.gateway.routes();
+        let limits = routes.groups.get(group);
+        limits.map_or(0, |limits| limits.acknowledging_replicas as usize)
+    }
+
+    fn replica_count(&self, group: &GroupName, old: Option<&Target>) -> usize {
+        let directory = self.gateway.directory.borrow();
+        let members = directory.members(group);
+        let replicas = members.filter(|member| {
+            member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
+        });
+        replicas.count()
+    }
+
+    /// Asks all databases of the group but `old` for their status with `statement`.
+    async fn survey(
+        &self,
+        group: &GroupName,
+        old: Option<&Target>,
+        statement: OwnStatement,
+    ) -> Survey {
+        let members = self.members_but(group, old);
+        let asked = members.iter().map(|(target, ..)| {
+            let statement = statement.clone();
+            self.gateway.ask_status(target, statement, STATUS_LIMIT)
+        });
+        let replies = futures::future::join_all(asked).await;
+        let mut survey = Survey::default();
+        for ((target, ready, preference), status) in members.into_iter().zip(replies) {
+            if let Some(status) = status {
+                survey.newest_term = survey.newest_term.max(status.term);
+                survey.newest_term = survey.newest_term.max(status.received.term.0);
+                if status.leads && ready {
+                    survey.leading = Some(target.clone());
+                }
+            }
+            survey.candidates.push(Candidate {
+                name: target.name,
+                received: status.map(|status| status.received),
+                ready,
+                preference,
+            });
+        }
+        self.step(group, "survey", format!("{:?}", survey.candidates));
+        survey
+    }
+
+    fn members_but(&self, group: &GroupName, old: Option<&Target>) -> Vec<(Target, bool, u32)> {
+        let directory = self.gateway.directory.borrow();
+        let members = directory.members(group).filter(|member| {
+            member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
+        });
+        let described = members.map(|member| {
+            let ready = member.state == MemberState::Ready;
+            let preference = self.gateway.distance(member) as u32;
+            (self.gateway.target(member, false), ready, preference)
+        });
+        described.collect()
+    }
+
+    /// Takes the lead from `old`, so that its log ends; the end of that log. Goes by way of another
+    /// node if this one doesn't reach it.
+    async fn step_down(&self, old: &Target, term: u64) -> Option<LogPosition> {
+        let until = Instant::now() + STEP_DOWN_LIMIT;
+        while Instant::now() < until {
+            let statement = OwnStatement::StepDown { term };
+            let status = self.gateway.ask_status(old, statement, STATUS_LIMIT).await;
+            self.step(&old.group, "step down", format!("{old:?}: {status:?}"));
+            if let Some(status) = status {
+                return Some(status.received);
+            }
+            self.gateway.find_relay(old);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// Waits until a ready database has received `position`; the first that has is chosen.
+    async fn caught_up(
+        &self,
+        group: &GroupName,
+        old: &Target,
+        position: LogPosition,
+        chosen: DatabaseName,
+    ) -> DatabaseName {
+        let until = Instant::now() + CATCH_UP_LIMIT;
+        let mut chosen = chosen;
+        while Instant::now() < until {
+            let survey = self.survey(group, Some(old), OwnStatement::Status).await;
+            let candidates: Vec<Candidate> = survey
+                .candidates
+                .into_iter()
+                .filter(|candidate| candidate.ready)
+                .collect();
+            let choice = choose_successor(&candidates, candidates.len(), 0);
+            if let Succession::Promote(best) = choice {
+                chosen = best;
+            }
+            let holds = candidates
+                .iter()
+                .any(|candidate| candidate.name == chosen && candidate.received >= Some(position));
+            if holds {
+                return chosen;
+            }
+            tokio::time::sleep(CATCH_UP_PAUSE).await;
+        }
+        chosen
+    }
+}
+
+/// What became of a planned handover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Handover {
+    /// Another database leads.
+    Leads,
+    /// None could be appointed.
+    Failed,
+    /// The old primary didn't say that it stepped down, and may go on.
+    Unheard,
+}
+
+#[derive(Debug, Default)]
+struct Survey {
+    candidates: Vec<Candidate>,
+    newest_term: u64,
+    leading: Option<Target>,
+}
+
+impl Survey {
+    /// The databases that didn't tell their status.
+    fn silent(&self) -> Vec<DatabaseName> {
+        let silent = self.candidates.iter();
+        let silent = silent.filter(|candidate| candidate.received.is_none());
+        silent.map(|candidate| candidate.name.clone()).collect()
+    }
+}
--- a/crates/dyketally/src/failover/contact.rs
+++ b/crates/dyketally/src/failover/contact.rs
@@ -35,6 +35,14 @@
         self.store = self.store.max(Some(asked));
     }
 
+    /// Takes in that the node has given back its leases: what it hears from the store from now on
+    /// doesn't count.
+    pub fn store_given_up(&mut self) {
+        if self.store.is_some() {
+            self.store = Some(Timestamp::ZERO);
+        }
+    }
+
     /// Takes in that more than half of the nodes replied to what was asked at `asked`.
     pub fn majority_replied(&mut self, asked: Timestamp) {
         self.replied(asked);
--- a/crates/dyketally/src/failover/fence.rs
+++ b/crates/dyketally/src/failover/fence.rs
@@ -38,6 +38,8 @@
 pub struct FenceRound {
     nodes: usize,
     confirmed: usize,
+    /// Nodes that didn't confirm and are known to be isolated.
+    lapsed: usize,
     contested: bool,
     began: Timestamp,
     /// Since when half of the nodes have confirmed.
@@ -52,6 +54,7 @@
         Self {
             nodes,
             confirmed: 0,
+            lapsed: 0,
             contested: false,
             began: now,
             quorum: None,
@@ -67,6 +70,13 @@
         }
     }
 
+    /// Takes in how many of the nodes that didn't confirm are isolated already: a lease has lapsed by
+    /// whose renewals alone they count as in touch with the store, and no node that confirmed has
+    /// lately given them a sign of life.
+    pub fn lapsed(&mut self, nodes: usize) {
+        self.lapsed = nodes;
+    }
+
     /// Takes in that the primary has answered some node since it was suspected.
     pub fn contested(&mut self) {
         self.contested = true;
@@ -88,10 +98,13 @@
         let lasted = |since: Option<Timestamp>, time| {
             since.is_some_and(|since| now.saturating_since(since) >= time)
         };
+        let pending = self.published.is_some() && self.quorum.is_some();
+        if pending && self.confirmed + self.lapsed >= self.nodes {
+            return FenceVerdict::Closed;
+        }
         if lasted(self.published, STORE_ISOLATES) && lasted(self.quorum, QUORUM_ISOLATES) {
             return FenceVerdict::Closed;
         }
-        let pending = self.published.is_some() && self.quorum.is_some();
         match !pending && lasted(Some(self.began), GIVE_UP) {
             true => FenceVerdict::NoQuorum,
             false => FenceVerdict::Open,
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -1,9 +1,11 @@
 //! Decisions of a failover, case by case.
 
 use dyketally::failover::{
-    Candidate, Evidence, PollResult, Succession, Verdict, choose_successor, judge,
+    Candidate, Contact, Evidence, FenceRound, FenceVerdict, PollResult, Succession, Verdict,
+    choose_successor, judge,
 };
 use dyketally::group::{LogPosition, Term};
+use dyketally::time::Timestamp;
 use rstest::rstest;
 
 use Evidence::{Answered, Refused, Silent};
@@ -95,3 +97,69 @@
     let chosen = choose_successor(&candidates, replicas, acknowledging);
     assert_eq!(chosen, expected);
 }
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+/// A fence among five nodes, asked for at 0, that `confirmed` nodes have confirmed at 10 ms.
+fn fence(confirmed: usize) -> FenceRound {
+    let mut round = FenceRound::new(at(0), 5);
+    for _ in 0..confirmed {
+        round.confirmed(at(10));
+    }
+    round
+}
+
+#[rstest]
+#[case::all_confirm(fence(5), 10, FenceVerdict::Closed)]
+#[case::one_is_silent(fence(4), 3_000, FenceVerdict::Open)]
+#[case::the_store_is_never_told(fence(4), 4_000, FenceVerdict::NoQuorum)]
+#[case::too_few_confirm(fence(2), 4_000, FenceVerdict::NoQuorum)]
+fn a_fence_that_is_not_published(
+    #[case] round: FenceRound,
+    #[case] now: u64,
+    #[case] verdict: FenceVerdict,
+) {
+    assert_eq!(round.verdict(at(now)), verdict);
+}
+
+#[rstest]
+#[case::silent_nodes_may_be_in_touch(0, 3_399, FenceVerdict::Open)]
+#[case::silent_nodes_are_isolated(0, 3_400, FenceVerdict::Closed)]
+#[case::the_only_silent_node_is_isolated_already(1, 200, FenceVerdict::Closed)]
+fn a_fence_that_the_store_tells_of(
+    #[case] lapsed: usize,
+    #[case] now: u64,
+    #[case] verdict: FenceVerdict,
+) {
+    let mut round = fence(4);
+    round.published(at(200));
+    round.lapsed(lapsed);
+    assert_eq!(round.verdict(at(now)), verdict);
+}
+
+#[test]
+fn a_former_holder_that_is_silent_beside_another_node_changes_nothing() {
+    let mut round = fence(3);
+    round.published(at(200));
+    round.lapsed(1);
+    assert_eq!(round.verdict(at(3_000)), FenceVerdict::Open);
+}
+
+#[test]
+fn a_contested_fence_is_never_closed() {
+    let mut round = fence(5);
+    round.contested();
+    assert_eq!(round.verdict(at(10_000)), FenceVerdict::Contested);
+}
+
+#[test]
+fn a_node_that_gives_back_its_leases_counts_only_other_nodes() {
+    let mut contact = Contact::default();
+    contact.store_replied(at(10_000));
+    assert!(contact.is_held(at(10_100)));
+    contact.store_given_up();
+    assert!(!contact.is_held(at(10_100)));
+    assert_eq!(contact.ask_nodes_at(None), Some(at(2_300)));
+}
