Lift fences everywhere, and give a primary that can be reached again time to be listed

Change: lifting deletes the store's key and goes to all nodes that may run; fences heard of keep their age, and don't come back once lifted (failover::Fences); a primary has 2 s to be listed again behind a fence that couldn't be closed.

--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use dyketally::directory::{Directory, DirectoryChange};
+use dyketally::failover::Fences;
 use dyketally::freshness::{Observation, Observations};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
@@ -28,7 +29,6 @@
 use crate::pool::Pool;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::settings::Settings;
-use crate::succession::fence::Fences;
 use crate::succession::lead::{Touch, Vettings};
 
 /// Observations are kept for at least this long.
@@ -94,7 +94,7 @@
     /// Copies of the store's keys, as they are passed on between nodes.
     pub feed: Feed,
     /// Databases that are being replaced.
-    pub fences: Fences,
+    pub fences: RefCell<Fences>,
     /// Whether this node would hear of a primary that is replaced.
     pub touch: Touch,
     /// When the directory was last read as a whole.
@@ -133,7 +133,7 @@
             homes: Homes::default(),
             links: Links::default(),
             feed: Feed::default(),
-            fences: Fences::default(),
+            fences: RefCell::default(),
             touch: Touch::default(),
             listed: Cell::new(None),
             settling: Cell::new(false),
--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/home.rs
@@ -106,7 +106,7 @@
     };
     let target = bound.target.clone();
     match gateway.exchange(&mut checkout, &target, &call.batch).await {
-        Ok(_) if call.batch.needs_leader() && gateway.fences.holds(&target.name) => {
+        Ok(_) if call.batch.needs_leader() && gateway.is_fenced(&target.name) => {
             (CallReply::Broken(Broken::replaced().reason), None)
         }
         Ok(answers) => {
@@ -135,9 +135,9 @@
             unreachable: true,
         }));
     };
-    if call.batch.needs_leader() && gateway.fences.holds(&target.name) {
+    if call.batch.needs_leader() && gateway.is_fenced(&target.name) {
         return Err(CallReply::Refused(Refusal {
-            kind: FailureKind::ReadOnly,
+            kind: FailureKind::Busy,
             unreachable: false,
         }));
     }
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/member.rs
@@ -62,12 +62,17 @@
         let entries = match update {
             StoreUpdate::All(entries) => entries.as_slice(),
             StoreUpdate::Changed(WatchEvent::Put(entry)) => std::slice::from_ref(entry),
-            StoreUpdate::Changed(WatchEvent::Deleted { .. }) => &[],
+            StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => {
+                if let Some(database) = self.keys.fenced(key) {
+                    self.gateway.lift_fence(&database);
+                }
+                return;
+            }
         };
         let fenced = entries
             .iter()
             .filter_map(|entry| self.keys.fenced(&entry.key));
-        fenced.for_each(|database| self.gateway.fences.put_up(database));
+        fenced.for_each(|database| self.gateway.put_up_fence(database));
     }
 
     /// Keeps the lease and the node's key until the process stops.
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/peer.rs
@@ -91,8 +91,8 @@
     Here {
         /// The question.
         round: u64,
-        /// Databases that the sender doesn't take for leaders.
-        fenced: Vec<DatabaseName>,
+        /// Databases that the sender doesn't take for leaders, and for how long, in milliseconds.
+        fenced: Vec<(DatabaseName, u32)>,
     },
     /// The sender's process ends.
     Ends {
@@ -259,13 +259,21 @@
             PeerMessage::LiftFence { database } => self.gateway.lift_fence(&database),
             PeerMessage::AreYouThere { round } => {
                 self.asked_by.borrow_mut().insert(from, Instant::now());
-                let fenced = self.gateway.fences.standing();
+                let gateway = &self.gateway;
+                let standing = gateway.fences.borrow().standing(gateway.now());
+                let fenced = standing.into_iter();
+                let fenced = fenced
+                    .map(|(name, age)| (name, age.as_millis() as u32))
+                    .collect();
                 self.send(from, &PeerMessage::Here { round, fenced });
             }
             PeerMessage::Here { round, fenced } => {
-                for database in fenced {
-                    self.gateway.fences.put_up(database);
+                let now = self.gateway.now();
+                let mut fences = self.gateway.fences.borrow_mut();
+                for (database, age_ms) in fenced {
+                    fences.heard(now, database, Duration::from_millis(age_ms.into()));
                 }
+                drop(fences);
                 pass_on(&self.life_rounds, round, from);
             }
             PeerMessage::Ends { node } => self.gateway.membership.ended(&node),
@@ -302,6 +310,14 @@
         }
     }
 
+    /// Sends one message to all other nodes that may run, listed or not.
+    pub fn broadcast_to_electorate(&self, message: &PeerMessage) {
+        let own = &self.gateway.settings.node.name;
+        for address in self.gateway.membership.electorate(own) {
+            self.send(address, message);
+        }
+    }
+
     fn polled(&self, database: &DatabaseName) -> Vec<SocketAddr> {
         let own = &self.gateway.settings.node.name;
         let mut polled = self.gateway.homes_of(database);
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -25,6 +25,8 @@
 const VOTES_LIMIT: Duration = Duration::from_millis(400);
 /// A suspicion that lasts this long needs fewer votes.
 const PROLONGED: Duration = Duration::from_millis(2_500);
+/// How long a database that can be reached again may take to announce itself.
+const LISTED_AGAIN: Duration = Duration::from_secs(2);
 /// Pause after an attempt that failed.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a group may be without a known primary before it is given one.
@@ -39,6 +41,8 @@
     pub(super) fences: FenceKeeper,
     pub(super) appointments: RefCell<Appointments>,
     busy: RefCell<HashSet<GroupName>>,
+    /// When a fence around the primary of a group couldn't be closed.
+    unclosed: RefCell<HashMap<GroupName, Instant>>,
 }
 
 /// Why a primary is replaced.
@@ -87,6 +91,7 @@
             peers,
             control,
             busy: RefCell::default(),
+            unclosed: RefCell::default(),
             appointments: RefCell::default(),
         })
     }
@@ -151,7 +156,9 @@
         };
         match state {
             MemberState::Draining if holds => return Some(Cause::Leaves(primary)),
-            MemberState::Gone if holds => return Some(Cause::Unlisted(primary)),
+            MemberState::Gone if holds && !self.may_be_listed_again(group) => {
+                return Some(Cause::Unlisted(primary));
+            }
             _ => {}
         }
         let key = (group.clone(), primary.name.clone());
@@ -169,6 +176,21 @@
         }
     }
 
+    /// Takes in that the primary of a group can't be fenced now.
+    pub(super) fn leave_unclosed(&self, group: &GroupName) {
+        let mut unclosed = self.unclosed.borrow_mut();
+        unclosed.insert(group.clone(), Instant::now());
+    }
+
+    /// True shortly after a fence couldn't be closed: some node reaches the primary, so a cut may
+    /// just have healed, and the primary announces itself again.
+    fn may_be_listed_again(&self, group: &GroupName) -> bool {
+        let unclosed = self.unclosed.borrow();
+        unclosed
+            .get(group)
+            .is_some_and(|at| at.elapsed() < LISTED_AGAIN)
+    }
+
     fn suspicions(&self) -> &RefCell<HashMap<(GroupName, DatabaseName), Instant>> {
         &self.gateway.membership.suspicions
     }
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::failover::{FenceRound, FenceVerdict};
+use dyketally::failover::{FENCE_HOLDS, FenceRound, FenceVerdict};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::time::Timestamp;
 use dyketally_store::key_value::{KeyRange, KeyValueStore, Operation, TransactionRequest};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::event::Event;
@@ -18,46 +19,9 @@
 use crate::membership::Keys;
 use crate::peer::{FenceReply, PeerMessage, Peers, Replies};
 
-/// How long a fence stands that nobody lifts.
-const FENCE_HOLDS: Duration = Duration::from_secs(8);
 /// Pause before nodes that didn't confirm are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
 
-/// The databases that this node no longer takes for leaders.
-#[derive(Debug, Default)]
-pub struct Fences {
-    since: RefCell<HashMap<DatabaseName, Instant>>,
-}
-
-impl Fences {
-    /// Puts up a fence.
-    pub fn put_up(&self, database: DatabaseName) {
-        let mut since = self.since.borrow_mut();
-        since.retain(|_, at| at.elapsed() < FENCE_HOLDS);
-        since.insert(database, Instant::now());
-    }
-
-    /// Lifts a fence: the database leads, or wasn't replaced.
-    pub fn lift(&self, database: &DatabaseName) {
-        self.since.borrow_mut().remove(database);
-    }
-
-    /// All databases that mustn't be taken for leaders.
-    pub fn standing(&self) -> Vec<DatabaseName> {
-        let since = self.since.borrow();
-        let standing = since.iter().filter(|(_, at)| at.elapsed() < FENCE_HOLDS);
-        standing.map(|(database, _)| database.clone()).collect()
-    }
-
-    /// True while a database mustn't be taken for a leader.
-    pub fn holds(&self, database: &DatabaseName) -> bool {
-        let since = self.since.borrow();
-        since
-            .get(database)
-            .is_some_and(|at| at.elapsed() < FENCE_HOLDS)
-    }
-}
-
 impl Gateway {
     /// Stops taking `database` for the leader of `group`; false when it has answered this node
     /// since it was suspected `suspected` ago, so that it shouldn't be replaced.
@@ -65,14 +29,24 @@
         if self.has_answered_within(database, suspected) {
             return false;
         }
-        self.fences.put_up(database.clone());
-        self.tell_change();
+        self.put_up_fence(database.clone());
         true
     }
 
+    /// Stops taking `database` for a leader.
+    pub fn put_up_fence(&self, database: DatabaseName) {
+        self.fences.borrow_mut().put_up(self.now(), database);
+        self.tell_change();
+    }
+
+    /// True while `database` mustn't be taken for a leader.
+    pub fn is_fenced(&self, database: &DatabaseName) -> bool {
+        self.fences.borrow().holds(self.now(), database)
+    }
+
     /// Takes `database` for a leader again.
     pub fn lift_fence(&self, database: &DatabaseName) {
-        self.fences.lift(database);
+        self.fences.borrow_mut().lift(self.now(), database);
         self.tell_change();
     }
 
@@ -92,6 +66,16 @@
     peers: Rc<Peers>,
     store: Rc<dyn KeyValueStore>,
     keys: Rc<Keys>,
+    published: RefCell<HashMap<DatabaseName, Rc<Published>>>,
+}
+
+/// A fence that the store tells of.
+#[derive(Debug, Default)]
+struct Published {
+    /// Since when it does.
+    since: Cell<Option<Timestamp>>,
+    /// Told when it should no longer.
+    withdrawn: Notify,
 }
 
 impl FenceKeeper {
@@ -107,6 +91,7 @@
             peers,
             store,
             keys,
+            published: RefCell::default(),
         }
     }
 
@@ -133,9 +118,12 @@
     /// Has all nodes take `database` for a leader again.
     pub fn lift(&self, database: &DatabaseName) {
         self.gateway.lift_fence(database);
-        self.peers.broadcast(&PeerMessage::LiftFence {
-            database: database.clone(),
-        });
+        if let Some(published) = self.published.borrow_mut().remove(database) {
+            published.withdrawn.notify_one();
+        }
+        let database = database.clone();
+        let message = PeerMessage::LiftFence { database };
+        self.peers.broadcast_to_electorate(&message);
     }
 
     async fn ask_until_judged(
@@ -155,9 +143,12 @@
         // Silent nodes that may be in touch with a majority by way of those that confirm.
         let mut heard: HashSet<SocketAddr> = self.peers.heard().into_iter().collect();
         let mut ask_at = began;
-        let mut published: Option<Rc<Cell<Option<Timestamp>>>> = None;
+        let mut published: Option<Rc<Published>> = None;
         loop {
-            if let Some(at) = published.as_ref().and_then(|published| published.get()) {
+            if let Some(at) = published
+                .as_ref()
+                .and_then(|published| published.since.get())
+            {
                 round.published(at);
             }
             let former_holder = gateway.membership.former_holder();
@@ -188,28 +179,31 @@
         }
     }
 
-    /// Tells nodes that don't hear this one, by way of the store, for as long as the fence holds;
-    /// since when the store tells it.
-    fn publish(&self, database: &DatabaseName) -> Rc<Cell<Option<Timestamp>>> {
-        let since = Rc::new(Cell::new(None));
+    /// Tells nodes that don't hear this one, by way of the store, for as long as the fence holds and
+    /// isn't lifted.
+    fn publish(&self, database: &DatabaseName) -> Rc<Published> {
+        let published = Rc::new(Published::default());
         let Some(lease) = self.gateway.membership.duty_lease() else {
-            return since;
+            return published;
         };
+        let mut all = self.published.borrow_mut();
+        all.insert(database.clone(), published.clone());
         let key = self.keys.fence(database);
         let put = self.keys.put(key.clone(), lease.id);
         let store = self.store.clone();
-        let published = since.clone();
         let gateway = self.gateway.clone();
+        let fence = published.clone();
         tokio::task::spawn_local(async move {
             if store.transact(unconditional(put)).await.is_ok() {
-                published.set(Some(gateway.now()));
+                fence.since.set(Some(gateway.now()));
             }
-            tokio::time::sleep(FENCE_HOLDS).await;
+            // Either way the store should no longer tell of it.
+            let _ = tokio::time::timeout(FENCE_HOLDS, fence.withdrawn.notified()).await;
             let deletion = Operation::Delete(KeyRange::key(key));
             // The key goes with the lease if this fails.
             let _ = store.transact(unconditional(deletion)).await;
         });
-        since
+        published
     }
 
     fn others(&self) -> HashSet<SocketAddr> {
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -113,13 +113,13 @@
     /// True when `target` must not be taken for a leader, whatever it says: it is being replaced,
     /// or another database is known to lead.
     fn is_replaced(&self, target: &Target) -> bool {
-        if self.fences.holds(&target.name) {
+        if self.is_fenced(&target.name) {
             return true;
         }
         let directory = self.directory.borrow();
         let primary = directory.primary(&target.group);
         primary.is_some_and(|primary| {
-            primary.name() != &target.name && !self.fences.holds(primary.name())
+            primary.name() != &target.name && !self.is_fenced(primary.name())
         })
     }
 
@@ -140,7 +140,7 @@
     /// True when no other database of the group can have taken the lead by now: this node would
     /// have heard of it, or all others deny it.
     pub async fn is_unrivalled(self: &Rc<Self>, target: &Target) -> bool {
-        if self.fences.holds(&target.name) {
+        if self.is_fenced(&target.name) {
             return false;
         }
         self.is_in_touch() || self.others_deny_leading(target).await
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -74,6 +74,7 @@
         suspected: Duration,
     ) -> bool {
         let Some((surveyed, fenced)) = self.fence_and_survey(group, old, suspected).await else {
+            self.leave_unclosed(group);
             return false;
         };
         let appointed = match &surveyed.leading {
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/target.rs
@@ -37,7 +37,7 @@
     pub fn primary_target(&self, group: &GroupName) -> Option<Target> {
         let directory = self.directory.borrow();
         let primary = directory.primary(group)?;
-        let usable = self.may_lead(primary) && !self.fences.holds(primary.name());
+        let usable = self.may_lead(primary) && !self.is_fenced(primary.name());
         (usable && !self.is_unclear(group)).then(|| self.target(primary, true))
     }
 
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -3,11 +3,13 @@
 mod appointments;
 mod contact;
 mod fence;
+mod fences;
 mod successor;
 mod verdict;
 
 pub use appointments::{Appointments, TokenUse};
 pub use contact::{Contact, is_majority};
 pub use fence::{FenceRound, FenceVerdict};
+pub use fences::{FENCE_HOLDS, Fences};
 pub use successor::{Candidate, Succession, choose_successor};
 pub use verdict::{Evidence, PollResult, Verdict, judge};
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -1,8 +1,8 @@
 //! Decisions of a failover, case by case.
 
 use dyketally::failover::{
-    Candidate, Contact, Evidence, FenceRound, FenceVerdict, PollResult, Succession, Verdict,
-    choose_successor, judge,
+    Candidate, Contact, Evidence, FenceRound, FenceVerdict, Fences, PollResult, Succession,
+    Verdict, choose_successor, judge,
 };
 use dyketally::group::{LogPosition, Term};
 use dyketally::time::Timestamp;
@@ -163,3 +163,50 @@
     assert!(!contact.is_held(at(10_100)));
     assert_eq!(contact.ask_nodes_at(None), Some(at(2_300)));
 }
+
+/// A node's fence around "a" that was put up at 1,000 ms.
+fn fenced() -> Fences {
+    let mut fences = Fences::default();
+    fences.put_up(at(1_000), "a".into());
+    fences
+}
+
+#[test]
+fn a_fence_holds_until_it_is_lifted_or_runs_out() {
+    let mut fences = fenced();
+    assert!(fences.holds(at(8_999), &"a".into()));
+    assert!(!fences.holds(at(9_000), &"a".into()));
+    assert!(!fences.holds(at(2_000), &"b".into()));
+    fences.lift(at(2_000), &"a".into());
+    assert!(!fences.holds(at(2_000), &"a".into()));
+    assert_eq!(fences.standing(at(2_000)), Vec::new());
+}
+
+#[rstest]
+#[case::put_up_before_it_was_lifted_here(1_600, false)]
+#[case::put_up_after_it_was_lifted_here(400, true)]
+fn what_is_heard_of_a_lifted_fence(#[case] age_ms: u64, #[case] holds: bool) {
+    let mut fences = fenced();
+    fences.lift(at(2_000), &"a".into());
+    fences.heard(
+        at(2_500),
+        "a".into(),
+        std::time::Duration::from_millis(age_ms),
+    );
+    assert_eq!(fences.holds(at(2_500), &"a".into()), holds);
+}
+
+#[test]
+fn hearing_of_a_fence_never_makes_it_last_longer() {
+    let (mut one, mut other) = (fenced(), Fences::default());
+    for time in (1_000..20_000).step_by(500) {
+        for (database, age) in one.standing(at(time)) {
+            other.heard(at(time), database, age);
+        }
+        for (database, age) in other.standing(at(time)) {
+            one.heard(at(time), database, age);
+        }
+    }
+    assert!(!one.holds(at(9_000), &"a".into()));
+    assert!(!other.holds(at(9_000), &"a".into()));
+}
