Sort the gateway's files into folders by layer

Cause: thirty files lay flat at its root, and a statement's way couldn't be seen from the folder. Databases, the store, the fleet, statements, succession and the node have folders now; seven files stay at the root.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use crate::metered_store::StoreCalls;
+use crate::store::metered_store::StoreCalls;
 
 /// One count.
 #[derive(Debug, Default)]
--- a/crates/dyketally-gateway/src/health.rs
+++ b/crates/dyketally-gateway/src/database/health.rs
@@ -9,7 +9,7 @@
 use dyketally::retry::Backoff;
 use tokio::time::Instant;
 
-use crate::pool::Pool;
+use crate::database::pool::Pool;
 
 /// Weight of a new sample in the average latency.
 const SAMPLE_WEIGHT: f64 = 0.15;
--- a/crates/dyketally-gateway/src/pool.rs
+++ b/crates/dyketally-gateway/src/database/pool.rs
@@ -13,10 +13,10 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::batch::Batch;
-use crate::checkout::{Claim, Work};
-use crate::connection::{Answer, Broken, Connection, OpenError, Route};
+use crate::database::connection::{Answer, Broken, Connection, OpenError, Route};
 use crate::ports::SharedDatabaseProtocol;
+use crate::statement::batch::Batch;
+use crate::statement::checkout::{Claim, Work};
 
 /// Longest time that opening a connection may take.
 pub const OPEN_LIMIT: Duration = Duration::from_millis(500);
--- a/crates/dyketally-gateway/src/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -11,12 +11,12 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::batch::Reset;
-use crate::checkout::{Checkout, Claim, Refusal, Unanswered};
-use crate::connection::{Broken, leave_idle};
+use crate::database::connection::{Broken, leave_idle};
+use crate::fleet::link::{Call, CallReply, Frames, frames};
 use crate::gateway::Gateway;
-use crate::link::{Call, CallReply, Frames, frames};
-use crate::target::Target;
+use crate::statement::batch::Reset;
+use crate::statement::checkout::{Checkout, Claim, Refusal, Unanswered};
+use crate::statement::target::Target;
 
 /// How long a call goes on whose link was closed, so that its connection can be kept.
 const ABANDONED_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/dyketally-gateway/src/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -9,8 +9,8 @@
 use dyketally::identifiers::DatabaseName;
 use dyketally::placement::{self, Sharing};
 
+use crate::fleet::passed_over::PassedOver;
 use crate::gateway::Gateway;
-use crate::passed_over::PassedOver;
 
 /// Connections assumed where the configuration doesn't tell.
 const GRANTED_ASSUMED: u32 = 16;
--- a/crates/dyketally-gateway/src/link.rs
+++ b/crates/dyketally-gateway/src/fleet/link.rs
@@ -18,11 +18,11 @@
 use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::batch::Batch;
-use crate::checkout::{Claim, Refusal, Work};
-use crate::connection::{Answer, Broken, is_quiet, leave_idle};
+use crate::database::connection::{Answer, Broken, is_quiet, leave_idle};
+use crate::fleet::relay::{self, Opening};
 use crate::gateway::Gateway;
-use crate::relay::{self, Opening};
+use crate::statement::batch::Batch;
+use crate::statement::checkout::{Claim, Refusal, Work};
 
 /// Longest message between nodes.
 const LONGEST_MESSAGE: usize = 4 << 20;
--- a/crates/dyketally-gateway/src/member.rs
+++ b/crates/dyketally-gateway/src/fleet/member.rs
@@ -8,9 +8,9 @@
 use dyketally_store::key_value::{KeyValueStore, LeaseId, TransactionRequest, WatchEvent};
 use tokio::time::Instant;
 
-use crate::follow::StoreUpdate;
+use crate::fleet::membership::{Keys, Membership};
 use crate::gateway::{Gateway, StopPhase};
-use crate::membership::{Keys, Membership};
+use crate::store::follow::StoreUpdate;
 
 /// Time after which the key of a node that is lost goes. Until then it is passed over by those who
 /// fail to reach it, so this may be long, which saves renewals.
--- a/crates/dyketally-gateway/src/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::follow::StoreUpdate;
+use crate::store::follow::StoreUpdate;
 
 /// The duty is laid down this long before its lease can end.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
--- a/crates/dyketally-gateway/src/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -14,9 +14,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::fleet::membership::NodeRecord;
 use crate::gateway::Gateway;
-use crate::membership::NodeRecord;
-use crate::target::Target;
+use crate::statement::target::Target;
 
 /// How long other nodes may take to tell whether they reach a database.
 const RELAY_SEARCH: Duration = Duration::from_millis(450);
--- a/crates/dyketally-gateway/src/relay.rs
+++ b/crates/dyketally-gateway/src/fleet/relay.rs
@@ -11,11 +11,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::connection::prepare_socket;
-use crate::feed;
+use crate::database::connection::prepare_socket;
+use crate::database::pool::OPEN_LIMIT;
+use crate::fleet::home;
 use crate::gateway::Gateway;
-use crate::home;
-use crate::pool::OPEN_LIMIT;
+use crate::store::feed;
 
 const LONGEST_REQUEST: usize = 512;
 /// Connections that a node relays at one time.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -18,17 +18,17 @@
 use tokio::time::Instant;
 
 use crate::counters::Counters;
+use crate::database::health::DatabaseState;
+use crate::database::pool::Pool;
 use crate::event::{Event, EventLog};
-use crate::feed::Feed;
-use crate::health::DatabaseState;
-use crate::homes::Homes;
-use crate::link::Links;
-use crate::membership::Membership;
-use crate::metered_store::StoreCalls;
-use crate::peer::Peers;
-use crate::pool::Pool;
+use crate::fleet::homes::Homes;
+use crate::fleet::link::Links;
+use crate::fleet::membership::Membership;
+use crate::fleet::peer::Peers;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::settings::Settings;
+use crate::store::feed::Feed;
+use crate::store::metered_store::StoreCalls;
 use crate::succession::lead::{Touch, Vettings};
 
 /// Observations are kept for at least this long.
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -5,35 +5,17 @@
 //! own to the databases, and takes part in electing the one node that replaces lost primaries. All
 //! tasks of a process run on one thread, so state is shared without locks.
 
-mod batch;
-mod checkout;
-mod connection;
 mod counters;
+mod database;
 mod event;
-mod feed;
-mod follow;
+pub mod fleet;
 mod gateway;
-mod health;
-mod home;
-mod homes;
-mod link;
-mod member;
-pub mod membership;
-pub mod metered_store;
 mod node;
-mod passed_over;
-mod peer;
-mod pool;
 pub mod ports;
-mod read;
-mod readiness;
-mod relay;
-mod request;
 mod session;
 pub mod settings;
+mod statement;
+pub mod store;
 mod succession;
-mod target;
-mod transaction;
-mod write;
 
 pub use node::{Adapters, run};
--- a/crates/dyketally-gateway/src/node.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -1,5 +1,7 @@
 //! One process of the gateway, assembled from settings and adapters, from start to planned stop.
 
+mod readiness;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,23 +16,24 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
-use crate::feed::{Sink, Subject, follow_relays};
-use crate::follow::{Followed, Gathering, StoreUpdate, follow};
+use crate::fleet::member::Member;
+use crate::fleet::membership::{Keys, NodeRecord};
+use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::relay;
 use crate::gateway::{Gateway, StopPhase};
-use crate::member::Member;
-use crate::membership::{Keys, NodeRecord};
-use crate::metered_store::StoreCalls;
-use crate::peer::{PeerMessage, Peers};
 use crate::ports::{
     PrimaryControl, ReadinessProtocol, SharedCallerProtocol, SharedDatabaseProtocol,
     StoredDocuments,
 };
+use crate::session;
 use crate::settings::Settings;
+use crate::store::feed::{Sink, Subject, follow_relays};
+use crate::store::follow::{Followed, Gathering, StoreUpdate, follow};
+use crate::store::metered_store::StoreCalls;
 use crate::succession::duty::DutyKeeper;
 use crate::succession::failover::Failover;
 use crate::succession::fence::FenceKeeper;
 use crate::succession::lead::keep_in_touch;
-use crate::{readiness, relay, session};
 
 /// Pause between two rounds of tidying up.
 const TIDY_INTERVAL: Duration = Duration::from_secs(5);
@@ -57,7 +60,7 @@
     pub databases: SharedDatabaseProtocol,
     /// The store.
     pub store: Rc<dyn KeyValueStore>,
-    /// What a [`MeteredStore`](crate::metered_store::MeteredStore) around it counts.
+    /// What a [`MeteredStore`](crate::store::metered_store::MeteredStore) around it counts.
     pub store_calls: Arc<StoreCalls>,
     /// What lies in the store.
     pub documents: Rc<dyn StoredDocuments>,
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -15,11 +15,11 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::connection::prepare_socket;
+use crate::database::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement, Reply};
-use crate::request::{Execution, Request, Served};
-use crate::transaction::{Transaction, TransactionAnswer};
+use crate::statement::request::{Execution, Request, Served};
+use crate::statement::transaction::{Transaction, TransactionAnswer};
 
 /// Longest time from the connection to the first message.
 const INTRODUCTION_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/dyketally-gateway/src/checkout.rs
+++ b/crates/dyketally-gateway/src/statement/checkout.rs
@@ -9,15 +9,15 @@
 use dyketally::statement::FailureKind;
 use tokio::time::Instant;
 
-use crate::batch::{Batch, Reset};
-use crate::connection::{Answer, Broken, OpenError, leave_idle};
+use crate::database::connection::{Answer, Broken, OpenError, leave_idle};
+use crate::database::health::InFlight;
+use crate::database::pool::{self, CheckoutError};
+use crate::fleet::homes::Reach;
+use crate::fleet::link::{CallError, HomeCall};
 use crate::gateway::Gateway;
-use crate::health::InFlight;
-use crate::homes::Reach;
-use crate::link::{CallError, HomeCall};
-use crate::pool::{self, CheckoutError};
 use crate::ports::OwnStatement;
-use crate::target::Target;
+use crate::statement::batch::{Batch, Reset};
+use crate::statement::target::Target;
 
 /// Silence after which a primary is probed while a statement goes on waiting for it.
 const SILENCE: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/dyketally-gateway/src/statement/mod.rs
@@ -0,0 +1,9 @@
+//! Statements on their way: requests, the choice of a database, reads, writes and transactions.
+
+pub mod batch;
+pub mod checkout;
+pub mod read;
+pub mod request;
+pub mod target;
+pub mod transaction;
+pub mod write;
--- a/crates/dyketally-gateway/src/read.rs
+++ b/crates/dyketally-gateway/src/statement/read.rs
@@ -11,14 +11,14 @@
 use futures::stream::FuturesUnordered;
 use tokio::time::Instant;
 
-use crate::batch::{Batch, Step};
-use crate::checkout::Work;
-use crate::connection::{Answer, Broken, leave_idle};
+use crate::database::connection::{Answer, Broken, leave_idle};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
-use crate::request::{Request, Served};
-use crate::target::Target;
-use crate::write::{Attempt, RETRY_PAUSE};
+use crate::statement::batch::{Batch, Step};
+use crate::statement::checkout::Work;
+use crate::statement::request::{Request, Served};
+use crate::statement::target::Target;
+use crate::statement::write::{Attempt, RETRY_PAUSE};
 
 /// Longest wait for an answer before another database is asked as well.
 const HEDGE_AT_MOST: Duration = Duration::from_millis(350);
--- a/crates/dyketally-gateway/src/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -14,11 +14,11 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
-use crate::batch::{SessionContext, Step};
-use crate::checkout::{Claim, Work};
-use crate::connection::Answer;
+use crate::database::connection::Answer;
 use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::statement::batch::{SessionContext, Step};
+use crate::statement::checkout::{Claim, Work};
 
 /// Left of the statement's time when a statement that isn't running is given up.
 const ANSWER_RESERVE: Duration = Duration::from_millis(30);
--- a/crates/dyketally-gateway/src/target.rs
+++ b/crates/dyketally-gateway/src/statement/target.rs
@@ -9,8 +9,8 @@
 use dyketally::placement::Distance;
 use tokio::time::Instant;
 
+use crate::database::health::DatabaseState;
 use crate::gateway::Gateway;
-use crate::health::DatabaseState;
 
 /// Share of the drain bound for which a leaving primary still gets work when nobody succeeds it.
 const LEAVING_PRIMARY_SHARE: f64 = 0.6;
--- a/crates/dyketally-gateway/src/transaction.rs
+++ b/crates/dyketally-gateway/src/statement/transaction.rs
@@ -11,14 +11,14 @@
 use tokio::time::Instant;
 use tokio::time::error::Elapsed;
 
-use crate::batch::{Batch, Flow, Reset, Step};
-use crate::checkout::{Checkout, Unanswered, Work};
-use crate::connection::{Answer, Broken};
+use crate::database::connection::{Answer, Broken};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
-use crate::request::{Request, Served};
-use crate::target::Target;
-use crate::write::RETRY_PAUSE;
+use crate::statement::batch::{Batch, Flow, Reset, Step};
+use crate::statement::checkout::{Checkout, Unanswered, Work};
+use crate::statement::request::{Request, Served};
+use crate::statement::target::Target;
+use crate::statement::write::RETRY_PAUSE;
 
 /// A transaction of a session.
 pub struct Transaction {
--- a/crates/dyketally-gateway/src/write.rs
+++ b/crates/dyketally-gateway/src/statement/write.rs
@@ -6,12 +6,12 @@
 use dyketally::statement::{FailureKind, TransactionState};
 use tokio::time::Instant;
 
-use crate::batch::Batch;
-use crate::checkout::{Checkout, Unanswered, Work};
-use crate::connection::{Answer, Broken};
+use crate::database::connection::{Answer, Broken};
 use crate::gateway::Gateway;
-use crate::request::{Request, Served};
-use crate::target::Target;
+use crate::statement::batch::Batch;
+use crate::statement::checkout::{Checkout, Unanswered, Work};
+use crate::statement::request::{Request, Served};
+use crate::statement::target::Target;
 
 /// Pause before a statement that was not run is sent again.
 pub const RETRY_PAUSE: Duration = Duration::from_millis(25);
--- a/crates/dyketally-gateway/src/feed.rs
+++ b/crates/dyketally-gateway/src/store/feed.rs
@@ -22,11 +22,11 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
-use crate::follow::StoreUpdate;
+use crate::fleet::link::{Frames, frames};
+use crate::fleet::passed_over::PassedOver;
+use crate::fleet::relay::{self, Opening};
 use crate::gateway::Gateway;
-use crate::link::{Frames, frames};
-use crate::passed_over::PassedOver;
-use crate::relay::{self, Opening};
+use crate::store::follow::StoreUpdate;
 
 /// Nodes up to which every node watches the store itself.
 const SMALL_FLEET: usize = 12;
--- a/crates/dyketally-gateway/src/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -14,8 +14,8 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
-use crate::feed::{Sink, Subject};
 use crate::gateway::Gateway;
+use crate::store::feed::{Sink, Subject};
 
 /// Pause before the store is asked again after failures.
 const PAUSE: Backoff = Backoff {
--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -7,12 +7,12 @@
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
-use crate::membership::Duty;
-use crate::peer::PeerMessage;
+use crate::fleet::membership::Duty;
+use crate::fleet::peer::PeerMessage;
 use crate::ports::Appointment;
+use crate::statement::target::Target;
 use crate::succession::confirm::Confirmation;
 use crate::succession::failover::Failover;
-use crate::target::Target;
 
 /// How long an appointed database may take to lead.
 const TAKE_LEAD_LIMIT: Duration = Duration::from_millis(3_500);
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -13,12 +13,12 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
-use crate::batch::Batch;
-use crate::checkout::{Claim, Work};
+use crate::database::pool::OWN_PRIORITY;
 use crate::gateway::Gateway;
-use crate::pool::OWN_PRIORITY;
 use crate::ports::OwnStatement;
-use crate::target::Target;
+use crate::statement::batch::Batch;
+use crate::statement::checkout::{Claim, Work};
+use crate::statement::target::Target;
 
 /// Longest time that a confirmation may take.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/dyketally-gateway/src/succession/duty.rs
+++ b/crates/dyketally-gateway/src/succession/duty.rs
@@ -11,9 +11,9 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
+use crate::fleet::membership::{Duty, HeldLease, Holder, Keys, Membership};
+use crate::fleet::peer::{PeerMessage, Peers};
 use crate::gateway::{Gateway, StopPhase};
-use crate::membership::{Duty, HeldLease, Holder, Keys, Membership};
-use crate::peer::{PeerMessage, Peers};
 
 /// Time after which the duty of a node that is lost is free.
 const LEASE: Duration = Duration::from_millis(2_600);
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -11,13 +11,13 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
+use crate::fleet::peer::{Peers, Vote};
 use crate::gateway::Gateway;
-use crate::peer::{Peers, Vote};
 use crate::ports::PrimaryControl;
+use crate::statement::target::Target;
 use crate::succession::duty::DutyKeeper;
 use crate::succession::fence::FenceKeeper;
 use crate::succession::probe::PROBE_LIMIT;
-use crate::target::Target;
 
 /// How often the holder of the duty looks at all groups without being told to.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -15,9 +15,9 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
+use crate::fleet::membership::Keys;
+use crate::fleet::peer::{FenceReply, PeerMessage, Peers, Replies};
 use crate::gateway::Gateway;
-use crate::membership::Keys;
-use crate::peer::{FenceReply, PeerMessage, Peers, Replies};
 
 /// Pause before nodes that didn't confirm are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -17,10 +17,10 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
+use crate::fleet::peer::{PeerMessage, Peers};
 use crate::gateway::Gateway;
-use crate::peer::{PeerMessage, Peers};
 use crate::ports::OwnStatement;
-use crate::target::Target;
+use crate::statement::target::Target;
 
 /// How long a database may take to tell whether it leads.
 const ROLE_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/dyketally-gateway/src/succession/probe.rs
+++ b/crates/dyketally-gateway/src/succession/probe.rs
@@ -7,10 +7,10 @@
 use dyketally::statement::FailureKind;
 use tokio::time::Instant;
 
-use crate::connection::{Connection, OpenError, Route};
+use crate::database::connection::{Connection, OpenError, Route};
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::target::Target;
+use crate::statement::target::Target;
 
 /// Longest time that a probe may take.
 pub const PROBE_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -11,9 +11,9 @@
 use tokio::time::Instant;
 
 use crate::ports::OwnStatement;
+use crate::statement::target::Target;
 use crate::succession::appointment::Appointed;
 use crate::succession::failover::{Cause, Failover, LEADERLESS, RETRY_PAUSE};
-use crate::target::Target;
 
 /// How long a database may take to tell its status.
 const STATUS_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/dyketally-gateway/tests/logs_page.rs
+++ b/crates/dyketally-gateway/tests/logs_page.rs
@@ -35,7 +35,7 @@
 
 fn counters() -> Vec<String> {
     let own = fields("src/counters.rs", ": Counter,");
-    let store = fields("src/metered_store.rs", ": AtomicU64,");
+    let store = fields("src/store/metered_store.rs", ": AtomicU64,");
     [own, store].concat()
 }
 
--- a/crates/dyketally-gateway/tests/membership.rs
+++ b/crates/dyketally-gateway/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dyketally_gateway::membership::Membership;
+use dyketally_gateway::fleet::membership::Membership;
 use futures::FutureExt;
 
 /// Whoever hears from the store first after it failed tells all who wait for it: watches that were
