--- a/crates/dyketally-gateway/src/database/pool.rs
+++ b/crates/dyketally-gateway/src/database/pool/mod.rs
@@ -1,23 +1,28 @@
 //! This node's connections to one database: opened on demand, handed out by priority.
 
+mod checkout;
+mod guards;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::admission::{Gate, Rank};
+use dyketally::admission::Gate;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::statement::FailureKind;
 use dyketally::time::Timestamp;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::database::connection::{Answer, Broken, Connection, OpenError, Route};
+use crate::database::connection::{Answer, Connection, OpenError, Route};
 use crate::ports::SharedDatabaseProtocol;
-use crate::statement::batch::Batch;
 use crate::statement::checkout::{Claim, Work};
 
+pub use self::checkout::Checkout;
+use self::guards::{OpenSlot, Pinned, Running, Waiting};
+
 /// Longest time that opening a connection may take.
 pub const OPEN_LIMIT: Duration = Duration::from_millis(500);
 /// How long the last idle connection is kept.
@@ -385,171 +390,3 @@
 fn is_overload(error: &OpenError) -> bool {
     matches!(error, OpenError::TurnedAway(failure) if failure.kind == FailureKind::Overloaded)
 }
-
-/// Counts a connection that is being opened, unless it comes to nothing.
-struct OpenSlot {
-    pool: Option<Rc<Pool>>,
-}
-
-impl OpenSlot {
-    fn take(pool: &Rc<Pool>) -> Self {
-        pool.open.set(pool.open.get() + 1);
-        Self {
-            pool: Some(pool.clone()),
-        }
-    }
-
-    fn keep(mut self) {
-        self.pool = None;
-    }
-}
-
-impl Drop for OpenSlot {
-    fn drop(&mut self) {
-        if let Some(pool) = self.pool.take() {
-            pool.closed();
-        }
-    }
-}
-
-/// Counts a connection as kept by a transaction until it is dropped.
-struct Pinned {
-    pool: Rc<Pool>,
-}
-
-impl Pinned {
-    fn take(pool: &Rc<Pool>, work: Work) -> Option<Self> {
-        if work == Work::Statements {
-            return None;
-        }
-        pool.pinned.set(pool.pinned.get() + 1);
-        Some(Self { pool: pool.clone() })
-    }
-}
-
-impl Drop for Pinned {
-    fn drop(&mut self) {
-        self.pool.pinned.set(self.pool.pinned.get() - 1);
-        self.pool.wake_next();
-    }
-}
-
-/// Counts a statement as in flight until it is dropped.
-struct Running {
-    pool: Rc<Pool>,
-}
-
-impl Running {
-    fn begin(pool: &Rc<Pool>) -> Self {
-        pool.gate.borrow_mut().begins();
-        Self { pool: pool.clone() }
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.pool.gate.borrow_mut().ended(self.pool.now());
-        self.pool.wake_next();
-    }
-}
-
-/// Counts someone as waiting until it is dropped.
-struct Waiting {
-    pool: Rc<Pool>,
-    rank: Rank,
-}
-
-impl Waiting {
-    fn begin(pool: &Rc<Pool>, rank: Rank) -> Self {
-        pool.gate.borrow_mut().waits(pool.now(), rank);
-        Self {
-            pool: pool.clone(),
-            rank,
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.pool.gate.borrow_mut().waits_no_more(self.rank);
-    }
-}
-
-/// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
-pub struct Checkout {
-    pool: Rc<Pool>,
-    connection: Option<Connection>,
-    pinned: Option<Pinned>,
-    /// Set from the time at which something may run to the end of what runs.
-    running: Option<Running>,
-}
-
-impl Checkout {
-    fn new(
-        pool: Rc<Pool>,
-        connection: Connection,
-        pinned: Option<Pinned>,
-        running: Running,
-    ) -> Self {
-        Self {
-            pool,
-            connection: Some(connection),
-            pinned,
-            running: Some(running),
-        }
-    }
-
-    /// Runs a batch; one that goes on with a transaction waits for its turn first.
-    ///
-    /// # Errors
-    /// The connection broke; any of the steps may have run.
-    pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, Broken> {
-        if self.running.is_none() && batch.takes_slot() {
-            self.running = Some(self.pool.turn().await);
-        }
-        let connection = self
-            .connection
-            .as_mut()
-            .expect("a checkout has its connection until it is given back");
-        let began = Instant::now();
-        let silence = self.pool.gate.borrow().silence();
-        let run = connection.run(batch);
-        tokio::pin!(run);
-        let answers = match tokio::time::timeout(silence, &mut run).await {
-            Ok(answers) => answers?,
-            Err(_) => {
-                self.running = None;
-                run.await?
-            }
-        };
-        self.running = None;
-        self.pool.note_answers(&answers, began.elapsed());
-        Ok(answers)
-    }
-
-    /// Returns the connection for others to use. It must be outside any transaction.
-    pub fn give_back(mut self) {
-        let Some(mut connection) = self.connection.take() else {
-            return;
-        };
-        self.pinned = None;
-        self.running = None;
-        connection.idle_since = Instant::now();
-        if self.pool.open.get() > self.pool.limit.get() {
-            drop(connection);
-            self.pool.closed();
-            return;
-        }
-        self.pool.idle.borrow_mut().push(connection);
-        self.pool.close_surplus();
-        self.pool.wake_next();
-    }
-}
-
-impl Drop for Checkout {
-    fn drop(&mut self) {
-        if self.connection.take().is_some() {
-            self.pool.closed();
-        }
-    }
-}
