--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -62,7 +62,11 @@
                     };
                 }
                 Appointment::Unknown => otherwise = Appointed::Perhaps,
-                Appointment::Refused | Appointment::Later => return otherwise,
+                Appointment::Refused => {
+                    self.appointments.borrow_mut().refused(duty.token);
+                    return otherwise;
+                }
+                Appointment::Later => return otherwise,
             }
         }
         otherwise
--- a/crates/dyketally/src/failover/appointments.rs
+++ b/crates/dyketally/src/failover/appointments.rs
@@ -21,11 +21,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Appointments {
     last: HashMap<GroupName, (u64, DatabaseName)>,
+    /// The greatest token that was refused.
+    refused: Option<u64>,
 }
 
 impl Appointments {
     /// Whether `token` may appoint `database`.
     pub fn token_use(&self, group: &GroupName, database: &DatabaseName, token: u64) -> TokenUse {
+        if self.refused.is_some_and(|refused| token <= refused) {
+            return TokenUse::Renew;
+        }
         let usable = match self.last.get(group) {
             None => true,
             Some((former, _)) if *former < token => true,
@@ -37,6 +42,11 @@
         }
     }
 
+    /// Takes in that the service refused `token`: somebody may hold a greater one.
+    pub fn refused(&mut self, token: u64) {
+        self.refused = self.refused.max(Some(token));
+    }
+
     /// Takes in that `database` is being appointed with `token`.
     pub fn appointing(&mut self, group: &GroupName, database: &DatabaseName, token: u64) {
         self.last.insert(group.clone(), (token, database.clone()));
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -1,8 +1,8 @@
 //! Decisions of a failover, case by case.
 
 use dyketally::failover::{
-    Candidate, Contact, Evidence, FenceRound, FenceVerdict, Fences, PollResult, Succession,
-    Verdict, choose_successor, judge,
+    Appointments, Candidate, Contact, Evidence, FenceRound, FenceVerdict, Fences, PollResult,
+    Succession, TokenUse, Verdict, choose_successor, judge,
 };
 use dyketally::group::{LogPosition, Term};
 use dyketally::time::Timestamp;
@@ -210,3 +210,17 @@
     assert!(!one.holds(at(9_000), &"a".into()));
     assert!(!other.holds(at(9_000), &"a".into()));
 }
+
+#[rstest]
+#[case::the_refused_one(7, TokenUse::Renew)]
+#[case::a_smaller_one(6, TokenUse::Renew)]
+#[case::a_greater_one(8, TokenUse::Use)]
+fn a_token_that_was_refused_is_not_used_again(#[case] token: u64, #[case] expected: TokenUse) {
+    let mut appointments = Appointments::default();
+    appointments.appointing(&"orders".into(), &"a".into(), 7);
+    appointments.refused(7);
+    assert_eq!(
+        appointments.token_use(&"orders".into(), &"a".into(), token),
+        expected
+    );
+}
