Lift the fences of a group that couldn't all be closed

Cause: where several databases of a group without a known primary are silent, fences closed before the first that couldn't be stayed up until they ran out.

--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -23,8 +23,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(150);
 
 impl Gateway {
-    /// Stops taking `database` for the leader of `group`; false when it has answered this node
-    /// since it was suspected `suspected` ago, so that it shouldn't be replaced.
+    /// Stops taking `database` for a leader; false when it has answered this node since it was
+    /// suspected `suspected` ago, so that it shouldn't be replaced.
     pub fn fence(&self, database: &DatabaseName, suspected: Duration) -> bool {
         if self.has_answered_within(database, suspected) {
             return false;
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Has all nodes stop taking `database` for the leader of `group`, which was suspected
-    /// `suspected` ago; false when a successor mustn't be appointed.
+    /// Has all nodes stop taking `database`, which was suspected `suspected` ago, for the leader of
+    /// `group`; false when a successor mustn't be appointed.
     pub async fn close(
         &self,
         group: &GroupName,
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -139,14 +139,17 @@
         }
     }
 
+    /// Closes a fence around each of `databases`, or around none of them.
     async fn close_fences(
         &self,
         group: &GroupName,
         databases: &[DatabaseName],
         suspected: Duration,
     ) -> bool {
-        for database in databases {
+        for (index, database) in databases.iter().enumerate() {
             if !self.fences.close(group, database, suspected).await {
+                let closed = databases[..index].iter();
+                closed.for_each(|database| self.fences.lift(database));
                 return false;
             }
         }
