Never use a connection again that owes an answer

When a COMMIT of a transaction that wrote nothing got no answer in time, its connection was rolled back in the background; the rollback took the late answer for its own, and the next user of the connection got the rollback's as a success.

Change: a connection counts the answers that it is owed. While it is owed any it runs nothing and isn't taken from the pool, whoever gave up waiting.

--- a/crates/dyketally-gateway/src/database/connection.rs
+++ b/crates/dyketally-gateway/src/database/connection.rs
@@ -96,6 +96,8 @@
     values: BTreeMap<String, String>,
     prepared: HashMap<PreparedStatement, String>,
     must_reset: bool,
+    /// Answers that the database owes. Whoever waited for them may have given up.
+    owed: usize,
     /// When it was last given back.
     pub idle_since: Instant,
 }
@@ -138,6 +140,7 @@
             values: BTreeMap::new(),
             prepared: HashMap::new(),
             must_reset: false,
+            owed: 0,
             idle_since: Instant::now(),
         };
         let open = DatabaseCommand::Open {
@@ -161,8 +164,12 @@
     /// Runs a batch: one answer to each step, up to the first that failed where the batch says so.
     ///
     /// # Errors
-    /// The connection broke; any of the steps may have run.
+    /// The connection broke, and any of the steps may have run; or it owes answers to statements that
+    /// were given up, and can't be used any more.
     pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, Broken> {
+        if self.owed > 0 {
+            return Err(Broken::new("an earlier answer is still owed"));
+        }
         let (adoption, name) = self.adopt(batch.context.as_ref());
         let answers = match batch.flow {
             Flow::Together => self.run_together(adoption, &batch.steps, &name).await?,
@@ -211,10 +218,12 @@
     }
 
     async fn exchange(&mut self, commands: &[DatabaseCommand]) -> Result<Vec<Answer>, Broken> {
+        self.owed += commands.len();
         self.send(commands).await.map_err(Broken::new)?;
         let mut answers = Vec::with_capacity(commands.len());
         for _ in commands {
             answers.push(self.answer().await?);
+            self.owed -= 1;
         }
         Ok(answers)
     }
@@ -264,9 +273,9 @@
         }
     }
 
-    /// True when the connection was closed, or has bytes that nobody asked for.
+    /// True when the connection was closed, owes answers, or has bytes that nobody asked for.
     pub fn is_stale(&self) -> bool {
-        !is_quiet(&self.stream) || !self.input.is_empty()
+        self.owed > 0 || !is_quiet(&self.stream) || !self.input.is_empty()
     }
 
     /// How much has to be sent before a session with `values` can use it: 0 for nothing.
