Don't share a database's slots out where every node keeps its own connections

Change: only homes share the slots; elsewhere the limit follows what the database turns away.

Sites whose databases have homes aren't touched.

--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -71,11 +71,14 @@
         }
     }
 
-    /// Nodes that keep connections to a database.
-    pub fn holders(&self, database: &DatabaseName) -> usize {
-        let nodes = self.membership.node_count();
-        let placed = self.placed(database);
-        placed.map_or(nodes, |placed| placed.sharing.homes(nodes))
+    /// Nodes that share a database's slots: its homes. Where every node keeps connections of its own
+    /// they don't, since most are far away and need more in flight to keep a slot busy; what the
+    /// database turns away limits each of them.
+    pub fn sharers(&self, database: &DatabaseName) -> usize {
+        match self.placed(database).map(|placed| placed.sharing) {
+            Some(Sharing::Homes { count, .. }) => count,
+            Some(Sharing::Everyone(_)) | None => 1,
+        }
     }
 
     /// True when this node keeps connections to a database.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -401,7 +401,7 @@
     fn share_out_slots(&self, name: &DatabaseName, pool: &Pool) {
         let directory = self.directory.borrow();
         if let Some(member) = directory.member(name) {
-            pool.share_out(member.announcement.slots, self.holders(name));
+            pool.share_out(member.announcement.slots, self.sharers(name));
         }
     }
 }
