Read who has the duty when a campaign for it is refused

Why the relay lacked the key isn't found.

Change: whoever is refused reads the key and takes it in.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -210,9 +210,7 @@
             return;
         };
         if entry.key == keys.duty() {
-            let lease = entry.lease;
-            self.heard_holder.take();
-            *self.holder.borrow_mut() = Some(Holder { record, lease });
+            self.learn_duty(entry);
         } else {
             let name = record.node.clone();
             self.departed.borrow_mut().remove(&name);
@@ -220,6 +218,16 @@
         }
     }
 
+    /// Takes in the duty's key as it stands in the store.
+    pub fn learn_duty(&self, entry: &Entry) {
+        let Ok(record) = serde_json::from_slice::<NodeRecord>(&entry.value) else {
+            return;
+        };
+        let lease = entry.lease;
+        self.heard_holder.take();
+        *self.holder.borrow_mut() = Some(Holder { record, lease });
+    }
+
     fn departed(&self, node: NodeRecord) {
         let mut departed = self.departed.borrow_mut();
         departed.retain(|_, (_, at)| at.elapsed() < DEPARTED_REMEMBERED);
--- a/crates/dyketally-gateway/src/succession/duty.rs
+++ b/crates/dyketally-gateway/src/succession/duty.rs
@@ -97,6 +97,7 @@
             key: self.keys.duty(),
         };
         let Some(token) = self.put_duty(free, lease.id).await else {
+            self.learn_holder().await;
             self.try_again_later();
             return None;
         };
@@ -135,6 +136,18 @@
         }
     }
 
+    /// Reads who holds the duty, behind a campaign that failed: what this node follows may lack the
+    /// key, and each change of it would make the node campaign again.
+    async fn learn_holder(&self) {
+        let request = RangeRequest::all(KeyRange::key(self.keys.duty()));
+        let Ok(reply) = self.store.range(request).await else {
+            return;
+        };
+        if let Some(entry) = reply.entries.first() {
+            self.membership().learn_duty(entry);
+        }
+    }
+
     /// Campaigns again if nobody is known to have the duty by then.
     fn try_again_later(&self) {
         let gateway = self.gateway.clone();
