Wait until a process stands still before the test takes it for frozen

A signal to stop takes effect a little after it was sent; the test asked at once. Beside 24 busy processes it failed 17 of 35 times.

--- a/crates/dyketally-lab/src/bench/process.rs
+++ b/crates/dyketally-lab/src/bench/process.rs
@@ -218,6 +218,26 @@
         killed.map_err(|error| self.system(error))
     }
 
+    /// True when all threads of the process stand still; false where the system does not tell. A
+    /// signal to stop takes effect a little after it was sent.
+    pub fn is_stopped(&self) -> bool {
+        let threads = self
+            .child
+            .id()
+            .and_then(|id| std::fs::read_dir(format!("/proc/{id}/task")).ok());
+        let Some(threads) = threads else {
+            return false;
+        };
+        threads.flatten().all(|thread| {
+            let stat = std::fs::read_to_string(thread.path().join("stat"));
+            let state = stat.ok().and_then(|stat| {
+                let after_name = stat.rsplit_once(')')?.1;
+                after_name.trim_start().chars().next()
+            });
+            state == Some('T')
+        })
+    }
+
     /// Resident memory in bytes; none where the system does not tell.
     pub fn resident_memory(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()?)).ok()?;
--- a/crates/dyketally-lab/tests/bench.rs
+++ b/crates/dyketally-lab/tests/bench.rs
@@ -73,6 +73,10 @@
     poll_until("network", LIMIT, answers).await.expect("ready");
 
     process.signal(Signal::Stop).expect("frozen");
+    let stopped = || async { process.is_stopped().then_some(()) };
+    poll_until("stopped", LIMIT, stopped)
+        .await
+        .expect("stopped");
     let frozen = tokio::time::timeout(Duration::from_millis(200), control.routes()).await;
     assert!(frozen.is_err(), "a frozen process answered");
     process.signal(Signal::Continue).expect("thawed");
