--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -54,6 +54,13 @@
         /// What changed.
         change: String,
     },
+    /// A node that this one watches over was silent for so long that its key is removed.
+    NodeGone {
+        /// The node.
+        node: &'a str,
+        /// False when its key had changed, or the store didn't answer.
+        removed: bool,
+    },
     /// This node no longer watches the store but follows a relay.
     RelayFollowed {
         /// The relay.
--- a/crates/dyketally-gateway/src/fleet/member.rs
+++ b/crates/dyketally-gateway/src/fleet/member.rs
@@ -5,30 +5,46 @@
 
 use dyketally::retry::Backoff;
 use dyketally_store::StoreError;
-use dyketally_store::key_value::{KeyValueStore, LeaseId, TransactionRequest, WatchEvent};
+use dyketally_store::key_value::{
+    KeyRange, KeyValueStore, LeaseId, RangeRequest, TransactionRequest, WatchEvent,
+};
 use tokio::time::Instant;
 
 use crate::fleet::membership::{Keys, Membership};
 use crate::gateway::{Gateway, StopPhase};
+use crate::store::feed::Subject;
 use crate::store::follow::StoreUpdate;
 
-/// Time after which the key of a node that is lost goes. Until then it is passed over by those who
-/// fail to reach it, so this may be long, which saves renewals.
-const LEASE: Duration = Duration::from_secs(6);
-/// Pause between two renewals of the lease.
+/// Time after which the key of a node that is lost goes. Other nodes notice sooner, see
+/// [`Liveness`](crate::fleet::liveness::Liveness), so this may be long: renewals are priced, and a
+/// lease that outlives an outage of the store needn't be taken again.
+const LEASE: Duration = Duration::from_secs(30);
+/// Pause between two renewals of a node that is in touch with the store by a relay.
+const RENEWAL_WHEN_FED: Duration = Duration::from_secs(10);
+/// Pause between two renewals of a relay: its contact with the store counts for its followers, and
+/// holds for 2.9 s.
+const RENEWAL_OF_RELAY: Duration = Duration::from_millis(700);
+/// Pause between two renewals of any other node, whose own contact holds for 2.9 s.
 const RENEWAL: Duration = Duration::from_secs(2);
 /// Pause before a renewal that failed is tried again.
-const RENEWAL_RETRY: Duration = Duration::from_millis(150);
+const RENEWAL_RETRY: Backoff = Backoff {
+    first: Duration::from_millis(150),
+    longest: Duration::from_millis(600),
+};
+/// The same for a node that has a relay: its lease runs for long.
+const RENEWAL_RETRY_WHEN_FED: Duration = Duration::from_secs(2);
 /// How long a renewal behind one that failed may take. A call that began while the store was away
 /// may never be answered, so it shouldn't hold up the next for long.
 const RETRY_LIMIT: Duration = Duration::from_millis(400);
 /// Pause before joining is tried again.
 const JOIN_RETRY: Backoff = Backoff {
     first: Duration::from_millis(300),
-    longest: Duration::from_millis(300),
+    longest: Duration::from_millis(1_200),
 };
 /// Age of the last word of the store from which on it is asked anew when that matters.
 const CONTACT_AGE: Duration = Duration::from_millis(700);
+/// By then a key that was put has come back to this node, from the store or by a relay.
+const LISTED_AFTER: Duration = Duration::from_secs(3);
 
 /// Keeps this node's key.
 pub struct Member {
@@ -93,29 +109,38 @@
         }
     }
 
-    /// Waits behind a join that failed. The former lease, if there is one, has lapsed; but to renew
-    /// it is the cheapest way to find out whether the store replies again.
+    /// Waits behind a join that failed until the store replies to a cheaper call.
     async fn until_store_replies(&self, former: Option<LeaseId>) {
+        let mut failures = 1;
         loop {
-            tokio::time::sleep(JOIN_RETRY.delay(1, &mut rand::rng())).await;
-            let Some(former) = former else {
-                return;
-            };
-            let renewal = self.store.keep_lease_alive(former);
-            let replied = matches!(
-                tokio::time::timeout(RETRY_LIMIT, renewal).await,
-                Ok(Ok(_) | Err(StoreError::LeaseLapsed { .. }))
-            );
-            if replied || self.gateway.is_stopping() {
+            tokio::time::sleep(JOIN_RETRY.delay(failures, &mut rand::rng())).await;
+            if self.gateway.is_stopping() || self.store_replies(former).await {
                 return;
             }
+            failures += 1;
         }
     }
 
+    /// True when the store replies. The former lease, if there is one, has lapsed, but to renew it
+    /// costs little.
+    async fn store_replies(&self, former: Option<LeaseId>) -> bool {
+        let Some(former) = former else {
+            let read = self
+                .store
+                .range(RangeRequest::stale(KeyRange::key(self.keys.node())));
+            return matches!(tokio::time::timeout(RETRY_LIMIT, read).await, Ok(Ok(_)));
+        };
+        let renewal = self.store.keep_lease_alive(former);
+        matches!(
+            tokio::time::timeout(RETRY_LIMIT, renewal).await,
+            Ok(Ok(_) | Err(StoreError::LeaseLapsed { .. }))
+        )
+    }
+
+    /// Takes a lease and puts the node's key. From then on a fence waits for this node.
     async fn join(&self) -> Result<LeaseId, StoreError> {
-        let asked = self.gateway.now();
         let lease = self.store.grant_lease(LEASE).await?;
-        self.gateway.store_replied(asked);
+        let asked = self.gateway.now();
         let put = self.keys.put(self.keys.node(), lease.id);
         self.store
             .transact(TransactionRequest {
@@ -123,18 +148,26 @@
                 ..TransactionRequest::default()
             })
             .await?;
+        self.gateway.store_replied(asked);
         Ok(lease.id)
     }
 
-    /// Renews the lease until it has ended; ends it when the process stops.
+    /// Renews the lease until it has ended or the key is gone; ends it when the process stops.
     async fn hold(&self, lease: LeaseId) {
-        let mut next = Instant::now() + RENEWAL;
-        let mut renewed = Instant::now();
+        let joined = Instant::now();
+        let mut renewed = joined;
+        let mut failures = 0;
         loop {
+            if joined.elapsed() > LISTED_AFTER && self.is_unlisted() {
+                return;
+            }
+            let due = renewed + self.pause(failures);
             tokio::select! {
-                () = tokio::time::sleep_until(next) => {}
+                () = tokio::time::sleep_until(due) => {}
+                () = self.gateway.feed.fed_changes() => continue,
+                () = self.membership().nodes_changed.notified() => continue,
                 () = self.membership().check_store.notified() => {
-                    if renewed.elapsed() < CONTACT_AGE {
+                    if self.gateway.feed.is_fed() || renewed.elapsed() < CONTACT_AGE {
                         continue;
                     }
                 }
@@ -150,14 +183,30 @@
                 true => tokio::time::timeout(RETRY_LIMIT, renewal).await.ok(),
                 false => Some(renewal.await),
             };
+            renewed = Instant::now();
             match outcome {
-                Some(Ok(_)) => {
-                    renewed = Instant::now();
-                    next = renewed + RENEWAL;
-                }
+                Some(Ok(_)) => failures = 0,
                 Some(Err(StoreError::LeaseLapsed { .. })) => return,
-                Some(Err(_)) | None => next = Instant::now() + RENEWAL_RETRY,
+                Some(Err(_)) | None => failures += 1,
             }
         }
     }
+
+    /// Pause before the next renewal, behind so many that failed.
+    fn pause(&self, failures: u32) -> Duration {
+        let is_fed = self.gateway.feed.is_fed();
+        match (failures, is_fed) {
+            (0, true) => RENEWAL_WHEN_FED,
+            (0, false) if self.gateway.is_relay() => RENEWAL_OF_RELAY,
+            (0, false) => RENEWAL,
+            (_, true) => RENEWAL_RETRY_WHEN_FED,
+            (_, false) => RENEWAL_RETRY.delay(failures, &mut rand::rng()),
+        }
+    }
+
+    /// True when the store, as far as it is known, doesn't list this node.
+    fn is_unlisted(&self) -> bool {
+        let listed = self.gateway.feed.lists(Subject::Nodes, &self.keys.node());
+        !listed && self.membership().is_known() && !self.membership().store_is_failing()
+    }
 }
--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -78,7 +78,11 @@
 
     /// The key of this node.
     pub fn node(&self) -> Key {
-        let name = &self.record.node;
+        self.of_node(&self.record.node)
+    }
+
+    /// The key of a node.
+    pub fn of_node(&self, name: &NodeName) -> Key {
         Key::from(format!("{}{NODES}{name}", self.prefix))
     }
 
@@ -138,6 +142,8 @@
 /// What is known of the nodes and the duty.
 #[derive(Default)]
 pub struct Membership {
+    /// Told when the nodes that run have changed.
+    pub nodes_changed: Notify,
     /// Told when something needs the attention of the node that replaces primaries.
     pub attention: Notify,
     /// Told when the store answers again after a call that failed.
@@ -149,6 +155,8 @@
     /// Primaries that some node suspects, and since when.
     pub suspicions: RefCell<HashMap<(GroupName, DatabaseName), Instant>>,
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
+    /// True once the nodes' keys were read.
+    known: Cell<bool>,
     /// Nodes whose key is gone, and since when.
     departed: RefCell<BTreeMap<NodeName, (NodeRecord, Instant)>>,
     holder: RefCell<Option<Holder>>,
@@ -167,6 +175,11 @@
         self.nodes.borrow().len().max(1)
     }
 
+    /// True once it is known which nodes run.
+    pub fn is_known(&self) -> bool {
+        self.known.get()
+    }
+
     /// The nodes that run, by name.
     pub fn nodes(&self) -> Ref<'_, BTreeMap<NodeName, NodeRecord>> {
         self.nodes.borrow()
@@ -183,6 +196,7 @@
     pub fn take_in(&self, update: StoreUpdate, keys: &Keys) {
         match update {
             StoreUpdate::All(entries) => {
+                self.known.set(true);
                 let listed = std::mem::take(&mut *self.nodes.borrow_mut());
                 listed.into_values().for_each(|node| self.departed(node));
                 self.holder.take();
@@ -193,6 +207,7 @@
             StoreUpdate::Changed(WatchEvent::Put(entry)) => self.take_entry(&entry, keys),
             StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => self.take_deletion(&key, keys),
         }
+        self.nodes_changed.notify_waiters();
         let holder = self.holder.borrow();
         let record = holder.as_ref().map(|holder| &holder.record);
         let is_free = record.is_none();
--- a/crates/dyketally-gateway/src/fleet/mod.rs
+++ b/crates/dyketally-gateway/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 pub mod home;
 pub mod homes;
 pub mod link;
+pub mod liveness;
 pub mod member;
 pub mod membership;
 pub mod passed_over;
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -94,6 +94,11 @@
         /// Databases that the sender doesn't take for leaders, and for how long, in milliseconds.
         fenced: Vec<(DatabaseName, u32)>,
     },
+    /// Asks for a heartbeat. Unlike [`PeerMessage::AreYouThere`] it doesn't tell that the sender
+    /// counts the receiver among those that it is in touch with.
+    HeartbeatAsked,
+    /// The sender's process runs.
+    Heartbeat,
     /// The sender's process ends.
     Ends {
         /// The sender.
@@ -116,6 +121,7 @@
     fence_rounds: Rounds<FenceReply>,
     life_rounds: Rounds<SocketAddr>,
     next_round: Cell<u64>,
+    heartbeats: RefCell<Option<mpsc::UnboundedSender<SocketAddr>>>,
     /// Nodes that asked this one for a sign of life, and when.
     asked_by: RefCell<HashMap<SocketAddr, Instant>>,
 }
@@ -178,6 +184,7 @@
             fence_rounds: Rounds::default(),
             life_rounds: Rounds::default(),
             next_round: Cell::new(1),
+            heartbeats: RefCell::default(),
             asked_by: RefCell::default(),
         })
     }
@@ -276,6 +283,13 @@
                 drop(fences);
                 pass_on(&self.life_rounds, round, from);
             }
+            PeerMessage::HeartbeatAsked => self.send(from, &PeerMessage::Heartbeat),
+            PeerMessage::Heartbeat => {
+                if let Some(heartbeats) = self.heartbeats.borrow().as_ref() {
+                    // The process may be about to stop.
+                    let _ = heartbeats.send(from);
+                }
+            }
             PeerMessage::Ends { node } => self.gateway.membership.ended(&node),
             PeerMessage::HasDuty { record } => self.gateway.membership.heard_of_holder(record),
             PeerMessage::Leads { database, .. } => {
@@ -348,6 +362,13 @@
         }
     }
 
+    /// Where the nodes listen whose heartbeats arrive from now on.
+    pub fn heartbeats(&self) -> mpsc::UnboundedReceiver<SocketAddr> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        *self.heartbeats.borrow_mut() = Some(sender);
+        receiver
+    }
+
     /// Collects the replies to a fence.
     pub fn collect_fence_replies(&self) -> Replies<FenceReply> {
         self.collect(&self.fence_rounds)
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
+use crate::fleet::liveness::Liveness;
 use crate::fleet::member::Member;
 use crate::fleet::membership::{Keys, NodeRecord};
 use crate::fleet::peer::{PeerMessage, Peers};
@@ -27,8 +28,8 @@
 };
 use crate::session;
 use crate::settings::Settings;
-use crate::store::feed::{Sink, Subject, follow_relays};
-use crate::store::follow::{Followed, Gathering, StoreUpdate, follow};
+use crate::store::feed::{Follower, Sink, Subject};
+use crate::store::follow::{FirstRead, Followed, Gathering, StoreUpdate, follow};
 use crate::store::metered_store::StoreCalls;
 use crate::succession::duty::DutyKeeper;
 use crate::succession::failover::Failover;
@@ -99,7 +100,8 @@
     let store = &adapters.store;
     let member = Member::new(gateway.clone(), store.clone(), keys.clone());
     let fences = FenceKeeper::new(gateway.clone(), peers.clone(), store.clone(), keys.clone());
-    let duty = DutyKeeper::new(gateway.clone(), store.clone(), keys, peers.clone());
+    let liveness = Liveness::new(gateway.clone(), peers.clone(), store.clone(), keys.clone());
+    let duty = DutyKeeper::new(gateway.clone(), store.clone(), keys.clone(), peers.clone());
     let failover = Failover::new(
         gateway.clone(),
         duty.clone(),
@@ -116,10 +118,18 @@
     tokio::task::spawn_local(peers.clone().run());
     tokio::task::spawn_local(keep_in_touch(gateway.clone(), peers.clone()));
     tokio::task::spawn_local(failover.run());
+    tokio::task::spawn_local(liveness.run());
     let joined = tokio::task::spawn_local(member.clone().run());
     let on_duty = tokio::task::spawn_local(duty.run());
     tokio::task::spawn_local(tidy(gateway.clone()));
-    follow_store(&gateway, &adapters.store, &adapters.documents, &member);
+    let own_key = keys.node();
+    follow_store(
+        &gateway,
+        &adapters.store,
+        &adapters.documents,
+        &member,
+        own_key,
+    );
     let accepting = tokio::task::spawn_local(accept(gateway.clone(), callers));
     loop {
         tokio::select! {
@@ -206,6 +216,7 @@
     store: &Rc<dyn KeyValueStore>,
     documents: &Rc<dyn StoredDocuments>,
     member: &Rc<Member>,
+    own_key: Key,
 ) {
     let reader = Reader {
         gateway: gateway.clone(),
@@ -216,11 +227,12 @@
     let announcements: Sink = Rc::new(move |update| reader.take_announcements(update));
     let member = member.clone();
     let nodes: Sink = Rc::new(move |update| member.take_in(update));
-    let start = |prefix, gathering, subject, sink: &Sink| {
+    let start = |prefix, gathering, subject, first, sink: &Sink| {
         let followed = Followed {
             prefix,
             gathering,
             subject,
+            first,
         };
         let following = follow(gateway.clone(), store.clone(), followed, sink.clone());
         tokio::task::spawn_local(following);
@@ -228,26 +240,32 @@
     start(
         documents.configuration_key(),
         Gathering::Bursts,
-        None,
+        Subject::Configuration,
+        FirstRead::Stale,
         &configuration,
     );
     start(
         documents.announcements_prefix(),
         Gathering::PerKey(ANNOUNCEMENTS_GATHERING),
-        Some(Subject::Announcements),
+        Subject::Announcements,
+        // An old list may name a primary that was replaced meanwhile.
+        FirstRead::Newest,
         &announcements,
     );
     start(
         documents.own_prefix(),
         Gathering::PerKey(NODES_GATHERING),
-        Some(Subject::Nodes),
+        Subject::Nodes,
+        FirstRead::Stale,
         &nodes,
     );
     let sinks = HashMap::from([
+        (Subject::Configuration, configuration),
         (Subject::Announcements, announcements),
         (Subject::Nodes, nodes),
     ]);
-    tokio::task::spawn_local(follow_relays(gateway.clone(), sinks));
+    let follower = Follower::new(gateway.clone(), sinks, own_key);
+    tokio::task::spawn_local(follower.run());
 }
 
 #[derive(Clone)]
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -59,6 +59,10 @@
     /// databases.
     #[serde(default = "whole_processor")]
     pub processor_share: f64,
+    /// True when the whole system starts for the first time, so that nobody is served yet and nodes
+    /// may take their time to get to know each other.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 fn whole_processor() -> f64 {
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -1,115 +1,243 @@
 //! The follower's side of a feed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
+use dyketally::time::Timestamp;
+use dyketally_store::key_value::Key;
+use futures::{SinkExt, StreamExt};
 use tokio::time::Instant;
 
-use super::message::FeedMessage;
-use super::serve::ALIVE_INTERVAL;
+use super::message::{FeedMessage, Ping, decode, encode};
 use super::{SUBJECTS, Subject};
 use crate::event::Event;
 use crate::fleet::link::{Frames, frames};
 use crate::fleet::relay::{self, Opening};
 use crate::gateway::Gateway;
 use crate::store::follow::StoreUpdate;
+use crate::succession::lead::RelayContact;
 
+/// Pause between two pings. A contact with the store holds for 2.9 s; the relay's own is at most
+/// 0.8 s old, so three pings may be lost.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
+/// Pause between two pings while the relay has lost the store: its contact with the other nodes
+/// holds for 0.9 s only.
+const PING_INTERVAL_IN_OUTAGE: Duration = Duration::from_millis(300);
 /// Silence after which a relay is given up.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Longest time that connecting to a relay may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// How long after its start a node looks for a relay: first it must know its neighbours.
-const SETTLING: Duration = Duration::from_millis(1_500);
-/// Pause between two searches for a relay.
+/// Age of a relay's contact with the store from which on another relay is looked for.
+const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
+/// How long a relay that is out of touch is followed before others are tried again.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
+/// Pause between two searches for a relay, and between two looks whether this node became one.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Takes in what relays pass on of a subject.
 pub type Sink = Rc<dyn Fn(StoreUpdate)>;
 
-/// Follows relays while there are any, until the process ends.
-pub async fn follow_relays(gateway: Rc<Gateway>, sinks: HashMap<Subject, Sink>) {
-    tokio::time::sleep(SETTLING).await;
-    loop {
-        if let Some(relay) = gateway.relay_to_follow() {
-            let ended = follow_one(&gateway, relay, &sinks).await;
-            if gateway.feed.fed.send_replace(false) {
-                gateway.events.write(&Event::RelayLost {
-                    relay: relay.to_string(),
-                    reason: &ended,
-                });
+/// Which relays are followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Demand {
+    /// Those in touch with the store.
+    InTouch,
+    /// Any, for a while: no relay is in touch with the store.
+    Any,
+}
+
+/// Follows relays on behalf of one node.
+pub struct Follower {
+    gateway: Rc<Gateway>,
+    sinks: HashMap<Subject, Sink>,
+    /// The node's own key.
+    own_key: Key,
+}
+
+impl Follower {
+    /// A follower that isn't running yet. What relays tell of a subject goes to its sink.
+    pub fn new(gateway: Rc<Gateway>, sinks: HashMap<Subject, Sink>, own_key: Key) -> Self {
+        Self {
+            gateway,
+            sinks,
+            own_key,
+        }
+    }
+
+    /// Follows relays while there are any, until the process ends.
+    pub async fn run(self) {
+        loop {
+            for demand in [Demand::InTouch, Demand::Any] {
+                for relay in self.gateway.relays_to_follow() {
+                    self.follow(relay, demand).await;
+                }
+            }
+            let changed = self.gateway.membership.nodes_changed.notified();
+            // Either way it is time to look again.
+            let _ = tokio::time::timeout(SEARCH_INTERVAL, changed).await;
+        }
+    }
+
+    /// Follows one relay until it is lost.
+    async fn follow(&self, relay: SocketAddr, demand: Demand) {
+        let opening = relay::open(relay, &Opening::Feed);
+        let connected = tokio::time::timeout(CONNECT_LIMIT, opening).await;
+        let (reason, usable) = match connected {
+            Ok(Ok(stream)) => {
+                Following::new(self, relay, frames(stream), demand)
+                    .run()
+                    .await
             }
-            gateway.feed.passed_over.add(relay);
-        } else {
-            tokio::time::sleep(SEARCH_INTERVAL).await;
+            Ok(Err(_)) | Err(_) => ("it can't be reached", false),
+        };
+        let feed = &self.gateway.feed;
+        if feed.fed.send_replace(false) {
+            let relay = relay.to_string();
+            let lost = Event::RelayLost { relay, reason };
+            self.gateway.events.write(&lost);
+        }
+        if !usable {
+            feed.passed_over.add(relay);
         }
     }
 }
 
-/// Follows one relay until it is lost; tells why.
-async fn follow_one(
-    gateway: &Rc<Gateway>,
+/// One relay that is being followed.
+struct Following<'a> {
+    follower: &'a Follower,
     relay: SocketAddr,
-    sinks: &HashMap<Subject, Sink>,
-) -> String {
-    let opening = relay::open(relay, &Opening::Feed);
-    let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_LIMIT, opening).await else {
-        return "it can't be reached".to_owned();
-    };
-    let mut frames = frames(stream);
-    let mut whole = 0;
-    let mut looked = Instant::now();
-    loop {
-        let Some(message) = next(&mut frames).await else {
-            return "it is silent, or watches the store no longer".to_owned();
-        };
-        if let FeedMessage::Whole {
-            subject,
-            complete_to,
-            ..
-        } = &message
-        {
-            if *complete_to < gateway.feed.revision(*subject) {
-                return "it is behind".to_owned();
+    frames: Frames,
+    demand: Demand,
+    /// Subjects that the relay has sent as a whole.
+    whole: HashSet<Subject>,
+    /// The last ping, and when it was sent.
+    ping: (u64, Timestamp),
+    /// True while the relay has lost the store.
+    in_outage: bool,
+}
+
+impl<'a> Following<'a> {
+    fn new(follower: &'a Follower, relay: SocketAddr, frames: Frames, demand: Demand) -> Self {
+        Self {
+            follower,
+            relay,
+            frames,
+            demand,
+            whole: HashSet::new(),
+            ping: (0, Timestamp::ZERO),
+            in_outage: false,
+        }
+    }
+
+    /// Follows the relay; why that ended, and whether the relay may be followed again at once.
+    async fn run(mut self) -> (&'static str, bool) {
+        let gateway = self.follower.gateway.clone();
+        let began = Instant::now();
+        let mut next_ping = began;
+        let mut heard = began;
+        let mut looked = began;
+        loop {
+            let message = tokio::select! {
+                message = self.frames.next() => Some(message),
+                () = tokio::time::sleep_until(next_ping) => None,
+                () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
+                    return ("it is silent", false);
+                }
+            };
+            match message {
+                None => {
+                    next_ping = Instant::now() + self.ping_interval();
+                    if self.send_ping().await.is_none() {
+                        return ("it can't be reached", false);
+                    }
+                }
+                Some(Some(Ok(message))) => {
+                    heard = Instant::now();
+                    let Some(message) = decode(&message) else {
+                        return ("it sent what is no message", false);
+                    };
+                    if let Err(reason) = self.take(message) {
+                        return (reason, self.in_outage);
+                    }
+                }
+                Some(Some(Err(_)) | None) => return ("it watches the store no longer", false),
+            }
+            let reviews = self.demand == Demand::Any && self.in_outage;
+            if reviews && began.elapsed() >= REVIEW_INTERVAL {
+                return ("another one may be in touch with the store", true);
+            }
+            // Ranking all nodes behind each of many changes would cost more than they do.
+            if looked.elapsed() >= SEARCH_INTERVAL {
+                looked = Instant::now();
+                if gateway.is_relay() {
+                    return ("this node became a relay", true);
+                }
             }
-            whole += 1;
         }
-        take_in(gateway, message, sinks);
-        if whole == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
-            gateway.events.write(&Event::RelayFollowed {
-                relay: relay.to_string(),
-            });
+    }
+
+    fn ping_interval(&self) -> Duration {
+        match self.in_outage {
+            true => PING_INTERVAL_IN_OUTAGE,
+            false => PING_INTERVAL,
         }
-        // Ranking all nodes behind each of many changes would cost more than they do.
-        if looked.elapsed() >= SEARCH_INTERVAL {
-            looked = Instant::now();
-            if gateway.is_relay() {
-                return "this node became a relay".to_owned();
+    }
+
+    async fn send_ping(&mut self) -> Option<()> {
+        let number = self.ping.0 + 1;
+        self.ping = (number, self.follower.gateway.now());
+        let ping = encode(&Ping { number })?;
+        self.frames.send(ping).await.ok()
+    }
+
+    /// Takes in a message; why the relay can't be followed if that is so.
+    fn take(&mut self, message: FeedMessage) -> Result<(), &'static str> {
+        let gateway = &self.follower.gateway;
+        let (subject, update) = match message {
+            FeedMessage::Pong { ping, contact } => return self.take_pong(ping, contact),
+            FeedMessage::Whole {
+                subject,
+                complete_to,
+                entries,
+            } => {
+                if complete_to < gateway.feed.revision(subject) {
+                    return Err("it is behind");
+                }
+                self.whole.insert(subject);
+                (subject, StoreUpdate::All(entries))
             }
+            FeedMessage::Changed { subject, event } => (subject, StoreUpdate::Changed(event)),
+        };
+        gateway.feed.take(subject, &update);
+        if let Some(sink) = self.follower.sinks.get(&subject) {
+            sink(update);
+        }
+        if self.whole.len() == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
+            let relay = self.relay.to_string();
+            gateway.events.write(&Event::RelayFollowed { relay });
         }
+        Ok(())
     }
-}
-
-async fn next(frames: &mut Frames) -> Option<FeedMessage> {
-    let message = tokio::time::timeout(SILENCE_LIMIT, frames.next()).await;
-    let message = message.ok()??.ok()?;
-    postcard::from_bytes(&message).ok()
-}
 
-fn take_in(gateway: &Rc<Gateway>, message: FeedMessage, sinks: &HashMap<Subject, Sink>) {
-    let (subject, update) = match message {
-        FeedMessage::Alive => return,
-        FeedMessage::Whole {
-            subject, entries, ..
-        } => (subject, StoreUpdate::All(entries)),
-        FeedMessage::Changed { subject, event } => (subject, StoreUpdate::Changed(event)),
-    };
-    gateway.feed.take(subject, &update);
-    if let Some(sink) = sinks.get(&subject) {
-        sink(update);
+    fn take_pong(&mut self, ping: u64, contact: RelayContact) -> Result<(), &'static str> {
+        let gateway = &self.follower.gateway;
+        self.in_outage = contact.store.is_none_or(|age| age > OUT_OF_TOUCH);
+        if self.in_outage && self.demand == Demand::InTouch {
+            return Err("it is out of touch with the store");
+        }
+        if !self.in_outage {
+            self.demand = Demand::InTouch;
+        }
+        let is_fed = self.whole.len() == SUBJECTS.len();
+        // A node that the others don't know of isn't in touch with them.
+        let is_listed = gateway.feed.lists(Subject::Nodes, &self.follower.own_key);
+        if ping == self.ping.0 && ping > 0 && is_fed && is_listed {
+            gateway.take_relay_contact(self.ping.1, contact);
+        }
+        Ok(())
     }
 }
 
-const _: () = assert!(ALIVE_INTERVAL.as_millis() * 2 < SILENCE_LIMIT.as_millis());
+const _: () = assert!(PING_INTERVAL.as_millis() * 3 < SILENCE_LIMIT.as_millis());
--- a/crates/dyketally-gateway/src/store/feed/message.rs
+++ b/crates/dyketally-gateway/src/store/feed/message.rs
@@ -1,10 +1,23 @@
 //! What nodes send each other over a feed.
 
+use std::io::{Read, Write};
+
 use bytes::Bytes;
 use dyketally_store::key_value::{Entry, StoreRevision, WatchEvent};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::Subject;
+use crate::succession::lead::RelayContact;
+
+/// Messages from this length on are compressed, in bytes: a configuration may have hundreds of
+/// kilobytes, and a relay sends it to all of its followers.
+const COMPRESSED_FROM: usize = 1_024;
+/// Longest message once it is expanded, in bytes; four times the longest value of a store.
+const EXPANDED_AT_MOST: u64 = 4 << 20;
 
 /// What a relay sends.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,11 +31,44 @@
     },
     /// A key changed.
     Changed { subject: Subject, event: WatchEvent },
-    /// Nothing changed.
-    Alive,
+    /// The reply to a ping, and the first message of a relay.
+    Pong {
+        /// The ping; zero in the first message.
+        ping: u64,
+        contact: RelayContact,
+    },
+}
+
+/// What a follower sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Ping {
+    /// Counts up from one.
+    pub number: u64,
 }
 
 /// Encodes a message; `None` if it can't be.
-pub(super) fn encode(message: &FeedMessage) -> Option<Bytes> {
-    postcard::to_stdvec(message).ok().map(Bytes::from)
+pub(super) fn encode(message: &impl Serialize) -> Option<Bytes> {
+    let body = postcard::to_stdvec(message).ok()?;
+    let compressed = body.len() >= COMPRESSED_FROM;
+    let mut encoded = vec![u8::from(compressed)];
+    if compressed {
+        let mut encoder = DeflateEncoder::new(encoded, Compression::fast());
+        encoder.write_all(&body).ok()?;
+        encoded = encoder.finish().ok()?;
+    } else {
+        encoded.extend(body);
+    }
+    Some(Bytes::from(encoded))
+}
+
+/// Decodes a message; `None` if it is none.
+pub(super) fn decode<T: DeserializeOwned>(encoded: &[u8]) -> Option<T> {
+    let (compressed, body) = encoded.split_first()?;
+    if *compressed == 0 {
+        return postcard::from_bytes(body).ok();
+    }
+    let mut expanded = Vec::new();
+    let mut decoder = DeflateDecoder::new(body).take(EXPANDED_AT_MOST);
+    decoder.read_to_end(&mut expanded).ok()?;
+    postcard::from_bytes(&expanded).ok()
 }
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -2,8 +2,9 @@
 //! the store: in each zone a few relays do, and the others follow one of these over a link.
 //!
 //! What a node has is never replaced by something older: a relay whose copy is behind is passed
-//! over. A relay serves only while it watches the store itself and its watches stand, so a chain
-//! or a ring can't form. A node that finds no relay watches the store itself.
+//! over. A relay serves only while it follows no other one, so a chain or a ring can't form. It
+//! also tells how lately it was in touch with the store and the other nodes, which counts for its
+//! followers, too. A node that reaches no relay watches the store itself.
 
 mod follow;
 mod message;
@@ -20,31 +21,35 @@
 use tokio::sync::{broadcast, watch};
 use tokio::time::Instant;
 
-pub use follow::{Sink, follow_relays};
+pub use follow::{Follower, Sink};
 pub use serve::serve;
 
 use crate::fleet::passed_over::PassedOver;
 use crate::store::follow::StoreUpdate;
 use message::{FeedMessage, encode};
 
-/// How long a node that lost its relay looks for another before it asks the store.
-const SEARCH_LIMIT: Duration = Duration::from_millis(900);
-/// How long a relay whose watch was lost is still followed: when the store is down, asking it from
-/// everywhere helps nobody.
-const OUTAGE_BORNE: Duration = Duration::from_secs(3);
+/// How long a node that lost its relay looks for another before it asks the store: time to try
+/// three relays that don't reply.
+const SEARCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// Changes that a slow follower may be behind.
 const CHANGES_KEPT: usize = 256;
 
 /// What is passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Subject {
+    /// The operators' configuration.
+    Configuration,
     /// The databases' announcements.
     Announcements,
     /// The nodes' keys and the duty.
     Nodes,
 }
 
-const SUBJECTS: [Subject; 2] = [Subject::Announcements, Subject::Nodes];
+const SUBJECTS: [Subject; 3] = [
+    Subject::Configuration,
+    Subject::Announcements,
+    Subject::Nodes,
+];
 
 /// This node's copy of one subject.
 #[derive(Debug, Default)]
@@ -55,6 +60,8 @@
     /// The store's revision up to which this copy lacks nothing.
     complete_to: StoreRevision,
     watch: OwnWatch,
+    /// All of it as it is sent to followers, until it changes.
+    encoded: Option<Bytes>,
 }
 
 /// This node's own watch of a subject.
@@ -66,19 +73,9 @@
     LostAt(Instant),
 }
 
-impl OwnWatch {
-    /// True when followers may rely on it: it stands, or may be back soon.
-    fn is_reliable(self) -> bool {
-        match self {
-            Self::Never => false,
-            Self::Stands => true,
-            Self::LostAt(at) => at.elapsed() < OUTAGE_BORNE,
-        }
-    }
-}
-
 impl Copy {
     fn replace(&mut self, entries: &[Entry]) {
+        self.encoded = None;
         self.entries = entries
             .iter()
             .map(|it| (it.key.clone(), it.clone()))
@@ -88,6 +85,7 @@
     }
 
     fn change(&mut self, event: &WatchEvent) {
+        self.encoded = None;
         let revision = match event {
             WatchEvent::Put(entry) => {
                 self.entries.insert(entry.key.clone(), entry.clone());
@@ -141,22 +139,38 @@
     }
 
     fn pass_on(&self, subject: Subject, event: &WatchEvent) {
-        if self.changes.receiver_count() == 0 {
+        if !self.has_followers() {
             return;
         }
         let event = event.clone();
         if let Some(message) = encode(&FeedMessage::Changed { subject, event }) {
-            // The last follower may just have left.
-            let _ = self.changes.send(message);
+            self.send(message);
         }
     }
 
+    fn has_followers(&self) -> bool {
+        self.changes.receiver_count() > 0
+    }
+
+    fn send(&self, message: Bytes) {
+        // The last follower may just have left.
+        let _ = self.changes.send(message);
+    }
+
     /// Takes in that this node read a subject from the store at `revision` and watches it.
     pub fn watched(&self, subject: Subject, revision: StoreRevision) {
         let mut copies = self.copies.borrow_mut();
         let copy = copies.entry(subject).or_default();
         copy.complete_to = revision;
+        copy.encoded = None;
         copy.watch = OwnWatch::Stands;
+        drop(copies);
+        // Followers lack what changed while this node's former watch was lost.
+        if self.has_followers()
+            && let Some(whole) = self.whole(subject)
+        {
+            self.send(whole);
+        }
     }
 
     /// Takes in that this node's own watch of a subject was lost or given up.
@@ -165,14 +179,24 @@
         copies.entry(subject).or_default().watch = OwnWatch::LostAt(Instant::now());
     }
 
-    /// True while others may follow this node.
-    fn is_reliable(&self) -> bool {
+    /// True while others may follow this node: it has read and watched all subjects itself.
+    fn is_relaying(&self) -> bool {
         let copies = self.copies.borrow();
-        let reliable = |subject| {
+        let was_watched = |subject| {
             let copy = copies.get(subject);
-            copy.is_some_and(|copy: &Copy| copy.watch.is_reliable())
+            copy.is_some_and(|copy: &Copy| !matches!(copy.watch, OwnWatch::Never))
         };
-        !*self.fed.borrow() && SUBJECTS.iter().all(reliable)
+        !self.is_fed() && SUBJECTS.iter().all(was_watched)
+    }
+
+    /// How long some watch of this node's has been lost; `None` while all of them stand.
+    fn watches_lost_for(&self) -> Option<Duration> {
+        let copies = self.copies.borrow();
+        let lost = copies.values().filter_map(|copy| match copy.watch {
+            OwnWatch::LostAt(at) => Some(at.elapsed()),
+            OwnWatch::Never | OwnWatch::Stands => None,
+        });
+        lost.max()
     }
 
     fn revision(&self, subject: Subject) -> StoreRevision {
@@ -181,16 +205,45 @@
         copy.map_or(StoreRevision::default(), |copy| copy.revision)
     }
 
-    fn whole(&self, subject: Subject) -> FeedMessage {
+    /// True when this node's copy of a subject has a key.
+    pub fn lists(&self, subject: Subject, key: &Key) -> bool {
         let copies = self.copies.borrow();
-        let copy = copies.get(&subject);
-        let entries = copy.into_iter().flat_map(|copy| copy.entries.values());
-        let complete_to = copy.map(|copy| copy.revision.max(copy.complete_to));
-        FeedMessage::Whole {
-            subject,
-            complete_to: complete_to.unwrap_or_default(),
-            entries: entries.cloned().collect(),
+        copies
+            .get(&subject)
+            .is_some_and(|copy| copy.entries.contains_key(key))
+    }
+
+    /// When a key of this node's copy was put last, if it is there.
+    pub fn modified(&self, subject: Subject, key: &Key) -> Option<StoreRevision> {
+        let copies = self.copies.borrow();
+        let entry = copies.get(&subject)?.entries.get(key)?;
+        Some(entry.modified)
+    }
+
+    /// All of a subject as it is sent to followers.
+    fn whole(&self, subject: Subject) -> Option<Bytes> {
+        let mut copies = self.copies.borrow_mut();
+        let copy = copies.entry(subject).or_default();
+        if copy.encoded.is_none() {
+            copy.encoded = encode(&FeedMessage::Whole {
+                subject,
+                complete_to: copy.revision.max(copy.complete_to),
+                entries: copy.entries.values().cloned().collect(),
+            });
         }
+        copy.encoded.clone()
+    }
+
+    /// True while a relay feeds this node.
+    pub fn is_fed(&self) -> bool {
+        *self.fed.borrow()
+    }
+
+    /// Waits until this node is fed if it isn't, and the other way round.
+    pub async fn fed_changes(&self) {
+        let mut fed = self.fed.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = fed.changed().await;
     }
 
     /// Waits until a relay feeds this node.
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use dyketally::identifiers::NodeName;
+use dyketally::identifiers::{Locality, NodeName};
 use dyketally::placement;
 
 use crate::gateway::Gateway;
@@ -11,40 +11,71 @@
 const SMALL_FLEET: usize = 12;
 /// Nodes of a zone that watch the store for the others.
 const RELAYS_PER_ZONE: usize = 2;
+/// Relays of other zones that are followed when none of the own zone can be.
+const FURTHER_RELAYS: usize = 2;
 
 impl Gateway {
-    /// The relays of this node's zone, in the order in which it follows them; none in a small
-    /// fleet.
-    fn zone_relays(&self) -> Vec<NodeName> {
-        if self.is_small_fleet() {
-            return Vec::new();
-        }
+    /// True while every node watches the store itself.
+    pub fn is_small_fleet(&self) -> bool {
+        self.membership.node_count() <= SMALL_FLEET
+    }
+
+    /// True when this node watches the store for others of its zone.
+    pub fn is_relay(&self) -> bool {
+        !self.is_small_fleet() && self.is_relay_of_zone()
+    }
+
+    fn is_relay_of_zone(&self) -> bool {
         let nodes = self.membership.nodes();
-        let zone = self.settings.own_locality();
         let candidates = nodes.values().map(|node| node.candidate());
-        let relays = placement::relays(&zone, candidates, RELAYS_PER_ZONE);
-        let ordered = placement::preference(&self.settings.node.name, &relays);
-        ordered.into_iter().cloned().collect()
+        let relays = placement::relays(&self.settings.own_locality(), candidates, RELAYS_PER_ZONE);
+        relays.contains(&&self.settings.node.name)
     }
 
-    /// True while every node watches the store itself.
-    pub fn is_small_fleet(&self) -> bool {
-        self.membership.node_count() <= SMALL_FLEET
+    /// True when there may be relays that this node should follow.
+    pub fn may_follow_relays(&self) -> bool {
+        !self.is_small_fleet() && !self.is_relay_of_zone()
     }
 
-    pub(super) fn is_relay(&self) -> bool {
-        self.zone_relays().contains(&self.settings.node.name)
+    /// Waits until it is clear that this node has no relay to follow. When the whole system starts
+    /// the list of the nodes is incomplete for a while, so then only a relay is sure of that.
+    pub async fn until_without_relay(&self) {
+        loop {
+            let changed = self.membership.nodes_changed.notified();
+            let is_known = self.membership.is_known() && !self.settings.node.first_start;
+            if self.is_relay() || (is_known && !self.may_follow_relays()) {
+                return;
+            }
+            changed.await;
+        }
     }
 
-    /// The relay that this node should follow, if there is one.
-    pub fn relay_to_follow(&self) -> Option<SocketAddr> {
-        let relays = self.zone_relays();
-        if relays.contains(&self.settings.node.name) {
-            return None;
+    /// The relays that this node may follow, in the order of preference: those of its zone, then
+    /// some of others. None in a small fleet, and for a relay.
+    pub(super) fn relays_to_follow(&self) -> Vec<SocketAddr> {
+        if !self.may_follow_relays() {
+            return Vec::new();
         }
         let nodes = self.membership.nodes();
-        let addresses = relays.iter().filter_map(|relay| nodes.get(relay));
-        let mut addresses = addresses.map(|node| node.address);
-        addresses.find(|address| !self.feed.passed_over.contains(address))
+        let own = &self.settings.node.name;
+        let own_zone = self.settings.own_locality();
+        let relays_of = |zone: &Locality| {
+            let candidates = nodes.values().map(|node| node.candidate());
+            placement::relays(zone, candidates, RELAYS_PER_ZONE)
+        };
+        let zones = self.settings.zones.keys();
+        let zones = zones.map(|zone| self.settings.locality(zone));
+        let mut others: Vec<&NodeName> = Vec::new();
+        for zone in zones.filter(|zone| *zone != own_zone) {
+            others.extend(relays_of(&zone));
+        }
+        let mut relays = placement::preference(own, &relays_of(&own_zone));
+        let others = placement::preference(own, &others);
+        relays.extend(others.into_iter().take(FURTHER_RELAYS));
+        let addresses = relays.into_iter().filter_map(|relay| nodes.get(relay));
+        let addresses = addresses.map(|node| node.address);
+        addresses
+            .filter(|address| !self.feed.passed_over.contains(address))
+            .collect()
     }
 }
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -11,6 +11,7 @@
     WatchStream,
 };
 use futures::StreamExt;
+use rand::Rng;
 use tokio::time::Instant;
 
 use crate::event::Event;
@@ -25,9 +26,16 @@
 /// Longest wait for a store that fails to be found well by whoever renews a lease: renewals are the
 /// cheapest calls, so only they ask it again and again.
 const OUTAGE_LOOK: Duration = Duration::from_secs(4);
-/// Pause in a large fleet between reading keys at the start and watching them: by then a relay may
-/// pass them on.
-const FIRST_GATHERING: Duration = Duration::from_secs(1);
+/// How long a node that has just started waits for a relay before it asks the store for what need
+/// not be known at once.
+const RELAY_AWAITED: Duration = Duration::from_millis(1_500);
+/// The same at the first start of the whole system: all nodes have to get to know each other first,
+/// and nobody waits to be served.
+const RELAY_AWAITED_AT_FIRST_START: Duration = Duration::from_secs(3);
+/// Pause between two reads of the nodes' keys while no relay is known, and what is added to it at
+/// random. Such reads are cheap.
+const NODES_LOOK: Duration = Duration::from_millis(700);
+const NODES_LOOK_SPREAD: Duration = Duration::from_millis(300);
 /// Longest pause after a change before a watch goes on.
 const LONGEST_GATHERING: Duration = Duration::from_millis(1_200);
 /// So many keys are followed without any pause.
@@ -61,8 +69,26 @@
     /// Pause after a change before the watch goes on: changes that come close together then come
     /// with one call. Calls may be dear.
     pub gathering: Gathering,
-    /// Set when relays may pass the keys on, so that this node needn't watch them itself.
-    pub subject: Option<Subject>,
+    /// What relays call the keys, which may pass them on.
+    pub subject: Subject,
+    /// How they are read first.
+    pub first: FirstRead,
+}
+
+impl Followed {
+    fn range(&self) -> KeyRange {
+        KeyRange::prefix(&self.prefix)
+    }
+}
+
+/// How keys are read when a node starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstRead {
+    /// As they are now.
+    Newest,
+    /// As they may have been some seconds ago, which a relay or the next read mends: such reads are
+    /// cheaper.
+    Stale,
 }
 
 /// How long to pause behind a change.
@@ -84,52 +110,101 @@
     let mut progress = Progress::new(gateway.clone(), followed.prefix.clone());
     let feed = &gateway.feed;
     let sink = |update: StoreUpdate| {
-        if let Some(subject) = followed.subject {
-            feed.take(subject, &update);
-        }
+        feed.take(followed.subject, &update);
         sink(update);
     };
+    let mut seen = start(&*store, &followed, &sink, &mut progress).await;
     loop {
-        if followed.subject.is_some() {
+        if feed.is_fed() {
+            seen = None;
             feed.until_unfed().await;
         }
-        let read = store
-            .range(RangeRequest::all(KeyRange::prefix(&followed.prefix)))
-            .await;
-        let reply = match read {
-            Ok(reply) => reply,
+        let read = match seen.take() {
+            Some(seen) => Ok(seen),
+            None => {
+                let request = RangeRequest::all(followed.range());
+                read(&*store, request, &sink, &mut progress).await
+            }
+        };
+        let seen = match read {
+            Ok(seen) => seen,
             Err(error) => {
                 progress.after(&error).await;
-                if followed.subject.is_some() && gateway.relay_to_follow().is_some() {
+                if gateway.may_follow_relays() {
                     // If none feeds this node by then it asks the store itself.
                     let _ = tokio::time::timeout(RELAY_LIMIT, feed.until_fed()).await;
                 }
                 continue;
             }
         };
-        progress.reset();
-        gateway.membership.store_answered();
-        progress.was_read = true;
-        progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
-        sink(StoreUpdate::All(reply.entries));
-        let seen = reply.store_revision;
-        let watching = async {
-            if followed.subject.is_some() {
-                tokio::time::sleep(progress.until_first_watch()).await;
+        feed.watched(followed.subject, seen);
+        tokio::select! {
+            () = watch_from(&store, &followed, seen, &sink, &mut progress) => {}
+            () = feed.until_fed() => {}
+        }
+        feed.unwatched(followed.subject);
+    }
+}
+
+/// Reads keys and passes them on; the revision as of which they were read.
+async fn read(
+    store: &dyn KeyValueStore,
+    request: RangeRequest,
+    sink: &impl Fn(StoreUpdate),
+    progress: &mut Progress,
+) -> Result<StoreRevision, StoreError> {
+    let reply = store.range(request).await?;
+    progress.reset();
+    progress.gateway.membership.store_answered();
+    progress.was_read = true;
+    progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
+    sink(StoreUpdate::All(reply.entries));
+    Ok(reply.store_revision)
+}
+
+/// Learns at the start what a node needs first, with as few calls as possible, and waits for a relay,
+/// which in a large fleet has the rest. The revision from which on to watch, if that is known.
+async fn start(
+    store: &dyn KeyValueStore,
+    followed: &Followed,
+    sink: &impl Fn(StoreUpdate),
+    progress: &mut Progress,
+) -> Option<StoreRevision> {
+    let gateway = progress.gateway.clone();
+    let first_start = gateway.settings.node.first_start;
+    let awaited = match first_start {
+        true => RELAY_AWAITED_AT_FIRST_START,
+        false => RELAY_AWAITED,
+    };
+    let until = Instant::now() + awaited;
+    let mut seen = None;
+    loop {
+        match followed.first {
+            // Nobody is served yet, and a relay will have them.
+            FirstRead::Newest if first_start => {}
+            FirstRead::Newest => {
+                let request = RangeRequest::all(followed.range());
+                seen = read(store, request, sink, progress).await.ok();
             }
-            watch_from(&store, &followed, seen, &sink, &mut progress).await;
-        };
-        match followed.subject {
-            None => watching.await,
-            Some(subject) => {
-                feed.watched(subject, seen);
-                tokio::select! {
-                    () = watching => {}
-                    () = feed.until_fed() => {}
-                }
-                feed.unwatched(subject);
+            FirstRead::Stale => {
+                let request = RangeRequest::stale(followed.range());
+                // If it fails the next read mends that.
+                let _ = read(store, request, sink, progress).await;
             }
         }
+        let spread = NODES_LOOK_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        let look = match followed.subject {
+            Subject::Nodes => until.min(Instant::now() + NODES_LOOK + spread),
+            Subject::Configuration | Subject::Announcements => until,
+        };
+        tokio::select! {
+            () = gateway.feed.until_fed() => return None,
+            () = gateway.until_without_relay() => return seen,
+            () = tokio::time::sleep_until(look) => {}
+        }
+        if Instant::now() >= until {
+            return seen;
+        }
     }
 }
 
@@ -144,7 +219,7 @@
     progress: &mut Progress,
 ) {
     let request = WatchRequest {
-        range: KeyRange::prefix(&followed.prefix),
+        range: followed.range(),
         from: seen.next(),
     };
     let gateway = progress.gateway.clone();
@@ -266,14 +341,6 @@
         }
     }
 
-    /// Pause before the first watch after the start.
-    fn until_first_watch(&self) -> Duration {
-        if self.gateway.is_small_fleet() {
-            return Duration::ZERO;
-        }
-        FIRST_GATHERING.saturating_sub(self.started.elapsed())
-    }
-
     /// Waits behind a failure until it makes sense to ask the store again.
     async fn after(&mut self, error: &StoreError) {
         if self.failures == 0 {
--- a/crates/dyketally-gateway/src/store/metered_store.rs
+++ b/crates/dyketally-gateway/src/store/metered_store.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
-    KeyValueStore, Lease, LeaseId, PutRequest, RangeReply, RangeRequest, StoreRevision,
-    TransactionReply, TransactionRequest, WatchRequest, WatchStream,
+    Consistency, KeyValueStore, Lease, LeaseId, PutRequest, RangeReply, RangeRequest,
+    StoreRevision, TransactionReply, TransactionRequest, WatchRequest, WatchStream,
 };
 use futures::StreamExt;
 use serde::Serialize;
@@ -17,8 +17,10 @@
 /// `docs/logs.md`.
 #[derive(Debug, Default, Serialize)]
 pub struct StoreCalls {
-    /// Ranges read.
+    /// Ranges read, but for stale ones.
     store_reads: AtomicU64,
+    /// Ranges read that may be some seconds old.
+    store_stale_reads: AtomicU64,
     /// Transactions and single keys written.
     store_writes: AtomicU64,
     /// Waits for changes that ended.
@@ -49,7 +51,10 @@
 #[async_trait]
 impl<S: KeyValueStore> KeyValueStore for MeteredStore<S> {
     async fn range(&self, request: RangeRequest) -> Result<RangeReply, StoreError> {
-        count(&self.calls.store_reads);
+        count(match request.consistency {
+            Consistency::Linearizable => &self.calls.store_reads,
+            Consistency::Stale => &self.calls.store_stale_reads,
+        });
         self.inner.range(request).await
     }
 
--- a/crates/dyketally-gateway/src/succession/duty.rs
+++ b/crates/dyketally-gateway/src/succession/duty.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::identifiers::NodeName;
+use dyketally::placement;
+use dyketally::time::Timestamp;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
     Condition, KeyRange, KeyValueStore, LeaseId, RangeRequest, StoreRevision, TransactionRequest,
 };
-use rand::Rng;
 use tokio::time::Instant;
 
 use crate::event::Event;
@@ -21,10 +23,13 @@
 const RENEWAL: Duration = Duration::from_millis(800);
 /// Pause before a renewal that failed is tried again.
 const RENEWAL_RETRY: Duration = Duration::from_millis(150);
-/// Longest pause before this node tries to take a duty that is free, and what each node that runs
-/// adds to it: few of them should try at one time.
-const CAMPAIGN_DELAY: Duration = Duration::from_millis(150);
-const CAMPAIGN_DELAY_PER_NODE: Duration = Duration::from_millis(3);
+/// How long each node gives those ranked before it to take a duty that is free: time for a lease, a
+/// write and the word that it is taken.
+const CAMPAIGN_HEAD_START: Duration = Duration::from_millis(40);
+/// Longest pause before this node tries.
+const LONGEST_CAMPAIGN_DELAY: Duration = Duration::from_millis(1_500);
+/// For so long after its start a node doesn't campaign: it has to get to know the others.
+const SETTLING: Duration = Duration::from_millis(1_500);
 /// Pause before a campaign that failed is repeated if nobody is known to have won.
 const CAMPAIGN_RETRY: Duration = Duration::from_secs(1);
 
@@ -119,11 +124,24 @@
         membership.attention.notify_one();
     }
 
+    /// Gives nodes that are ranked before this one time to take the duty: each campaign costs calls
+    /// to the store.
     async fn pause_before_campaign(&self) {
-        let nodes = u32::try_from(self.membership().node_count()).unwrap_or(u32::MAX);
-        let longest = CAMPAIGN_DELAY + CAMPAIGN_DELAY_PER_NODE.saturating_mul(nodes);
-        let share = rand::rng().random_range(0.0..1.0);
-        tokio::time::sleep(longest.mul_f64(share)).await;
+        let running_for = self.gateway.now().saturating_since(Timestamp::ZERO);
+        tokio::time::sleep(SETTLING.saturating_sub(running_for)).await;
+        let pause = CAMPAIGN_HEAD_START.saturating_mul(self.rank());
+        tokio::time::sleep(pause.min(LONGEST_CAMPAIGN_DELAY)).await;
+    }
+
+    /// How many nodes should campaign before this one.
+    fn rank(&self) -> u32 {
+        let nodes = self.membership().nodes();
+        let names: Vec<&NodeName> = nodes.keys().collect();
+        let by = NodeName::new(self.keys.duty().to_string());
+        let ranked = placement::preference(&by, &names);
+        let own = &self.keys.record().node;
+        let rank = ranked.iter().position(|name| *name == own);
+        rank.map_or(u32::MAX, |rank| u32::try_from(rank).unwrap_or(u32::MAX))
     }
 
     /// Ends the lease of an earlier process of this node, so that the duty is free at once.
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -9,10 +9,11 @@
 use std::time::Duration;
 
 use dyketally::failover::{Contact, is_majority};
-use dyketally::identifiers::GroupName;
+use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::time::Timestamp;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{KeyValueStore, LeaseId};
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -33,7 +34,22 @@
 /// before the lease does.
 const DUTY_CONTACT_SHORTER: Duration = Duration::from_millis(600);
 /// Pause before the contact is looked at again when there is nothing to ask.
-const REST: Duration = Duration::from_millis(500);
+const REST: Duration = Duration::from_millis(300);
+
+/// Age of a relay's contact with the store from which on the store counts as failing for its
+/// followers as well; a relay renews its lease each 0.7 s.
+const RELAY_LOST_STORE: Duration = Duration::from_millis(1_800);
+
+/// How lately a node was in touch, for nodes that rely on it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayContact {
+    /// How long ago it asked the store that replied last.
+    pub store: Option<Duration>,
+    /// How long ago it asked the nodes more than half of which replied last.
+    pub majority: Option<Duration>,
+    /// Databases that it doesn't take for leaders, and for how long.
+    pub fenced: Vec<(DatabaseName, Duration)>,
+}
 
 /// What an isolated node found when it asked the other databases of a group.
 #[derive(Clone, Copy, Debug)]
@@ -110,6 +126,48 @@
         self.touch.contact.borrow_mut().store_replied(asked);
     }
 
+    /// How lately this node was in touch, for the nodes that follow it. A node that catches up may
+    /// lack news, so for them it is in touch with nobody.
+    pub fn relay_contact(&self) -> RelayContact {
+        let now = self.now();
+        let contact = self.touch.contact.borrow();
+        let is_held = contact.is_held(now);
+        let fences = self.fences.borrow().standing(now);
+        RelayContact {
+            store: contact.store_age(now).filter(|_| is_held),
+            majority: contact.majority_age(now).filter(|_| is_held),
+            fenced: fences,
+        }
+    }
+
+    /// Takes in how lately a relay that was asked at `asked` had been in touch: what reached it since
+    /// has reached this node, too. While this node holds the duty only its own calls count.
+    pub fn take_relay_contact(&self, asked: Timestamp, relayed: RelayContact) {
+        let now = self.now();
+        for (database, age) in relayed.fenced {
+            self.fences.borrow_mut().heard(now, database, age);
+        }
+        let holds_duty = self.membership.last_duty().is_some();
+        match relayed.store {
+            Some(age) if age < RELAY_LOST_STORE => self.membership.store_answered(),
+            Some(_) | None => self.membership.store_failed(),
+        }
+        if holds_duty {
+            return;
+        }
+        if let Some(age) = relayed.store
+            && !self.is_stopping()
+        {
+            self.store_replied(asked - age);
+        }
+        if let Some(age) = relayed.majority {
+            self.touch
+                .contact
+                .borrow_mut()
+                .majority_replied(asked - age);
+        }
+    }
+
     /// True when `target` must not be taken for a leader, whatever it says: it is being replaced,
     /// or another database is known to lead.
     fn is_replaced(&self, target: &Target) -> bool {
@@ -211,10 +269,11 @@
     }
 }
 
-/// Asks the other nodes for a sign of life while the store doesn't reply, forever.
+/// Asks the other nodes for a sign of life while the store doesn't reply, forever. Nodes that follow
+/// a relay leave that to it: all nodes asking each other would grow with the square of the fleet.
 pub async fn keep_in_touch(gateway: Rc<Gateway>, peers: Rc<Peers>) {
     let mut last_asked = None;
-    let mut was_in_touch = true;
+    let mut was_in_touch = false;
     loop {
         let in_touch = gateway.is_in_touch();
         if in_touch != std::mem::replace(&mut was_in_touch, in_touch) {
@@ -224,6 +283,8 @@
             });
         }
         let due = gateway.touch.contact.borrow().ask_nodes_at(last_asked);
+        let relies_on_relay = gateway.feed.is_fed() && gateway.membership.last_duty().is_none();
+        let due = due.filter(|_| !relies_on_relay);
         let now = gateway.now();
         match due {
             Some(due) if due <= now => {
--- a/crates/dyketally-store/src/key_value.rs
+++ b/crates/dyketally-store/src/key_value.rs
@@ -126,6 +126,16 @@
     Descending,
 }
 
+/// How new the entries of a range have to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Consistency {
+    /// As new as the last change that was acknowledged.
+    #[default]
+    Linearizable,
+    /// May be seconds old, but is cheaper.
+    Stale,
+}
+
 /// Reads the entries of a range.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RangeRequest {
@@ -137,6 +147,8 @@
     pub order: KeyOrder,
     /// The revision to read at; `None` for the newest.
     pub at: Option<StoreRevision>,
+    /// How new the entries have to be. A store may answer with newer ones than asked for.
+    pub consistency: Consistency,
 }
 
 impl RangeRequest {
@@ -147,6 +159,15 @@
             limit: 0,
             order: KeyOrder::Ascending,
             at: None,
+            consistency: Consistency::Linearizable,
+        }
+    }
+
+    /// Reads all of `range`, as it may have been some seconds ago.
+    pub fn stale(range: KeyRange) -> Self {
+        Self {
+            consistency: Consistency::Stale,
+            ..Self::all(range)
         }
     }
 }
--- a/crates/dyketally/src/failover/contact.rs
+++ b/crates/dyketally/src/failover/contact.rs
@@ -72,9 +72,20 @@
     }
 
     /// True when the node would have heard of a primary that is replaced. A node that was never in
-    /// touch knows no primary that could have been replaced since.
+    /// touch wouldn't: what it knows may come from others, or be old.
     pub fn is_held(&self, now: Timestamp) -> bool {
-        !self.was_ever_made() || (self.holds(now) && !self.is_catching_up(now))
+        self.holds(now) && !self.is_catching_up(now)
+    }
+
+    /// How long ago the store was asked that replied last; `None` while it never did.
+    pub fn store_age(&self, now: Timestamp) -> Option<Duration> {
+        self.store.map(|asked| now.saturating_since(asked))
+    }
+
+    /// How long ago the nodes were asked more than half of which replied last; `None` while they
+    /// never did.
+    pub fn majority_age(&self, now: Timestamp) -> Option<Duration> {
+        self.majority.map(|asked| now.saturating_since(asked))
     }
 
     /// When the other nodes should be asked next; `None` while the store was never reached.
