Say that a statement has not run only of one that hasn't

Cause, read in the code: a single read whose attempt was lost, or that a former primary had run, was refused with "the statement has not run" when nothing else was found; a write whose time ended in a queue was said to have been running; lost transactions were said not to have run.

Lost transactions are told to be rolled back. Ruled out: letting a home that dies say that it hadn't passed a statement on, which would cost a round trip.

--- a/crates/dyketally-gateway/src/database/connection.rs
+++ b/crates/dyketally-gateway/src/database/connection.rs
@@ -82,6 +82,13 @@
     pub position: Option<LogPosition>,
 }
 
+impl Answer {
+    /// True when the database said that it hasn't run the statement.
+    pub fn was_rejected(&self) -> bool {
+        matches!(&self.end, Err(failure) if failure.kind.not_run())
+    }
+}
+
 /// True when no transaction is open behind `answers`.
 pub fn leave_idle(answers: &[Answer]) -> bool {
     let last = answers.last();
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -18,6 +18,7 @@
 use crate::database::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement, Reply};
+use crate::statement::hand_over::HandOvers;
 use crate::statement::request::{Execution, Request, Served};
 use crate::statement::transaction::{Transaction, TransactionAnswer};
 
@@ -78,7 +79,10 @@
                     FailureKind::UnknownDatabase,
                     "no route leads to this database; check its name",
                 ),
-                false => Served::not_run(FailureKind::Overloaded),
+                false => Served::failed(
+                    FailureKind::Overloaded,
+                    "this node has no configuration yet; connect to another one, or again later",
+                ),
             };
             self.refuse(served).await;
             return None;
@@ -398,6 +402,7 @@
             deadline: Instant::now() + route.statement_timeout,
             route,
             attempts: Cell::new(0),
+            hand_overs: HandOvers::default(),
         }
     }
 }
--- a/crates/dyketally-gateway/src/statement/mod.rs
+++ b/crates/dyketally-gateway/src/statement/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod batch;
 pub mod checkout;
+pub mod hand_over;
 pub mod read;
 pub mod request;
 pub mod target;
--- a/crates/dyketally-gateway/src/statement/read.rs
+++ b/crates/dyketally-gateway/src/statement/read.rs
@@ -7,8 +7,10 @@
 use dyketally::group::LogPosition;
 use dyketally::identifiers::DatabaseName;
 use dyketally::statement::FailureKind;
+use dyketally::time::Timestamp;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::database::connection::{Answer, Broken, leave_idle};
@@ -16,6 +18,7 @@
 use crate::ports::OwnStatement;
 use crate::statement::batch::{Batch, Step};
 use crate::statement::checkout::Work;
+use crate::statement::hand_over::HandOver;
 use crate::statement::request::{Request, Served};
 use crate::statement::target::Target;
 use crate::statement::write::{Attempt, RETRY_PAUSE};
@@ -45,7 +48,6 @@
         let mut running = FuturesUnordered::new();
         let mut tried: Vec<DatabaseName> = Vec::new();
         let mut refusal = FailureKind::Busy;
-        let mut sent_any = false;
         loop {
             let may_start =
                 running.len() < RUNNING_AT_MOST && request.attempts.get() < ATTEMPTS_AT_MOST;
@@ -53,10 +55,7 @@
                 true => self.start_read(request, &mut tried).await,
                 false => None,
             };
-            if let Some(attempt) = started {
-                sent_any = true;
-                running.push(attempt);
-            }
+            running.extend(started);
             let wake = next_step(request, running.is_empty());
             tokio::select! {
                 finished = running.next(), if !running.is_empty() => match finished {
@@ -65,7 +64,7 @@
                         refusal = kind;
                         let hopeless = request.is_hopeless(self, kind) && running.is_empty();
                         if hopeless && !self.may_try_another(request, &tried) {
-                            return Served::not_run(kind);
+                            return request.refuse(kind);
                         }
                         if kind == FailureKind::Busy {
                             tokio::time::sleep(RETRY_PAUSE / 2).await;
@@ -77,13 +76,14 @@
             }
             let now = Instant::now();
             if now >= request.deadline {
-                return match sent_any && !running.is_empty() {
-                    true => Served::timed_out(),
-                    false => Served::not_run(refusal),
-                };
+                if request.hand_overs.unrun().is_some() {
+                    // What still waits for a connection must not run once the caller is told so.
+                    running.iter().for_each(JoinHandle::abort);
+                }
+                return request.out_of_time(refusal);
             }
             if running.is_empty() && now >= request.give_up() {
-                return Served::not_run(refusal);
+                return request.refuse(refusal);
             }
         }
     }
@@ -92,7 +92,7 @@
         self: &Rc<Self>,
         request: &Rc<Request>,
         tried: &mut Vec<DatabaseName>,
-    ) -> Option<tokio::task::JoinHandle<Attempt>> {
+    ) -> Option<JoinHandle<Attempt>> {
         let (target, proof) = self.choose_read(request, tried).await?;
         tried.push(target.name.clone());
         request.attempt(self);
@@ -169,8 +169,9 @@
         };
         let batch = Batch::of(request.context(), steps);
         let sent = self.now();
-        let answers = match self.exchange(&mut checkout, target, &batch).await {
-            Ok(answers) => answers,
+        let exchange = request.exchange(self, &mut checkout, target, &batch);
+        let (answers, hand_over) = match exchange.await {
+            Ok(answered) => answered,
             Err(unanswered) => return unanswered.into(),
         };
         if leave_idle(&answers) {
@@ -178,10 +179,18 @@
         }
         let mut own = answers.into_iter();
         match proof {
-            Proof::Holds(position) => self.judge_replica_read(target, position, own.next()),
+            Proof::Holds(position) => {
+                let Some(answer) = own.next() else {
+                    return Attempt::Lost(Broken::new("the database gave no answer"));
+                };
+                self.judge_replica_read(target, position, answer, hand_over)
+            }
             Proof::Leads => {
-                let (begun, answer) = (own.next(), own.next());
-                self.judge_primary_read(target, sent, begun, answer).await
+                let (Some(begun), Some(answer)) = (own.next(), own.next()) else {
+                    return Attempt::Lost(Broken::new("the database gave no answer"));
+                };
+                let judged = self.judge_primary_read(target, sent, begun, answer, hand_over);
+                judged.await
             }
         }
     }
@@ -190,58 +199,55 @@
         self: &Rc<Self>,
         target: &Target,
         position: LogPosition,
-        answer: Option<Answer>,
+        answer: Answer,
+        hand_over: HandOver,
     ) -> Attempt {
-        let Some(answer) = answer else {
-            return Attempt::NotRun(FailureKind::Other);
-        };
-        match &answer.end {
-            Err(failure) if failure.kind.not_run() => {
-                if failure.kind == FailureKind::ReplicaBehind {
-                    self.counters.reads_behind.add();
-                    target.state.was_behind(position);
-                }
-                Attempt::NotRun(failure.kind)
-            }
-            _ => {
-                target.state.was_fresh();
-                match target.leads {
-                    true => self.counters.reads_at_primaries.add(),
-                    false => self.counters.reads_at_replicas.add(),
-                }
-                Attempt::Answered(answer)
+        if let Err(failure) = &answer.end
+            && failure.kind.not_run()
+        {
+            hand_over.rejected();
+            if failure.kind == FailureKind::ReplicaBehind {
+                self.counters.reads_behind.add();
+                target.state.was_behind(position);
             }
+            return Attempt::NotRun(failure.kind);
         }
+        target.state.was_fresh();
+        match target.leads {
+            true => self.counters.reads_at_primaries.add(),
+            false => self.counters.reads_at_replicas.add(),
+        }
+        Attempt::Answered(answer)
     }
 
+    /// Judges a read behind a `BEGIN` that only a leader takes. A read behind one that was refused
+    /// ran on its own, and proves nothing.
     async fn judge_primary_read(
         self: &Rc<Self>,
         target: &Target,
-        sent: dyketally::time::Timestamp,
-        begun: Option<Answer>,
-        answer: Option<Answer>,
+        sent: Timestamp,
+        begun: Answer,
+        answer: Answer,
+        hand_over: HandOver,
     ) -> Attempt {
-        let (Some(begun), Some(answer)) = (begun, answer) else {
-            return Attempt::NotRun(FailureKind::Other);
-        };
-        let failed = [&begun, &answer].into_iter().find_map(|answer| {
-            let failure = answer.end.as_ref().err()?;
-            Some(failure.kind)
-        });
-        match failed {
-            None if !self.is_upheld(target).await => Attempt::NotRun(FailureKind::ReadOnly),
-            None => {
+        let kind_of = |answer: &Answer| answer.end.as_ref().err().map(|failure| failure.kind);
+        let (refused, failed) = (kind_of(&begun), kind_of(&answer));
+        if [refused, failed].contains(&Some(FailureKind::ReadOnly)) {
+            self.follows(target);
+        }
+        match (refused, failed) {
+            (refused, Some(kind)) if kind.not_run() => {
+                hand_over.rejected();
+                Attempt::NotRun(refused.unwrap_or(kind))
+            }
+            (Some(_), _) => Attempt::Lost(Broken::new("the database doesn't lead its group")),
+            (None, None) if !self.is_upheld(target).await => Attempt::Lost(Broken::replaced()),
+            (None, None) => {
                 self.counters.reads_at_primaries.add();
                 self.observe(&target.group, answer.position, sent);
                 Attempt::Answered(answer)
             }
-            Some(kind) if begun.end.is_err() || kind.not_run() => {
-                if kind == FailureKind::ReadOnly {
-                    self.follows(target);
-                }
-                Attempt::NotRun(kind)
-            }
-            Some(_) => Attempt::Answered(answer),
+            (None, Some(_)) => Attempt::Answered(answer),
         }
     }
 }
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -17,8 +17,10 @@
 use crate::database::connection::Answer;
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::statement::batch::{SessionContext, Step};
-use crate::statement::checkout::{Claim, Work};
+use crate::statement::batch::{Batch, SessionContext, Step};
+use crate::statement::checkout::{Checkout, Claim, Unanswered, Work};
+use crate::statement::hand_over::{HandOver, HandOvers, Unrun};
+use crate::statement::target::Target;
 
 /// Left of the statement's time when a statement that isn't running is given up.
 const ANSWER_RESERVE: Duration = Duration::from_millis(30);
@@ -63,6 +65,8 @@
     pub deadline: Instant,
     /// Attempts made at databases.
     pub attempts: Cell<u32>,
+    /// Whether it may have run.
+    pub hand_overs: HandOvers,
 }
 
 /// What a caller is told of a statement.
@@ -98,14 +102,25 @@
         }
     }
 
-    /// The statement has not run; the caller should come back.
-    pub fn not_run(kind: FailureKind) -> Self {
+    /// The statement has not run, as `_unrun` tells; the caller should come back.
+    pub fn not_run(kind: FailureKind, _unrun: Unrun) -> Self {
         Self::failed(
             kind,
             &format!("the statement has not run; come back after {COME_BACK_MS} ms"),
         )
     }
 
+    /// The statement's transaction is rolled back, and nothing was kept. Its statements may have run.
+    pub fn rolled_back() -> Self {
+        Self::failed(
+            FailureKind::Aborted,
+            &format!(
+                "the transaction is rolled back and nothing of it is kept; \
+                 begin it again after {COME_BACK_MS} ms"
+            ),
+        )
+    }
+
     /// The statement may have run.
     pub fn in_doubt(reason: &str) -> Self {
         Self::failed(
@@ -190,6 +205,46 @@
         }
     }
 
+    /// What the caller is told when no further attempt is made, where the last one was refused for
+    /// `refusal`: that the statement hasn't run, but only if that is so.
+    pub fn refuse(&self, refusal: FailureKind) -> Served {
+        match self.hand_overs.unrun() {
+            Some(unrun) => Served::not_run(refusal, unrun),
+            None => Served::in_doubt("an attempt got no answer that counts"),
+        }
+    }
+
+    /// What the caller is told when the statement's time is over.
+    pub fn out_of_time(&self, refusal: FailureKind) -> Served {
+        match self.hand_overs.unrun() {
+            Some(unrun) => Served::not_run(refusal, unrun),
+            None => Served::timed_out(),
+        }
+    }
+
+    /// Hands the statement to a connection as part of `batch`. Whoever judges the answers says
+    /// whether they reject it.
+    ///
+    /// # Errors
+    /// There are no answers; tells whether anything may have run.
+    pub async fn exchange(
+        &self,
+        gateway: &Rc<Gateway>,
+        checkout: &mut Checkout,
+        target: &Target,
+        batch: &Batch,
+    ) -> Result<(Vec<Answer>, HandOver), Unanswered> {
+        let hand_over = self.hand_overs.begin();
+        match gateway.exchange(checkout, target, batch).await {
+            Ok(answers) => Ok((answers, hand_over)),
+            Err(Unanswered::NotRun(kind)) => {
+                hand_over.rejected();
+                Err(Unanswered::NotRun(kind))
+            }
+            Err(Unanswered::Lost(broken)) => Err(Unanswered::Lost(broken)),
+        }
+    }
+
     /// Counts an attempt at a database.
     pub fn attempt(&self, gateway: &Gateway) {
         if self.attempts.get() > 0 {
--- a/crates/dyketally-gateway/src/statement/transaction.rs
+++ b/crates/dyketally-gateway/src/statement/transaction.rs
@@ -96,21 +96,24 @@
         }
         if self.bound.is_none() {
             let Ok(answer) = self.run_first(gateway, request).await else {
-                return self.give_up_idle(gateway, request);
+                return self.give_up_unkept(gateway, request);
             };
             return self.committed(gateway, request, answer).await;
         }
         match self.send_until_run(gateway, request).await {
             Ok(Some(answer)) => self.committed(gateway, request, answer).await,
-            Ok(None) if self.wrote => {
+            // What was written is kept only if the commit ran.
+            Ok(None) | Err(_) if !self.wrote || request.hand_overs.unrun().is_some() => {
+                self.give_up_unkept(gateway, request)
+            }
+            Ok(None) => {
                 self.bound = None;
                 ended(Served::in_doubt("the connection broke during the commit"))
             }
-            Err(_) if self.wrote => {
+            Err(_) => {
                 self.bound = None;
                 ended(Served::timed_out())
             }
-            Ok(None) | Err(_) => self.give_up_idle(gateway, request),
         }
     }
 
@@ -213,9 +216,12 @@
         let mut batch = Batch::of(request.context(), vec![request.step(None)]);
         batch.reset = reset;
         let sent = gateway.now();
-        let exchange = gateway.exchange(&mut bound.checkout, &bound.target, &batch);
-        let mut answers = exchange.await.ok()?;
+        let exchange = request.exchange(gateway, &mut bound.checkout, &bound.target, &batch);
+        let (mut answers, hand_over) = exchange.await.ok()?;
         let answer = answers.pop()?;
+        if answer.was_rejected() {
+            hand_over.rejected();
+        }
         if bound.leads && answer.end.is_ok() && gateway.surely_leads(&bound.target) {
             gateway.observe(&bound.target.group, answer.position, sent);
         }
@@ -279,8 +285,9 @@
         batch.flow = Flow::UntilFailure;
         batch.reset = self.reset_after_failure();
         let sent = gateway.now();
-        let answers = match gateway.exchange(&mut checkout, &target, &batch).await {
-            Ok(answers) => answers,
+        let exchange = request.exchange(gateway, &mut checkout, &target, &batch);
+        let (answers, hand_over) = match exchange.await {
+            Ok(answered) => answered,
             Err(Unanswered::NotRun(kind)) => {
                 note_refusal(gateway, &target, kind, after);
                 return First::NotRun(kind);
@@ -292,6 +299,7 @@
             return First::Lost;
         };
         if let Err(failure) = &begun.end {
+            hand_over.rejected();
             note_refusal(gateway, &target, failure.kind, after);
             if begun.state == TransactionState::Idle {
                 checkout.give_back();
@@ -321,6 +329,7 @@
         }
         match &answer.end {
             Err(failure) if failure.kind.not_run() => {
+                hand_over.rejected();
                 note_refusal(gateway, &target, failure.kind, after);
                 First::NotRun(failure.kind)
             }
@@ -413,7 +422,7 @@
     ) -> TransactionAnswer {
         self.failed = true;
         self.drop_bound();
-        let served = aborted();
+        let served = Served::rolled_back();
         request.log(gateway, &served, reason);
         TransactionAnswer {
             served,
@@ -421,14 +430,12 @@
         }
     }
 
-    fn give_up_idle(&mut self, gateway: &Rc<Gateway>, request: &Request) -> TransactionAnswer {
+    /// Ends a transaction that is lost, and of which nothing can have been kept.
+    fn give_up_unkept(&mut self, gateway: &Rc<Gateway>, request: &Request) -> TransactionAnswer {
         self.drop_bound();
-        let served = aborted();
-        request.log(
-            gateway,
-            &served,
-            "a transaction that wrote nothing was lost",
-        );
+        let served = Served::rolled_back();
+        let reason = "the transaction was lost before it could commit anything";
+        request.log(gateway, &served, reason);
         ended(served)
     }
 }
@@ -439,10 +446,6 @@
     }
 }
 
-fn aborted() -> Served {
-    Served::not_run(FailureKind::Aborted)
-}
-
 fn ended(served: Served) -> TransactionAnswer {
     TransactionAnswer {
         served,
--- a/crates/dyketally-gateway/src/statement/write.rs
+++ b/crates/dyketally-gateway/src/statement/write.rs
@@ -33,20 +33,20 @@
         loop {
             let group = &request.route.group;
             let Some(target) = self.primary_by(group, request.give_up()).await else {
-                return Served::not_run(refusal);
+                return request.refuse(refusal);
             };
             let attempt = self.write_once(request, &target);
             match tokio::time::timeout_at(request.deadline, attempt).await {
                 Ok(Attempt::Answered(answer)) => return Served::from_database(answer),
                 Ok(Attempt::NotRun(kind)) if request.is_hopeless(self, kind) => {
-                    return Served::not_run(kind);
+                    return request.refuse(kind);
                 }
                 Ok(Attempt::NotRun(kind)) => refusal = kind,
                 Ok(Attempt::Lost(broken)) => return Served::in_doubt(&broken.reason),
-                Err(_) => return Served::timed_out(),
+                Err(_) => return request.out_of_time(refusal),
             }
             if Instant::now() + RETRY_PAUSE >= request.give_up() {
-                return Served::not_run(refusal);
+                return request.refuse(refusal);
             }
             self.next_change(Instant::now() + RETRY_PAUSE).await;
         }
@@ -60,12 +60,14 @@
         let batch = Batch::of(request.context(), vec![request.step(None)]);
         request.attempt(self);
         let sent = self.now();
-        let answers = self.exchange(&mut checkout, target, &batch).await;
-        let answer = match answers.map(|mut answers| answers.pop()) {
-            Ok(Some(answer)) => answer,
-            Ok(None) => return Attempt::NotRun(FailureKind::Other),
+        let exchange = request.exchange(self, &mut checkout, target, &batch);
+        let (mut answers, hand_over) = match exchange.await {
+            Ok(answered) => answered,
             Err(unanswered) => return unanswered.into(),
         };
+        let Some(answer) = answers.pop() else {
+            return Attempt::Lost(Broken::new("the database gave no answer"));
+        };
         if answer.state == TransactionState::Idle {
             checkout.give_back();
         }
@@ -73,6 +75,7 @@
             Ok(_) if !self.is_upheld(target).await => return Attempt::Lost(Broken::replaced()),
             Ok(_) => self.observe(&target.group, answer.position, sent),
             Err(failure) if failure.kind.not_run() => {
+                hand_over.rejected();
                 if failure.kind == FailureKind::ReadOnly {
                     self.follows(target);
                 }
