Count a node's own calls as contact only while it watches the store itself

Cause, found while the fuzzer was extended: a node that follows a relay which has lost the store still renewed its own lease, and took itself for in touch although its news were old. Now own renewals count only while its own watches stand, the holder of the duty watches the store itself, and joining stops counting when a node has to follow a relay that is out of touch.

--- a/crates/dyketally-gateway/src/fleet/member.rs
+++ b/crates/dyketally-gateway/src/fleet/member.rs
@@ -172,7 +172,7 @@
                     }
                 }
                 () = self.gateway.entered(StopPhase::Leaving) => {
-                    self.gateway.gives_back_leases();
+                    self.gateway.disregard_store();
                     // If it fails the lease runs out by itself.
                     let _ = self.store.revoke_lease(lease).await;
                     return;
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -171,8 +171,8 @@
             // Ranking all nodes behind each of many changes would cost more than they do.
             if looked.elapsed() >= SEARCH_INTERVAL {
                 looked = Instant::now();
-                if gateway.is_relay() {
-                    return ("this node became a relay", true);
+                if !gateway.may_follow_relays() {
+                    return ("this node watches the store itself now", true);
                 }
             }
         }
@@ -217,6 +217,9 @@
         if self.whole.len() == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
             let relay = self.relay.to_string();
             gateway.events.write(&Event::RelayFollowed { relay });
+            if self.in_outage {
+                gateway.disregard_store();
+            }
         }
         Ok(())
     }
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -31,6 +31,8 @@
 /// How long a node that lost its relay looks for another before it asks the store: time to try
 /// three relays that don't reply.
 const SEARCH_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long a watch that was lost counts as one that is being renewed, which takes two calls.
+const WATCH_RENEWED_WITHIN: Duration = Duration::from_secs(1);
 /// Changes that a slow follower may be behind.
 const CHANGES_KEPT: usize = 256;
 
@@ -189,6 +191,20 @@
         !self.is_fed() && SUBJECTS.iter().all(was_watched)
     }
 
+    /// True while this node has its news from the store itself.
+    pub fn is_current(&self) -> bool {
+        let copies = self.copies.borrow();
+        let is_watched = |subject| {
+            let copy = copies.get(subject);
+            copy.is_some_and(|copy: &Copy| match copy.watch {
+                OwnWatch::Never => false,
+                OwnWatch::Stands => true,
+                OwnWatch::LostAt(at) => at.elapsed() < WATCH_RENEWED_WITHIN,
+            })
+        };
+        !self.is_fed() && SUBJECTS.iter().all(is_watched)
+    }
+
     /// How long some watch of this node's has been lost; `None` while all of them stand.
     fn watches_lost_for(&self) -> Option<Duration> {
         let copies = self.copies.borrow();
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -32,9 +32,11 @@
         relays.contains(&&self.settings.node.name)
     }
 
-    /// True when there may be relays that this node should follow.
+    /// True when there may be relays that this node should follow. The holder of the duty counts as in
+    /// touch by its own calls alone, so it has its news from the store as well.
     pub fn may_follow_relays(&self) -> bool {
-        !self.is_small_fleet() && !self.is_relay_of_zone()
+        let holds_duty = self.membership.last_duty().is_some();
+        !holds_duty && !self.is_small_fleet() && !self.is_relay_of_zone()
     }
 
     /// Waits until it is clear that this node has no relay to follow. When the whole system starts
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -81,7 +81,8 @@
     }
 
     /// Renews this node's own lease at `store`, and takes in what that tells of the store. While the
-    /// node holds the duty only [`Gateway::renew_duty`] counts as contact.
+    /// node holds the duty only [`Gateway::renew_duty`] counts as contact, and while it doesn't watch
+    /// the store itself only what its relay tells: its news come from there.
     ///
     /// # Errors
     /// The lease has lapsed, or the store didn't answer.
@@ -92,7 +93,8 @@
     ) -> Result<Duration, StoreError> {
         let asked = self.now();
         let renewed = self.membership.renew(store, lease).await;
-        if renewed.is_ok() && self.membership.last_duty().is_none() {
+        let counts = self.membership.last_duty().is_none() && self.feed.is_current();
+        if renewed.is_ok() && counts {
             self.store_replied(asked);
         }
         renewed
@@ -116,8 +118,9 @@
         renewed
     }
 
-    /// Takes in that this node gives back its leases.
-    pub fn gives_back_leases(&self) {
+    /// Takes in that what this node heard from the store itself no longer counts: it gives back its
+    /// leases, or its news come from a relay that has lost the store.
+    pub fn disregard_store(&self) {
         self.touch.contact.borrow_mut().store_given_up();
     }
 
--- a/crates/dyketally/tests/fence_fuzz.rs
+++ b/crates/dyketally/tests/fence_fuzz.rs
@@ -18,6 +18,10 @@
 const RENEWAL_STEPS: usize = 40;
 /// Steps that a node's watch may take to tell of a new leader once the store is reached again.
 const WATCH_STEPS: usize = 30;
+/// Steps between two pings of a node to the relay that it follows, and after which one is answered
+/// at the latest.
+const PING_STEPS: usize = 7;
+const PONG_STEPS: usize = 5;
 /// Steps between two rounds of asking nodes to confirm.
 const ASK_STEPS: usize = 3;
 
@@ -41,6 +45,20 @@
     FencesKeptSecret,
     /// Nodes in touch with the store don't hear of fences there.
     StoreNotTold,
+    /// A relay's contact counts for its followers as if it were new.
+    RelayedAgeIgnored,
+    /// A node's own calls to the store count although a relay tells it the news.
+    OwnCallsOfFollowersCount,
+    /// Relays don't tell their followers of fences.
+    RelayedFencesKeptSecret,
+}
+
+/// How lately a relay was in touch, as it tells a follower.
+#[derive(Clone, Copy)]
+struct Pong {
+    store: Option<Duration>,
+    majority: Option<Duration>,
+    fenced: bool,
 }
 
 #[derive(Clone, Default)]
@@ -55,6 +73,10 @@
     /// Steps for which it has reached the store without a break.
     store_steps: usize,
     reaches_primary: bool,
+    /// The relay that it follows: it leaves the store and the other nodes to it.
+    follows: Option<usize>,
+    /// When it sent its last ping, and the step at which the reply comes.
+    ping: Option<(Timestamp, usize)>,
 }
 
 struct World {
@@ -77,8 +99,21 @@
         let mut contact = Contact::default();
         // What a node knows of primaries it has from the store.
         contact.store_replied(Timestamp::ZERO);
-        let nodes = (0..count).map(|_| Node {
+        // The holder of the duty relies on nobody.
+        let mut relays = vec![0];
+        let follows: Vec<Option<usize>> = (0..count)
+            .map(|index| {
+                let relay = relays[random.random_range(0..relays.len())];
+                let follows = index > 0 && random.random_bool(0.5);
+                if index > 0 && !follows {
+                    relays.push(index);
+                }
+                follows.then_some(relay)
+            })
+            .collect();
+        let nodes = follows.into_iter().map(|follows| Node {
             contact,
+            follows,
             renews_at: random.random_range(0..RENEWAL_STEPS),
             reaches_store: true,
             reaches_primary: true,
@@ -102,6 +137,11 @@
 
     /// Cuts nodes off from each other, from the store and from the primary, or heals all of it.
     fn cut(&mut self) {
+        let nodes = self.nodes.iter().enumerate();
+        let relays: Vec<usize> = nodes
+            .filter(|(_, node)| node.follows.is_none())
+            .map(|(index, _)| index)
+            .collect();
         let random = &mut self.random;
         let sides = random.random_range(1..4_usize);
         let store_side = random.random_range(0..sides);
@@ -109,6 +149,12 @@
         self.store_runs = random.random_bool(0.8);
         for node in &mut self.nodes {
             node.side = random.random_range(0..sides);
+            if let Some(relay) = &mut node.follows
+                && random.random_bool(0.3)
+            {
+                // It takes another relay.
+                *relay = relays[random.random_range(0..relays.len())];
+            }
             node.reaches_store = self.store_runs && node.side == store_side;
             node.reaches_primary = node.side == primary_side || random.random_bool(0.1);
         }
@@ -118,7 +164,53 @@
         self.nodes[one].side == self.nodes[other].side
     }
 
+    /// Takes in what the relay of a node tells, and sends it the next ping.
+    fn rely_on(&mut self, index: usize, relay: usize) {
+        let now = self.now();
+        let pong = self.pong(relay);
+        let hears = self.hears(index, relay);
+        let delay = self.random.random_range(0..PONG_STEPS);
+        let step = self.step;
+        let node = &mut self.nodes[index];
+        if let Some((asked, at)) = node.ping
+            && at == step
+            && hears
+        {
+            node.fenced |= pong.fenced;
+            let age_ignored = self.fault == Fault::RelayedAgeIgnored;
+            let at = |age: Duration| if age_ignored { now } else { asked - age };
+            if let Some(age) = pong.store {
+                node.contact.store_replied(at(age));
+            }
+            if let Some(age) = pong.majority {
+                node.contact.majority_replied(at(age));
+            }
+        }
+        let renews = step % RENEWAL_STEPS == node.renews_at && node.reaches_store;
+        if renews && self.fault == Fault::OwnCallsOfFollowersCount {
+            node.contact.store_replied(now);
+        }
+        if step % PING_STEPS == node.renews_at % PING_STEPS {
+            node.ping = Some((now, step + delay));
+        }
+    }
+
+    fn pong(&self, relay: usize) -> Pong {
+        let now = self.now();
+        let relay = &self.nodes[relay];
+        let told = relay.contact.is_held(now);
+        Pong {
+            store: relay.contact.store_age(now).filter(|_| told),
+            majority: relay.contact.majority_age(now).filter(|_| told),
+            fenced: relay.fenced && self.fault != Fault::RelayedFencesKeptSecret,
+        }
+    }
+
     fn keep_in_touch(&mut self, index: usize) {
+        if let Some(relay) = self.nodes[index].follows {
+            self.rely_on(index, relay);
+            return;
+        }
         let now = self.now();
         let node = &self.nodes[index];
         if self.step % RENEWAL_STEPS == node.renews_at && node.reaches_store {
@@ -238,7 +330,8 @@
                 true => node.store_steps + 1,
                 false => 0,
             };
-            node.fenced |= self.replaced && node.store_steps > WATCH_STEPS;
+            let watches = node.follows.is_none();
+            node.fenced |= watches && self.replaced && node.store_steps > WATCH_STEPS;
         }
     }
 
@@ -282,6 +375,9 @@
 #[case(Fault::NoCatchUp)]
 #[case(Fault::FencesKeptSecret)]
 #[case(Fault::StoreNotTold)]
+#[case(Fault::RelayedAgeIgnored)]
+#[case(Fault::OwnCallsOfFollowersCount)]
+#[case(Fault::RelayedFencesKeptSecret)]
 fn a_mechanism_that_is_switched_off_is_noticed(#[case] fault: Fault) {
     assert!(first_deceived(fault).is_some(), "{fault:?} went unnoticed");
 }
