Ask seeds for a relay when the store doesn't reply at the start

Cause: a node that started while the store was down knew nobody and served only once the store was back; meanwhile it asked for all three subjects up to every 0.7 s. Test: `a_node_that_starts_while_the_store_is_down_serves` (before: not until the store is back).

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -29,6 +29,9 @@
 /// How long a node whose key is gone is taken for one that may still run, cut off from the store.
 const DEPARTED_REMEMBERED: Duration = Duration::from_secs(30);
 
+/// Relays named by seeds that are remembered.
+const NAMED_RELAYS_AT_MOST: usize = 8;
+
 const NODES: &str = "nodes/";
 const DUTY: &str = "duty/primary-control";
 const FENCES: &str = "fences/";
@@ -157,6 +160,8 @@
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
     /// True once the nodes' keys were read.
     known: Cell<bool>,
+    /// Relays that seeds named.
+    named_relays: RefCell<Vec<SocketAddr>>,
     /// Nodes whose key is gone, and since when.
     departed: RefCell<BTreeMap<NodeName, (NodeRecord, Instant)>>,
     holder: RefCell<Option<Holder>>,
@@ -180,6 +185,23 @@
         self.known.get()
     }
 
+    /// Takes in which relays a seed names.
+    pub fn heard_of_relays(&self, relays: Vec<SocketAddr>) {
+        let mut named = self.named_relays.borrow_mut();
+        for relay in relays {
+            if !named.contains(&relay) && named.len() < NAMED_RELAYS_AT_MOST {
+                named.push(relay);
+            }
+        }
+        drop(named);
+        self.nodes_changed.notify_waiters();
+    }
+
+    /// Relays that seeds named.
+    pub fn named_relays(&self) -> Vec<SocketAddr> {
+        self.named_relays.borrow().clone()
+    }
+
     /// The nodes that run, by name.
     pub fn nodes(&self) -> Ref<'_, BTreeMap<NodeName, NodeRecord>> {
         self.nodes.borrow()
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dyketally::failover::Evidence;
-use dyketally::identifiers::{DatabaseName, GroupName, NodeName};
+use dyketally::identifiers::{DatabaseName, GroupName, NodeName, ZoneName};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -99,6 +99,16 @@
     HeartbeatAsked,
     /// The sender's process runs.
     Heartbeat,
+    /// Which relays should a node of this zone follow?
+    RelaysAsked {
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// Relays that the receiver may follow.
+    Relays {
+        /// Where they hear other nodes, in the order of preference.
+        relays: Vec<SocketAddr>,
+    },
     /// The sender's process ends.
     Ends {
         /// The sender.
@@ -290,6 +300,11 @@
                     let _ = heartbeats.send(from);
                 }
             }
+            PeerMessage::RelaysAsked { zone } => {
+                let relays = self.gateway.relays_for(&zone);
+                self.send(from, &PeerMessage::Relays { relays });
+            }
+            PeerMessage::Relays { relays } => self.gateway.membership.heard_of_relays(relays),
             PeerMessage::Ends { node } => self.gateway.membership.ended(&node),
             PeerMessage::HasDuty { record } => self.gateway.membership.heard_of_holder(record),
             PeerMessage::Leads { database, .. } => {
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -28,7 +28,7 @@
 };
 use crate::session;
 use crate::settings::Settings;
-use crate::store::feed::{Follower, Sink, Subject};
+use crate::store::feed::{Follower, Sink, Subject, ask_seeds};
 use crate::store::follow::{FirstRead, Followed, Gathering, StoreUpdate, follow};
 use crate::store::metered_store::StoreCalls;
 use crate::succession::duty::DutyKeeper;
@@ -117,6 +117,7 @@
     tokio::task::spawn_local(relay::serve(gateway.clone(), relayed));
     tokio::task::spawn_local(peers.clone().run());
     tokio::task::spawn_local(keep_in_touch(gateway.clone(), peers.clone()));
+    tokio::task::spawn_local(ask_seeds(gateway.clone(), peers.clone()));
     tokio::task::spawn_local(failover.run());
     tokio::task::spawn_local(liveness.run());
     let joined = tokio::task::spawn_local(member.clone().run());
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -63,6 +63,14 @@
     /// may take their time to get to know each other.
     #[serde(default)]
     pub first_start: bool,
+    /// Where other nodes may hear this one, which asks them whom to follow while the store doesn't
+    /// tell which nodes run. Some may be down, or others by now.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// True when the ports of `seeds` are those of something else, and all nodes hear each other at
+    /// the same port.
+    #[serde(default)]
+    pub seeds_at_own_port: bool,
 }
 
 fn whole_processor() -> f64 {
@@ -180,6 +188,19 @@
         }
     }
 
+    /// Where the seeds hear other nodes, this one left out.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        let own = self.listen.peers;
+        let seeds = self.node.seeds.iter().map(|seed| {
+            let port = match self.node.seeds_at_own_port {
+                true => own.port(),
+                false => seed.port(),
+            };
+            SocketAddr::new(seed.ip(), port)
+        });
+        seeds.filter(|seed| *seed != own).collect()
+    }
+
     /// Where this node is.
     pub fn own_locality(&self) -> Locality {
         self.locality(&self.node.zone)
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -171,7 +171,7 @@
             // Ranking all nodes behind each of many changes would cost more than they do.
             if looked.elapsed() >= SEARCH_INTERVAL {
                 looked = Instant::now();
-                if !gateway.may_follow_relays() {
+                if gateway.membership.is_known() && !gateway.may_follow_relays() {
                     return ("this node watches the store itself now", true);
                 }
             }
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 pub use follow::{Follower, Sink};
+pub use relays::ask_seeds;
 pub use serve::serve;
 
 use crate::fleet::passed_over::PassedOver;
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -1,10 +1,13 @@
 //! Which nodes are relays, and which of them this node follows.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
-use dyketally::identifiers::{Locality, NodeName};
+use dyketally::identifiers::{NodeName, ZoneName};
 use dyketally::placement;
 
+use crate::fleet::peer::{PeerMessage, Peers};
 use crate::gateway::Gateway;
 
 /// Nodes up to which every node watches the store itself.
@@ -13,6 +16,8 @@
 const RELAYS_PER_ZONE: usize = 2;
 /// Relays of other zones that are followed when none of the own zone can be.
 const FURTHER_RELAYS: usize = 2;
+/// Pause between two rounds of asking seeds.
+const SEEDS_PAUSE: Duration = Duration::from_millis(250);
 
 impl Gateway {
     /// True while every node watches the store itself.
@@ -53,31 +58,58 @@
     }
 
     /// The relays that this node may follow, in the order of preference: those of its zone, then
-    /// some of others. None in a small fleet, and for a relay.
+    /// some of others. None in a small fleet, and for a relay. While the store hasn't told which nodes
+    /// run, those that seeds named.
     pub(super) fn relays_to_follow(&self) -> Vec<SocketAddr> {
-        if !self.may_follow_relays() {
-            return Vec::new();
+        let relays = match self.membership.is_known() {
+            false => self.membership.named_relays(),
+            true if self.may_follow_relays() => self.ranked_relays(&self.settings.node.zone),
+            true => Vec::new(),
+        };
+        let usable = |address: &SocketAddr| !self.feed.passed_over.contains(address);
+        relays.into_iter().filter(usable).collect()
+    }
+
+    /// The relays that a node of `zone` may follow. In a small fleet any node's copy will do.
+    pub fn relays_for(&self, zone: &ZoneName) -> Vec<SocketAddr> {
+        match self.is_small_fleet() {
+            true if self.feed.is_relaying() => vec![self.settings.listen.peers],
+            true => Vec::new(),
+            false => self.ranked_relays(zone),
         }
+    }
+
+    fn ranked_relays(&self, zone: &ZoneName) -> Vec<SocketAddr> {
         let nodes = self.membership.nodes();
         let own = &self.settings.node.name;
-        let own_zone = self.settings.own_locality();
-        let relays_of = |zone: &Locality| {
+        let relays_of = |zone: &ZoneName| {
             let candidates = nodes.values().map(|node| node.candidate());
-            placement::relays(zone, candidates, RELAYS_PER_ZONE)
+            placement::relays(&self.settings.locality(zone), candidates, RELAYS_PER_ZONE)
         };
-        let zones = self.settings.zones.keys();
-        let zones = zones.map(|zone| self.settings.locality(zone));
         let mut others: Vec<&NodeName> = Vec::new();
-        for zone in zones.filter(|zone| *zone != own_zone) {
-            others.extend(relays_of(&zone));
+        for other in self.settings.zones.keys().filter(|other| *other != zone) {
+            others.extend(relays_of(other));
         }
-        let mut relays = placement::preference(own, &relays_of(&own_zone));
+        let mut relays = placement::preference(own, &relays_of(zone));
         let others = placement::preference(own, &others);
         relays.extend(others.into_iter().take(FURTHER_RELAYS));
-        let addresses = relays.into_iter().filter_map(|relay| nodes.get(relay));
-        let addresses = addresses.map(|node| node.address);
-        addresses
-            .filter(|address| !self.feed.passed_over.contains(address))
-            .collect()
+        let known = relays.into_iter().filter_map(|relay| nodes.get(relay));
+        known.map(|node| node.address).collect()
+    }
+}
+
+/// Asks seeds whom to follow until this node follows somebody, or the store tells which nodes run.
+pub async fn ask_seeds(gateway: Rc<Gateway>, peers: Rc<Peers>) {
+    let message = PeerMessage::RelaysAsked {
+        zone: gateway.settings.node.zone.clone(),
+    };
+    let seeds = gateway.settings.seeds();
+    // The store mostly answers sooner.
+    tokio::time::sleep(SEEDS_PAUSE).await;
+    while !gateway.membership.is_known() && !gateway.feed.is_fed() {
+        for seed in &seeds {
+            peers.send(*seed, &message);
+        }
+        tokio::time::sleep(SEEDS_PAUSE).await;
     }
 }
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -358,8 +358,9 @@
         if tokio::time::timeout(pause, &mut regained).await.is_ok() {
             return;
         }
-        // Before its first read a node has nothing to serve with, so it goes on asking.
-        if self.was_read && membership.store_is_failing() {
+        // Before its first read a node may have nothing to serve with, so it goes on asking.
+        let has_all = self.was_read || self.gateway.is_ready();
+        if has_all && membership.store_is_failing() {
             // Either way it is time to ask.
             let _ = tokio::time::timeout(OUTAGE_LOOK, regained).await;
         }
