--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -135,20 +135,21 @@
     async fn run(mut self) -> (&'static str, bool) {
         let gateway = self.follower.gateway.clone();
         let began = Instant::now();
-        let mut next_ping = began;
+        // The relay speaks first.
+        let mut next_ping = None;
         let mut heard = began;
         let mut looked = began;
         loop {
             let message = tokio::select! {
                 message = self.frames.next() => Some(message),
-                () = tokio::time::sleep_until(next_ping) => None,
+                () = until(next_ping) => None,
                 () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
                     return ("it is silent", false);
                 }
             };
             match message {
                 None => {
-                    next_ping = Instant::now() + self.ping_interval();
+                    next_ping = Some(Instant::now() + self.ping_interval());
                     if self.send_ping().await.is_none() {
                         return ("it can't be reached", false);
                     }
@@ -161,6 +162,7 @@
                     if let Err(reason) = self.take(message) {
                         return (reason, self.in_outage);
                     }
+                    next_ping.get_or_insert(heard);
                 }
                 Some(Some(Err(_)) | None) => return ("it watches the store no longer", false),
             }
@@ -243,4 +245,11 @@
     }
 }
 
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 const _: () = assert!(PING_INTERVAL.as_millis() * 3 < SILENCE_LIMIT.as_millis());
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -1,8 +1,11 @@
 //! The relay's side of a feed.
 
+use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
+use bytes::Bytes;
+use futures::{Sink, SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::broadcast::error::RecvError;
 
@@ -11,6 +14,9 @@
 use crate::fleet::link::frames;
 use crate::gateway::Gateway;
 
+/// How long a follower may take to say that it stays.
+const FIRST_PING_LIMIT: Duration = Duration::from_secs(2);
+
 /// Serves a node that follows this one, for as long as this one watches the store itself. A relay
 /// goes on while the store is lost, and tells so: that all its followers ask the store helps nobody.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
@@ -18,44 +24,59 @@
     if !may_serve() {
         return;
     }
-    let mut changes = gateway.feed.changes.subscribe();
     let (mut sink, mut pings) = frames(stream).split();
-    let first = encode(&gateway.pong(0));
-    let whole = SUBJECTS.map(|subject| gateway.feed.whole(subject));
-    for message in std::iter::once(first).chain(whole) {
-        let Some(message) = message else {
-            return;
-        };
-        if sink.send(message).await.is_err() {
+    // A follower that looks for a relay in touch with the store leaves behind this, and shouldn't have
+    // been sent all the rest.
+    if send(&mut sink, encode(&gateway.pong(0))).await.is_none() {
+        return;
+    }
+    let Ok(Some(Ok(ping))) = tokio::time::timeout(FIRST_PING_LIMIT, pings.next()).await else {
+        return;
+    };
+    let mut changes = gateway.feed.changes.subscribe();
+    for subject in SUBJECTS {
+        if send(&mut sink, gateway.feed.whole(subject)).await.is_none() {
             return;
         }
     }
+    if send(&mut sink, gateway.answer(&ping)).await.is_none() {
+        return;
+    }
     loop {
         let message = tokio::select! {
+            // What a pong vouches for goes ahead of it.
+            biased;
             change = changes.recv() => match change {
                 Ok(change) => Some(change),
                 // The follower is too far behind, and begins anew.
                 Err(RecvError::Lagged(_) | RecvError::Closed) => return,
             },
             ping = pings.next() => match ping {
-                Some(Ok(ping)) => {
-                    let ping: Option<Ping> = decode(&ping);
-                    ping.and_then(|ping| encode(&gateway.pong(ping.number)))
-                }
+                Some(Ok(ping)) => gateway.answer(&ping),
                 // The follower left.
                 Some(Err(_)) | None => return,
             },
         };
-        let Some(message) = message else {
-            return;
-        };
-        if !may_serve() || sink.send(message).await.is_err() {
+        if !may_serve() || send(&mut sink, message).await.is_none() {
             return;
         }
     }
 }
 
+/// Sends a message; `None` if it can't be sent, or there is none.
+async fn send(
+    sink: &mut (impl Sink<Bytes, Error = io::Error> + Unpin),
+    message: Option<Bytes>,
+) -> Option<()> {
+    sink.send(message?).await.ok()
+}
+
 impl Gateway {
+    fn answer(&self, ping: &[u8]) -> Option<Bytes> {
+        let ping: Ping = decode(ping)?;
+        encode(&self.pong(ping.number))
+    }
+
     fn pong(&self, ping: u64) -> FeedMessage {
         let mut contact = self.relay_contact();
         if let Some(lost_for) = self.feed.watches_lost_for() {
