Don't hold statements for a primary that has been out of reach for long

Held is right for as long as a succession takes (0.4 to 1.3 s). Change (decision 0049): statements wait until 1.5 s after the first attempt that found no usable primary; later ones are refused as soon as their one attempt has failed, with when to come back.

--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::fleet::peer::Peers;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::settings::Settings;
+use crate::statement::reach::Unled;
 use crate::store::feed::Feed;
 use crate::store::metered_store::StoreCalls;
 use crate::succession::lead::{Touch, Vettings};
@@ -61,6 +62,8 @@
     pub searching: Cell<bool>,
     /// When the running confirmation was sent, if one runs.
     pub confirming: Cell<Option<Timestamp>>,
+    /// Whether it has a primary that this node can use.
+    pub unled: Unled,
     /// What an isolated node learnt of the group's other databases.
     pub vettings: Vettings,
 }
@@ -320,6 +323,7 @@
             observed: Notify::new(),
             searching: Cell::new(false),
             confirming: Cell::new(None),
+            unled: Unled::default(),
             vettings: Vettings::default(),
         });
         self.groups.borrow_mut().insert(name.clone(), group.clone());
@@ -338,6 +342,7 @@
             return;
         };
         let group = self.group(group);
+        group.unled.answered();
         let observation = Observation { position, sent };
         group
             .observations
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod ports;
 mod session;
 pub mod settings;
-mod statement;
+pub mod statement;
 pub mod store;
 mod succession;
 
--- a/crates/dyketally-gateway/src/statement/mod.rs
+++ b/crates/dyketally-gateway/src/statement/mod.rs
@@ -3,6 +3,7 @@
 pub mod batch;
 pub mod checkout;
 pub mod hand_over;
+pub mod reach;
 pub mod read;
 pub mod request;
 pub mod target;
--- a/crates/dyketally-gateway/src/statement/read.rs
+++ b/crates/dyketally-gateway/src/statement/read.rs
@@ -55,15 +55,24 @@
                 true => self.start_read(request, &mut tried).await,
                 false => None,
             };
+            let none_started = started.is_none();
             running.extend(started);
+            let idle = may_start && none_started && running.is_empty();
+            if idle && self.is_unled(&request.route.group) {
+                return request.refuse(refusal);
+            }
             let wake = next_step(request, running.is_empty());
             tokio::select! {
                 finished = running.next(), if !running.is_empty() => match finished {
                     Some(Ok(Attempt::Answered(answer))) => return Served::from_database(answer),
                     Some(Ok(Attempt::NotRun(kind))) => {
                         refusal = kind;
-                        let hopeless = request.is_hopeless(self, kind) && running.is_empty();
-                        if hopeless && !self.may_try_another(request, &tried) {
+                        let group = &request.route.group;
+                        let hopeless = request.is_hopeless(self, kind) || self.is_unled(group);
+                        if hopeless
+                            && running.is_empty()
+                            && !self.may_try_another(request, &tried)
+                        {
                             return request.refuse(kind);
                         }
                         if kind == FailureKind::Busy {
--- a/crates/dyketally-gateway/src/statement/transaction.rs
+++ b/crates/dyketally-gateway/src/statement/transaction.rs
@@ -248,7 +248,13 @@
                     self.drop_bound();
                     return Err("the queue for the database was too long");
                 }
-                Ok(First::NotRun(_) | First::Lost) => self.drop_bound(),
+                Ok(First::NotRun(_) | First::Lost) => {
+                    self.drop_bound();
+                    let unled = gateway.is_unled(&request.route.group);
+                    if unled && !self.may_try_another(gateway, request, &passed_over) {
+                        return Err("the group has had no primary in reach for long");
+                    }
+                }
                 Err(_) => {
                     self.bound = None;
                     return Err("the transaction's first statement got no answer in time");
--- a/crates/dyketally-gateway/src/statement/write.rs
+++ b/crates/dyketally-gateway/src/statement/write.rs
@@ -32,13 +32,17 @@
         let mut refusal = FailureKind::Busy;
         loop {
             let group = &request.route.group;
-            let Some(target) = self.primary_by(group, request.give_up()).await else {
+            let patience = self.group(group).unled.wait_until(request.give_up());
+            let Some(target) = self.primary_by(group, patience).await else {
+                self.group(group).unled.missed();
                 return request.refuse(refusal);
             };
             let attempt = self.write_once(request, &target);
             match tokio::time::timeout_at(request.deadline, attempt).await {
                 Ok(Attempt::Answered(answer)) => return Served::from_database(answer),
-                Ok(Attempt::NotRun(kind)) if request.is_hopeless(self, kind) => {
+                Ok(Attempt::NotRun(kind))
+                    if request.is_hopeless(self, kind) || self.is_unled(group) =>
+                {
                     return request.refuse(kind);
                 }
                 Ok(Attempt::NotRun(kind)) => refusal = kind,
