Name the consistency of ranges in the laboratory's stand-in

The stand-in always answers with the newest entries, which a stale read allows. The contract test takes the port's own constructor.

--- a/crates/dyketally-lab/src/platform/convert.rs
+++ b/crates/dyketally-lab/src/platform/convert.rs
@@ -1,9 +1,9 @@
 //! Between the gateway's messages and the store's types, as the service sees them.
 
 use dyketally_proxy::stores::key_value::{
-    Condition, Entry, Key, KeyOrder, KeyRange, LeaseId, Operation, OperationResult, PutRequest,
-    RangeReply, RangeRequest, StoreRevision, TransactionReply, TransactionRequest, WatchBatch,
-    WatchEvent, WatchRequest,
+    Condition, Consistency, Entry, Key, KeyOrder, KeyRange, LeaseId, Operation, OperationResult,
+    PutRequest, RangeReply, RangeRequest, StoreRevision, TransactionReply, TransactionRequest,
+    WatchBatch, WatchEvent, WatchRequest,
 };
 use dyketally_proxy::stores::wire::{self, Base64, CompareTarget, Int64};
 
@@ -38,6 +38,7 @@
             wire::SortOrder::Descend => KeyOrder::Descending,
         },
         at: (!request.revision.is_zero()).then(|| StoreRevision(request.revision.unsigned())),
+        consistency: Consistency::Linearizable,
     }
 }
 
--- a/crates/dyketally-lab/tests/platform/store_contract.rs
+++ b/crates/dyketally-lab/tests/platform/store_contract.rs
@@ -32,10 +32,9 @@
         store.put(put(key, key)).await.expect("a put");
     }
     let request = RangeRequest {
-        range,
         limit,
         order,
-        at: None,
+        ..RangeRequest::all(range)
     };
     let reply = store.range(request).await.expect("a range");
     let keys: Vec<String> = texts(&reply).into_iter().map(|(key, _)| key).collect();
