--- a/crates/dyketally-gateway/src/statement/reach.rs
+++ b/crates/dyketally-gateway/src/statement/reach.rs
@@ -25,43 +25,51 @@
 /// Since when a group has had no primary that this node can use.
 #[derive(Debug, Default)]
 pub struct Unled {
-    /// The first and the last attempt that found none.
-    attempts: Cell<Option<(Instant, Instant)>>,
+    loss: Cell<Option<Loss>>,
+}
+
+/// Attempts that found no primary, one soon after the other.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    first: Instant,
+    last: Instant,
+}
+
+impl Loss {
+    /// True while one more attempt belongs to it.
+    fn goes_on(&self) -> bool {
+        self.last.elapsed() < ONE_LOSS
+    }
 }
 
 impl Unled {
     /// Takes in that an attempt found no primary that can be used.
     pub fn missed(&self) {
-        let now = Instant::now();
-        let first = match self.attempts.get() {
-            Some((first, last)) if last.elapsed() < ONE_LOSS => first,
-            Some(_) | None => now,
-        };
-        self.attempts.set(Some((first, now)));
+        let last = Instant::now();
+        let first = self.current().map_or(last, |loss| loss.first);
+        self.loss.set(Some(Loss { first, last }));
     }
 
     /// Takes in that the primary answered.
     pub fn answered(&self) {
-        self.attempts.set(None);
+        self.loss.set(None);
     }
 
     /// Until when a primary is waited for, by `latest` at the latest.
     pub fn wait_until(&self, latest: Instant) -> Instant {
         let now = Instant::now();
-        let until = match self.attempts.get() {
-            Some((first, last)) if last.elapsed() < ONE_LOSS => {
-                (first + REPLACED_WITHIN).max(now + SHORT_WAIT)
-            }
-            Some(_) | None => now + REPLACED_WITHIN,
-        };
-        until.min(latest)
+        let first = self.current().map_or(now, |loss| loss.first);
+        (first + REPLACED_WITHIN).max(now + SHORT_WAIT).min(latest)
     }
 
     /// True when statements shouldn't wait for the primary any longer.
     pub fn is_out_of_reach(&self) -> bool {
-        self.attempts.get().is_some_and(|(first, last)| {
-            last.elapsed() < ONE_LOSS && first.elapsed() >= REPLACED_WITHIN
-        })
+        self.current()
+            .is_some_and(|loss| loss.first.elapsed() >= REPLACED_WITHIN)
+    }
+
+    fn current(&self) -> Option<Loss> {
+        self.loss.get().filter(Loss::goes_on)
     }
 }
 
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -84,26 +84,56 @@
     async fn follow(&self, relay: SocketAddr, demand: Demand) {
         let opening = relay::open(relay, &Opening::Feed);
         let connected = tokio::time::timeout(CONNECT_LIMIT, opening).await;
-        let (reason, usable) = match connected {
+        let ended = match connected {
             Ok(Ok(stream)) => {
-                Following::new(self, relay, frames(stream), demand)
-                    .run()
-                    .await
+                let following = Following::new(self, relay, frames(stream), demand);
+                following.run().await
             }
-            Ok(Err(_)) | Err(_) => ("it can't be reached", false),
+            Ok(Err(_)) | Err(_) => Ended::failed("it can't be reached"),
         };
         let feed = &self.gateway.feed;
         if feed.fed.send_replace(false) {
             let relay = relay.to_string();
-            let lost = Event::RelayLost { relay, reason };
-            self.gateway.events.write(&lost);
+            let reason = ended.reason;
+            self.gateway
+                .events
+                .write(&Event::RelayLost { relay, reason });
         }
-        if !usable {
+        if !ended.may_be_followed_again {
             feed.passed_over.add(relay);
         }
     }
 }
 
+/// Why a relay is followed no longer.
+struct Ended {
+    reason: &'static str,
+    /// False when the relay should be passed over for a while.
+    may_be_followed_again: bool,
+}
+
+impl Ended {
+    fn failed(reason: &'static str) -> Self {
+        Self {
+            reason,
+            may_be_followed_again: false,
+        }
+    }
+
+    fn left(reason: &'static str) -> Self {
+        Self {
+            reason,
+            may_be_followed_again: true,
+        }
+    }
+}
+
+/// A ping that was sent.
+struct SentPing {
+    number: u64,
+    at: Timestamp,
+}
+
 /// One relay that is being followed.
 struct Following<'a> {
     follower: &'a Follower,
@@ -112,8 +142,8 @@
     demand: Demand,
     /// Subjects that the relay has sent as a whole.
     whole: HashSet<Subject>,
-    /// The last ping, and when it was sent.
-    ping: (u64, Timestamp),
+    /// The last ping; number zero before the first.
+    ping: SentPing,
     /// True while the relay has lost the store.
     in_outage: bool,
 }
@@ -126,13 +156,16 @@
             frames,
             demand,
             whole: HashSet::new(),
-            ping: (0, Timestamp::ZERO),
+            ping: SentPing {
+                number: 0,
+                at: Timestamp::ZERO,
+            },
             in_outage: false,
         }
     }
 
-    /// Follows the relay; why that ended, and whether the relay may be followed again at once.
-    async fn run(mut self) -> (&'static str, bool) {
+    /// Follows the relay until that ends.
+    async fn run(mut self) -> Ended {
         let gateway = self.follower.gateway.clone();
         let began = Instant::now();
         // The relay speaks first.
@@ -144,37 +177,42 @@
                 message = self.frames.next() => Some(message),
                 () = until(next_ping) => None,
                 () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
-                    return ("it is silent", false);
+                    return Ended::failed("it is silent");
                 }
             };
             match message {
                 None => {
                     next_ping = Some(Instant::now() + self.ping_interval());
                     if self.send_ping().await.is_none() {
-                        return ("it can't be reached", false);
+                        return Ended::failed("it can't be reached");
                     }
                 }
                 Some(Some(Ok(message))) => {
                     heard = Instant::now();
                     let Some(message) = decode(&message) else {
-                        return ("it sent what is no message", false);
+                        return Ended::failed("it sent what is no message");
                     };
                     if let Err(reason) = self.take(message) {
-                        return (reason, self.in_outage);
+                        return Ended {
+                            reason,
+                            may_be_followed_again: self.in_outage,
+                        };
                     }
                     next_ping.get_or_insert(heard);
                 }
-                Some(Some(Err(_)) | None) => return ("it watches the store no longer", false),
+                Some(Some(Err(_)) | None) => {
+                    return Ended::failed("it watches the store no longer");
+                }
             }
             let reviews = self.demand == Demand::Any && self.in_outage;
             if reviews && began.elapsed() >= REVIEW_INTERVAL {
-                return ("another one may be in touch with the store", true);
+                return Ended::left("another one may be in touch with the store");
             }
             // Ranking all nodes behind each of many changes would cost more than they do.
             if looked.elapsed() >= SEARCH_INTERVAL {
                 looked = Instant::now();
                 if gateway.membership.is_known() && !gateway.may_follow_relays() {
-                    return ("this node watches the store itself now", true);
+                    return Ended::left("this node watches the store itself now");
                 }
             }
         }
@@ -188,8 +226,9 @@
     }
 
     async fn send_ping(&mut self) -> Option<()> {
-        let number = self.ping.0 + 1;
-        self.ping = (number, self.follower.gateway.now());
+        let number = self.ping.number + 1;
+        let at = self.follower.gateway.now();
+        self.ping = SentPing { number, at };
         let ping = encode(&Ping { number })?;
         self.frames.send(ping).await.ok()
     }
@@ -238,8 +277,8 @@
         let is_fed = self.whole.len() == SUBJECTS.len();
         // A node that the others don't know of isn't in touch with them.
         let is_listed = gateway.feed.lists(Subject::Nodes, &self.follower.own_key);
-        if ping == self.ping.0 && ping > 0 && is_fed && is_listed {
-            gateway.take_relay_contact(self.ping.1, contact);
+        if ping == self.ping.number && ping > 0 && is_fed && is_listed {
+            gateway.take_relay_contact(self.ping.at, contact);
         }
         Ok(())
     }
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -44,7 +44,7 @@
     }
     loop {
         let message = tokio::select! {
-            // What a pong vouches for goes ahead of it.
+            // A pong tells that all changes before it were sent.
             biased;
             change = changes.recv() => match change {
                 Ok(change) => Some(change),
