Ask the store itself when it replies to this node and to no relay

The store was silent for 35% of the nodes; the relays of one zone and both further ones were among them, and a node that the store would have served followed one that was out of touch for 7 s and never asked. Now a follower that finds no relay in touch looks whether the store replies to it, by a stale read, before it follows one that isn't; if so it watches the store itself at once.

--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -265,7 +265,7 @@
         (Subject::Announcements, announcements),
         (Subject::Nodes, nodes),
     ]);
-    let follower = Follower::new(gateway.clone(), sinks, own_key);
+    let follower = Follower::new(gateway.clone(), sinks, store.clone(), own_key);
     tokio::task::spawn_local(follower.run());
 }
 
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dyketally::time::Timestamp;
-use dyketally_store::key_value::Key;
+use dyketally_store::key_value::{Key, KeyRange, KeyValueStore, RangeRequest};
 use futures::{SinkExt, StreamExt};
 use tokio::time::Instant;
 
@@ -33,6 +33,8 @@
 const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
 /// How long a relay that is out of touch is followed before others are tried again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
+/// How long the store may take to show that it replies to this node.
+const STORE_LIMIT: Duration = Duration::from_millis(400);
 /// Pause between two searches for a relay, and between two looks whether this node became one.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -52,16 +54,23 @@
 pub struct Follower {
     gateway: Rc<Gateway>,
     sinks: HashMap<Subject, Sink>,
+    store: Rc<dyn KeyValueStore>,
     /// The node's own key.
     own_key: Key,
 }
 
 impl Follower {
     /// A follower that isn't running yet. What relays tell of a subject goes to its sink.
-    pub fn new(gateway: Rc<Gateway>, sinks: HashMap<Subject, Sink>, own_key: Key) -> Self {
+    pub fn new(
+        gateway: Rc<Gateway>,
+        sinks: HashMap<Subject, Sink>,
+        store: Rc<dyn KeyValueStore>,
+        own_key: Key,
+    ) -> Self {
         Self {
             gateway,
             sinks,
+            store,
             own_key,
         }
     }
@@ -69,10 +78,11 @@
     /// Follows relays while there are any, until the process ends.
     pub async fn run(self) {
         loop {
-            for demand in [Demand::InTouch, Demand::Any] {
-                for relay in self.gateway.relays_to_follow() {
-                    self.follow(relay, demand).await;
-                }
+            self.follow_all(Demand::InTouch).await;
+            // The store may turn some nodes away and serve others.
+            match self.store_replies().await {
+                true => self.gateway.feed.without_relay.notify_waiters(),
+                false => self.follow_all(Demand::Any).await,
             }
             let changed = self.gateway.membership.nodes_changed.notified();
             // Either way it is time to look again.
@@ -80,6 +90,23 @@
         }
     }
 
+    async fn follow_all(&self, demand: Demand) {
+        for relay in self.gateway.relays_to_follow() {
+            self.follow(relay, demand).await;
+        }
+    }
+
+    /// True when the store replies to this node; false without asking where it has no relay to leave
+    /// that to.
+    async fn store_replies(&self) -> bool {
+        if self.gateway.relays_to_follow().is_empty() {
+            return false;
+        }
+        let request = RangeRequest::stale(KeyRange::key(self.own_key.clone()));
+        let read = tokio::time::timeout(STORE_LIMIT, self.store.range(request));
+        matches!(read.await, Ok(Ok(_)))
+    }
+
     /// Follows one relay until it is lost.
     async fn follow(&self, relay: SocketAddr, demand: Demand) {
         let opening = relay::open(relay, &Opening::Feed);
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use dyketally_store::key_value::{Entry, Key, StoreRevision, WatchEvent};
 use serde::{Deserialize, Serialize};
-use tokio::sync::{broadcast, watch};
+use tokio::sync::{Notify, broadcast, watch};
 use tokio::time::Instant;
 
 pub use follow::{Follower, Sink};
@@ -111,6 +111,8 @@
     copies: RefCell<HashMap<Subject, Copy>>,
     changes: broadcast::Sender<Bytes>,
     fed: watch::Sender<bool>,
+    /// Told when this node reaches the store and no relay does.
+    without_relay: Notify,
     /// Relays that failed or are behind.
     passed_over: PassedOver,
 }
@@ -121,6 +123,7 @@
             copies: RefCell::default(),
             changes: broadcast::Sender::new(CHANGES_KEPT),
             fed: watch::Sender::new(false),
+            without_relay: Notify::new(),
             passed_over: PassedOver::default(),
         }
     }
@@ -277,7 +280,8 @@
         while *fed.borrow_and_update() {
             // The sender lives as long as the gateway.
             let _ = fed.wait_for(|fed| !*fed).await;
-            tokio::time::sleep(SEARCH_LIMIT).await;
+            // Either way the store has to be asked if no relay feeds this node by then.
+            let _ = tokio::time::timeout(SEARCH_LIMIT, self.without_relay.notified()).await;
         }
     }
 }
