--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 # Names of the tests in KNOWN-RED.txt, first word of each line: passed over, and printed by CI.
 KNOWN_RED := $(shell test -f KNOWN-RED.txt && awk 'NF {print "--skip " $$1}' KNOWN-RED.txt)
 
-# Days of our own on the users' bench, where FLEETBENCH names its program and SITE a site file.
+# Days of our own on the users' bench, where FLEETBENCH names its program and SITE a site file: for
+# regression the large ones.
 bench-days:
 	for day in bench/days/*.toml; do $(FLEETBENCH) run $(SITE) $$day | grep -E "^[a-z-]+ +[0-9]+/"; done
 
