Give callers an identity: keys, tenants, and connections that belong to them

Change: dyketally::tenant (ApiKey, a secret; TenantDirectory by keyed digests, as of one revision); each operation is admitted by the configuration in force as it begins; a connection has one user for good, a claim names the user it needs, and the pool closes the connection idle longest to make room for another user's. Only the tenant's name travels to homes. Sites without tenants keep one user.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -33,6 +33,8 @@
     pub served: Counter,
     /// Statements that failed.
     pub failed: Counter,
+    /// Operations and sessions refused since no tenant has the caller's key.
+    pub unknown_keys: Counter,
     /// Single reads that a replica answered.
     pub reads_at_replicas: Counter,
     /// Single reads that a primary answered.
--- a/crates/dyketally-gateway/src/database/connection.rs
+++ b/crates/dyketally-gateway/src/database/connection.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::fleet::relay;
-use crate::ports::{DatabaseCommand, OwnStatement, Reply, SharedDatabaseProtocol};
+use crate::ports::{DatabaseCommand, DatabaseUser, OwnStatement, Reply, SharedDatabaseProtocol};
 use crate::statement::batch::{Batch, Flow, Reset, SessionContext, Step};
 
 /// Time after which the system gives up a connection whose peer acknowledges nothing.
@@ -99,6 +99,7 @@
 pub struct Connection {
     stream: TcpStream,
     protocol: SharedDatabaseProtocol,
+    user: DatabaseUser,
     input: BytesMut,
     values: BTreeMap<String, String>,
     prepared: HashMap<PreparedStatement, String>,
@@ -110,7 +111,7 @@
 }
 
 impl Connection {
-    /// Connects and introduces itself.
+    /// Connects in the name of `user`, for good.
     ///
     /// # Errors
     /// The database can't be reached or turns the connection away.
@@ -119,9 +120,10 @@
         route: Route,
         group: &GroupName,
         database: &DatabaseName,
+        user: DatabaseUser,
         limit: Duration,
     ) -> Result<Self, OpenError> {
-        let opening = Self::introduce(protocol, route, group, database);
+        let opening = Self::introduce(protocol, route, group, database, user);
         match tokio::time::timeout(limit, opening).await {
             Ok(result) => result,
             Err(_) => Err(OpenError::Silent),
@@ -133,6 +135,7 @@
         route: Route,
         group: &GroupName,
         database: &DatabaseName,
+        user: DatabaseUser,
     ) -> Result<Self, OpenError> {
         let connecting = match route {
             Route::Direct(address) => TcpStream::connect(address).await,
@@ -143,6 +146,7 @@
         let mut connection = Self {
             stream,
             protocol,
+            user: user.clone(),
             input: BytesMut::new(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
@@ -152,6 +156,7 @@
         };
         let open = DatabaseCommand::Open {
             group: group.clone(),
+            user,
             expected: database.clone(),
         };
         connection
@@ -280,6 +285,11 @@
         }
     }
 
+    /// In whose name it is open.
+    pub fn user(&self) -> &DatabaseUser {
+        &self.user
+    }
+
     /// True when the connection was closed, owes answers, or has bytes that nobody asked for.
     pub fn is_stale(&self) -> bool {
         self.owed > 0 || !is_quiet(&self.stream) || !self.input.is_empty()
--- a/crates/dyketally-gateway/src/database/pool/mod.rs
+++ b/crates/dyketally-gateway/src/database/pool/mod.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 
 use crate::database::connection::{Answer, Connection, OpenError, Route};
-use crate::ports::SharedDatabaseProtocol;
+use crate::ports::{DatabaseUser, SharedDatabaseProtocol};
 use crate::statement::checkout::{Claim, Work};
 
 pub use self::checkout::Checkout;
@@ -30,6 +30,9 @@
 /// How long further idle connections are kept. Connections of a process that lost power count at
 /// the database for seconds, so few of them should stand open without need.
 const SURPLUS_IDLE_LIMIT: Duration = Duration::from_millis(400);
+/// The same for connections of tenants: each that is kept may spare its tenant's next statement the
+/// opening of one, which takes as long as a statement.
+const TENANT_IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// How long the pool stays within the size at which the database refused to grow it.
 const REFUSAL_HOLDS: Duration = Duration::from_secs(2);
 
@@ -95,6 +98,8 @@
     started: Instant,
     /// Connections opened since the start.
     pub opened: Cell<u64>,
+    /// Connections closed since the start to make room for other users'.
+    pub evicted: Cell<u64>,
 }
 
 impl Pool {
@@ -123,6 +128,7 @@
             gate: RefCell::default(),
             started: Instant::now(),
             opened: Cell::new(0),
+            evicted: Cell::new(0),
         })
     }
 
@@ -189,15 +195,16 @@
     ) -> Result<Checkout, CheckoutError> {
         loop {
             if self.admits(claim.priority, Want::Connection(claim.work)) {
-                if let Some(connection) = self.take_idle(values) {
+                if let Some(connection) = self.take_idle(claim.user.as_ref(), values) {
                     let running = Running::begin(self);
                     let pinned = Pinned::take(self, claim.work);
                     return Ok(Checkout::new(self.clone(), connection, pinned, running));
                 }
-                if self.open.get() < self.effective_limit() {
+                if self.open.get() < self.effective_limit() || self.evict() {
                     let running = Running::begin(self);
                     let pinned = Pinned::take(self, claim.work);
-                    return self.open_one(claim.until, pinned, running).await;
+                    let user = claim.user.unwrap_or(DatabaseUser::Gateway);
+                    return self.open_one(user, claim.until, pinned, running).await;
                 }
             }
             let patience = self.gate.borrow().patience(self.now(), claim.patience);
@@ -253,10 +260,17 @@
         work == Work::Statements || self.pinned.get() < limit.saturating_sub(reserved).max(1)
     }
 
-    fn take_idle(&self, values: &BTreeMap<String, String>) -> Option<Connection> {
+    /// The idle connection of `user` that suits `values` best; of any user if none is given.
+    fn take_idle(
+        &self,
+        user: Option<&DatabaseUser>,
+        values: &BTreeMap<String, String>,
+    ) -> Option<Connection> {
         loop {
             let mut idle = self.idle.borrow_mut();
             let indexed = idle.iter().enumerate().rev();
+            let indexed =
+                indexed.filter(|(_, connection)| user.is_none_or(|user| connection.user() == user));
             let best = indexed.min_by_key(|(_, connection)| connection.distance(values));
             let index = best.map(|(index, _)| index)?;
             let connection = idle.swap_remove(index);
@@ -268,8 +282,22 @@
         }
     }
 
+    /// Closes the connection that has been idle longest, to make room for one of another user; false
+    /// if none is idle.
+    fn evict(&self) -> bool {
+        let Some(index) = self.idle_longest() else {
+            return false;
+        };
+        self.idle.borrow_mut().swap_remove(index);
+        // Nobody is woken: whoever made the room takes it.
+        self.open.set(self.open.get().saturating_sub(1));
+        self.evicted.set(self.evicted.get() + 1);
+        true
+    }
+
     async fn open_one(
         self: &Rc<Self>,
+        user: DatabaseUser,
         until: Instant,
         pinned: Option<Pinned>,
         running: Running,
@@ -281,6 +309,7 @@
             self.route(),
             &self.group,
             &self.database,
+            user,
             OPEN_LIMIT.min(left),
         );
         match connection.await {
@@ -357,27 +386,26 @@
             return;
         }
         self.close_surplus();
-        self.close_while(|_, oldest| oldest >= IDLE_LIMIT);
+        self.close_while(|_, oldest| oldest.idle_since.elapsed() >= IDLE_LIMIT);
     }
 
     fn close_surplus(&self) {
         let kept = usize::from(self.keeps.get());
-        self.close_while(|idle, oldest| idle > kept && oldest >= SURPLUS_IDLE_LIMIT);
+        self.close_while(|idle, oldest| {
+            let limit = match oldest.user() {
+                DatabaseUser::Gateway => SURPLUS_IDLE_LIMIT,
+                DatabaseUser::Tenant(_) => TENANT_IDLE_LIMIT,
+            };
+            idle > kept && oldest.idle_since.elapsed() >= limit
+        });
     }
 
     /// Closes the connection that has been idle longest for as long as `close` says so, given the
-    /// number of idle ones and for how long that one has been.
-    fn close_while(&self, close: impl Fn(usize, Duration) -> bool) {
-        loop {
+    /// number of idle ones and that one.
+    fn close_while(&self, close: impl Fn(usize, &Connection) -> bool) {
+        while let Some(index) = self.idle_longest() {
             let mut idle = self.idle.borrow_mut();
-            let indexed = idle.iter().enumerate();
-            let oldest = indexed.min_by_key(|(_, connection)| connection.idle_since);
-            let Some((index, rested)) =
-                oldest.map(|(index, connection)| (index, connection.idle_since.elapsed()))
-            else {
-                return;
-            };
-            if !close(idle.len(), rested) {
+            if !close(idle.len(), &idle[index]) {
                 return;
             }
             idle.swap_remove(index);
@@ -385,6 +413,13 @@
             self.closed();
         }
     }
+
+    fn idle_longest(&self) -> Option<usize> {
+        let idle = self.idle.borrow();
+        let indexed = idle.iter().enumerate();
+        let oldest = indexed.min_by_key(|(_, connection)| connection.idle_since);
+        oldest.map(|(index, _)| index)
+    }
 }
 
 fn is_overload(error: &OpenError) -> bool {
--- a/crates/dyketally-gateway/src/fleet/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -152,6 +152,7 @@
             standing: Duration::from_millis(call.standing_ms.into()),
         },
         work: call.work,
+        user: call.user.clone(),
     };
     let checkout = gateway.own_checkout(&target, values, claim);
     match checkout.await {
--- a/crates/dyketally-gateway/src/fleet/link.rs
+++ b/crates/dyketally-gateway/src/fleet/link.rs
@@ -21,6 +21,7 @@
 use crate::database::connection::{Answer, Broken, is_quiet, leave_idle};
 use crate::fleet::relay::{self, Opening};
 use crate::gateway::Gateway;
+use crate::ports::DatabaseUser;
 use crate::statement::batch::Batch;
 use crate::statement::checkout::{Claim, Refusal, Work};
 
@@ -49,6 +50,8 @@
     pub standing_ms: u32,
     /// What the connection is wanted for.
     pub work: Work,
+    /// In whose name the connection must be open; `None` where any will do.
+    pub user: Option<DatabaseUser>,
     /// What to run; only the receiver has one of its own.
     pub batch: Cow<'a, Batch>,
 }
@@ -221,6 +224,7 @@
                 burst_ms: milliseconds(self.claim.patience.burst),
                 standing_ms: milliseconds(self.claim.patience.standing),
                 work: self.claim.work,
+                user: self.claim.user.clone(),
                 batch: Cow::Borrowed(batch),
             };
             let reply = link.call(&call).await.map_err(|broken| {
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use dyketally::freshness::{Observation, Observations};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
-use dyketally::route_policy::{RoutePolicy, RouteSet};
+use dyketally::route_policy::RouteSet;
 use dyketally::time::Timestamp;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -161,12 +161,6 @@
         self.routes.borrow().clone()
     }
 
-    /// The route to the database that callers call `database`.
-    pub fn route(&self, database: &str) -> Option<Rc<RoutePolicy>> {
-        let routes = self.routes.borrow();
-        routes.routes.get(database).cloned().map(Rc::new)
-    }
-
     /// True when the process knows routes and databases.
     pub fn is_ready(&self) -> bool {
         self.configured.get() && self.listed.get().is_some() && !self.is_stopping()
--- a/crates/dyketally-gateway/src/ports.rs
+++ b/crates/dyketally-gateway/src/ports.rs
@@ -8,11 +8,12 @@
 use bytes::{Bytes, BytesMut};
 use dyketally::directory::Announcement;
 use dyketally::group::LogPosition;
-use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::identifiers::{DatabaseName, GroupName, TenantName};
 use dyketally::route_policy::RouteSet;
 use dyketally::statement::{
     DatabaseStatus, Failure, PreparedStatement, StatementKind, TransactionState,
 };
+use dyketally::tenant::ApiKey;
 use serde::{Deserialize, Serialize};
 
 /// A statement as a caller sent it.
@@ -33,8 +34,8 @@
     Connect {
         /// The database that is asked for.
         database: String,
-        /// Who asks.
-        user: String,
+        /// What proves the caller's tenant, where callers need a key.
+        key: ApiKey,
     },
     /// Asks for a statement.
     Statement(CallerStatement),
@@ -104,6 +105,15 @@
     },
 }
 
+/// In whose name a connection to a database is open, for as long as it is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum DatabaseUser {
+    /// The gateway itself, also for callers who need no key.
+    Gateway,
+    /// A tenant, for whose callers alone it is used.
+    Tenant(TenantName),
+}
+
 /// What the gateway sends to a database.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DatabaseCommand {
@@ -111,6 +121,8 @@
     Open {
         /// The group that the database must belong to.
         group: GroupName,
+        /// In whose name.
+        user: DatabaseUser,
         /// The database that must answer.
         expected: DatabaseName,
     },
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,6 +11,7 @@
 use dyketally::policy::Access;
 use dyketally::route_policy::RoutePolicy;
 use dyketally::statement::{FailureKind, PreparedStatement, StatementKind, TransactionState};
+use dyketally::tenant::{ApiKey, Tenant};
 use dyketally::time::Timestamp;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -67,32 +69,30 @@
 impl Caller {
     async fn introduce(&mut self) -> Option<Session> {
         let message = tokio::time::timeout(INTRODUCTION_LIMIT, self.next_message()).await;
-        let Next::Message(CallerMessage::Connect { database, .. }) = message.ok()? else {
+        let Next::Message(CallerMessage::Connect { database, key }) = message.ok()? else {
             return None;
         };
         self.gateway
             .configured_by(Instant::now() + CONFIGURATION_WAIT)
             .await;
-        if self.gateway.route(&database).is_none() {
-            let served = match self.gateway.is_configured() {
-                true => Served::failed(
-                    FailureKind::UnknownDatabase,
-                    "no route leads to this database; check its name",
-                ),
-                false => Served::failed(
-                    FailureKind::Overloaded,
-                    "this node has no configuration yet; connect to another one, or again later",
-                ),
-            };
+        if !self.gateway.is_configured() {
+            let served = Served::failed(
+                FailureKind::Overloaded,
+                "this node has no configuration yet; connect to another one, or again later",
+            );
             self.refuse(served).await;
             return None;
         }
+        if let Err(refused) = Admission::of(&self.gateway, &database, &key) {
+            self.refuse(refused).await;
+            return None;
+        }
         let ready = Reply::Ready {
             state: TransactionState::Idle,
             position: None,
         };
         self.write(&[ready]).await?;
-        Some(Session::new(&self.gateway, database))
+        Some(Session::new(&self.gateway, database, key))
     }
 
     async fn refuse(&mut self, served: Served) {
@@ -150,27 +150,63 @@
     }
 }
 
+/// What an operation may use, by the configuration in force as it began.
+#[derive(Clone)]
+struct Admission {
+    route: Rc<RoutePolicy>,
+    tenant: Option<Arc<Tenant>>,
+}
+
+impl Admission {
+    /// What a caller with `key` may use that asks for `database`; or what it is told instead.
+    fn of(gateway: &Gateway, database: &str, key: &ApiKey) -> Result<Self, Served> {
+        let routes = gateway.routes();
+        let Some(route) = routes.routes.get(database) else {
+            return Err(Served::failed(
+                FailureKind::UnknownDatabase,
+                "no route leads to this database; check its name",
+            ));
+        };
+        match routes.identify(route, key) {
+            Ok(tenant) => Ok(Self {
+                route: Rc::new(route.clone()),
+                tenant,
+            }),
+            Err(unknown) => {
+                gateway.counters.unknown_keys.add();
+                Err(Served::failed(
+                    FailureKind::Unauthenticated,
+                    &unknown.to_string(),
+                ))
+            }
+        }
+    }
+}
+
 struct Session {
     gateway: Rc<Gateway>,
     database: String,
+    key: ApiKey,
     connected: Timestamp,
     values: BTreeMap<String, String>,
     prepared: HashMap<String, PreparedStatement>,
     transaction: Option<Transaction>,
-    route: Option<Rc<RoutePolicy>>,
+    /// Of the transaction that is open.
+    admission: Option<Admission>,
     own_commit: Option<LogPosition>,
 }
 
 impl Session {
-    fn new(gateway: &Rc<Gateway>, database: String) -> Self {
+    fn new(gateway: &Rc<Gateway>, database: String, key: ApiKey) -> Self {
         Self {
             gateway: gateway.clone(),
             database,
+            key,
             connected: gateway.now(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
             transaction: None,
-            route: None,
+            admission: None,
             own_commit: None,
         }
     }
@@ -304,10 +340,10 @@
             );
             return (served, self.state());
         }
-        let Some(route) = self.gateway.route(&self.database) else {
-            return (unrouted(), TransactionState::Idle);
-        };
-        self.route = Some(route);
+        match self.admit() {
+            Ok(admission) => self.admission = Some(admission),
+            Err(refused) => return (refused, TransactionState::Idle),
+        }
         self.transaction = Some(Transaction::new(read_only, self.gateway.now()));
         (own_success(), TransactionState::Open)
     }
@@ -320,15 +356,12 @@
     }
 
     async fn commit(&mut self, statement: CallerStatement) -> (Served, TransactionState) {
-        let (Some(mut transaction), Some(route)) = (self.transaction.take(), self.route.clone())
+        let (Some(mut transaction), Some(admission)) =
+            (self.transaction.take(), self.admission.clone())
         else {
-            let served = Served::failed(
-                FailureKind::Malformed,
-                "no transaction is open; begin one first",
-            );
-            return (served, TransactionState::Idle);
+            return (no_transaction(), TransactionState::Idle);
         };
-        let request = self.request(statement, None, route);
+        let request = self.request(statement, None, admission);
         let answer = transaction.commit(&self.gateway, &request).await;
         if transaction.wrote && answer.served.end.is_ok() {
             self.note_commit(answer.served.position);
@@ -343,14 +376,15 @@
         access: Access,
         execution: Option<Execution>,
     ) -> (Served, TransactionState) {
-        if let (Some(route), true) = (&self.route, self.transaction.is_some()) {
-            let request = self.request(statement, execution, route.clone());
+        if let (Some(admission), true) = (&self.admission, self.transaction.is_some()) {
+            let request = self.request(statement, execution, admission.clone());
             return self.run_in_transaction(request, access).await;
         }
-        let Some(route) = self.gateway.route(&self.database) else {
-            return (unrouted(), TransactionState::Idle);
+        let admission = match self.admit() {
+            Ok(admission) => admission,
+            Err(refused) => return (refused, TransactionState::Idle),
         };
-        let request = self.request(statement, execution, route);
+        let request = self.request(statement, execution, admission);
         let served = self.run_single(request, access).await;
         (served, TransactionState::Idle)
     }
@@ -361,7 +395,7 @@
         access: Access,
     ) -> (Served, TransactionState) {
         let Some(transaction) = &mut self.transaction else {
-            return (unrouted(), TransactionState::Idle);
+            return (no_transaction(), TransactionState::Idle);
         };
         let TransactionAnswer { served, state } =
             transaction.run(&self.gateway, &request, access).await;
@@ -381,6 +415,11 @@
         served
     }
 
+    /// What the next operation may use; or what the caller is told instead.
+    fn admit(&self) -> Result<Admission, Served> {
+        Admission::of(&self.gateway, &self.database, &self.key)
+    }
+
     fn note_commit(&mut self, position: Option<LogPosition>) {
         self.own_commit = self.own_commit.max(position);
     }
@@ -389,8 +428,9 @@
         &self,
         statement: CallerStatement,
         execution: Option<Execution>,
-        route: Rc<RoutePolicy>,
+        admission: Admission,
     ) -> Request {
+        let Admission { route, tenant } = admission;
         Request {
             id: statement.id,
             text: statement.text,
@@ -401,6 +441,7 @@
             own_commit: self.own_commit,
             deadline: Instant::now() + route.statement_timeout,
             route,
+            tenant,
             attempts: Cell::new(0),
             hand_overs: HandOvers::default(),
         }
@@ -415,9 +456,9 @@
     }
 }
 
-fn unrouted() -> Served {
+fn no_transaction() -> Served {
     Served::failed(
-        FailureKind::UnknownDatabase,
-        "no route leads to this database any more; check its name",
+        FailureKind::Malformed,
+        "no transaction is open; begin one first",
     )
 }
--- a/crates/dyketally-gateway/src/statement/checkout.rs
+++ b/crates/dyketally-gateway/src/statement/checkout.rs
@@ -15,7 +15,7 @@
 use crate::fleet::homes::Reach;
 use crate::fleet::link::{CallError, HomeCall};
 use crate::gateway::Gateway;
-use crate::ports::OwnStatement;
+use crate::ports::{DatabaseUser, OwnStatement};
 use crate::statement::batch::{Batch, Reset};
 use crate::statement::target::Target;
 
@@ -25,7 +25,7 @@
 const ROLLBACK_LIMIT: Duration = Duration::from_secs(2);
 
 /// Rank and patience of whoever wants a connection.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Claim {
     /// Rank under scarcity; 0 goes first.
     pub priority: u32,
@@ -35,6 +35,9 @@
     pub patience: Patience,
     /// What the connection is wanted for.
     pub work: Work,
+    /// In whose name the connection must be open; `None` where any will do, as for statements of the
+    /// gateway's own.
+    pub user: Option<DatabaseUser>,
 }
 
 /// What a connection is wanted for.
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,12 +12,14 @@
 use dyketally::group::LogPosition;
 use dyketally::route_policy::RoutePolicy;
 use dyketally::statement::{Failure, FailureKind, PreparedStatement};
+use dyketally::tenant::Tenant;
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
 use crate::database::connection::Answer;
 use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::ports::DatabaseUser;
 use crate::statement::batch::{Batch, SessionContext, Step};
 use crate::statement::checkout::{Checkout, Claim, Unanswered, Work};
 use crate::statement::hand_over::{HandOver, HandOvers, Unrun};
@@ -55,6 +58,8 @@
     pub values: BTreeMap<String, String>,
     /// The route.
     pub route: Rc<RoutePolicy>,
+    /// Whose it is, where callers need a key.
+    pub tenant: Option<Arc<Tenant>>,
     /// When the statement arrived, or its transaction did.
     pub arrived: Timestamp,
     /// When its session was connected.
@@ -174,6 +179,15 @@
                 standing: self.share(STANDING_QUEUE_SHARE),
             },
             work,
+            user: Some(self.user()),
+        }
+    }
+
+    /// In whose name it runs at databases.
+    fn user(&self) -> DatabaseUser {
+        match &self.tenant {
+            Some(tenant) => DatabaseUser::Tenant(tenant.name.clone()),
+            None => DatabaseUser::Gateway,
         }
     }
 
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -96,9 +96,8 @@
     }
 
     async fn exchange_as_leader(self: &Rc<Self>, target: &Target, until: Instant) -> Confirmation {
-        let claim = own_claim(until);
         let values = BTreeMap::new();
-        let checkout = self.checkout_for(target, &values, claim);
+        let checkout = self.checkout_for(target, &values, own_claim(until));
         let Ok(mut checkout) = checkout.await else {
             return Confirmation::Unclear;
         };
@@ -173,11 +172,10 @@
         limit: Duration,
     ) -> Option<DatabaseStatus> {
         let until = Instant::now() + limit;
-        let claim = own_claim(until);
         let values = BTreeMap::new();
         let exchange = async {
             loop {
-                let checkout = self.checkout_for(target, &values, claim);
+                let checkout = self.checkout_for(target, &values, own_claim(until));
                 let mut checkout = checkout.await.ok()?;
                 let batch = Batch::own([statement.clone()]);
                 let answers = self.exchange(&mut checkout, target, &batch).await.ok()?;
@@ -206,5 +204,6 @@
             standing: CONFIRM_LIMIT,
         },
         work: Work::Statements,
+        user: None,
     }
 }
--- a/crates/dyketally-gateway/src/succession/probe.rs
+++ b/crates/dyketally-gateway/src/succession/probe.rs
@@ -10,6 +10,7 @@
 use crate::database::connection::{Connection, OpenError, Route};
 use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::ports::DatabaseUser;
 use crate::statement::target::Target;
 
 /// Longest time that a probe may take.
@@ -39,6 +40,7 @@
             Route::Direct(target.state.pool.address()),
             &target.group,
             &target.name,
+            DatabaseUser::Gateway,
             PROBE_LIMIT,
         );
         let seen = match dialled.await {
--- /dev/null
+++ b/crates/dyketally/src/quota/accountant.rs
@@ -0,0 +1,108 @@
+//! The node that hands out a tenant's tokens.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::bucket::Bucket;
+use crate::identifiers::TenantName;
+use crate::tenant::Quota;
+use crate::time::Timestamp;
+
+/// Longest time for which a token may be promised ahead: an operation that waits for so long still
+/// comes in time, one that waits longer keeps others waiting.
+const PROMISED_AT_MOST: Duration = Duration::from_millis(200);
+/// Longest time after which a caller is told to come back.
+const RETURN_AT_MOST: Duration = Duration::from_secs(2);
+/// An account that nobody asked for this long counts as new: another node may have handed out tokens
+/// meanwhile.
+const NEW_AFTER: Duration = Duration::from_secs(1);
+/// Tokens that a new account holds at least, where the tenant's burst is that large.
+const NEW_AT_LEAST: u32 = 8;
+
+/// What an accountant says to a question for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// So many operations may run.
+    Granted {
+        /// How many, at least one.
+        operations: u32,
+        /// The first may run after this time, the others at once.
+        after: Duration,
+        /// True while the tenant uses more than its rate.
+        strained: bool,
+    },
+    /// None may run.
+    Refused {
+        /// When a caller may try again, so that those who were refused come back one after the other.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    bucket: Bucket,
+    asked: Timestamp,
+    /// When the caller that was refused last was told to come back.
+    last_return: Timestamp,
+}
+
+/// The accounts that this node keeps.
+#[derive(Clone, Debug, Default)]
+pub struct Accountant {
+    accounts: HashMap<TenantName, Account>,
+}
+
+impl Accountant {
+    /// Decides on a question for `wanted` operations of `tenant`, at least one.
+    pub fn decide(
+        &mut self,
+        now: Timestamp,
+        tenant: &TenantName,
+        quota: Quota,
+        wanted: u32,
+    ) -> Decision {
+        let beginning = quota.burst.min(NEW_AT_LEAST).max(quota.burst / 2);
+        let account = self
+            .accounts
+            .entry(tenant.clone())
+            .or_insert_with(|| Account {
+                bucket: Bucket::with(beginning, now),
+                asked: now,
+                last_return: now,
+            });
+        account.bucket.refill(now, quota);
+        if now.saturating_since(account.asked) >= NEW_AFTER {
+            account.bucket.cap(beginning);
+        }
+        account.asked = now;
+        account.decide(now, quota, wanted)
+    }
+}
+
+impl Account {
+    fn decide(&mut self, now: Timestamp, quota: Quota, wanted: u32) -> Decision {
+        let strained = self.bucket.is_low(quota);
+        let operations = self.bucket.take(wanted.max(1));
+        if operations > 0 {
+            return Decision::Granted {
+                operations,
+                after: Duration::ZERO,
+                strained,
+            };
+        }
+        let wait = self.bucket.wait_for_one(quota);
+        if wait <= PROMISED_AT_MOST {
+            return Decision::Granted {
+                operations: 1,
+                after: self.bucket.promise(quota),
+                strained,
+            };
+        }
+        let free = self.last_return.max(now + wait);
+        let earliest = free.min(now + RETURN_AT_MOST);
+        self.last_return = earliest + quota.rate.interval();
+        Decision::Refused {
+            retry_after: earliest.saturating_since(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally/src/quota/bucket.rs
@@ -0,0 +1,67 @@
+//! A token bucket that may run into debt, with exact arithmetic.
+
+use std::time::Duration;
+
+use crate::tenant::Quota;
+use crate::time::Timestamp;
+
+/// One token, in the unit in which levels are kept: a rate of one operation a second adds one such
+/// unit each microsecond.
+const TOKEN: i64 = 1_000_000;
+
+/// Tokens of one tenant. A level below zero is debt: tokens that were promised for later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Bucket {
+    level: i64,
+    at: Timestamp,
+}
+
+impl Bucket {
+    /// A bucket with `tokens`.
+    pub(super) fn with(tokens: u32, now: Timestamp) -> Self {
+        Self {
+            level: i64::from(tokens) * TOKEN,
+            at: now,
+        }
+    }
+
+    /// Adds what came together since the last call.
+    pub(super) fn refill(&mut self, now: Timestamp, quota: Quota) {
+        let elapsed = now.saturating_since(self.at);
+        let added = quota.rate.millionths_in(elapsed);
+        let full = i64::from(quota.burst.max(1)) * TOKEN;
+        self.level = self.level.saturating_add(added).min(full);
+        self.at = self.at.max(now);
+    }
+
+    /// Drops what lies above `tokens`.
+    pub(super) fn cap(&mut self, tokens: u32) {
+        self.level = self.level.min(i64::from(tokens) * TOKEN);
+    }
+
+    /// Takes up to `wanted` tokens that are there; tells how many.
+    pub(super) fn take(&mut self, wanted: u32) -> u32 {
+        let whole = u32::try_from(self.level / TOKEN).unwrap_or(0);
+        let taken = whole.min(wanted);
+        self.level -= i64::from(taken) * TOKEN;
+        taken
+    }
+
+    /// Promises one token for as soon as it is there; tells when that is.
+    pub(super) fn promise(&mut self, quota: Quota) -> Duration {
+        let wait = self.wait_for_one(quota);
+        self.level -= TOKEN;
+        wait
+    }
+
+    /// Time until a token is there.
+    pub(super) fn wait_for_one(&self, quota: Quota) -> Duration {
+        let missing = u64::try_from(TOKEN - self.level).unwrap_or(0);
+        quota.rate.time_for(missing)
+    }
+
+    /// True while less than half of the burst is there.
+    pub(super) fn is_low(&self, quota: Quota) -> bool {
+        self.level * 2 < i64::from(quota.burst) * TOKEN
+    }
+}
--- a/crates/dyketally/src/route_policy.rs
+++ b/crates/dyketally/src/route_policy.rs
@@ -1,11 +1,13 @@
 //! Routes from the database that a caller names to the group that serves it, as of one revision.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::freshness::ReadConsistency;
 use crate::identifiers::GroupName;
 use crate::policy::Revision;
+use crate::tenant::{ApiKey, Tenant, TenantDirectory};
 
 /// How the statements of one named database are treated.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,8 +24,15 @@
     pub latency_objective: Duration,
     /// Rank under scarcity; 0 goes first.
     pub priority: u32,
+    /// True when callers need no key.
+    pub auth_exempt: bool,
 }
 
+/// No tenant has the caller's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no tenant has this key; use one that the configuration lists")]
+pub struct UnknownKey;
+
 /// What holds for all databases of a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GroupLimits {
@@ -34,7 +43,7 @@
 }
 
 /// All routes and groups of one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct RouteSet {
     /// The revision; a node never goes back to a smaller one.
     pub revision: Revision,
@@ -44,9 +53,29 @@
     pub groups: BTreeMap<GroupName, GroupLimits>,
     /// How long a transaction may rest between two statements; `None` for as long as it likes.
     pub transaction_idle: Option<Duration>,
+    /// Tenants and their keys; `None` where callers need no key.
+    pub tenants: Option<Arc<TenantDirectory>>,
 }
 
 impl RouteSet {
+    /// The tenant that a caller with `key` acts for on `route`; `None` where callers need no key.
+    ///
+    /// # Errors
+    /// No tenant has the key.
+    pub fn identify(
+        &self,
+        route: &RoutePolicy,
+        key: &ApiKey,
+    ) -> Result<Option<Arc<Tenant>>, UnknownKey> {
+        match &self.tenants {
+            Some(tenants) if !route.auth_exempt => {
+                let holder = tenants.holder(key).cloned();
+                holder.map(Some).ok_or(UnknownKey)
+            }
+            _ => Ok(None),
+        }
+    }
+
     /// The longest staleness bound of any route of `group`.
     pub fn longest_bound(&self, group: &GroupName) -> Duration {
         let routes = self.routes.values().filter(|route| &route.group == group);
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -75,6 +75,10 @@
 pub enum FailureKind {
     /// No route leads to the database that the caller named.
     UnknownDatabase,
+    /// No tenant has the caller's key.
+    Unauthenticated,
+    /// The tenant has used up the operations that it may ask for.
+    QuotaExceeded,
     /// The database has no free slot.
     Busy,
     /// No connection to the database was free in time.
--- /dev/null
+++ b/crates/dyketally/src/tenant/api_key.rs
@@ -0,0 +1,37 @@
+//! The secret by which a caller proves its tenant.
+
+use std::fmt;
+
+use secrecy::{ExposeSecret, SecretString};
+
+/// A caller's key. It can't be printed or sent on, it is compared in constant time, and its memory is
+/// overwritten when it is dropped; a [`TenantDirectory`](super::TenantDirectory) finds out whose it is.
+#[derive(Clone)]
+pub struct ApiKey(SecretString);
+
+impl ApiKey {
+    /// Takes over a key.
+    pub fn new(key: impl Into<String>) -> Self {
+        Self(SecretString::from(key.into()))
+    }
+
+    /// The key's bytes, to be hashed.
+    pub(super) fn bytes(&self) -> &[u8] {
+        self.0.expose_secret().as_bytes()
+    }
+}
+
+impl PartialEq for ApiKey {
+    fn eq(&self, other: &Self) -> bool {
+        // Digests are compared in constant time.
+        blake3::hash(self.bytes()) == blake3::hash(other.bytes())
+    }
+}
+
+impl Eq for ApiKey {}
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ApiKey(redacted)")
+    }
+}
