Keep tenants within their quotas over the whole fleet

Change: an operation needs a permit before its first statement is sent. The tenant's accountant, a node found by rendezvous, hands permits out from a token bucket, each for the moment at which it is asked for; who gets no answer asks the next node, then runs an equal part of the rate. Refusals tell when to come back, one caller after the other.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -35,6 +35,10 @@
     pub failed: Counter,
     /// Operations and sessions refused since no tenant has the caller's key.
     pub unknown_keys: Counter,
+    /// Operations refused since their tenant has used up its quota.
+    pub over_quota: Counter,
+    /// Operations decided on without an accountant of the tenant's quota.
+    pub permits_alone: Counter,
     /// Single reads that a replica answered.
     pub reads_at_replicas: Counter,
     /// Single reads that a primary answered.
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use dyketally::failover::Evidence;
-use dyketally::identifiers::{DatabaseName, GroupName, NodeName, ZoneName};
+use dyketally::identifiers::{DatabaseName, GroupName, NodeName, TenantName, ZoneName};
+use dyketally::quota::Decision;
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -109,6 +110,22 @@
         /// Where they hear other nodes, in the order of preference.
         relays: Vec<SocketAddr>,
     },
+    /// May the sender run operations of a tenant that has a quota?
+    PermitAsked {
+        /// Names the question in replies.
+        round: u64,
+        /// The tenant.
+        tenant: TenantName,
+        /// How many operations.
+        wanted: u32,
+    },
+    /// What the sender decided as the tenant's accountant.
+    PermitDecided {
+        /// The question.
+        round: u64,
+        /// The decision.
+        decision: Decision,
+    },
     /// The sender's process ends.
     Ends {
         /// The sender.
@@ -130,6 +147,7 @@
     polls: Rounds<Vote>,
     fence_rounds: Rounds<FenceReply>,
     life_rounds: Rounds<SocketAddr>,
+    permit_rounds: Rounds<Decision>,
     next_round: Cell<u64>,
     heartbeats: RefCell<Option<mpsc::UnboundedSender<SocketAddr>>>,
     /// Nodes that asked this one for a sign of life, and when.
@@ -193,6 +211,7 @@
             polls: Rounds::default(),
             fence_rounds: Rounds::default(),
             life_rounds: Rounds::default(),
+            permit_rounds: Rounds::default(),
             next_round: Cell::new(1),
             heartbeats: RefCell::default(),
             asked_by: RefCell::default(),
@@ -305,6 +324,18 @@
                 self.send(from, &PeerMessage::Relays { relays });
             }
             PeerMessage::Relays { relays } => self.gateway.membership.heard_of_relays(relays),
+            PeerMessage::PermitAsked {
+                round,
+                tenant,
+                wanted,
+            } => {
+                if let Some(decision) = self.gateway.account(&tenant, wanted) {
+                    self.send(from, &PeerMessage::PermitDecided { round, decision });
+                }
+            }
+            PeerMessage::PermitDecided { round, decision } => {
+                pass_on(&self.permit_rounds, round, decision);
+            }
             PeerMessage::Ends { node } => self.gateway.membership.ended(&node),
             PeerMessage::HasDuty { record } => self.gateway.membership.heard_of_holder(record),
             PeerMessage::Leads { database, .. } => {
@@ -394,6 +425,11 @@
         self.collect(&self.life_rounds)
     }
 
+    /// Collects the decision on a question for permits.
+    pub fn collect_permits(&self) -> Replies<Decision> {
+        self.collect(&self.permit_rounds)
+    }
+
     fn collect<T>(&self, rounds: &Rounds<T>) -> Replies<T> {
         let round = self.next_round.get();
         self.next_round.set(round + 1);
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::fleet::membership::Membership;
 use crate::fleet::peer::Peers;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
+use crate::quota::Quotas;
 use crate::settings::Settings;
 use crate::statement::reach::Unled;
 use crate::store::feed::Feed;
@@ -92,6 +93,8 @@
     pub calls: Cell<usize>,
     /// Which nodes keep connections to which database.
     pub homes: Homes,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Links to the homes of databases.
     pub links: Links,
     /// Copies of the store's keys, as they are passed on between nodes.
@@ -134,6 +137,7 @@
             sessions: Cell::new(0),
             calls: Cell::new(0),
             homes: Homes::default(),
+            quotas: Quotas::default(),
             links: Links::default(),
             feed: Feed::default(),
             fences: RefCell::default(),
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod node;
 pub mod ports;
+mod quota;
 mod session;
 pub mod settings;
 pub mod statement;
--- /dev/null
+++ b/crates/dyketally-gateway/src/quota/mod.rs
@@ -0,0 +1,148 @@
+//! Permits for operations of tenants that have a quota. A permit is asked for at the tenant's
+//! accountant, before the operation's first statement is sent; see [`dyketally::quota`].
+
+mod question;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dyketally::identifiers::TenantName;
+use dyketally::quota::{Accountant, Allowance, Decision};
+use dyketally::tenant::{Quota, Tenant};
+use tokio::time::Instant;
+
+use self::question::Questions;
+use crate::gateway::Gateway;
+
+/// Nodes that share a quota at least, as far as a node goes that has nobody to ask: after a start it
+/// may not know yet how many there are.
+const NODES_ASSUMED: u32 = 32;
+
+/// Quotas as this node keeps them.
+#[derive(Default)]
+pub struct Quotas {
+    accountant: RefCell<Accountant>,
+    allowances: RefCell<HashMap<TenantName, Allowance>>,
+    questions: Questions,
+}
+
+impl Quotas {
+    fn allowance<T>(
+        &self,
+        gateway: &Gateway,
+        tenant: &TenantName,
+        act: impl FnOnce(&mut Allowance) -> T,
+    ) -> T {
+        let mut allowances = self.allowances.borrow_mut();
+        let allowance = allowances
+            .entry(tenant.clone())
+            .or_insert_with(|| Allowance::new(gateway.now()));
+        act(allowance)
+    }
+}
+
+/// Leave to run one operation. Dropping it uses it up; [`Permit::give_back`] keeps it for another.
+pub struct Permit {
+    limited: Option<(Rc<Gateway>, TenantName)>,
+}
+
+impl Permit {
+    /// Takes in that the operation hasn't run.
+    pub fn give_back(self) {
+        if let Some((gateway, tenant)) = self.limited {
+            let now = gateway.now();
+            let quotas = &gateway.quotas;
+            quotas.allowance(&gateway, &tenant, |allowance| allowance.give_back(now));
+        }
+    }
+}
+
+/// The tenant has used up its quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaExceeded {
+    /// When its caller may try again.
+    pub retry_after: Duration,
+}
+
+impl Gateway {
+    /// Leave to run one operation of `tenant`; nothing is waited for beyond `until`.
+    ///
+    /// # Errors
+    /// The tenant has used up its quota.
+    pub async fn permit(
+        self: &Rc<Self>,
+        tenant: Option<&Arc<Tenant>>,
+        until: Instant,
+    ) -> Result<Permit, QuotaExceeded> {
+        let limited = tenant.and_then(|tenant| Some((tenant, tenant.quota?)));
+        let Some((tenant, quota)) = limited else {
+            return Ok(Permit { limited: None });
+        };
+        let name = &tenant.name;
+        let now = self.now();
+        let held = |allowance: &mut Allowance| allowance.take(now);
+        if !self.quotas.allowance(self, name, held) {
+            self.obtain(name, quota, until).await?;
+        }
+        Ok(Permit {
+            limited: Some((self.clone(), name.clone())),
+        })
+    }
+
+    async fn obtain(
+        self: &Rc<Self>,
+        tenant: &TenantName,
+        quota: Quota,
+        until: Instant,
+    ) -> Result<(), QuotaExceeded> {
+        let wanted = self
+            .quotas
+            .allowance(self, tenant, |allowance| allowance.wanted());
+        let Some(decision) = self.ask_accountants(tenant, wanted, until).await else {
+            return self.permit_alone(tenant, quota);
+        };
+        match decision {
+            Decision::Granted {
+                operations,
+                after,
+                strained,
+            } => {
+                let now = self.now();
+                self.quotas.allowance(self, tenant, |allowance| {
+                    allowance.granted(now, operations, strained);
+                });
+                tokio::time::sleep(after).await;
+                Ok(())
+            }
+            Decision::Refused { retry_after } => Err(self.over_quota(retry_after)),
+        }
+    }
+
+    /// Decides without an accountant.
+    fn permit_alone(&self, tenant: &TenantName, quota: Quota) -> Result<(), QuotaExceeded> {
+        self.counters.permits_alone.add();
+        let nodes = u32::try_from(self.membership.node_count()).unwrap_or(u32::MAX);
+        let nodes = nodes.max(NODES_ASSUMED);
+        let now = self.now();
+        let alone = |allowance: &mut Allowance| allowance.take_alone(now, quota, nodes);
+        let taken = self.quotas.allowance(self, tenant, alone);
+        taken.map_err(|retry_after| self.over_quota(retry_after))
+    }
+
+    fn over_quota(&self, retry_after: Duration) -> QuotaExceeded {
+        self.counters.over_quota.add();
+        QuotaExceeded { retry_after }
+    }
+
+    /// Decides, as an accountant, on a question for `wanted` operations of `tenant`; `None` when the
+    /// configuration in force gives it no quota.
+    pub fn account(&self, tenant: &TenantName, wanted: u32) -> Option<Decision> {
+        let routes = self.routes();
+        let quota = routes.tenants.as_ref()?.tenant(tenant)?.quota?;
+        let mut accountant = self.quotas.accountant.borrow_mut();
+        Some(accountant.decide(self.now(), tenant, quota, wanted))
+    }
+}
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -20,6 +20,7 @@
 use crate::database::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement, Reply};
+use crate::quota::QuotaExceeded;
 use crate::statement::hand_over::HandOvers;
 use crate::statement::request::{Execution, Request, Served};
 use crate::statement::transaction::{Transaction, TransactionAnswer};
@@ -362,6 +363,9 @@
             return (no_transaction(), TransactionState::Idle);
         };
         let request = self.request(statement, None, admission);
+        if let Err(served) = self.permit_transaction(&mut transaction, &request).await {
+            return (served, TransactionState::Idle);
+        }
         let answer = transaction.commit(&self.gateway, &request).await;
         if transaction.wrote && answer.served.end.is_ok() {
             self.note_commit(answer.served.position);
@@ -394,9 +398,15 @@
         request: Request,
         access: Access,
     ) -> (Served, TransactionState) {
-        let Some(transaction) = &mut self.transaction else {
+        let Some(mut transaction) = self.transaction.take() else {
             return (no_transaction(), TransactionState::Idle);
         };
+        let permitted = self.permit_transaction(&mut transaction, &request).await;
+        let transaction = self.transaction.insert(transaction);
+        if let Err(served) = permitted {
+            transaction.failed = true;
+            return (served, TransactionState::Failed);
+        }
         let TransactionAnswer { served, state } =
             transaction.run(&self.gateway, &request, access).await;
         (served, state)
@@ -404,10 +414,18 @@
 
     async fn run_single(&mut self, request: Request, access: Access) -> Served {
         let request = Rc::new(request);
+        let tenant = request.tenant.as_ref();
+        let permit = match self.gateway.permit(tenant, request.give_up()).await {
+            Ok(permit) => permit,
+            Err(exceeded) => return over_quota(&exceeded),
+        };
         let served = match access {
             Access::Read => self.gateway.serve_read(&request).await,
             Access::Write => self.gateway.serve_write(&request).await,
         };
+        if request.hand_overs.unrun().is_some() {
+            permit.give_back();
+        }
         if access == Access::Write && served.end.is_ok() {
             self.note_commit(served.position);
         }
@@ -415,6 +433,20 @@
         served
     }
 
+    /// Obtains a permit for a transaction that has none yet, before anything of it is sent.
+    async fn permit_transaction(
+        &self,
+        transaction: &mut Transaction,
+        request: &Request,
+    ) -> Result<(), Served> {
+        if transaction.permit.is_none() {
+            let tenant = request.tenant.as_ref();
+            let permit = self.gateway.permit(tenant, request.give_up()).await;
+            transaction.permit = Some(permit.map_err(|exceeded| over_quota(&exceeded))?);
+        }
+        Ok(())
+    }
+
     /// What the next operation may use; or what the caller is told instead.
     fn admit(&self) -> Result<Admission, Served> {
         Admission::of(&self.gateway, &self.database, &self.key)
@@ -456,6 +488,10 @@
     }
 }
 
+fn over_quota(exceeded: &QuotaExceeded) -> Served {
+    Served::over_quota(exceeded.retry_after)
+}
+
 fn no_transaction() -> Served {
     Served::failed(
         FailureKind::Malformed,
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -115,6 +115,18 @@
         )
     }
 
+    /// The statement's operation would exceed the tenant's quota, and nothing of it has run.
+    pub fn over_quota(retry_after: Duration) -> Self {
+        Self::failed(
+            FailureKind::QuotaExceeded,
+            &format!(
+                "the tenant has used up its operations and the statement has not run; \
+                 come back after {} ms",
+                retry_after.as_millis()
+            ),
+        )
+    }
+
     /// The statement's transaction is rolled back, and nothing was kept. Its statements may have run.
     pub fn rolled_back() -> Self {
         Self::failed(
--- a/crates/dyketally-gateway/src/statement/transaction.rs
+++ b/crates/dyketally-gateway/src/statement/transaction.rs
@@ -14,6 +14,7 @@
 use crate::database::connection::{Answer, Broken};
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
+use crate::quota::Permit;
 use crate::statement::batch::{Batch, Flow, Reset, Step};
 use crate::statement::checkout::{Checkout, Unanswered, Work};
 use crate::statement::request::{Request, Served};
@@ -32,6 +33,8 @@
     pub wrote: bool,
     /// True once values were set in it.
     pub set_values: bool,
+    /// Leave to run it, once it was obtained.
+    pub permit: Option<Permit>,
     bound: Option<Bound>,
 }
 
@@ -64,6 +67,7 @@
             failed: false,
             wrote: false,
             set_values: false,
+            permit: None,
             bound: None,
         }
     }
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -10,7 +10,7 @@
 mod sharing;
 mod tier;
 
-use crate::identifiers::{DatabaseName, Locality, NodeName};
+use crate::identifiers::{DatabaseName, Locality, NodeName, TenantName};
 
 pub use sharing::Sharing;
 pub use tier::Distance;
@@ -88,6 +88,23 @@
     ordered
 }
 
+/// The first `count` nodes that account for the quota of `tenant`, best first: the accountant, then
+/// those that would take over from it.
+pub fn accountants<'a>(
+    tenant: &TenantName,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+    count: usize,
+) -> Vec<&'a NodeName> {
+    let key = Key::of_tenant(tenant);
+    let mut scored: Vec<_> = candidates
+        .into_iter()
+        .map(|candidate| (key.score(candidate.node, candidate.weight), candidate.node))
+        .collect();
+    scored.sort_by(|one, other| other.0.cmp(&one.0).then_with(|| one.1.cmp(other.1)));
+    scored.truncate(count);
+    scored.into_iter().map(|(_, node)| node).collect()
+}
+
 /// The nodes of the zone at `locality` that watch the platform's service for the whole zone.
 pub fn relays<'a>(
     locality: &Locality,
--- a/crates/dyketally/src/placement/score.rs
+++ b/crates/dyketally/src/placement/score.rs
@@ -4,10 +4,11 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::identifiers::{DatabaseName, Locality, NodeName};
+use crate::identifiers::{DatabaseName, Locality, NodeName, TenantName};
 
 const RELAY_KEY_SEED: u64 = 1;
 const NODE_KEY_SEED: u64 = 2;
+const TENANT_KEY_SEED: u64 = 3;
 const UNIT_BITS: u32 = 53;
 
 /// What nodes are scored for.
@@ -23,6 +24,11 @@
         Self(xxh3_64_with_seed(node.as_str().as_bytes(), NODE_KEY_SEED))
     }
 
+    pub(super) fn of_tenant(tenant: &TenantName) -> Self {
+        let name = tenant.as_str().as_bytes();
+        Self(xxh3_64_with_seed(name, TENANT_KEY_SEED))
+    }
+
     pub(super) fn of_relays(zone: &Locality) -> Self {
         let region = xxh3_64_with_seed(zone.region.as_str().as_bytes(), RELAY_KEY_SEED);
         Self(xxh3_64_with_seed(zone.zone.as_str().as_bytes(), region))
--- a/crates/dyketally/src/quota/accountant.rs
+++ b/crates/dyketally/src/quota/accountant.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::bucket::Bucket;
 use crate::identifiers::TenantName;
 use crate::tenant::Quota;
@@ -20,7 +22,7 @@
 const NEW_AT_LEAST: u32 = 8;
 
 /// What an accountant says to a question for tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decision {
     /// So many operations may run.
     Granted {
