Ask the primary at once for what replicas probably lack

Change: each node learns from all replicas' answers how long commits take to reach them (LagEstimate), and ranks replicas behind a primary that answers in ordinary time where what a read needs is newer than that.

--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 
 use dyketally::directory::{Directory, DirectoryChange};
 use dyketally::failover::Fences;
-use dyketally::freshness::{Observation, Observations};
+use dyketally::freshness::{LagEstimate, Observation, Observations};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::route_policy::RouteSet;
@@ -99,6 +99,8 @@
     pub links: Links,
     /// Copies of the store's keys, as they are passed on between nodes.
     pub feed: Feed,
+    /// How far replicas usually are behind.
+    pub replica_lag: Cell<LagEstimate>,
     /// Databases that are being replaced.
     pub fences: RefCell<Fences>,
     /// Whether this node would hear of a primary that is replaced.
@@ -140,6 +142,7 @@
             quotas: Quotas::default(),
             links: Links::default(),
             feed: Feed::default(),
+            replica_lag: Cell::default(),
             fences: RefCell::default(),
             touch: Touch::default(),
             listed: Cell::new(None),
@@ -349,6 +352,24 @@
         group.observed.notify_waiters();
     }
 
+    /// For how long the primary of `group` has been known to hold `position`; zero for a position
+    /// that has yet to be asked for.
+    pub fn age_of(&self, group: &GroupName, position: Option<LogPosition>) -> Duration {
+        let state = self.group(group);
+        let observations = state.observations.borrow();
+        position.map_or(Duration::ZERO, |position| {
+            observations.age_of(position, self.now())
+        })
+    }
+
+    /// Takes in that a replica of `group` held, or lacked, `position`.
+    pub fn replica_showed(&self, group: &GroupName, position: LogPosition, held: bool) {
+        let age = self.age_of(group, Some(position));
+        let mut lag = self.replica_lag.get();
+        lag.record(self.now(), age, held);
+        self.replica_lag.set(lag);
+    }
+
     /// A database as this node uses it.
     pub fn database(
         &self,
--- a/crates/dyketally-gateway/src/statement/read.rs
+++ b/crates/dyketally-gateway/src/statement/read.rs
@@ -218,13 +218,17 @@
             if failure.kind == FailureKind::ReplicaBehind {
                 self.counters.reads_behind.add();
                 target.state.was_behind(position);
+                self.replica_showed(&target.group, position, false);
             }
             return Attempt::NotRun(failure.kind);
         }
         target.state.was_fresh();
         match target.leads {
             true => self.counters.reads_at_primaries.add(),
-            false => self.counters.reads_at_replicas.add(),
+            false => {
+                self.counters.reads_at_replicas.add();
+                self.replica_showed(&target.group, position, true);
+            }
         }
         Attempt::Answered(answer)
     }
--- a/crates/dyketally-gateway/src/statement/target.rs
+++ b/crates/dyketally-gateway/src/statement/target.rs
@@ -16,6 +16,9 @@
 const LEAVING_PRIMARY_SHARE: f64 = 0.6;
 /// Added to the estimate of a database in another region, whose traffic is dear.
 const REGION_PENALTY_MS: f64 = 25.0;
+/// Added to the estimate of a replica that probably lacks what a read needs: the time that asking it in
+/// vain takes.
+const LAGGING_PENALTY_MS: f64 = 120.0;
 /// How often a group without a known primary is searched for one.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -73,11 +76,14 @@
         let ready = directory
             .members(group)
             .filter(|member| member.state == MemberState::Ready);
+        let is_too_new = self.age_of(group, needed) < self.replica_lag.get().value(self.now());
         let mut ranked: Vec<(f64, Target)> = ready
             .map(|member| {
                 let leads = primary.as_ref() == Some(member.name());
                 let target = self.target(member, leads);
-                (self.rank(member, &target, needed), target)
+                let lagging = is_too_new && !leads;
+                let penalty = if lagging { LAGGING_PENALTY_MS } else { 0.0 };
+                (self.rank(member, &target, needed) + penalty, target)
             })
             .collect();
         ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
--- a/crates/dyketally/src/freshness.rs
+++ b/crates/dyketally/src/freshness/mod.rs
@@ -6,12 +6,16 @@
 //! any log that holds the position of an observation with `sent >= t`; the oldest such one asks
 //! least of a replica.
 
+mod lag;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::group::LogPosition;
 use crate::time::Timestamp;
 
+pub use lag::LagEstimate;
+
 /// Shortest distance between two observations that are both kept.
 const SPACING: Duration = Duration::from_millis(20);
 
@@ -68,6 +72,12 @@
         self.kept.get(first).copied()
     }
 
+    /// For how long the primary has been known to hold `position`; zero when that isn't known.
+    pub fn age_of(&self, position: LogPosition, now: Timestamp) -> Duration {
+        let first = self.kept.iter().find(|kept| kept.position >= position);
+        first.map_or(Duration::ZERO, |first| now.saturating_since(first.sent))
+    }
+
     fn forget_old(&mut self, now: Timestamp) {
         let oldest = now - self.keep_for;
         while self.kept.front().is_some_and(|kept| kept.sent < oldest) {
