Ask one home for all connections of a tenant

Change: all nodes ask the homes of a database in the order of the tenant, so that each home keeps connections of half of the tenants.

--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -6,11 +6,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use dyketally::identifiers::DatabaseName;
+use dyketally::identifiers::{DatabaseName, NodeName, TenantName};
 use dyketally::placement::{self, Sharing};
 
 use crate::fleet::passed_over::PassedOver;
 use crate::gateway::Gateway;
+use crate::ports::DatabaseUser;
 
 /// Connections assumed where the configuration doesn't tell.
 const GRANTED_ASSUMED: u32 = 16;
@@ -31,8 +32,35 @@
 struct Placed {
     is_home: bool,
     sharing: Sharing,
-    /// Homes and stand-ins, in the order in which this node asks them.
-    homes: Rc<[SocketAddr]>,
+    /// Other nodes than this one that are homes, in the order in which it asks them.
+    homes: Vec<(NodeName, SocketAddr)>,
+    /// Who is asked when no home can be.
+    stand_ins: Vec<SocketAddr>,
+}
+
+impl Placed {
+    fn nodes(&self) -> impl Iterator<Item = &SocketAddr> {
+        let homes = self.homes.iter().map(|(_, address)| address);
+        homes.chain(&self.stand_ins)
+    }
+
+    /// Homes and stand-ins in the order in which they are asked for connections of `user`.
+    fn ordered(&self, user: Option<&DatabaseUser>) -> Rc<[SocketAddr]> {
+        let Some(DatabaseUser::Tenant(tenant)) = user else {
+            return self.nodes().copied().collect();
+        };
+        let homes = self.homes_of(tenant);
+        homes.chain(self.stand_ins.iter().copied()).collect()
+    }
+
+    fn homes_of(&self, tenant: &TenantName) -> impl Iterator<Item = SocketAddr> {
+        let names: Vec<&NodeName> = self.homes.iter().map(|(name, _)| name).collect();
+        let ordered = placement::preference_for(tenant, &names);
+        let address = |name: &NodeName| self.homes.iter().find(|(home, _)| home == name);
+        ordered
+            .into_iter()
+            .filter_map(move |name| Some(address(name)?.1))
+    }
 }
 
 /// What was worked out from the nodes that are known, until these change.
@@ -51,15 +79,15 @@
 }
 
 impl Gateway {
-    /// How this node reaches a database.
-    pub fn reach(&self, database: &DatabaseName) -> Reach {
+    /// How this node reaches a database for statements of `user`, if it matters.
+    pub fn reach(&self, database: &DatabaseName, user: Option<&DatabaseUser>) -> Reach {
         let Some(placed) = self.placed(database) else {
             return Reach::Own;
         };
         let usable = |home: &SocketAddr| !self.homes.passed_over.contains(home);
-        match placed.is_home || !placed.homes.iter().any(usable) {
+        match placed.is_home || !placed.nodes().any(usable) {
             true => Reach::Own,
-            false => Reach::Via(placed.homes.clone()),
+            false => Reach::Via(placed.ordered(user)),
         }
     }
 
@@ -91,7 +119,7 @@
         let Some(placed) = self.placed(database) else {
             return Vec::new();
         };
-        placed.homes.to_vec()
+        placed.nodes().copied().collect()
     }
 
     fn placed(&self, database: &DatabaseName) -> Option<Rc<Placed>> {
@@ -119,7 +147,8 @@
             return Some(Placed {
                 is_home: true,
                 sharing,
-                homes: Rc::default(),
+                homes: Vec::new(),
+                stand_ins: Vec::new(),
             });
         }
         let count = sharing.homes(nodes);
@@ -130,14 +159,20 @@
         let ranked = placement::rank(database, &locality, candidates, count + STAND_INS);
         let (homes, stand_ins) = ranked.split_at(count.min(ranked.len()));
         let is_home = homes.contains(&own);
-        let mut ordered = placement::preference(own, homes);
-        ordered.extend(stand_ins);
-        let others = ordered.into_iter().filter(|name| *name != own);
-        let addresses = others.filter_map(|name| nodes.get(name));
+        let ordered = placement::preference(own, homes);
+        let others = |names: Vec<&NodeName>| -> Vec<(NodeName, SocketAddr)> {
+            let others = names.into_iter().filter(|name| *name != own);
+            let found = others.filter_map(|name| nodes.get(name));
+            found
+                .map(|node| (node.node.clone(), node.address))
+                .collect()
+        };
+        let stand_ins = others(stand_ins.to_vec());
         Some(Placed {
             is_home,
             sharing,
-            homes: addresses.map(|node| node.address).collect(),
+            homes: others(ordered),
+            stand_ins: stand_ins.into_iter().map(|(_, address)| address).collect(),
         })
     }
 }
--- a/crates/dyketally-gateway/src/statement/checkout.rs
+++ b/crates/dyketally-gateway/src/statement/checkout.rs
@@ -110,7 +110,7 @@
         values: &BTreeMap<String, String>,
         claim: Claim,
     ) -> Result<Checkout, FailureKind> {
-        match self.reach(&target.name) {
+        match self.reach(&target.name, claim.user.as_ref()) {
             Reach::Via(homes) => {
                 let call = HomeCall::new(self.clone(), target.name.clone(), homes, claim);
                 Ok(Checkout::Remote(call))
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -79,7 +79,16 @@
 
 /// The order in which `node` asks `homes`: its own for each node, so that nodes spread over them.
 pub fn preference<'a>(node: &NodeName, homes: &[&'a NodeName]) -> Vec<&'a NodeName> {
-    let key = Key::of_node(node);
+    by_score(Key::of_node(node), homes)
+}
+
+/// The order in which all nodes ask `homes` for connections of `tenant`: the same for all, so that
+/// few homes keep connections of one tenant, and each of them those of few tenants.
+pub fn preference_for<'a>(tenant: &TenantName, homes: &[&'a NodeName]) -> Vec<&'a NodeName> {
+    by_score(Key::of_tenant(tenant), homes)
+}
+
+fn by_score<'a>(key: Key, homes: &[&'a NodeName]) -> Vec<&'a NodeName> {
     let mut ordered = homes.to_vec();
     ordered.sort_by(|one, other| {
         let score = |home: &NodeName| key.score(home, NORMAL_WEIGHT);
