--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -1,6 +1,7 @@
 //! What the process has done since its start.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::Serialize;
@@ -24,6 +25,18 @@
     }
 }
 
+/// Bytes sent to other nodes by kind of message, without the headers of the network.
+#[derive(Debug, Default, Serialize)]
+#[serde(transparent)]
+pub struct SentBytes(RefCell<BTreeMap<&'static str, u64>>);
+
+impl SentBytes {
+    /// Counts a message of `kind`.
+    pub fn add(&self, kind: &'static str, bytes: usize) {
+        *self.0.borrow_mut().entry(kind).or_default() += bytes as u64;
+    }
+}
+
 /// All counts. Names are documented in `docs/logs.md`.
 #[derive(Debug, Default, Serialize)]
 pub struct Counters {
@@ -51,6 +64,8 @@
     pub further_attempts: Counter,
     /// Empty transactions that asked a primary for its position.
     pub confirmations: Counter,
+    /// Bytes sent to other nodes.
+    pub sent_bytes: SentBytes,
     /// Calls to the store.
     #[serde(flatten)]
     pub store: Arc<StoreCalls>,
--- a/crates/dyketally-gateway/src/database/pool/checkout.rs
+++ b/crates/dyketally-gateway/src/database/pool/checkout.rs
@@ -7,6 +7,7 @@
 use super::Pool;
 use super::guards::{Pinned, Running};
 use crate::database::connection::{Answer, Broken, Connection};
+use crate::measures::Stage;
 use crate::statement::batch::Batch;
 
 /// A connection in use. Dropping it closes the connection; [`Checkout::give_back`] keeps it.
@@ -57,6 +58,7 @@
             }
         };
         self.running = None;
+        self.pool.measures.spent(Stage::Database, began.elapsed());
         self.pool.note_answers(&answers, began.elapsed());
         Ok(answers)
     }
--- a/crates/dyketally-gateway/src/database/pool/mod.rs
+++ b/crates/dyketally-gateway/src/database/pool/mod.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::database::connection::{Answer, Connection, OpenError, Route};
+use crate::measures::{Handed, Measures, Stage};
 use crate::ports::{DatabaseUser, SharedDatabaseProtocol};
 use crate::statement::checkout::{Claim, Work};
 
@@ -77,6 +78,21 @@
     wake: oneshot::Sender<()>,
 }
 
+/// How a pool stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolStatus {
+    /// Connections that are open or being opened.
+    pub open: u32,
+    /// Those of them that nobody uses.
+    pub idle: u32,
+    /// Those that transactions keep.
+    pub pinned: u32,
+    /// How many may be open.
+    pub limit: u32,
+    /// Who waits for one, or for a turn.
+    pub waiting: u32,
+}
+
 /// Connections of this node to one database.
 pub struct Pool {
     protocol: SharedDatabaseProtocol,
@@ -96,10 +112,7 @@
     /// What is in flight, and how long others wait.
     gate: RefCell<Gate>,
     started: Instant,
-    /// Connections opened since the start.
-    pub opened: Cell<u64>,
-    /// Connections closed since the start to make room for other users'.
-    pub evicted: Cell<u64>,
+    measures: Rc<Measures>,
 }
 
 impl Pool {
@@ -110,6 +123,7 @@
         group: GroupName,
         address: SocketAddr,
         limit: u32,
+        measures: Rc<Measures>,
     ) -> Rc<Self> {
         Rc::new(Self {
             protocol,
@@ -127,11 +141,21 @@
             pinned: Cell::new(0),
             gate: RefCell::default(),
             started: Instant::now(),
-            opened: Cell::new(0),
-            evicted: Cell::new(0),
+            measures,
         })
     }
 
+    /// How it stands.
+    pub fn status(&self) -> PoolStatus {
+        PoolStatus {
+            open: self.open.get(),
+            idle: self.idle.borrow().len() as u32,
+            pinned: self.pinned.get(),
+            limit: self.effective_limit(),
+            waiting: self.waiters.borrow().len() as u32,
+        }
+    }
+
     /// Where the pool's database accepts connections.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -193,14 +217,19 @@
         values: &BTreeMap<String, String>,
         claim: Claim,
     ) -> Result<Checkout, CheckoutError> {
+        let began = Instant::now();
         loop {
             if self.admits(claim.priority, Want::Connection(claim.work)) {
                 if let Some(connection) = self.take_idle(claim.user.as_ref(), values) {
+                    self.measures.spent(Stage::Queue, began.elapsed());
+                    self.handed_out(Handed::Idle);
                     let running = Running::begin(self);
                     let pinned = Pinned::take(self, claim.work);
                     return Ok(Checkout::new(self.clone(), connection, pinned, running));
                 }
-                if self.open.get() < self.effective_limit() || self.evict() {
+                if let Some(how) = self.make_room() {
+                    self.measures.spent(Stage::Queue, began.elapsed());
+                    self.handed_out(how);
                     let running = Running::begin(self);
                     let pinned = Pinned::take(self, claim.work);
                     let user = claim.user.unwrap_or(DatabaseUser::Gateway);
@@ -282,17 +311,21 @@
         }
     }
 
-    /// Closes the connection that has been idle longest, to make room for one of another user; false
-    /// if none is idle.
-    fn evict(&self) -> bool {
-        let Some(index) = self.idle_longest() else {
-            return false;
-        };
+    fn handed_out(&self, how: Handed) {
+        self.measures.handed_out(self.group.as_str(), how);
+    }
+
+    /// Makes room for a connection to be opened, if need be by closing the one that has been idle
+    /// longest; `None` if there is none.
+    fn make_room(&self) -> Option<Handed> {
+        if self.open.get() < self.effective_limit() {
+            return Some(Handed::Opened);
+        }
+        let index = self.idle_longest()?;
         self.idle.borrow_mut().swap_remove(index);
         // Nobody is woken: whoever made the room takes it.
         self.open.set(self.open.get().saturating_sub(1));
-        self.evicted.set(self.evicted.get() + 1);
-        true
+        Some(Handed::Replaced)
     }
 
     async fn open_one(
@@ -302,7 +335,8 @@
         pinned: Option<Pinned>,
         running: Running,
     ) -> Result<Checkout, CheckoutError> {
-        let left = until.saturating_duration_since(Instant::now());
+        let began = Instant::now();
+        let left = until.saturating_duration_since(began);
         let slot = OpenSlot::take(self);
         let connection = Connection::open(
             self.protocol.clone(),
@@ -315,7 +349,7 @@
         match connection.await {
             Ok(connection) => {
                 slot.keep();
-                self.opened.set(self.opened.get() + 1);
+                self.measures.spent(Stage::Connection, began.elapsed());
                 Ok(Checkout::new(self.clone(), connection, pinned, running))
             }
             Err(error) => {
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -137,6 +137,8 @@
         id: &'a str,
         /// The group.
         group: &'a str,
+        /// Whose the statement is.
+        tenant: &'a str,
         /// What the caller was told.
         outcome: String,
         /// Why.
--- a/crates/dyketally-gateway/src/fleet/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -69,6 +69,8 @@
         let Ok(message) = postcard::to_stdvec(&reply) else {
             return;
         };
+        let sent = &gateway.counters.sent_bytes;
+        sent.add("call_reply", message.len());
         if frames.send(Bytes::from(message)).await.is_err() {
             return;
         }
--- a/crates/dyketally-gateway/src/fleet/link.rs
+++ b/crates/dyketally-gateway/src/fleet/link.rs
@@ -21,6 +21,7 @@
 use crate::database::connection::{Answer, Broken, is_quiet, leave_idle};
 use crate::fleet::relay::{self, Opening};
 use crate::gateway::Gateway;
+use crate::measures::Stage;
 use crate::ports::DatabaseUser;
 use crate::statement::batch::Batch;
 use crate::statement::checkout::{Claim, Refusal, Work};
@@ -116,8 +117,9 @@
         !is_quiet(self.frames.get_ref())
     }
 
-    async fn call(&mut self, call: &Call<'_>) -> Result<CallReply, Broken> {
+    async fn call(&mut self, gateway: &Gateway, call: &Call<'_>) -> Result<CallReply, Broken> {
         let message = postcard::to_stdvec(call).map_err(Broken::new)?;
+        gateway.counters.sent_bytes.add("call", message.len());
         self.frames
             .send(Bytes::from(message))
             .await
@@ -227,7 +229,10 @@
                 user: self.claim.user.clone(),
                 batch: Cow::Borrowed(batch),
             };
-            let reply = link.call(&call).await.map_err(|broken| {
+            let began = Instant::now();
+            let reply = link.call(&self.gateway, &call).await;
+            self.gateway.measures.spent(Stage::Link, began.elapsed());
+            let reply = reply.map_err(|broken| {
                 self.pass_over(home);
                 CallError::HomeLost(broken)
             })?;
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -140,6 +140,31 @@
     },
 }
 
+impl PeerMessage {
+    /// The kind, for counters.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Suspect { .. } => "suspect",
+            Self::Poll { .. } => "poll",
+            Self::Vote { .. } => "vote",
+            Self::HasDuty { .. } => "has_duty",
+            Self::Fence { .. } => "fence",
+            Self::FenceReply { .. } => "fence_reply",
+            Self::LiftFence { .. } => "lift_fence",
+            Self::AreYouThere { .. } => "are_you_there",
+            Self::Here { .. } => "here",
+            Self::HeartbeatAsked => "heartbeat_asked",
+            Self::Heartbeat => "heartbeat",
+            Self::RelaysAsked { .. } => "relays_asked",
+            Self::Relays { .. } => "relays",
+            Self::PermitAsked { .. } => "permit_asked",
+            Self::PermitDecided { .. } => "permit_decided",
+            Self::Ends { .. } => "ends",
+            Self::Leads { .. } => "leads",
+        }
+    }
+}
+
 /// The socket that nodes talk over.
 pub struct Peers {
     gateway: Rc<Gateway>,
@@ -357,6 +382,10 @@
     /// Sends one message; it may get lost.
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         if let Ok(bytes) = postcard::to_stdvec(message) {
+            self.gateway
+                .counters
+                .sent_bytes
+                .add(message.kind(), bytes.len());
             // A datagram that can't be sent is one that got lost.
             let _ = self.socket.try_send_to(&bytes, to);
         }
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::fleet::link::Links;
 use crate::fleet::membership::Membership;
 use crate::fleet::peer::Peers;
+use crate::measures::Measures;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::quota::Quotas;
 use crate::settings::Settings;
@@ -87,6 +88,8 @@
     pub peers: RefCell<Option<Rc<Peers>>>,
     /// What the process has done.
     pub counters: Counters,
+    /// The same for its metrics, with times.
+    pub measures: Rc<Measures>,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
     /// Calls of other nodes that run here, and their transactions that are open.
@@ -116,7 +119,8 @@
     routes: RefCell<Rc<RouteSet>>,
     configured: Cell<bool>,
     groups: RefCell<HashMap<GroupName, Rc<GroupState>>>,
-    databases: RefCell<HashMap<DatabaseName, Rc<DatabaseState>>>,
+    /// Databases as this node uses them.
+    pub databases: RefCell<HashMap<DatabaseName, Rc<DatabaseState>>>,
 }
 
 impl Gateway {
@@ -137,6 +141,7 @@
             membership: Membership::default(),
             peers: RefCell::default(),
             counters: Counters::new(store_calls),
+            measures: Rc::default(),
             sessions: Cell::new(0),
             calls: Cell::new(0),
             homes: Homes::default(),
@@ -391,6 +396,7 @@
             group.clone(),
             address,
             self.connection_limit(name),
+            self.measures.clone(),
         );
         self.share_out_slots(name, &pool);
         let database = DatabaseState::new(pool, expected_ms);
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod event;
 pub mod fleet;
 mod gateway;
+mod measures;
 mod node;
 pub mod ports;
 mod quota;
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One process of the gateway, assembled from settings and adapters, from start to planned stop.
 
+mod metrics;
 mod readiness;
 
 use std::collections::HashMap;
@@ -84,6 +85,10 @@
         .await
         .wrap_err("can't listen on `listen.peers`; choose a free address of this machine")?;
     let relayed = bind(settings.listen.peers, "listen.peers").await?;
+    let metrics = match settings.listen.metrics {
+        Some(address) => Some(bind(address, "listen.metrics").await?),
+        None => None,
+    };
     let gateway = Gateway::new(
         settings,
         adapters.callers,
@@ -114,6 +119,9 @@
         adapters.readiness,
         probes,
     ));
+    if let Some(listener) = metrics {
+        tokio::task::spawn_local(metrics::serve(gateway.clone(), listener));
+    }
     tokio::task::spawn_local(relay::serve(gateway.clone(), relayed));
     tokio::task::spawn_local(peers.clone().run());
     tokio::task::spawn_local(keep_in_touch(gateway.clone(), peers.clone()));
--- a/crates/dyketally-gateway/src/node/readiness.rs
+++ b/crates/dyketally-gateway/src/node/readiness.rs
@@ -52,7 +52,8 @@
     }
 }
 
-fn head_end(bytes: &[u8]) -> Option<usize> {
+/// Where the head of a request ends, once it is whole.
+pub(super) fn head_end(bytes: &[u8]) -> Option<usize> {
     let mut windows = bytes.windows(HEAD_END.len());
     let start = windows.position(|window| window == HEAD_END)?;
     Some(start + HEAD_END.len())
--- a/crates/dyketally-gateway/src/quota/mod.rs
+++ b/crates/dyketally-gateway/src/quota/mod.rs
@@ -16,6 +16,7 @@
 
 use self::question::Questions;
 use crate::gateway::Gateway;
+use crate::measures::Stage;
 
 /// Nodes that share a quota at least, as far as a node goes that has nobody to ask: after a start it
 /// may not know yet how many there are.
@@ -93,7 +94,13 @@
         let now = self.now();
         let held = |allowance: &mut Allowance| allowance.take(now);
         if !self.quotas.allowance(self, name, held) {
-            self.obtain(name, quota, until).await?;
+            let began = Instant::now();
+            let obtained = self.obtain(name, quota, until).await;
+            self.measures.spent(Stage::Permit, began.elapsed());
+            obtained.inspect_err(|_| {
+                self.counters.over_quota.add();
+                self.measures.refused_over_quota(name);
+            })?;
         }
         Ok(Permit {
             limited: Some((self.clone(), name.clone())),
@@ -125,7 +132,7 @@
                 tokio::time::sleep(after).await;
                 Ok(())
             }
-            Decision::Refused { retry_after } => Err(self.over_quota(retry_after)),
+            Decision::Refused { retry_after } => Err(QuotaExceeded { retry_after }),
         }
     }
 
@@ -137,12 +144,7 @@
         let now = self.now();
         let alone = |allowance: &mut Allowance| allowance.take_alone(now, quota, nodes);
         let taken = self.quotas.allowance(self, tenant, alone);
-        taken.map_err(|retry_after| self.over_quota(retry_after))
-    }
-
-    fn over_quota(&self, retry_after: Duration) -> QuotaExceeded {
-        self.counters.over_quota.add();
-        QuotaExceeded { retry_after }
+        taken.map_err(|retry_after| QuotaExceeded { retry_after })
     }
 
     /// Decides, as an accountant, on a question for `wanted` operations of `tenant`; `None` when the
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session.rs
@@ -33,6 +33,8 @@
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
 /// Bytes reserved for each read.
 const READ_CHUNK: usize = 1_024;
+/// Why a statement is refused whose tenant has used up its quota.
+const OVER_QUOTA: &str = "the tenant's quota";
 /// What signs a statement that the gateway answers itself.
 const OWN_SIGNATURE: &[u8] = b"-";
 
@@ -417,7 +419,11 @@
         let tenant = request.tenant.as_ref();
         let permit = match self.gateway.permit(tenant, request.give_up()).await {
             Ok(permit) => permit,
-            Err(exceeded) => return over_quota(&exceeded),
+            Err(exceeded) => {
+                let served = over_quota(&exceeded);
+                request.log(&self.gateway, &served, OVER_QUOTA);
+                return served;
+            }
         };
         let served = match access {
             Access::Read => self.gateway.serve_read(&request).await,
@@ -442,7 +448,12 @@
         if transaction.permit.is_none() {
             let tenant = request.tenant.as_ref();
             let permit = self.gateway.permit(tenant, request.give_up()).await;
-            transaction.permit = Some(permit.map_err(|exceeded| over_quota(&exceeded))?);
+            let permit = permit.map_err(|exceeded| {
+                let served = over_quota(&exceeded);
+                request.log(&self.gateway, &served, OVER_QUOTA);
+                served
+            })?;
+            transaction.permit = Some(permit);
         }
         Ok(())
     }
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -94,6 +94,8 @@
     pub readiness: SocketAddr,
     /// For other nodes (UDP).
     pub peers: SocketAddr,
+    /// For those who read metrics; nowhere if it isn't given.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// A service that is called.
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -19,6 +19,7 @@
 use crate::database::connection::Answer;
 use crate::event::Event;
 use crate::gateway::Gateway;
+use crate::measures::tenant_label;
 use crate::ports::DatabaseUser;
 use crate::statement::batch::{Batch, SessionContext, Step};
 use crate::statement::checkout::{Checkout, Claim, Unanswered, Work};
@@ -279,8 +280,10 @@
         self.attempts.set(self.attempts.get() + 1);
     }
 
-    /// Logs what the caller is told, if it isn't an ordinary success.
+    /// Measures what the caller is told, and logs it if it isn't an ordinary success.
     pub fn log(&self, gateway: &Gateway, served: &Served, reason: &str) {
+        let elapsed = gateway.now().saturating_since(self.arrived);
+        gateway.measures.answered(&self.route.name, served, elapsed);
         let outcome = match &served.end {
             Ok(_) if self.attempts.get() <= 1 => return,
             Ok(_) => "served".to_owned(),
@@ -289,10 +292,11 @@
         gateway.events.write(&Event::StatementDecided {
             id: &String::from_utf8_lossy(&self.id),
             group: self.route.group.as_str(),
+            tenant: tenant_label(self.tenant.as_ref().map(|tenant| &tenant.name)),
             outcome,
             reason,
             attempts: self.attempts.get(),
-            elapsed_ms: gateway.now().saturating_since(self.arrived).as_millis() as u64,
+            elapsed_ms: elapsed.as_millis() as u64,
         });
     }
 }
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -11,11 +11,16 @@
 
 use super::SUBJECTS;
 use super::message::{FeedMessage, Ping, decode, encode};
+use crate::counters::SentBytes;
 use crate::fleet::link::frames;
 use crate::gateway::Gateway;
 
 /// How long a follower may take to say that it stays.
 const FIRST_PING_LIMIT: Duration = Duration::from_secs(2);
+/// Kinds of messages, for counters.
+const PONG: &str = "feed_pong";
+const WHOLE: &str = "feed_whole";
+const CHANGES: &str = "feed_changes";
 
 /// Serves a node that follows this one, for as long as this one watches the store itself. A relay
 /// goes on while the store is lost, and tells so: that all its followers ask the store helps nobody.
@@ -27,7 +32,11 @@
     let (mut sink, mut pings) = frames(stream).split();
     // A follower that looks for a relay in touch with the store leaves behind this, and shouldn't have
     // been sent all the rest.
-    if send(&mut sink, encode(&gateway.pong(0))).await.is_none() {
+    let sent = &gateway.counters.sent_bytes;
+    if send(sent, PONG, &mut sink, encode(&gateway.pong(0)))
+        .await
+        .is_none()
+    {
         return;
     }
     let Ok(Some(Ok(ping))) = tokio::time::timeout(FIRST_PING_LIMIT, pings.next()).await else {
@@ -35,29 +44,33 @@
     };
     let mut changes = gateway.feed.changes.subscribe();
     for subject in SUBJECTS {
-        if send(&mut sink, gateway.feed.whole(subject)).await.is_none() {
+        let whole = gateway.feed.whole(subject);
+        if send(sent, WHOLE, &mut sink, whole).await.is_none() {
             return;
         }
     }
-    if send(&mut sink, gateway.answer(&ping)).await.is_none() {
+    if send(sent, PONG, &mut sink, gateway.answer(&ping))
+        .await
+        .is_none()
+    {
         return;
     }
     loop {
-        let message = tokio::select! {
+        let (kind, message) = tokio::select! {
             // A pong tells that all changes before it were sent.
             biased;
             change = changes.recv() => match change {
-                Ok(change) => Some(change),
+                Ok(change) => (CHANGES, Some(change)),
                 // The follower is too far behind, and begins anew.
                 Err(RecvError::Lagged(_) | RecvError::Closed) => return,
             },
             ping = pings.next() => match ping {
-                Some(Ok(ping)) => gateway.answer(&ping),
+                Some(Ok(ping)) => (PONG, gateway.answer(&ping)),
                 // The follower left.
                 Some(Err(_)) | None => return,
             },
         };
-        if !may_serve() || send(&mut sink, message).await.is_none() {
+        if !may_serve() || send(sent, kind, &mut sink, message).await.is_none() {
             return;
         }
     }
@@ -65,10 +78,14 @@
 
 /// Sends a message; `None` if it can't be sent, or there is none.
 async fn send(
+    sent: &SentBytes,
+    kind: &'static str,
     sink: &mut (impl Sink<Bytes, Error = io::Error> + Unpin),
     message: Option<Bytes>,
 ) -> Option<()> {
-    sink.send(message?).await.ok()
+    let message = message?;
+    sent.add(kind, message.len());
+    sink.send(message).await.ok()
 }
 
 impl Gateway {
