--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -10,6 +10,8 @@
 
 /// Lines written per second; further ones are counted.
 const LINES_PER_SECOND: u32 = 60;
+/// Of these, lines on single statements: what explains many of them must not be dropped for them.
+const STATEMENT_LINES_PER_SECOND: u32 = 40;
 
 /// What happened. Field names are documented in `docs/logs.md`.
 #[derive(Debug, Serialize)]
@@ -185,7 +187,11 @@
         if self.second.replace(elapsed.as_secs()) != elapsed.as_secs() {
             self.written.set(0);
         }
-        if self.written.get() >= LINES_PER_SECOND {
+        let limit = match event {
+            Event::StatementDecided { .. } => STATEMENT_LINES_PER_SECOND,
+            _ => LINES_PER_SECOND,
+        };
+        if self.written.get() >= limit {
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
