--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -122,6 +122,18 @@
         /// What follows.
         verdict: String,
     },
+    /// A database isn't taken for the leader of its group any more, since it may be replaced.
+    FencePutUp {
+        /// The database.
+        database: &'a str,
+        /// Who told.
+        source: &'a str,
+    },
+    /// A database may be taken for the leader of its group again.
+    FenceLifted {
+        /// The database.
+        database: &'a str,
+    },
     /// A step of replacing a primary.
     FailoverStep {
         /// The group.
--- a/crates/dyketally-gateway/src/fleet/member.rs
+++ b/crates/dyketally-gateway/src/fleet/member.rs
@@ -88,7 +88,7 @@
         let fenced = entries
             .iter()
             .filter_map(|entry| self.keys.fenced(&entry.key));
-        fenced.for_each(|database| self.gateway.put_up_fence(database));
+        fenced.for_each(|database| self.gateway.put_up_fence(database, "the store"));
     }
 
     /// Keeps the lease and the node's key until the process stops.
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -329,12 +329,9 @@
                 self.send(from, &PeerMessage::Here { round, fenced });
             }
             PeerMessage::Here { round, fenced } => {
-                let now = self.gateway.now();
-                let mut fences = self.gateway.fences.borrow_mut();
-                for (database, age_ms) in fenced {
-                    fences.heard(now, database, Duration::from_millis(age_ms.into()));
-                }
-                drop(fences);
+                let fenced = fenced.into_iter();
+                let fenced = fenced.map(|(name, ms)| (name, Duration::from_millis(ms.into())));
+                self.gateway.heard_of_fences(fenced, "a sign of life");
                 pass_on(&self.life_rounds, round, from);
             }
             PeerMessage::HeartbeatAsked => self.send(from, &PeerMessage::Heartbeat),
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -29,12 +29,18 @@
         if self.has_answered_within(database, suspected) {
             return false;
         }
-        self.put_up_fence(database.clone());
+        self.put_up_fence(database.clone(), "a node");
         true
     }
 
-    /// Stops taking `database` for a leader.
-    pub fn put_up_fence(&self, database: DatabaseName) {
+    /// Stops taking `database` for a leader, as `source` told.
+    pub fn put_up_fence(&self, database: DatabaseName, source: &str) {
+        if !self.is_fenced(&database) {
+            self.events.write(&Event::FencePutUp {
+                database: database.as_str(),
+                source,
+            });
+        }
         self.fences.borrow_mut().put_up(self.now(), database);
         self.tell_change();
     }
@@ -44,8 +50,32 @@
         self.fences.borrow().holds(self.now(), database)
     }
 
+    /// Takes in that `source` has had fences for some time.
+    pub fn heard_of_fences(
+        &self,
+        fenced: impl IntoIterator<Item = (DatabaseName, Duration)>,
+        source: &str,
+    ) {
+        let now = self.now();
+        for (database, age) in fenced {
+            let stood = self.is_fenced(&database);
+            self.fences.borrow_mut().heard(now, database.clone(), age);
+            if !stood && self.is_fenced(&database) {
+                self.events.write(&Event::FencePutUp {
+                    database: database.as_str(),
+                    source,
+                });
+            }
+        }
+    }
+
     /// Takes `database` for a leader again.
     pub fn lift_fence(&self, database: &DatabaseName) {
+        if self.is_fenced(database) {
+            self.events.write(&Event::FenceLifted {
+                database: database.as_str(),
+            });
+        }
         self.fences.borrow_mut().lift(self.now(), database);
         self.tell_change();
     }
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -146,10 +146,7 @@
     /// Takes in how lately a relay that was asked at `asked` had been in touch: what reached it since
     /// has reached this node, too. While this node holds the duty only its own calls count.
     pub fn take_relay_contact(&self, asked: Timestamp, relayed: RelayContact) {
-        let now = self.now();
-        for (database, age) in relayed.fenced {
-            self.fences.borrow_mut().heard(now, database, age);
-        }
+        self.heard_of_fences(relayed.fenced, "a relay");
         let holds_duty = self.membership.last_duty().is_some();
         match relayed.store {
             Some(age) if age < RELAY_LOST_STORE => self.membership.store_answered(),
