Never put a fence up again whose round was lifted

Change: each round of fences has an id; what is heard of a round that was lifted here counts for nothing, a late datagram of it neither. Lifts are sent three times, and the store's key is deleted again if that fails. Tests: crates/dyketally/tests/failover.rs, two new cases that fail without the ids.

--- a/crates/dyketally-gateway/src/fleet/member.rs
+++ b/crates/dyketally-gateway/src/fleet/member.rs
@@ -85,10 +85,10 @@
                 return;
             }
         };
-        let fenced = entries
-            .iter()
-            .filter_map(|entry| self.keys.fenced(&entry.key));
-        fenced.for_each(|database| self.gateway.put_up_fence(database, "the store"));
+        let fenced = entries.iter().filter_map(|entry| self.keys.fence_of(entry));
+        fenced.for_each(|(database, id)| {
+            self.gateway.put_up_fence(database, id, "the store");
+        });
     }
 
     /// Keeps the lease and the node's key until the process stops.
--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::failover::FenceId;
 use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName};
 use dyketally::placement::Candidate;
 use dyketally_store::StoreError;
@@ -106,6 +107,24 @@
         Some(DatabaseName::from(database))
     }
 
+    /// Puts the round of a fence under `key`, one of [`Keys::fence`], for as long as `lease` runs.
+    pub fn put_fence(key: Key, id: FenceId, lease: LeaseId) -> Operation {
+        Operation::Put(PutRequest {
+            key,
+            value: Bytes::from(id.0.to_string()),
+            lease: Some(lease),
+        })
+    }
+
+    /// The database and the round that an entry tells of, if its key is one of [`Keys::fence`].
+    pub fn fence_of(&self, entry: &Entry) -> Option<(DatabaseName, FenceId)> {
+        let database = self.fenced(&entry.key)?;
+        let text = std::str::from_utf8(&entry.value).ok();
+        let id = text.and_then(|text| text.parse().ok());
+        // A fence that tells no round is taken for one of its own.
+        Some((database, FenceId(id.unwrap_or(entry.modified.0))))
+    }
+
     /// Puts this node's record under `key`, for as long as `lease` runs.
     pub fn put(&self, key: Key, lease: LeaseId) -> Operation {
         let value = serde_json::to_vec(&self.record).unwrap_or_default();
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::failover::Evidence;
+use dyketally::failover::{Evidence, FenceId, StandingFence};
 use dyketally::identifiers::{DatabaseName, GroupName, NodeName, TenantName, ZoneName};
 use dyketally::quota::Decision;
 use rand::seq::SliceRandom;
@@ -66,6 +66,8 @@
         round: u64,
         /// The database.
         database: DatabaseName,
+        /// The round of fences.
+        id: FenceId,
         /// How long ago it was suspected, in milliseconds.
         suspected_ms: u32,
     },
@@ -82,6 +84,8 @@
     LiftFence {
         /// The database.
         database: DatabaseName,
+        /// The round of fences that is over.
+        id: FenceId,
     },
     /// Asks for a sign of life.
     AreYouThere {
@@ -92,8 +96,8 @@
     Here {
         /// The question.
         round: u64,
-        /// Databases that the sender doesn't take for leaders, and for how long, in milliseconds.
-        fenced: Vec<(DatabaseName, u32)>,
+        /// The fences that stand at the sender.
+        fenced: Vec<StandingFence>,
     },
     /// Asks for a heartbeat. Unlike [`PeerMessage::AreYouThere`] it doesn't tell that the sender
     /// counts the receiver among those that it is in touch with.
@@ -294,10 +298,11 @@
             PeerMessage::Fence {
                 round,
                 database,
+                id,
                 suspected_ms,
             } => {
                 let suspected = Duration::from_millis(suspected_ms.into());
-                let contested = !self.gateway.fence(&database, suspected);
+                let contested = !self.gateway.fence(&database, id, suspected);
                 let reply = PeerMessage::FenceReply {
                     round,
                     contested,
@@ -317,20 +322,14 @@
                 };
                 pass_on(&self.fence_rounds, round, reply);
             }
-            PeerMessage::LiftFence { database } => self.gateway.lift_fence(&database),
+            PeerMessage::LiftFence { database, id } => self.gateway.lift_round(&database, id),
             PeerMessage::AreYouThere { round } => {
                 self.asked_by.borrow_mut().insert(from, Instant::now());
                 let gateway = &self.gateway;
-                let standing = gateway.fences.borrow().standing(gateway.now());
-                let fenced = standing.into_iter();
-                let fenced = fenced
-                    .map(|(name, age)| (name, age.as_millis() as u32))
-                    .collect();
+                let fenced = gateway.fences.borrow().standing(gateway.now());
                 self.send(from, &PeerMessage::Here { round, fenced });
             }
             PeerMessage::Here { round, fenced } => {
-                let fenced = fenced.into_iter();
-                let fenced = fenced.map(|(name, ms)| (name, Duration::from_millis(ms.into())));
                 self.gateway.heard_of_fences(fenced, "a sign of life");
                 pass_on(&self.life_rounds, round, from);
             }
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::failover::{FENCE_HOLDS, FenceRound, FenceVerdict};
+use dyketally::failover::{FENCE_HOLDS, FenceId, FenceRound, FenceVerdict, StandingFence};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::time::Timestamp;
 use dyketally_store::key_value::{KeyRange, KeyValueStore, Operation, TransactionRequest};
@@ -21,28 +21,38 @@
 
 /// Pause before nodes that didn't confirm are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
+/// Tries to have the store no longer tell of a fence, and the pause between two of them.
+const DELETIONS_AT_MOST: u32 = 4;
+const DELETION_PAUSE: Duration = Duration::from_millis(400);
+/// Pauses before nodes are told that a fence is lifted: datagrams get lost, and a node that misses all of
+/// them refuses statements for the primary until the fence runs out.
+const LIFT_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(150),
+    Duration::from_millis(600),
+];
 
 impl Gateway {
     /// Stops taking `database` for a leader; false when it has answered this node since it was
-    /// suspected `suspected` ago, so that it shouldn't be replaced.
-    pub fn fence(&self, database: &DatabaseName, suspected: Duration) -> bool {
-        if self.has_answered_within(database, suspected) {
-            return false;
-        }
-        self.put_up_fence(database.clone(), "a node");
-        true
+    /// suspected `suspected` ago, so that it shouldn't be replaced, or the round is over.
+    pub fn fence(&self, database: &DatabaseName, id: FenceId, suspected: Duration) -> bool {
+        !self.has_answered_within(database, suspected)
+            && self.put_up_fence(database.clone(), id, "a node")
     }
 
-    /// Stops taking `database` for a leader, as `source` told.
-    pub fn put_up_fence(&self, database: DatabaseName, source: &str) {
-        if !self.is_fenced(&database) {
+    /// Stops taking `database` for a leader, as `source` told; false when the round is over.
+    pub fn put_up_fence(&self, database: DatabaseName, id: FenceId, source: &str) -> bool {
+        let stood = self.is_fenced(&database);
+        let now = self.now();
+        let stands = self.fences.borrow_mut().put_up(now, database.clone(), id);
+        if stands && !stood {
             self.events.write(&Event::FencePutUp {
                 database: database.as_str(),
                 source,
             });
         }
-        self.fences.borrow_mut().put_up(self.now(), database);
         self.tell_change();
+        stands
     }
 
     /// True while `database` mustn't be taken for a leader.
@@ -51,15 +61,12 @@
     }
 
     /// Takes in that `source` has had fences for some time.
-    pub fn heard_of_fences(
-        &self,
-        fenced: impl IntoIterator<Item = (DatabaseName, Duration)>,
-        source: &str,
-    ) {
+    pub fn heard_of_fences(&self, fenced: impl IntoIterator<Item = StandingFence>, source: &str) {
         let now = self.now();
-        for (database, age) in fenced {
+        for fence in fenced {
+            let database = fence.database.clone();
             let stood = self.is_fenced(&database);
-            self.fences.borrow_mut().heard(now, database.clone(), age);
+            self.fences.borrow_mut().heard(now, fence);
             if !stood && self.is_fenced(&database) {
                 self.events.write(&Event::FencePutUp {
                     database: database.as_str(),
@@ -80,6 +87,20 @@
         self.tell_change();
     }
 
+    /// Takes in that the round of a fence is over and `database` isn't replaced by it.
+    pub fn lift_round(&self, database: &DatabaseName, id: FenceId) {
+        let stood = self.is_fenced(database);
+        self.fences
+            .borrow_mut()
+            .lift_round(self.now(), database, id);
+        if stood && !self.is_fenced(database) {
+            self.events.write(&Event::FenceLifted {
+                database: database.as_str(),
+            });
+        }
+        self.tell_change();
+    }
+
     fn has_answered_within(&self, database: &DatabaseName, age: Duration) -> bool {
         let target = self.known_target(database);
         let since = Instant::now().checked_sub(age);
@@ -96,6 +117,8 @@
     peers: Rc<Peers>,
     store: Rc<dyn KeyValueStore>,
     keys: Rc<Keys>,
+    /// The last round around each database.
+    rounds: RefCell<HashMap<DatabaseName, FenceId>>,
     published: RefCell<HashMap<DatabaseName, Rc<Published>>>,
 }
 
@@ -121,6 +144,7 @@
             peers,
             store,
             keys,
+            rounds: RefCell::default(),
             published: RefCell::default(),
         }
     }
@@ -147,13 +171,24 @@
 
     /// Has all nodes take `database` for a leader again.
     pub fn lift(&self, database: &DatabaseName) {
-        self.gateway.lift_fence(database);
         if let Some(published) = self.published.borrow_mut().remove(database) {
             published.withdrawn.notify_one();
         }
-        let database = database.clone();
-        let message = PeerMessage::LiftFence { database };
-        self.peers.broadcast_to_electorate(&message);
+        let Some(id) = self.rounds.borrow_mut().remove(database) else {
+            return;
+        };
+        self.gateway.lift_round(database, id);
+        let message = PeerMessage::LiftFence {
+            database: database.clone(),
+            id,
+        };
+        let peers = self.peers.clone();
+        tokio::task::spawn_local(async move {
+            for pause in LIFT_PAUSES {
+                tokio::time::sleep(pause).await;
+                peers.broadcast_to_electorate(&message);
+            }
+        });
     }
 
     async fn ask_until_judged(
@@ -163,10 +198,12 @@
     ) -> (FenceVerdict, FenceRound) {
         let began = Instant::now();
         let gateway = &self.gateway;
+        let id = FenceId(rand::random());
+        self.rounds.borrow_mut().insert(database.clone(), id);
         let mut replies = self.peers.collect_fence_replies();
         let mut silent = self.others();
         let mut round = FenceRound::new(gateway.now(), silent.len() + 1);
-        match gateway.fence(database, suspected) {
+        match gateway.fence(database, id, suspected) {
             true => round.confirmed(gateway.now()),
             false => round.contested(),
         }
@@ -191,9 +228,14 @@
             }
             if Instant::now() >= ask_at {
                 if began.elapsed() >= ASK_AGAIN {
-                    published.get_or_insert_with(|| self.publish(database));
+                    published.get_or_insert_with(|| self.publish(database, id));
                 }
-                self.ask(&silent, &replies, database, suspected + began.elapsed());
+                self.ask(
+                    &silent,
+                    &replies,
+                    (database, id),
+                    suspected + began.elapsed(),
+                );
                 ask_at = Instant::now() + ASK_AGAIN;
             }
             let reply = tokio::time::timeout_at(ask_at, replies.receiver.recv()).await;
@@ -211,7 +253,7 @@
 
     /// Tells nodes that don't hear this one, by way of the store, for as long as the fence holds and
     /// isn't lifted.
-    fn publish(&self, database: &DatabaseName) -> Rc<Published> {
+    fn publish(&self, database: &DatabaseName, id: FenceId) -> Rc<Published> {
         let published = Rc::new(Published::default());
         let Some(lease) = self.gateway.membership.duty_lease() else {
             return published;
@@ -219,7 +261,7 @@
         let mut all = self.published.borrow_mut();
         all.insert(database.clone(), published.clone());
         let key = self.keys.fence(database);
-        let put = self.keys.put(key.clone(), lease.id);
+        let put = Keys::put_fence(key.clone(), id, lease.id);
         let store = self.store.clone();
         let gateway = self.gateway.clone();
         let fence = published.clone();
@@ -229,9 +271,14 @@
             }
             // Either way the store should no longer tell of it.
             let _ = tokio::time::timeout(FENCE_HOLDS, fence.withdrawn.notified()).await;
-            let deletion = Operation::Delete(KeyRange::key(key));
-            // The key goes with the lease if this fails.
-            let _ = store.transact(unconditional(deletion)).await;
+            let deletion = || Operation::Delete(KeyRange::key(key.clone()));
+            // The key goes with the lease if all of these fail.
+            for _ in 0..DELETIONS_AT_MOST {
+                if store.transact(unconditional(deletion())).await.is_ok() {
+                    return;
+                }
+                tokio::time::sleep(DELETION_PAUSE).await;
+            }
         });
         published
     }
@@ -249,12 +296,13 @@
         &self,
         nodes: &HashSet<SocketAddr>,
         replies: &Replies<FenceReply>,
-        database: &DatabaseName,
+        (database, id): (&DatabaseName, FenceId),
         suspected: Duration,
     ) {
         let message = PeerMessage::Fence {
             round: replies.round,
             database: database.clone(),
+            id,
             suspected_ms: suspected.as_millis().try_into().unwrap_or(u32::MAX),
         };
         for node in nodes {
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::failover::{Contact, is_majority};
-use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::failover::{Contact, StandingFence, is_majority};
+use dyketally::identifiers::GroupName;
 use dyketally::time::Timestamp;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{KeyValueStore, LeaseId};
@@ -47,8 +47,8 @@
     pub store: Option<Duration>,
     /// How long ago it asked the nodes more than half of which replied last.
     pub majority: Option<Duration>,
-    /// Databases that it doesn't take for leaders, and for how long.
-    pub fenced: Vec<(DatabaseName, Duration)>,
+    /// The fences that stand there.
+    pub fenced: Vec<StandingFence>,
 }
 
 /// What an isolated node found when it asked the other databases of a group.
--- a/crates/dyketally/src/failover/fences.rs
+++ b/crates/dyketally/src/failover/fences.rs
@@ -3,65 +3,108 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::identifiers::DatabaseName;
 use crate::time::Timestamp;
 
 /// How long a fence stands that nobody lifts.
 pub const FENCE_HOLDS: Duration = Duration::from_secs(8);
 
+/// One round of fences around a database; whoever begins it draws it at random.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FenceId(pub u64);
+
+/// A fence as one node tells another of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StandingFence {
+    /// The database.
+    pub database: DatabaseName,
+    /// The round.
+    pub id: FenceId,
+    /// How long ago it was put up, here or at the node that told of it.
+    pub age: Duration,
+}
+
 /// Fences by the time at which they were put up first, here or at the node that told of them.
 ///
 /// Nodes tell each other of fences, so one that was lifted must not come back by way of a node that
-/// doesn't know yet: what is heard counts only if it was put up after the last time that it was
-/// lifted here, and never makes a fence last longer.
+/// doesn't know yet: what is heard counts only if its round wasn't lifted here and it was put up after
+/// the last time that a fence around the database was, and it never makes a fence last longer. Times
+/// alone don't suffice: a node that is farther away puts a fence up later than a nearer one lifts it.
 #[derive(Clone, Debug, Default)]
 pub struct Fences {
-    began: HashMap<DatabaseName, Timestamp>,
+    standing: HashMap<DatabaseName, (FenceId, Timestamp)>,
     lifted: HashMap<DatabaseName, Timestamp>,
+    lifted_rounds: HashMap<FenceId, Timestamp>,
 }
 
 impl Fences {
-    /// Puts up a fence at `now`.
-    pub fn put_up(&mut self, now: Timestamp, database: DatabaseName) {
-        self.began
-            .retain(|_, began| now.saturating_since(*began) < FENCE_HOLDS);
-        self.lifted
-            .retain(|_, lifted| now.saturating_since(*lifted) < FENCE_HOLDS);
-        self.began.insert(database, now);
+    /// Puts up a fence at `now`; false when its round was lifted before this node heard of it.
+    pub fn put_up(&mut self, now: Timestamp, database: DatabaseName, id: FenceId) -> bool {
+        let is_recent = |at: &Timestamp| now.saturating_since(*at) < FENCE_HOLDS;
+        self.standing.retain(|_, (_, began)| is_recent(began));
+        self.lifted.retain(|_, lifted| is_recent(lifted));
+        self.lifted_rounds.retain(|_, lifted| is_recent(lifted));
+        if self.lifted_rounds.contains_key(&id) {
+            return false;
+        }
+        self.standing.insert(database, (id, now));
+        true
     }
 
-    /// Takes in that another node has had a fence for `age`.
-    pub fn heard(&mut self, now: Timestamp, database: DatabaseName, age: Duration) {
-        let began = now - age;
-        let was_lifted = self
-            .lifted
-            .get(&database)
-            .is_some_and(|lifted| *lifted >= began);
-        if !was_lifted {
-            let known = self.began.entry(database).or_insert(began);
-            *known = began.max(*known);
+    /// Takes in that another node has a fence.
+    pub fn heard(&mut self, now: Timestamp, fence: StandingFence) {
+        let began = now - fence.age;
+        let lifted = self.lifted.get(&fence.database);
+        let is_old = lifted.is_some_and(|lifted| *lifted >= began);
+        if is_old || self.lifted_rounds.contains_key(&fence.id) {
+            return;
+        }
+        let heard = (fence.id, began);
+        let known = self.standing.entry(fence.database).or_insert(heard);
+        if began > known.1 {
+            *known = heard;
         }
     }
 
-    /// Lifts a fence: the database leads, or isn't replaced.
+    /// Lifts a fence: the database leads.
     pub fn lift(&mut self, now: Timestamp, database: &DatabaseName) {
-        self.began.remove(database);
+        if let Some((id, _)) = self.standing.remove(database) {
+            self.lifted_rounds.insert(id, now);
+        }
         self.lifted.insert(database.clone(), now);
     }
 
+    /// Lifts the fence of one round, which may come late or again: the database isn't replaced, unless
+    /// a later round is under way.
+    pub fn lift_round(&mut self, now: Timestamp, database: &DatabaseName, id: FenceId) {
+        if self
+            .standing
+            .get(database)
+            .is_some_and(|(standing, _)| *standing == id)
+        {
+            self.standing.remove(database);
+        }
+        self.lifted_rounds.insert(id, now);
+    }
+
     /// True while a database mustn't be taken for a leader.
     pub fn holds(&self, now: Timestamp, database: &DatabaseName) -> bool {
-        let began = self.began.get(database);
-        began.is_some_and(|began| now.saturating_since(*began) < FENCE_HOLDS)
+        let standing = self.standing.get(database);
+        standing.is_some_and(|(_, began)| now.saturating_since(*began) < FENCE_HOLDS)
     }
 
-    /// The fences that stand, and for how long they have.
-    pub fn standing(&self, now: Timestamp) -> Vec<(DatabaseName, Duration)> {
-        let ages = self.began.iter();
-        let ages = ages.map(|(database, began)| (database, now.saturating_since(*began)));
-        let standing = ages.filter(|(_, age)| *age < FENCE_HOLDS);
-        standing
-            .map(|(database, age)| (database.clone(), age))
-            .collect()
+    /// The fences that stand.
+    pub fn standing(&self, now: Timestamp) -> Vec<StandingFence> {
+        let standing = self.standing.iter().map(|(database, (id, began))| {
+            let age = now.saturating_since(*began);
+            StandingFence {
+                database: database.clone(),
+                id: *id,
+                age,
+            }
+        });
+        standing.filter(|fence| fence.age < FENCE_HOLDS).collect()
     }
 }
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -10,6 +10,6 @@
 pub use appointments::{Appointments, TokenUse};
 pub use contact::{Contact, is_majority};
 pub use fence::{FenceRound, FenceVerdict};
-pub use fences::{FENCE_HOLDS, Fences};
+pub use fences::{FENCE_HOLDS, FenceId, Fences, StandingFence};
 pub use successor::{Candidate, Succession, choose_successor};
 pub use verdict::{Evidence, PollResult, Verdict, judge};
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -1,8 +1,8 @@
 //! Decisions of a failover, case by case.
 
 use dyketally::failover::{
-    Appointments, Candidate, Contact, Evidence, FenceRound, FenceVerdict, Fences, PollResult,
-    Succession, TokenUse, Verdict, choose_successor, judge,
+    Appointments, Candidate, Contact, Evidence, FenceId, FenceRound, FenceVerdict, Fences,
+    PollResult, StandingFence, Succession, TokenUse, Verdict, choose_successor, judge,
 };
 use dyketally::group::{LogPosition, Term};
 use dyketally::time::Timestamp;
@@ -167,10 +167,21 @@
 /// A node's fence around "a" that was put up at 1,000 ms.
 fn fenced() -> Fences {
     let mut fences = Fences::default();
-    fences.put_up(at(1_000), "a".into());
+    fences.put_up(at(1_000), "a".into(), ROUND);
     fences
 }
 
+const ROUND: FenceId = FenceId(7);
+const LATER_ROUND: FenceId = FenceId(8);
+
+fn heard(id: FenceId, age_ms: u64) -> StandingFence {
+    StandingFence {
+        database: "a".into(),
+        id,
+        age: std::time::Duration::from_millis(age_ms),
+    }
+}
+
 #[test]
 fn a_fence_holds_until_it_is_lifted_or_runs_out() {
     let mut fences = fenced();
@@ -188,23 +199,44 @@
 fn what_is_heard_of_a_lifted_fence(#[case] age_ms: u64, #[case] holds: bool) {
     let mut fences = fenced();
     fences.lift(at(2_000), &"a".into());
-    fences.heard(
-        at(2_500),
-        "a".into(),
-        std::time::Duration::from_millis(age_ms),
-    );
+    fences.heard(at(2_500), heard(LATER_ROUND, age_ms));
     assert_eq!(fences.holds(at(2_500), &"a".into()), holds);
 }
 
+/// A node that is farther away puts a fence up after a nearer one has lifted it, and tells of it.
+#[rstest]
+#[case::the_round_that_was_lifted(ROUND, false)]
+#[case::a_later_round(LATER_ROUND, true)]
+fn what_is_heard_of_a_round_that_was_lifted_before_it_was_put_up(
+    #[case] id: FenceId,
+    #[case] holds: bool,
+) {
+    let mut near = Fences::default();
+    near.put_up(at(1_000), "a".into(), ROUND);
+    near.lift_round(at(1_001), &"a".into(), ROUND);
+    near.heard(at(1_500), heard(id, 480));
+    assert_eq!(near.holds(at(1_500), &"a".into()), holds);
+}
+
+#[rstest]
+#[case::of_the_round(ROUND, false)]
+#[case::of_an_earlier_round(FenceId(6), true)]
+fn a_late_lift_leaves_later_rounds_alone(#[case] lifted: FenceId, #[case] holds: bool) {
+    let mut fences = fenced();
+    fences.lift_round(at(1_200), &"a".into(), lifted);
+    assert_eq!(fences.holds(at(1_200), &"a".into()), holds);
+    assert!(!fences.put_up(at(1_300), "a".into(), lifted));
+}
+
 #[test]
 fn hearing_of_a_fence_never_makes_it_last_longer() {
     let (mut one, mut other) = (fenced(), Fences::default());
     for time in (1_000..20_000).step_by(500) {
-        for (database, age) in one.standing(at(time)) {
-            other.heard(at(time), database, age);
+        for fence in one.standing(at(time)) {
+            other.heard(at(time), fence);
         }
-        for (database, age) in other.standing(at(time)) {
-            one.heard(at(time), database, age);
+        for fence in other.standing(at(time)) {
+            one.heard(at(time), fence);
         }
     }
     assert!(!one.holds(at(9_000), &"a".into()));
