Let accountants of a split fleet share a tenant's rate by whom they reach

Change: four candidates instead of two, asked once each; a stand-in, and an accountant whose tenant uses more than 0.4 of its rate, hands out the share of the rate that the nodes make up which it reaches, found out from 24 nodes drawn at random each 1.5 s. Tests: the fuzzed fleet splits now; with the reach switched off it exceeds the windows.

--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -8,7 +8,7 @@
 
 use dyketally::failover::{Evidence, FenceId, StandingFence};
 use dyketally::identifiers::{DatabaseName, GroupName, NodeName, TenantName, ZoneName};
-use dyketally::quota::Decision;
+use dyketally::quota::{Decision, Role};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -122,6 +122,8 @@
         tenant: TenantName,
         /// How many operations.
         wanted: u32,
+        /// What the sender takes the receiver for.
+        role: Role,
     },
     /// What the sender decided as the tenant's accountant.
     PermitDecided {
@@ -130,6 +132,16 @@
         /// The decision.
         decision: Decision,
     },
+    /// Does the receiver hear the sender?
+    ReachAsked {
+        /// Names the question in replies.
+        round: u64,
+    },
+    /// It does.
+    ReachReply {
+        /// The question.
+        round: u64,
+    },
     /// The sender's process ends.
     Ends {
         /// The sender.
@@ -163,6 +175,8 @@
             Self::Relays { .. } => "relays",
             Self::PermitAsked { .. } => "permit_asked",
             Self::PermitDecided { .. } => "permit_decided",
+            Self::ReachAsked { .. } => "reach_asked",
+            Self::ReachReply { .. } => "reach_reply",
             Self::Ends { .. } => "ends",
             Self::Leads { .. } => "leads",
         }
@@ -177,6 +191,7 @@
     fence_rounds: Rounds<FenceReply>,
     life_rounds: Rounds<SocketAddr>,
     permit_rounds: Rounds<Decision>,
+    reach_rounds: Rounds<()>,
     next_round: Cell<u64>,
     heartbeats: RefCell<Option<mpsc::UnboundedSender<SocketAddr>>>,
     /// Nodes that asked this one for a sign of life, and when.
@@ -241,6 +256,7 @@
             fence_rounds: Rounds::default(),
             life_rounds: Rounds::default(),
             permit_rounds: Rounds::default(),
+            reach_rounds: Rounds::default(),
             next_round: Cell::new(1),
             heartbeats: RefCell::default(),
             asked_by: RefCell::default(),
@@ -349,14 +365,19 @@
                 round,
                 tenant,
                 wanted,
+                role,
             } => {
-                if let Some(decision) = self.gateway.account(&tenant, wanted) {
+                if let Some(decision) = self.gateway.account(&tenant, wanted, role) {
                     self.send(from, &PeerMessage::PermitDecided { round, decision });
                 }
             }
             PeerMessage::PermitDecided { round, decision } => {
                 pass_on(&self.permit_rounds, round, decision);
             }
+            PeerMessage::ReachAsked { round } => {
+                self.send(from, &PeerMessage::ReachReply { round });
+            }
+            PeerMessage::ReachReply { round } => pass_on(&self.reach_rounds, round, ()),
             PeerMessage::Ends { node } => self.gateway.membership.ended(&node),
             PeerMessage::HasDuty { record } => self.gateway.membership.heard_of_holder(record),
             PeerMessage::Leads { database, .. } => {
@@ -455,6 +476,11 @@
         self.collect(&self.permit_rounds)
     }
 
+    /// Collects the replies of nodes that are reached.
+    pub fn collect_reach_replies(&self) -> Replies<()> {
+        self.collect(&self.reach_rounds)
+    }
+
     fn collect<T>(&self, rounds: &Rounds<T>) -> Replies<T> {
         let round = self.next_round.get();
         self.next_round.set(round + 1);
--- a/crates/dyketally-gateway/src/quota/mod.rs
+++ b/crates/dyketally-gateway/src/quota/mod.rs
@@ -2,6 +2,7 @@
 //! accountant, before the operation's first statement is sent; see [`dyketally::quota`].
 
 mod question;
+mod reach;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,11 +11,12 @@
 use std::time::Duration;
 
 use dyketally::identifiers::TenantName;
-use dyketally::quota::{Accountant, Allowance, Decision};
+use dyketally::quota::{Accountant, Allowance, Decision, Role};
 use dyketally::tenant::{Quota, Tenant};
 use tokio::time::Instant;
 
 use self::question::Questions;
+use self::reach::Reach;
 use crate::gateway::Gateway;
 use crate::measures::Stage;
 
@@ -27,6 +29,7 @@
     accountant: RefCell<Accountant>,
     allowances: RefCell<HashMap<TenantName, Allowance>>,
     questions: Questions,
+    reach: Reach,
 }
 
 impl Quotas {
@@ -36,6 +39,7 @@
             accountant: RefCell::new(Accountant::new(tolerated)),
             allowances: RefCell::default(),
             questions: Questions::default(),
+            reach: Reach::default(),
         }
     }
 
@@ -147,12 +151,23 @@
         taken.map_err(|retry_after| QuotaExceeded { retry_after })
     }
 
-    /// Decides, as an accountant, on a question for `wanted` operations of `tenant`; `None` when the
+    /// Decides in `role` on a question for `wanted` operations of `tenant`; `None` when the
     /// configuration in force gives it no quota.
-    pub fn account(&self, tenant: &TenantName, wanted: u32) -> Option<Decision> {
+    pub fn account(
+        self: &Rc<Self>,
+        tenant: &TenantName,
+        wanted: u32,
+        role: Role,
+    ) -> Option<Decision> {
         let routes = self.routes();
         let quota = routes.tenants.as_ref()?.tenant(tenant)?.quota?;
+        let now = self.now();
+        let reach = self.quotas.reach.share();
         let mut accountant = self.quotas.accountant.borrow_mut();
-        Some(accountant.decide(self.now(), tenant, quota, wanted))
+        let decision = accountant.decide(now, tenant, quota, wanted, role, reach);
+        if accountant.needs_reach(now, tenant, quota, role) {
+            self.find_reach();
+        }
+        Some(decision)
     }
 }
--- a/crates/dyketally-gateway/src/quota/question.rs
+++ b/crates/dyketally-gateway/src/quota/question.rs
@@ -1,28 +1,30 @@
 //! Questions to accountants, over datagrams that may get lost.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dyketally::identifiers::TenantName;
 use dyketally::placement;
-use dyketally::quota::Decision;
+use dyketally::quota::{Decision, Role};
 use tokio::time::Instant;
 
 use crate::fleet::passed_over::PassedOver;
 use crate::fleet::peer::{PeerMessage, Peers};
 use crate::gateway::Gateway;
 
-/// Nodes that may be asked: the accountant, and who takes over when it doesn't answer.
-const ASKED_AT_MOST: usize = 2;
-/// How long an answer is waited for: the way to another region and back, and a pause of a node whose
-/// share of its processor is used up.
-const ANSWER_LIMIT: Duration = Duration::from_millis(130);
-/// Times that one node is asked, since datagrams get lost.
-const ASKED_TIMES: u32 = 2;
-/// Nodes in a row that didn't answer, after which this one counts as cut off from all.
-const CUT_OFF_AFTER: u32 = 3;
+/// Nodes that may be asked: the accountant and its stand-ins. With as many, hardly any node has nobody to
+/// ask when the fleet is split.
+const ASKED_AT_MOST: usize = 4;
+/// How long an answer is waited for: twice the way to another region and back.
+const ANSWER_LIMIT: Duration = Duration::from_millis(90);
+/// Questions in a row that a node leaves unanswered before it is passed over for a while; one may have
+/// been lost under way.
+const MISSES_AT_MOST: u32 = 2;
+/// Questions in a row without any answer, after which this node counts as cut off from all.
+const CUT_OFF_AFTER: u32 = 6;
 /// How long a node that counts as cut off asks nobody.
 const CUT_OFF_HOLDS: Duration = Duration::from_millis(600);
 
@@ -30,7 +32,9 @@
 #[derive(Default)]
 pub(super) struct Questions {
     passed_over: PassedOver,
-    /// Nodes in a row that didn't answer.
+    /// Questions that a node has left unanswered since its last answer.
+    missed: RefCell<HashMap<SocketAddr, u32>>,
+    /// Questions in a row that nobody answered.
     unanswered: Cell<u32>,
     cut_off_since: Cell<Option<Instant>>,
 }
@@ -41,13 +45,19 @@
         since.is_some_and(|since| since.elapsed() < CUT_OFF_HOLDS)
     }
 
-    fn answered(&self) {
+    fn answered_by(&self, node: SocketAddr) {
+        self.missed.borrow_mut().remove(&node);
         self.unanswered.set(0);
         self.cut_off_since.set(None);
     }
 
     fn unanswered_by(&self, node: SocketAddr) {
-        self.passed_over.add(node);
+        let mut missed = self.missed.borrow_mut();
+        let missed = missed.entry(node).or_default();
+        *missed += 1;
+        if *missed >= MISSES_AT_MOST {
+            self.passed_over.add(node);
+        }
         self.unanswered.set(self.unanswered.get() + 1);
         if self.unanswered.get() >= CUT_OFF_AFTER {
             self.cut_off_since.set(Some(Instant::now()));
@@ -56,37 +66,39 @@
 }
 
 impl Gateway {
-    /// What the accountant of `tenant`, or else the node that takes over from it, says to a question
-    /// for `wanted` operations; `None` when neither answers.
+    /// What the accountant of `tenant`, or else a stand-in, says to a question for `wanted`
+    /// operations; `None` when none of them answers.
     pub(super) async fn ask_accountants(
-        &self,
+        self: &Rc<Self>,
         tenant: &TenantName,
         wanted: u32,
         until: Instant,
     ) -> Option<Decision> {
         let peers = self.peers.borrow().clone()?;
         let questions = &self.quotas.questions;
+        let mut role = Role::Accountant;
         for node in self.accountants(tenant) {
+            let asked_as = std::mem::replace(&mut role, Role::StandIn);
             let Some(address) = node else {
-                return self.account(tenant, wanted);
+                return self.account(tenant, wanted, asked_as);
             };
             if questions.is_cut_off() || questions.passed_over.contains(&address) {
                 continue;
             }
-            for _ in 0..ASKED_TIMES {
-                let answer = ask(&peers, address, tenant, wanted);
-                let limit = until.min(Instant::now() + ANSWER_LIMIT);
-                if let Ok(decision) = tokio::time::timeout_at(limit, answer).await {
-                    questions.answered();
+            let answer = ask(&peers, address, (tenant, wanted, asked_as));
+            let limit = until.min(Instant::now() + ANSWER_LIMIT);
+            match tokio::time::timeout_at(limit, answer).await {
+                Ok(decision) => {
+                    questions.answered_by(address);
                     return decision;
                 }
+                Err(_) => questions.unanswered_by(address),
             }
-            questions.unanswered_by(address);
         }
         None
     }
 
-    /// The accountant of `tenant` and who takes over from it; `None` stands for this node.
+    /// The accountant of `tenant` and its stand-ins; `None` stands for this node.
     fn accountants(&self, tenant: &TenantName) -> Vec<Option<SocketAddr>> {
         let nodes = self.membership.nodes();
         let candidates = nodes.values().map(|node| node.candidate());
@@ -104,14 +116,14 @@
 async fn ask(
     peers: &Rc<Peers>,
     address: SocketAddr,
-    tenant: &TenantName,
-    wanted: u32,
+    (tenant, wanted, role): (&TenantName, u32, Role),
 ) -> Option<Decision> {
     let mut replies = peers.collect_permits();
     let question = PeerMessage::PermitAsked {
         round: replies.round,
         tenant: tenant.clone(),
         wanted,
+        role,
     };
     peers.send(address, &question);
     replies.receiver.recv().await
--- /dev/null
+++ b/crates/dyketally-gateway/src/quota/reach.rs
@@ -0,0 +1,74 @@
+//! The share of the nodes that this one reaches, found out by asking a few of them while it matters.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+
+use crate::fleet::peer::PeerMessage;
+use crate::gateway::Gateway;
+
+/// Nodes that are asked each time, drawn at random: their number doesn't grow with the fleet.
+const ASKED: usize = 24;
+/// Pause between two times.
+const INTERVAL: Duration = Duration::from_millis(1_500);
+/// How long replies are waited for: the way to another region and back, and a pause of a node whose
+/// share of its processor is used up.
+const REPLY_LIMIT: Duration = Duration::from_millis(200);
+/// How long what was found out counts.
+const HOLDS: Duration = Duration::from_secs(4);
+
+/// What was last found out.
+#[derive(Debug, Default)]
+pub(super) struct Reach {
+    found: Cell<Option<(Instant, f64)>>,
+    asked: Cell<Option<Instant>>,
+}
+
+impl Reach {
+    /// The share, taken for all while it isn't known.
+    pub(super) fn share(&self) -> f64 {
+        let found = self.found.get().filter(|(at, _)| at.elapsed() < HOLDS);
+        found.map_or(1.0, |(_, share)| share)
+    }
+}
+
+impl Gateway {
+    /// Finds out the share of the nodes that this one reaches, unless that was done lately.
+    pub(super) fn find_reach(self: &Rc<Self>) {
+        let reach = &self.quotas.reach;
+        let is_recent = reach.asked.get().is_some_and(|at| at.elapsed() < INTERVAL);
+        let Some(peers) = self.peers.borrow().clone().filter(|_| !is_recent) else {
+            return;
+        };
+        reach.asked.set(Some(Instant::now()));
+        let gateway = self.clone();
+        tokio::task::spawn_local(async move {
+            let others = gateway.membership.others(&gateway.settings.node.name);
+            let asked: Vec<_> = others.choose_multiple(&mut rand::rng(), ASKED).collect();
+            let mut replies = peers.collect_reach_replies();
+            let question = PeerMessage::ReachAsked {
+                round: replies.round,
+            };
+            for node in &asked {
+                peers.send(**node, &question);
+            }
+            let until = Instant::now() + REPLY_LIMIT;
+            let mut replied = 0;
+            while replied < asked.len()
+                && let Ok(Some(())) = tokio::time::timeout_at(until, replies.receiver.recv()).await
+            {
+                replied += 1;
+            }
+            // This node reaches itself.
+            let share = (replied + 1) as f64 / (asked.len() + 1) as f64;
+            gateway
+                .quotas
+                .reach
+                .found
+                .set(Some((Instant::now(), share)));
+        });
+    }
+}
--- a/crates/dyketally/src/quota/accountant.rs
+++ b/crates/dyketally/src/quota/accountant.rs
@@ -28,6 +28,22 @@
 /// are alone.
 const SPARE_PART: u32 = 3;
 
+/// Share of its rate from which on a tenant may exceed it at several nodes that hand out tokens together.
+const BUSY_SHARE: f64 = 0.4;
+/// Span over which questions are counted.
+const COUNTED: Duration = Duration::from_secs(1);
+/// Below this a share isn't counted any more when times are worked out.
+const LEAST_SHARE: f64 = 0.001;
+
+/// On whose behalf a node hands out tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// It is the tenant's accountant, as far as the asking node knows.
+    Accountant,
+    /// The asking node doesn't reach the accountant.
+    StandIn,
+}
+
 /// What an accountant says to a question for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decision {
@@ -51,10 +67,42 @@
 struct Account {
     bucket: Bucket,
     asked: Timestamp,
+    demand: Demand,
     /// When the caller that was refused last was told to come back.
     last_return: Timestamp,
 }
 
+/// Questions of the last second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    since: Timestamp,
+    counted: u32,
+    before: u32,
+}
+
+impl Demand {
+    fn count(&mut self, now: Timestamp) {
+        let passed = now.saturating_since(self.since);
+        if passed >= COUNTED {
+            self.before = if passed < COUNTED * 2 {
+                self.counted
+            } else {
+                0
+            };
+            self.counted = 0;
+            self.since = now;
+        }
+        self.counted += 1;
+    }
+
+    fn last_second(&self, now: Timestamp) -> u32 {
+        match now.saturating_since(self.since) < COUNTED * 2 {
+            true => self.counted.max(self.before),
+            false => 0,
+        }
+    }
+}
+
 /// The accounts that this node keeps.
 #[derive(Clone, Debug)]
 pub struct Accountant {
@@ -80,13 +128,17 @@
         self
     }
 
-    /// Decides on a question for `wanted` operations of `tenant`, at least one.
+    /// Decides on a question for `wanted` operations of `tenant`, at least one. `reach` is the share of
+    /// the nodes that this one reaches: where it isn't sure to be the only one who hands out tokens, it
+    /// hands out that share of the rate, and the others theirs.
     pub fn decide(
         &mut self,
         now: Timestamp,
         tenant: &TenantName,
         quota: Quota,
         wanted: u32,
+        role: Role,
+        reach: f64,
     ) -> Decision {
         let spare = self.tolerated / SPARE_PART;
         let quota = Quota {
@@ -94,26 +146,56 @@
             ..quota
         };
         let share = f64::from(quota.burst) * self.new_share;
-        let beginning = quota.burst.min(spare).max(share as u32).max(1);
+        let beginning = quota.burst.min(spare).max(share as u32);
+        let beginning = match role {
+            Role::Accountant => beginning.max(1),
+            Role::StandIn => (beginning / 2).max(1),
+        };
         let account = self
             .accounts
             .entry(tenant.clone())
             .or_insert_with(|| Account {
                 bucket: Bucket::with(beginning, now),
                 asked: now,
+                demand: Demand::default(),
                 last_return: now,
             });
-        account.bucket.refill(now, quota);
-        if now.saturating_since(account.asked) >= NEW_AFTER {
+        account.demand.count(now);
+        let share = match account.needs_reach(now, quota, role) {
+            true => reach,
+            false => 1.0,
+        };
+        account.bucket.refill(now, quota, share);
+        let is_new = now.saturating_since(account.asked) >= NEW_AFTER;
+        if is_new || role == Role::StandIn {
             account.bucket.cap(beginning);
         }
         account.asked = now;
-        account.decide(now, quota, wanted)
+        account.decide(now, quota, wanted, share)
+    }
+
+    /// True when the reach matters to what this node hands out for `tenant`, so that it should be found
+    /// out.
+    pub fn needs_reach(
+        &self,
+        now: Timestamp,
+        tenant: &TenantName,
+        quota: Quota,
+        role: Role,
+    ) -> bool {
+        let account = self.accounts.get(tenant);
+        account.is_some_and(|account| account.needs_reach(now, quota, role))
     }
 }
 
 impl Account {
-    fn decide(&mut self, now: Timestamp, quota: Quota, wanted: u32) -> Decision {
+    fn needs_reach(&self, now: Timestamp, quota: Quota, role: Role) -> bool {
+        let rate = quota.rate.millionths_in(COUNTED) as f64 / 1e6;
+        let is_busy = f64::from(self.demand.last_second(now)) >= rate * BUSY_SHARE;
+        role == Role::StandIn || is_busy || self.bucket.is_low(quota)
+    }
+
+    fn decide(&mut self, now: Timestamp, quota: Quota, wanted: u32, share: f64) -> Decision {
         let strained = self.bucket.is_low(quota);
         let operations = self.bucket.take(wanted.max(1));
         if operations > 0 {
@@ -123,17 +205,19 @@
                 strained,
             };
         }
-        let wait = self.bucket.wait_for_one(quota);
+        let slower = share.max(LEAST_SHARE).recip();
+        let wait = self.bucket.wait_for_one(quota).mul_f64(slower);
         if wait <= PROMISED_AT_MOST {
+            self.bucket.promise();
             return Decision::Granted {
                 operations: 1,
-                after: self.bucket.promise(quota),
+                after: wait,
                 strained,
             };
         }
         let free = self.last_return.max(now + wait);
         let earliest = free.min(now + RETURN_AT_MOST);
-        self.last_return = earliest + quota.rate.interval();
+        self.last_return = earliest + quota.rate.interval().mul_f64(slower);
         Decision::Refused {
             retry_after: earliest.saturating_since(now),
         }
--- a/crates/dyketally/src/quota/bucket.rs
+++ b/crates/dyketally/src/quota/bucket.rs
@@ -25,9 +25,9 @@
         }
     }
 
-    /// Adds what came together since the last call.
-    pub(super) fn refill(&mut self, now: Timestamp, quota: Quota) {
-        let elapsed = now.saturating_since(self.at);
+    /// Adds what came together since the last call, at a `share` of the rate.
+    pub(super) fn refill(&mut self, now: Timestamp, quota: Quota, share: f64) {
+        let elapsed = now.saturating_since(self.at).mul_f64(share);
         let added = quota.rate.millionths_in(elapsed);
         let full = i64::from(quota.burst.max(1)) * TOKEN;
         self.level = self.level.saturating_add(added).min(full);
@@ -47,11 +47,9 @@
         taken
     }
 
-    /// Promises one token for as soon as it is there; tells when that is.
-    pub(super) fn promise(&mut self, quota: Quota) -> Duration {
-        let wait = self.wait_for_one(quota);
+    /// Promises one token for as soon as it is there.
+    pub(super) fn promise(&mut self) {
         self.level -= TOKEN;
-        wait
     }
 
     /// Time until a token is there.
--- a/crates/dyketally/tests/quota.rs
+++ b/crates/dyketally/tests/quota.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dyketally::identifiers::TenantName;
-use dyketally::quota::{Accountant, Allowance, Decision};
+use dyketally::quota::{Accountant, Allowance, Decision, Role};
 use dyketally::tenant::{OperationRate, Quota};
 use dyketally::time::Timestamp;
 use rand::rngs::StdRng;
@@ -43,7 +43,7 @@
     let calls = u64::from(rate) * 10 * 20;
     for call in 0..calls {
         let now = Timestamp::from_micros(call * 100_000 / u64::from(rate));
-        run += granted(accountant.decide(now, &tenant(), quota, 1));
+        run += granted(accountant.decide(now, &tenant(), quota, 1, Role::Accountant, 1.0));
     }
     let steady = rate * 20;
     assert!(run >= steady, "{run} of {steady}");
@@ -56,7 +56,10 @@
     let mut accountant = Accountant::new(0);
     for call in 0..1_000 {
         let now = Timestamp::from_millis(call * 130);
-        assert_eq!(granted(accountant.decide(now, &tenant(), quota, 1)), 1);
+        assert_eq!(
+            granted(accountant.decide(now, &tenant(), quota, 1, Role::Accountant, 1.0)),
+            1
+        );
     }
 }
 
@@ -65,11 +68,14 @@
     let quota = quota(2, 1);
     let mut accountant = Accountant::new(0);
     let now = Timestamp::from_millis(0);
-    granted(accountant.decide(now, &tenant(), quota, 1));
-    let mut returns = (0..3).map(|_| match accountant.decide(now, &tenant(), quota, 1) {
-        Decision::Refused { retry_after } => retry_after,
-        granted => panic!("{granted:?}"),
-    });
+    granted(accountant.decide(now, &tenant(), quota, 1, Role::Accountant, 1.0));
+    let mut returns =
+        (0..3).map(
+            |_| match accountant.decide(now, &tenant(), quota, 1, Role::Accountant, 1.0) {
+                Decision::Refused { retry_after } => retry_after,
+                granted => panic!("{granted:?}"),
+            },
+        );
     assert_eq!(returns.next(), Some(Duration::from_millis(500)));
     assert_eq!(returns.next(), Some(Duration::from_millis(1_000)));
     assert_eq!(returns.next(), Some(Duration::from_millis(1_500)));
@@ -80,7 +86,8 @@
     let quota = quota(10, 1);
     let mut accountant = Accountant::new(0);
     let now = Timestamp::from_millis(0);
-    let mut waits = (0..4).map(|_| accountant.decide(now, &tenant(), quota, 1));
+    let mut waits =
+        (0..4).map(|_| accountant.decide(now, &tenant(), quota, 1, Role::Accountant, 1.0));
     let wait = |decision| match decision {
         Some(Decision::Granted { after, .. }) => Some(after),
         _ => None,
@@ -95,8 +102,8 @@
 fn a_lower_limit_holds_at_once() {
     let mut accountant = Accountant::new(0);
     let now = Timestamp::from_millis(0);
-    accountant.decide(now, &tenant(), quota(100, 100), 1);
-    let lowered = accountant.decide(now, &tenant(), quota(2, 2), 50);
+    accountant.decide(now, &tenant(), quota(100, 100), 1, Role::Accountant, 1.0);
+    let lowered = accountant.decide(now, &tenant(), quota(2, 2), 50, Role::Accountant, 1.0);
     assert_eq!(granted(lowered), 2);
 }
 
@@ -148,6 +155,8 @@
     CautiousStart,
     /// A node without an accountant runs what it likes.
     PartOfARateAlone,
+    /// An accountant and its stand-ins hand out the whole rate whomever they reach.
+    Reach,
 }
 
 const NODES: usize = 20;
@@ -155,19 +164,26 @@
 const TOLERATED: u32 = 20;
 const WINDOW: Duration = Duration::from_secs(5);
 const LENGTH_MS: u64 = 30_000;
+/// How long a measured reach counts.
+const REACH_HOLDS: Duration = Duration::from_secs(1);
 /// How long a tenant is hot, or isn't.
 const HOT_MS: f64 = 6_500.0;
 
-/// A fleet whose nodes ask one of two accountants over a network that delays, loses and cuts.
+/// A fleet whose nodes ask one of two nodes for permits, over a network that delays, cuts and splits.
 struct Fleet {
     rng: StdRng,
     quota: Quota,
     without: Without,
     accountants: [Accountant; 2],
     nodes: Vec<Allowance>,
-    /// Nodes that reach no accountant.
+    /// Nodes that reach nobody.
     cut: Vec<bool>,
+    /// Nodes up to this one are split off from the others, with a stand-in among them.
+    split: usize,
+    /// Which of the two is the accountant.
     acting: usize,
+    /// What each of the two knows of its reach, and since when.
+    reaches: [(Timestamp, f64); 2],
     troubled: bool,
     /// When operations ran.
     arrivals: VecDeque<Timestamp>,
@@ -187,6 +203,8 @@
                 .map(|node| Allowance::new(Timestamp::ZERO, node as f64 / NODES as f64))
                 .collect(),
             cut: vec![false; NODES],
+            split: 0,
+            reaches: [(Timestamp::ZERO, 1.0); 2],
             acting: 0,
             troubled: true,
             arrivals: VecDeque::new(),
@@ -213,8 +231,17 @@
             return;
         }
         let wanted = self.nodes[node].wanted();
-        let accountant = &mut self.accountants[self.acting];
-        match accountant.decide(now, &tenant(), self.quota, wanted) {
+        let is_split_off = node < self.split;
+        let (index, role) = match is_split_off {
+            true => (1 - self.acting, Role::StandIn),
+            false => (self.acting, Role::Accountant),
+        };
+        let reach = match self.without {
+            Without::Reach => 1.0,
+            _ => self.reach(now, index, is_split_off),
+        };
+        let accountant = &mut self.accountants[index];
+        match accountant.decide(now, &tenant(), self.quota, wanted, role, reach) {
             Decision::Granted {
                 operations,
                 after,
@@ -228,6 +255,17 @@
         }
     }
 
+    /// The share of the nodes that one of the two reaches, as it last found out.
+    fn reach(&mut self, now: Timestamp, index: usize, split_off: bool) -> f64 {
+        let (since, _) = self.reaches[index];
+        if now.saturating_since(since) >= REACH_HOLDS {
+            let reached = |node: &usize| !self.cut[*node] && (*node < self.split) == split_off;
+            let reached = (0..NODES).filter(reached).count();
+            self.reaches[index] = (now, reached as f64 / NODES as f64);
+        }
+        self.reaches[index].1
+    }
+
     fn run(&mut self, at: Timestamp) {
         let first = self.arrivals.partition_point(|arrival| *arrival <= at);
         self.arrivals.insert(first, at);
@@ -275,15 +313,19 @@
             self.ask(now);
             if self.troubled && at_ms > next_trouble {
                 next_trouble = at_ms + self.rng.random_range(5_000.0..9_000.0);
-                match self.rng.random_range(0..3) {
+                match self.rng.random_range(0..4) {
                     0 => self.take_over(),
-                    1 => {
+                    1 => self.split = self.rng.random_range(0..=NODES / 2),
+                    2 => {
                         let cut = self.rng.random_range(0..=NODES / 5);
                         for node in 0..NODES {
                             self.cut[node] = node < cut;
                         }
                     }
-                    _ => self.cut.fill(false),
+                    _ => {
+                        self.cut.fill(false);
+                        self.split = 0;
+                    }
                 }
             }
         }
@@ -319,6 +361,7 @@
 #[rstest]
 #[case::alone(Without::PartOfARateAlone)]
 #[case::start(Without::CautiousStart)]
+#[case::reach(Without::Reach)]
 fn each_mechanism_is_missed(#[case] without: Without) {
     let excess = worst_excess(200, 7.5, without);
     assert!(excess > 0, "without {without:?} nothing breaks: {excess}");
