Keep the contact that a former relay vouched for when a relay in an outage is followed

Dropping was meant for nodes that have just joined and have none of the store's news; it is kept for these. Change besides: a relay that hasn't heard from the store for 1.1 s is pinged each 0.3 s, so that it is left earlier.

--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -1,5 +1,6 @@
 //! The follower's side of a feed.
 
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,6 +26,10 @@
 /// Pause between two pings while the relay has lost the store: its contact with the other nodes
 /// holds for 0.9 s only.
 const PING_INTERVAL_IN_OUTAGE: Duration = Duration::from_millis(300);
+/// Age of a relay's contact with the store from which on it is pinged as in an outage: a relay in touch
+/// renews its lease each 0.7 s, and one that is left for being out of touch has to be left early enough
+/// for another one's reply to arrive before this node's own contact has run out.
+const STORE_QUIET: Duration = Duration::from_millis(1_100);
 /// Silence after which a relay is given up.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Longest time that connecting to a relay may take.
@@ -57,6 +62,8 @@
     store: Rc<dyn KeyValueStore>,
     /// The node's own key.
     own_key: Key,
+    /// True once a relay has vouched for this node's contact with the store.
+    was_vouched_for: Cell<bool>,
 }
 
 impl Follower {
@@ -72,6 +79,7 @@
             sinks,
             store,
             own_key,
+            was_vouched_for: Cell::new(false),
         }
     }
 
@@ -173,6 +181,8 @@
     ping: SentPing,
     /// True while the relay has lost the store.
     in_outage: bool,
+    /// True while the relay hasn't heard from the store for a while.
+    is_quiet: bool,
 }
 
 impl<'a> Following<'a> {
@@ -188,6 +198,7 @@
                 at: Timestamp::ZERO,
             },
             in_outage: false,
+            is_quiet: false,
         }
     }
 
@@ -246,7 +257,7 @@
     }
 
     fn ping_interval(&self) -> Duration {
-        match self.in_outage {
+        match self.in_outage || self.is_quiet {
             true => PING_INTERVAL_IN_OUTAGE,
             false => PING_INTERVAL,
         }
@@ -285,7 +296,10 @@
         if self.whole.len() == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
             let relay = self.relay.to_string();
             gateway.events.write(&Event::RelayFollowed { relay });
-            if self.in_outage {
+            // A node that has just joined has heard from the store, but none of its news. What a former
+            // relay vouched for holds whoever is followed next: to drop it would isolate the node for as
+            // long as it takes to catch up.
+            if self.in_outage && !self.follower.was_vouched_for.get() {
                 gateway.disregard_store();
             }
         }
@@ -295,6 +309,7 @@
     fn take_pong(&mut self, ping: u64, contact: RelayContact) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
         self.in_outage = contact.store.is_none_or(|age| age > OUT_OF_TOUCH);
+        self.is_quiet = contact.store.is_none_or(|age| age > STORE_QUIET);
         if self.in_outage && self.demand == Demand::InTouch {
             return Err("it is out of touch with the store");
         }
@@ -305,6 +320,10 @@
         // A node that the others don't know of isn't in touch with them.
         let is_listed = gateway.feed.lists(Subject::Nodes, &self.follower.own_key);
         if ping == self.ping.number && ping > 0 && is_fed && is_listed {
+            let vouched = contact.store.is_some();
+            self.follower
+                .was_vouched_for
+                .set(vouched || self.follower.was_vouched_for.get());
             gateway.take_relay_contact(self.ping.at, contact);
         }
         Ok(())
