--- a/crates/dyketally/tests/freshness.rs
+++ b/crates/dyketally/tests/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dyketally::freshness::{Observation, Observations, ReadConsistency};
+use dyketally::freshness::{LagEstimate, Observation, Observations, ReadConsistency};
 use dyketally::group::{LogPosition, Term};
 use dyketally::time::Timestamp;
 use proptest::prelude::*;
@@ -120,3 +120,50 @@
         }
     }
 }
+
+#[rstest]
+#[case::known_since_the_first(2, 900)]
+#[case::the_first_that_holds_it_counts(3, 400)]
+#[case::not_known(9, 0)]
+fn a_positions_age_counts_from_when_it_was_first_known(#[case] offset: u64, #[case] age_ms: u64) {
+    let observations = observed(&[(100, 2), (500, 2), (600, 4), (700, 4)]);
+    let age = observations.age_of(position(offset), at(1_000));
+    assert_eq!(age, Duration::from_millis(age_ms));
+}
+
+/// Replicas that are 150 ms behind, asked for positions that are `age_ms` old.
+fn learnt(ages_ms: impl IntoIterator<Item = u64>) -> Duration {
+    let mut estimate = LagEstimate::default();
+    let mut now = at(0);
+    for age_ms in ages_ms {
+        now = now + Duration::from_millis(20);
+        estimate.record(now, Duration::from_millis(age_ms), age_ms >= 150);
+    }
+    estimate.value(now)
+}
+
+#[test]
+fn a_lag_is_learnt_from_what_replicas_hold() {
+    let lag = learnt((0..500).map(|number| number * 37 % 300));
+    let near = Duration::from_millis(120)..Duration::from_millis(160);
+    assert!(near.contains(&lag), "{lag:?}");
+}
+
+#[rstest]
+#[case::nothing_was_asked(&[], 0)]
+#[case::old_positions_tell_nothing(&[800, 900, 700], 0)]
+#[case::one_that_was_behind(&[100], 100)]
+fn a_lag_begins_with_what_a_replica_lacked(#[case] ages_ms: &[u64], #[case] lag_ms: u64) {
+    assert_eq!(
+        learnt(ages_ms.iter().copied()),
+        Duration::from_millis(lag_ms)
+    );
+}
+
+#[test]
+fn a_lag_that_nothing_confirms_fades() {
+    let mut estimate = LagEstimate::default();
+    estimate.record(at(0), Duration::from_millis(160), false);
+    assert_eq!(estimate.value(at(4_000)), Duration::from_millis(80));
+    assert!(estimate.value(at(60_000)) < Duration::from_millis(1));
+}
--- a/crates/dyketally/tests/placement.rs
+++ b/crates/dyketally/tests/placement.rs
@@ -1,7 +1,9 @@
 //! Placement: order of nodes, and how much moves when a node joins or leaves.
 
-use dyketally::identifiers::{DatabaseName, Locality, NodeName};
-use dyketally::placement::{Candidate, NORMAL_WEIGHT, Sharing, home, preference, rank, relays};
+use dyketally::identifiers::{DatabaseName, Locality, NodeName, TenantName};
+use dyketally::placement::{
+    Candidate, NORMAL_WEIGHT, Sharing, accountants, home, preference, preference_for, rank, relays,
+};
 use rstest::rstest;
 
 const ZONES: usize = 6;
@@ -233,3 +235,37 @@
         "{first:?}"
     );
 }
+
+fn tenants(count: usize) -> Vec<TenantName> {
+    let names = (0..count).map(|number| format!("tenant-{number}"));
+    names.map(|name| TenantName::from(name.as_str())).collect()
+}
+
+#[test]
+fn all_nodes_ask_the_same_homes_for_a_tenant_and_tenants_spread_over_them() {
+    let names: Vec<NodeName> = (0..3).map(|number| node(number).name).collect();
+    let homes: Vec<&NodeName> = names.iter().collect();
+    let reversed: Vec<&NodeName> = names.iter().rev().collect();
+    let mut first = [0; 3];
+    for tenant in tenants(300) {
+        let ordered = preference_for(&tenant, &homes);
+        assert_eq!(ordered, preference_for(&tenant, &reversed));
+        let index = names.iter().position(|name| name == ordered[0]);
+        first[index.expect("one of the homes")] += 1;
+    }
+    assert!(
+        first.iter().all(|count| (70..130).contains(count)),
+        "{first:?}"
+    );
+}
+
+#[test]
+fn an_accountant_that_is_lost_is_followed_by_the_next() {
+    let nodes: Vec<Node> = (0..20).map(node).collect();
+    for tenant in tenants(50) {
+        let candidates = || nodes.iter().map(Node::candidate);
+        let ranked = accountants(&tenant, candidates(), 3);
+        let others = candidates().filter(|candidate| candidate.node != ranked[0]);
+        assert_eq!(accountants(&tenant, others, 2), ranked[1..]);
+    }
+}
