--- a/crates/dyketally-gateway/src/database/pool/mod.rs
+++ b/crates/dyketally-gateway/src/database/pool/mod.rs
@@ -320,7 +320,7 @@
         }
         let index = self.idle_longest()?;
         self.idle.borrow_mut().swap_remove(index);
-        // Nobody is woken: whoever made the room takes it.
+        // Nobody is woken: the caller takes the room that it made.
         self.open.set(self.open.get().saturating_sub(1));
         Some(Handed::Replaced)
     }
--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -34,7 +34,7 @@
     sharing: Sharing,
     /// Other nodes than this one that are homes, in the order in which it asks them.
     homes: Vec<(NodeName, SocketAddr)>,
-    /// Who is asked when no home can be.
+    /// Nodes that stand in when no home can be reached.
     stand_ins: Vec<SocketAddr>,
 }
 
--- a/crates/dyketally-gateway/src/fleet/liveness.rs
+++ b/crates/dyketally-gateway/src/fleet/liveness.rs
@@ -21,7 +21,8 @@
 
 use crate::event::Event;
 use crate::fleet::membership::{Keys, NodeRecord};
-use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::message::PeerMessage;
+use crate::fleet::peer::Peers;
 use crate::gateway::Gateway;
 use crate::store::feed::Subject;
 
--- a/crates/dyketally-gateway/src/fleet/mod.rs
+++ b/crates/dyketally-gateway/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod liveness;
 pub mod member;
 pub mod membership;
+pub mod message;
 pub mod passed_over;
 pub mod peer;
 pub mod relay;
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -20,7 +20,8 @@
 use crate::fleet::liveness::Liveness;
 use crate::fleet::member::Member;
 use crate::fleet::membership::{Keys, NodeRecord};
-use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::message::PeerMessage;
+use crate::fleet::peer::Peers;
 use crate::fleet::relay;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{
--- a/crates/dyketally-gateway/src/quota/question.rs
+++ b/crates/dyketally-gateway/src/quota/question.rs
@@ -11,8 +11,9 @@
 use dyketally::quota::{Decision, Role};
 use tokio::time::Instant;
 
+use crate::fleet::message::PeerMessage;
 use crate::fleet::passed_over::PassedOver;
-use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::peer::Peers;
 use crate::gateway::Gateway;
 
 /// Nodes that may be asked: the accountant and its stand-ins. With as many, hardly any node has nobody to
--- a/crates/dyketally-gateway/src/quota/reach.rs
+++ b/crates/dyketally-gateway/src/quota/reach.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use crate::fleet::peer::PeerMessage;
+use crate::fleet::message::PeerMessage;
 use crate::gateway::Gateway;
 
 /// Nodes that are asked each time, drawn at random: their number doesn't grow with the fleet.
--- /dev/null
+++ b/crates/dyketally-gateway/src/session/admission.rs
@@ -0,0 +1,46 @@
+//! What an operation may use, and on whose behalf.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use dyketally::route_policy::RoutePolicy;
+use dyketally::statement::FailureKind;
+use dyketally::tenant::{ApiKey, Tenant};
+
+use crate::gateway::Gateway;
+use crate::statement::request::Served;
+
+/// What an operation may use, by the configuration in force as it began.
+#[derive(Clone)]
+pub(super) struct Admission {
+    /// The route.
+    pub(super) route: Rc<RoutePolicy>,
+    /// Whose operation it is, where callers need a key.
+    pub(super) tenant: Option<Arc<Tenant>>,
+}
+
+impl Admission {
+    /// What a caller with `key` may use that asks for `database`; or what it is told instead.
+    pub(super) fn of(gateway: &Gateway, database: &str, key: &ApiKey) -> Result<Self, Served> {
+        let routes = gateway.routes();
+        let Some(route) = routes.routes.get(database) else {
+            return Err(Served::failed(
+                FailureKind::UnknownDatabase,
+                "no route leads to this database; check its name",
+            ));
+        };
+        match routes.identify(route, key) {
+            Ok(tenant) => Ok(Self {
+                route: Rc::new(route.clone()),
+                tenant,
+            }),
+            Err(unknown) => {
+                gateway.counters.unknown_keys.add();
+                Err(Served::failed(
+                    FailureKind::Unauthenticated,
+                    &unknown.to_string(),
+                ))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -0,0 +1,138 @@
+//! The caller's side of a session: messages in, replies out.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use dyketally::statement::{FailureKind, TransactionState};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::Session;
+use super::admission::Admission;
+use crate::gateway::Gateway;
+use crate::ports::{CallerMessage, Reply};
+use crate::statement::request::Served;
+
+/// Longest time from the connection to the first message.
+const INTRODUCTION_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time that a new session waits for a first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_600);
+/// Longest time that a caller may take to accept an answer.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// Bytes reserved for each read.
+const READ_CHUNK: usize = 1_024;
+
+/// The connection of a caller.
+pub(super) struct Caller {
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    input: BytesMut,
+}
+
+/// What a session waits for.
+pub(super) enum Next {
+    Message(CallerMessage),
+    Closed,
+    Garbage(String),
+    TransactionRested,
+    Stop,
+}
+
+impl Caller {
+    /// A connection that was just accepted.
+    pub(super) fn new(gateway: Rc<Gateway>, stream: TcpStream) -> Self {
+        Self {
+            gateway,
+            stream,
+            input: BytesMut::new(),
+        }
+    }
+
+    /// Waits for the first message; `None` when no session comes of it.
+    pub(super) async fn introduce(&mut self) -> Option<Session> {
+        let message = tokio::time::timeout(INTRODUCTION_LIMIT, self.next_message()).await;
+        let Next::Message(CallerMessage::Connect { database, key }) = message.ok()? else {
+            return None;
+        };
+        self.gateway
+            .configured_by(Instant::now() + CONFIGURATION_WAIT)
+            .await;
+        if !self.gateway.is_configured() {
+            let served = Served::failed(
+                FailureKind::Overloaded,
+                "this node has no configuration yet; connect to another one, or again later",
+            );
+            self.refuse(served).await;
+            return None;
+        }
+        if let Err(refused) = Admission::of(&self.gateway, &database, &key) {
+            self.refuse(refused).await;
+            return None;
+        }
+        let ready = Reply::Ready {
+            state: TransactionState::Idle,
+            position: None,
+        };
+        self.write(&[ready]).await?;
+        Some(Session::new(&self.gateway, database, key))
+    }
+
+    /// Tells the caller why there is no session, or no longer one.
+    pub(super) async fn refuse(&mut self, served: Served) {
+        if let Err(failure) = served.end {
+            // The caller may be gone already.
+            let _ = self.write(&[Reply::Failed(failure)]).await;
+        }
+    }
+
+    /// Waits for the next message.
+    pub(super) async fn next_message(&mut self) -> Next {
+        loop {
+            match self.gateway.caller_protocol.decode(&mut self.input) {
+                Ok(Some(message)) => return Next::Message(message),
+                Ok(None) => {}
+                Err(error) => return Next::Garbage(error.to_string()),
+            }
+            self.input.reserve(READ_CHUNK);
+            match self.stream.read_buf(&mut self.input).await {
+                Ok(0) | Err(_) => return Next::Closed,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    async fn write(&mut self, replies: &[Reply]) -> Option<()> {
+        let mut output = BytesMut::new();
+        for reply in replies {
+            self.gateway.caller_protocol.encode(reply, &mut output);
+        }
+        let writing = self.stream.write_all(&output);
+        let written = tokio::time::timeout(WRITE_LIMIT, writing).await;
+        written.ok()?.ok()
+    }
+
+    /// Sends the answer to a statement; `None` when the caller is gone.
+    pub(super) async fn answer(&mut self, served: Served, state: TransactionState) -> Option<()> {
+        let counters = &self.gateway.counters;
+        match served.end {
+            Ok(_) => counters.served.add(),
+            Err(_) => counters.failed.add(),
+        }
+        let rows = match served.end.is_ok() {
+            true => served.rows,
+            false => Vec::new(),
+        };
+        let mut replies: Vec<Reply> = rows.into_iter().map(Reply::Row).collect();
+        replies.push(match served.end {
+            Ok(signature) => Reply::Complete(signature),
+            Err(failure) => Reply::Failed(failure),
+        });
+        replies.push(Reply::Ready {
+            state,
+            position: served.position,
+        });
+        self.write(&replies).await
+    }
+}
--- a/crates/dyketally-gateway/src/session.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -1,38 +1,31 @@
 //! A caller's session: its values, prepared statements and transaction, from connect to close.
 
+mod admission;
+mod caller;
+
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dyketally::group::LogPosition;
 use dyketally::policy::Access;
-use dyketally::route_policy::RoutePolicy;
 use dyketally::statement::{FailureKind, PreparedStatement, StatementKind, TransactionState};
-use dyketally::tenant::{ApiKey, Tenant};
+use dyketally::tenant::ApiKey;
 use dyketally::time::Timestamp;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use self::admission::Admission;
+use self::caller::{Caller, Next};
 use crate::database::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
-use crate::ports::{CallerMessage, CallerStatement, Reply};
+use crate::ports::{CallerMessage, CallerStatement};
 use crate::quota::QuotaExceeded;
 use crate::statement::hand_over::HandOvers;
 use crate::statement::request::{Execution, Request, Served};
 use crate::statement::transaction::{Transaction, TransactionAnswer};
 
-/// Longest time from the connection to the first message.
-const INTRODUCTION_LIMIT: Duration = Duration::from_secs(5);
-/// Longest time that a new session waits for a first configuration.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_600);
-/// Longest time that a caller may take to accept an answer.
-const WRITE_LIMIT: Duration = Duration::from_secs(10);
-/// Bytes reserved for each read.
-const READ_CHUNK: usize = 1_024;
 /// Why a statement is refused whose tenant has used up its quota.
 const OVER_QUOTA: &str = "the tenant's quota";
 /// What signs a statement that the gateway answers itself.
@@ -43,149 +36,13 @@
     prepare_socket(&stream);
     gateway.sessions.set(gateway.sessions.get() + 1);
     gateway.counters.sessions.add();
-    let mut caller = Caller {
-        gateway: gateway.clone(),
-        stream,
-        input: BytesMut::new(),
-    };
+    let mut caller = Caller::new(gateway.clone(), stream);
     if let Some(mut session) = caller.introduce().await {
         session.run(&mut caller).await;
     }
     gateway.sessions.set(gateway.sessions.get() - 1);
 }
 
-struct Caller {
-    gateway: Rc<Gateway>,
-    stream: TcpStream,
-    input: BytesMut,
-}
-
-/// What a session waits for.
-enum Next {
-    Message(CallerMessage),
-    Closed,
-    Garbage(String),
-    TransactionRested,
-    Stop,
-}
-
-impl Caller {
-    async fn introduce(&mut self) -> Option<Session> {
-        let message = tokio::time::timeout(INTRODUCTION_LIMIT, self.next_message()).await;
-        let Next::Message(CallerMessage::Connect { database, key }) = message.ok()? else {
-            return None;
-        };
-        self.gateway
-            .configured_by(Instant::now() + CONFIGURATION_WAIT)
-            .await;
-        if !self.gateway.is_configured() {
-            let served = Served::failed(
-                FailureKind::Overloaded,
-                "this node has no configuration yet; connect to another one, or again later",
-            );
-            self.refuse(served).await;
-            return None;
-        }
-        if let Err(refused) = Admission::of(&self.gateway, &database, &key) {
-            self.refuse(refused).await;
-            return None;
-        }
-        let ready = Reply::Ready {
-            state: TransactionState::Idle,
-            position: None,
-        };
-        self.write(&[ready]).await?;
-        Some(Session::new(&self.gateway, database, key))
-    }
-
-    async fn refuse(&mut self, served: Served) {
-        if let Err(failure) = served.end {
-            // The caller may be gone already.
-            let _ = self.write(&[Reply::Failed(failure)]).await;
-        }
-    }
-
-    async fn next_message(&mut self) -> Next {
-        loop {
-            match self.gateway.caller_protocol.decode(&mut self.input) {
-                Ok(Some(message)) => return Next::Message(message),
-                Ok(None) => {}
-                Err(error) => return Next::Garbage(error.to_string()),
-            }
-            self.input.reserve(READ_CHUNK);
-            match self.stream.read_buf(&mut self.input).await {
-                Ok(0) | Err(_) => return Next::Closed,
-                Ok(_) => {}
-            }
-        }
-    }
-
-    async fn write(&mut self, replies: &[Reply]) -> Option<()> {
-        let mut output = BytesMut::new();
-        for reply in replies {
-            self.gateway.caller_protocol.encode(reply, &mut output);
-        }
-        let writing = self.stream.write_all(&output);
-        let written = tokio::time::timeout(WRITE_LIMIT, writing).await;
-        written.ok()?.ok()
-    }
-
-    async fn answer(&mut self, served: Served, state: TransactionState) -> Option<()> {
-        let counters = &self.gateway.counters;
-        match served.end {
-            Ok(_) => counters.served.add(),
-            Err(_) => counters.failed.add(),
-        }
-        let rows = match served.end.is_ok() {
-            true => served.rows,
-            false => Vec::new(),
-        };
-        let mut replies: Vec<Reply> = rows.into_iter().map(Reply::Row).collect();
-        replies.push(match served.end {
-            Ok(signature) => Reply::Complete(signature),
-            Err(failure) => Reply::Failed(failure),
-        });
-        replies.push(Reply::Ready {
-            state,
-            position: served.position,
-        });
-        self.write(&replies).await
-    }
-}
-
-/// What an operation may use, by the configuration in force as it began.
-#[derive(Clone)]
-struct Admission {
-    route: Rc<RoutePolicy>,
-    tenant: Option<Arc<Tenant>>,
-}
-
-impl Admission {
-    /// What a caller with `key` may use that asks for `database`; or what it is told instead.
-    fn of(gateway: &Gateway, database: &str, key: &ApiKey) -> Result<Self, Served> {
-        let routes = gateway.routes();
-        let Some(route) = routes.routes.get(database) else {
-            return Err(Served::failed(
-                FailureKind::UnknownDatabase,
-                "no route leads to this database; check its name",
-            ));
-        };
-        match routes.identify(route, key) {
-            Ok(tenant) => Ok(Self {
-                route: Rc::new(route.clone()),
-                tenant,
-            }),
-            Err(unknown) => {
-                gateway.counters.unknown_keys.add();
-                Err(Served::failed(
-                    FailureKind::Unauthenticated,
-                    &unknown.to_string(),
-                ))
-            }
-        }
-    }
-}
-
 struct Session {
     gateway: Rc<Gateway>,
     database: String,
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -297,7 +297,7 @@
             let relay = self.relay.to_string();
             gateway.events.write(&Event::RelayFollowed { relay });
             // A node that has just joined has heard from the store, but none of its news. What a former
-            // relay vouched for holds whoever is followed next: to drop it would isolate the node for as
+            // relay vouched for holds under the next one, too: to drop it would isolate the node for as
             // long as it takes to catch up.
             if self.in_outage && !self.follower.was_vouched_for.get() {
                 gateway.disregard_store();
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -7,7 +7,8 @@
 use dyketally::identifiers::{NodeName, ZoneName};
 use dyketally::placement;
 
-use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::message::PeerMessage;
+use crate::fleet::peer::Peers;
 use crate::gateway::Gateway;
 
 /// Nodes up to which every node watches the store itself.
--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::fleet::membership::Duty;
-use crate::fleet::peer::PeerMessage;
+use crate::fleet::message::PeerMessage;
 use crate::ports::Appointment;
 use crate::statement::target::Target;
 use crate::succession::confirm::Confirmation;
--- a/crates/dyketally-gateway/src/succession/duty.rs
+++ b/crates/dyketally-gateway/src/succession/duty.rs
@@ -14,7 +14,8 @@
 
 use crate::event::Event;
 use crate::fleet::membership::{Duty, HeldLease, Holder, Keys, Membership};
-use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::message::PeerMessage;
+use crate::fleet::peer::Peers;
 use crate::gateway::{Gateway, StopPhase};
 
 /// Time after which the duty of a node that is lost is free.
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -16,7 +16,8 @@
 
 use crate::event::Event;
 use crate::fleet::membership::Keys;
-use crate::fleet::peer::{FenceReply, PeerMessage, Peers, Replies};
+use crate::fleet::message::PeerMessage;
+use crate::fleet::peer::{FenceReply, Peers, Replies};
 use crate::gateway::Gateway;
 
 /// Pause before nodes that didn't confirm are asked again.
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -18,7 +18,8 @@
 use tokio::time::Instant;
 
 use crate::event::Event;
-use crate::fleet::peer::{PeerMessage, Peers};
+use crate::fleet::message::PeerMessage;
+use crate::fleet::peer::Peers;
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
 use crate::statement::target::Target;
--- a/crates/dyketally/src/failover/fences.rs
+++ b/crates/dyketally/src/failover/fences.rs
@@ -11,7 +11,7 @@
 /// How long a fence stands that nobody lifts.
 pub const FENCE_HOLDS: Duration = Duration::from_secs(8);
 
-/// One round of fences around a database; whoever begins it draws it at random.
+/// One round of fences around a database; its number is drawn at random as it begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct FenceId(pub u64);
 
--- a/crates/dyketally/src/quota/mod.rs
+++ b/crates/dyketally/src/quota/mod.rs
@@ -5,8 +5,8 @@
 //! within `rate * window + burst`, however callers are spread over nodes. A node that doesn't reach the
 //! accountant asks stand-ins; one whose questions all stay unanswered falls back to its part of the rate ([`Allowance::take_alone`]). An
 //! accountant whose tenant uses much of its rate, and a stand-in in any case, hands out the share of
-//! the rate that the nodes make up which it reaches: the others may be served by somebody else. Whoever
-//! takes over begins with a part of the burst, since it doesn't know what its predecessor handed out.
+//! the rate that the nodes make up which it reaches: the others may be served by somebody else. A node
+//! that takes over begins with a part of the burst, since it doesn't know what its predecessor handed out.
 
 mod accountant;
 mod allowance;
