--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -25,15 +25,15 @@
     }
 }
 
-/// Bytes sent to other nodes by kind of message, without the headers of the network.
+/// Counts by kind: of messages to other nodes their bytes, without the headers of the network.
 #[derive(Debug, Default, Serialize)]
 #[serde(transparent)]
-pub struct SentBytes(RefCell<BTreeMap<&'static str, u64>>);
+pub struct CountsByKind(RefCell<BTreeMap<&'static str, u64>>);
 
-impl SentBytes {
-    /// Counts a message of `kind`.
-    pub fn add(&self, kind: &'static str, bytes: usize) {
-        *self.0.borrow_mut().entry(kind).or_default() += bytes as u64;
+impl CountsByKind {
+    /// Counts `count` more of `kind`.
+    pub fn add(&self, kind: &'static str, count: usize) {
+        *self.0.borrow_mut().entry(kind).or_default() += count as u64;
     }
 }
 
@@ -64,8 +64,10 @@
     pub further_attempts: Counter,
     /// Empty transactions that asked a primary for its position.
     pub confirmations: Counter,
+    /// Sendings to databases that were denied, by reason.
+    pub denied: CountsByKind,
     /// Bytes sent to other nodes.
-    pub sent_bytes: SentBytes,
+    pub sent_bytes: CountsByKind,
     /// Calls to the store.
     #[serde(flatten)]
     pub store: Arc<StoreCalls>,
--- a/crates/dyketally-gateway/src/database/pool/checkout.rs
+++ b/crates/dyketally-gateway/src/database/pool/checkout.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use dyketally::eligibility::Permission;
+use dyketally::identifiers::DatabaseName;
 use tokio::time::Instant;
 
 use super::Pool;
@@ -34,11 +36,22 @@
         }
     }
 
-    /// Runs a batch; one that goes on with a transaction waits for its turn first.
+    /// The database that it leads to.
+    pub fn database(&self) -> &DatabaseName {
+        &self.pool.database
+    }
+
+    /// Runs a batch, for which `permission` was obtained; one that goes on with a transaction waits
+    /// for its turn first.
     ///
     /// # Errors
     /// The connection broke; any of the steps may have run.
-    pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, Broken> {
+    pub async fn run(
+        &mut self,
+        batch: &Batch,
+        permission: Permission,
+    ) -> Result<Vec<Answer>, Broken> {
+        debug_assert!(permission.is_for(self.database()));
         if self.running.is_none() && batch.takes_slot() {
             self.running = Some(self.pool.turn().await);
         }
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -51,6 +51,37 @@
         /// What is wrong.
         reason: &'a str,
     },
+    /// Operators request that the databases of a zone get nothing more.
+    EvacuationBegan {
+        /// The zone.
+        zone: &'a str,
+        /// False when the settings name no such zone; check its name.
+        is_known: bool,
+        /// False when all zones are evacuated, so that nothing can be served.
+        leaves_a_zone: bool,
+    },
+    /// A zone's databases may be used again.
+    EvacuationEnded {
+        /// The zone.
+        zone: &'a str,
+    },
+    /// A route or tenant is bound to a region that no zone of the settings is in; check its name.
+    RegionUnknown {
+        /// The region.
+        region: &'a str,
+    },
+    /// Statements were refused since no database may serve them, once for each group and reason in a
+    /// while.
+    ServedNowhere {
+        /// The group.
+        group: &'a str,
+        /// The route.
+        route: &'a str,
+        /// The regions that its route and its tenant allow.
+        regions: String,
+        /// Why, and what an operator can do.
+        reason: String,
+    },
     /// A database appeared, left or changed.
     DirectoryChanged {
         /// What changed.
--- a/crates/dyketally-gateway/src/fleet/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use dyketally::admission::Patience;
+use dyketally::eligibility::{Denial, Intent, Permission, ServingRegions};
 use dyketally::statement::FailureKind;
 use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
@@ -14,8 +15,9 @@
 use crate::database::connection::{Broken, leave_idle};
 use crate::fleet::link::{Call, CallReply, Frames, frames};
 use crate::gateway::Gateway;
-use crate::statement::batch::Reset;
+use crate::statement::batch::{Batch, Reset};
 use crate::statement::checkout::{Checkout, Claim, Refusal, Unanswered};
+use crate::statement::eligibility::failure_kind;
 use crate::statement::target::Target;
 
 /// How long a call goes on whose link was closed, so that its connection can be kept.
@@ -96,6 +98,7 @@
     bound: Option<(Bound, Busy)>,
     call: Call<'_>,
 ) -> (CallReply, Option<Bound>) {
+    let begins = bound.is_none();
     let mut bound = match bound {
         Some((bound, _)) => bound,
         None => match bind(gateway, &call).await {
@@ -107,7 +110,12 @@
         return (CallReply::Leaving, None);
     };
     let target = bound.target.clone();
-    match gateway.exchange(&mut checkout, &target, &call.batch).await {
+    let permission = match permission(gateway, &target, &call.batch, Begins(begins)) {
+        Ok(permission) => permission,
+        Err(denial) => return (denied(denial), None),
+    };
+    let exchange = gateway.exchange(&mut checkout, &target, &call.batch, permission);
+    match exchange.await {
         Ok(_) if call.batch.needs_leader() && gateway.is_fenced(&target.name) => {
             (CallReply::Broken(Broken::replaced().reason), None)
         }
@@ -127,6 +135,34 @@
     }
 }
 
+/// Whether a call begins something at its database.
+struct Begins(bool);
+
+/// Leave to run a call's batch. Where callers may be served was judged by the node that calls.
+fn permission(
+    gateway: &Gateway,
+    target: &Target,
+    batch: &Batch,
+    Begins(begins): Begins,
+) -> Result<Permission, Denial> {
+    let needs_leader = batch.needs_leader();
+    if !batch.takes_slot() && !needs_leader {
+        return Ok(Permission::control(&target.name));
+    }
+    let intent = match begins {
+        true => Intent::first(&ServingRegions::anywhere(), needs_leader),
+        false => Intent::further(needs_leader),
+    };
+    gateway.may_send(target, &intent)
+}
+
+fn denied(denial: Denial) -> CallReply {
+    CallReply::Refused(Refusal {
+        kind: failure_kind(denial),
+        unreachable: false,
+    })
+}
+
 async fn bind(gateway: &Rc<Gateway>, call: &Call<'_>) -> Result<Bound, CallReply> {
     if gateway.is_stopping() {
         return Err(CallReply::Leaving);
@@ -137,12 +173,9 @@
             unreachable: true,
         }));
     };
-    if call.batch.needs_leader() && gateway.is_fenced(&target.name) {
-        return Err(CallReply::Refused(Refusal {
-            kind: FailureKind::Busy,
-            unreachable: false,
-        }));
-    }
+    // It may have to wait for a connection, so it is asked again before it is sent.
+    let permitted = permission(gateway, &target, &call.batch, Begins(true));
+    drop(permitted.map_err(denied)?);
     let none = BTreeMap::new();
     let context = call.batch.context.as_ref();
     let values = context.map_or(&none, |context| &context.values);
@@ -155,6 +188,7 @@
         },
         work: call.work,
         user: call.user.clone(),
+        regions: ServingRegions::anywhere(),
     };
     let checkout = gateway.own_checkout(&target, values, claim);
     match checkout.await {
--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use dyketally::identifiers::{DatabaseName, NodeName, TenantName};
+use dyketally::eligibility::{ServingRegions, may_pass};
+use dyketally::identifiers::{DatabaseName, NodeName, RegionName, TenantName};
 use dyketally::placement::{self, Sharing};
 
 use crate::fleet::passed_over::PassedOver;
@@ -33,33 +34,44 @@
     is_home: bool,
     sharing: Sharing,
     /// Other nodes than this one that are homes, in the order in which it asks them.
-    homes: Vec<(NodeName, SocketAddr)>,
+    homes: Vec<HomeNode>,
     /// Nodes that stand in when no home can be reached.
-    stand_ins: Vec<SocketAddr>,
+    stand_ins: Vec<HomeNode>,
+}
+
+/// A node that keeps connections to a database.
+#[derive(Clone, Debug)]
+struct HomeNode {
+    name: NodeName,
+    address: SocketAddr,
+    region: RegionName,
 }
 
 impl Placed {
-    fn nodes(&self) -> impl Iterator<Item = &SocketAddr> {
-        let homes = self.homes.iter().map(|(_, address)| address);
-        homes.chain(&self.stand_ins)
+    fn nodes(&self) -> impl Iterator<Item = &HomeNode> {
+        self.homes.iter().chain(&self.stand_ins)
     }
 
-    /// Homes and stand-ins in the order in which they are asked for connections of `user`.
-    fn ordered(&self, user: Option<&DatabaseUser>) -> Rc<[SocketAddr]> {
-        let Some(DatabaseUser::Tenant(tenant)) = user else {
-            return self.nodes().copied().collect();
+    /// Homes and stand-ins that statements which `regions` bind may pass through, in the order in
+    /// which they are asked for connections of `user`.
+    fn ordered(&self, user: Option<&DatabaseUser>, regions: &ServingRegions) -> Rc<[SocketAddr]> {
+        let nodes: Vec<&HomeNode> = match user {
+            Some(DatabaseUser::Tenant(tenant)) => {
+                self.homes_of(tenant).chain(&self.stand_ins).collect()
+            }
+            _ => self.nodes().collect(),
         };
-        let homes = self.homes_of(tenant);
-        homes.chain(self.stand_ins.iter().copied()).collect()
+        let nodes = nodes.into_iter();
+        let permitted = nodes.filter(|node| may_pass(regions, &node.region));
+        permitted.map(|node| node.address).collect()
     }
 
-    fn homes_of(&self, tenant: &TenantName) -> impl Iterator<Item = SocketAddr> {
-        let names: Vec<&NodeName> = self.homes.iter().map(|(name, _)| name).collect();
+    fn homes_of(&self, tenant: &TenantName) -> impl Iterator<Item = &HomeNode> {
+        let names: Vec<&NodeName> = self.homes.iter().map(|home| &home.name).collect();
         let ordered = placement::preference_for(tenant, &names);
-        let address = |name: &NodeName| self.homes.iter().find(|(home, _)| home == name);
         ordered
             .into_iter()
-            .filter_map(move |name| Some(address(name)?.1))
+            .filter_map(|name| self.homes.iter().find(|home| &home.name == name))
     }
 }
 
@@ -79,15 +91,25 @@
 }
 
 impl Gateway {
-    /// How this node reaches a database for statements of `user`, if it matters.
-    pub fn reach(&self, database: &DatabaseName, user: Option<&DatabaseUser>) -> Reach {
+    /// How this node reaches a database for statements of `user`, if it matters, that `regions` bind.
+    /// Where no home may see them it uses a connection of its own.
+    pub fn reach(
+        &self,
+        database: &DatabaseName,
+        user: Option<&DatabaseUser>,
+        regions: &ServingRegions,
+    ) -> Reach {
         let Some(placed) = self.placed(database) else {
             return Reach::Own;
         };
+        if placed.is_home {
+            return Reach::Own;
+        }
+        let homes = placed.ordered(user, regions);
         let usable = |home: &SocketAddr| !self.homes.passed_over.contains(home);
-        match placed.is_home || !placed.nodes().any(usable) {
-            true => Reach::Own,
-            false => Reach::Via(placed.ordered(user)),
+        match homes.iter().any(usable) {
+            true => Reach::Via(homes),
+            false => Reach::Own,
         }
     }
 
@@ -119,7 +141,7 @@
         let Some(placed) = self.placed(database) else {
             return Vec::new();
         };
-        placed.nodes().copied().collect()
+        placed.nodes().map(|node| node.address).collect()
     }
 
     fn placed(&self, database: &DatabaseName) -> Option<Rc<Placed>> {
@@ -160,19 +182,21 @@
         let (homes, stand_ins) = ranked.split_at(count.min(ranked.len()));
         let is_home = homes.contains(&own);
         let ordered = placement::preference(own, homes);
-        let others = |names: Vec<&NodeName>| -> Vec<(NodeName, SocketAddr)> {
+        let others = |names: Vec<&NodeName>| -> Vec<HomeNode> {
             let others = names.into_iter().filter(|name| *name != own);
             let found = others.filter_map(|name| nodes.get(name));
-            found
-                .map(|node| (node.node.clone(), node.address))
-                .collect()
+            let described = found.map(|node| HomeNode {
+                name: node.node.clone(),
+                address: node.address,
+                region: node.locality.region.clone(),
+            });
+            described.collect()
         };
-        let stand_ins = others(stand_ins.to_vec());
         Some(Placed {
             is_home,
             sharing,
             homes: others(ordered),
-            stand_ins: stand_ins.into_iter().map(|(_, address)| address).collect(),
+            stand_ins: others(stand_ins.to_vec()),
         })
     }
 }
--- a/crates/dyketally-gateway/src/fleet/link.rs
+++ b/crates/dyketally-gateway/src/fleet/link.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::eligibility::Permission;
 use dyketally::identifiers::DatabaseName;
 use dyketally::statement::FailureKind;
 use futures::{SinkExt, StreamExt};
@@ -201,6 +202,11 @@
         }
     }
 
+    /// The database that is called.
+    pub fn database(&self) -> &DatabaseName {
+        &self.database
+    }
+
     /// Keeps the link for other calls. No transaction may be open.
     pub fn give_back(mut self) {
         if let Some((home, link)) = self.link.take() {
@@ -208,11 +214,17 @@
         }
     }
 
-    /// Runs a batch. While a transaction is open, all batches run on the same connection.
+    /// Runs a batch, for which `permission` was obtained; the home makes sure of its own. While a
+    /// transaction is open, all batches run on the same connection.
     ///
     /// # Errors
     /// There are no answers; tells whether anything may have run.
-    pub async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, CallError> {
+    pub async fn run(
+        &mut self,
+        batch: &Batch,
+        permission: Permission,
+    ) -> Result<Vec<Answer>, CallError> {
+        debug_assert!(permission.is_for(&self.database));
         loop {
             let (home, mut link) = match self.link.take() {
                 Some(link) => link,
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -386,7 +386,8 @@
             while let Ok(Some(vote)) =
                 tokio::time::timeout_at(until, poll.votes.receiver.recv()).await
             {
-                if vote.evidence == Evidence::Answered {
+                let may_relay = peers.gateway.may_relay(vote.from, &target);
+                if vote.evidence == Evidence::Answered && may_relay {
                     target.state.pool.relay_by(vote.from);
                     peers.gateway.tell_change();
                     return;
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use dyketally::directory::{Directory, DirectoryChange};
+use dyketally::eligibility::Evacuations;
 use dyketally::failover::Fences;
 use dyketally::freshness::{LagEstimate, Observation, Observations};
 use dyketally::group::LogPosition;
@@ -68,6 +69,8 @@
     pub unled: Unled,
     /// What an isolated node learnt of the group's other databases.
     pub vettings: Vettings,
+    /// When the log told last that no database may serve some statement.
+    pub told_nowhere: Cell<Option<Instant>>,
 }
 
 /// The shared state.
@@ -94,6 +97,8 @@
     pub sessions: Cell<usize>,
     /// Calls of other nodes that run here, and their transactions that are open.
     pub calls: Cell<usize>,
+    /// Zones whose databases get nothing more.
+    pub evacuations: RefCell<Evacuations>,
     /// Which nodes keep connections to which database.
     pub homes: Homes,
     /// Quotas of tenants.
@@ -144,6 +149,7 @@
             measures: Rc::default(),
             sessions: Cell::new(0),
             calls: Cell::new(0),
+            evacuations: RefCell::default(),
             homes: Homes::default(),
             quotas,
             links: Links::default(),
@@ -200,8 +206,15 @@
             revision: routes.revision.0,
             routes: routes.routes.len(),
         });
+        let bound_before = self.routes.borrow().binds_regions();
         *self.routes.borrow_mut() = Rc::new(routes);
         self.configured.set(true);
+        if self.routes.borrow().binds_regions() {
+            self.report_unknown_regions();
+            if !bound_before {
+                self.reach_databases_directly();
+            }
+        }
         self.apply_connection_limits();
         for (name, group) in self.groups.borrow().iter() {
             let mut observations = group.observations.borrow_mut();
@@ -228,6 +241,16 @@
         self.membership.attention.notify_one();
     }
 
+    /// Drops the relays that were found while no region was ruled out.
+    fn reach_databases_directly(&self) {
+        for database in self.databases.borrow().values() {
+            if database.pool.is_relayed() {
+                database.pool.reach_directly();
+                database.pool.close_idle(true);
+            }
+        }
+    }
+
     fn close_idle(&self, name: &DatabaseName) {
         if let Some(database) = self.databases.borrow().get(name) {
             database.pool.close_idle(true);
@@ -332,6 +355,7 @@
             confirming: Cell::new(None),
             unled: Unled::default(),
             vettings: Vettings::default(),
+            told_nowhere: Cell::new(None),
         });
         self.groups.borrow_mut().insert(name.clone(), group.clone());
         group
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use dyketally::directory::{Announcement, DirectoryChange};
+use dyketally::identifiers::ZoneName;
 use dyketally_store::KeyValueStore;
 use dyketally_store::key_value::{Entry, Key, WatchEvent};
 use eyre::WrapErr;
@@ -248,7 +249,7 @@
         tokio::task::spawn_local(following);
     };
     start(
-        documents.configuration_key(),
+        documents.operators_prefix(),
         Gathering::Bursts,
         Subject::Configuration,
         FirstRead::Stale,
@@ -288,15 +289,32 @@
     fn take_configuration(&self, update: StoreUpdate) {
         match update {
             StoreUpdate::All(entries) => {
-                for entry in entries {
-                    self.put_in_force(&entry);
+                for entry in &entries {
+                    self.put_in_force(entry);
+                }
+                let zones = entries
+                    .iter()
+                    .filter_map(|entry| self.evacuated(&entry.key));
+                self.gateway.evacuations_are(&zones.collect());
+            }
+            StoreUpdate::Changed(WatchEvent::Put(entry)) => {
+                self.put_in_force(&entry);
+                if let Some(zone) = self.evacuated(&entry.key) {
+                    self.gateway.evacuation_requested(zone);
+                }
+            }
+            StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => {
+                if let Some(zone) = self.evacuated(&key) {
+                    self.gateway.evacuation_taken_back(&zone);
                 }
             }
-            StoreUpdate::Changed(WatchEvent::Put(entry)) => self.put_in_force(&entry),
-            StoreUpdate::Changed(WatchEvent::Deleted { .. }) => {}
         }
     }
 
+    fn evacuated(&self, key: &Key) -> Option<ZoneName> {
+        self.documents.evacuated_zone(&key.to_string())
+    }
+
     fn put_in_force(&self, entry: &Entry) {
         if entry.key != Key::from(self.documents.configuration_key()) {
             return;
--- a/crates/dyketally-gateway/src/ports.rs
+++ b/crates/dyketally-gateway/src/ports.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use dyketally::directory::Announcement;
 use dyketally::group::LogPosition;
-use dyketally::identifiers::{DatabaseName, GroupName, TenantName};
+use dyketally::identifiers::{DatabaseName, GroupName, TenantName, ZoneName};
 use dyketally::route_policy::RouteSet;
 use dyketally::statement::{
     DatabaseStatus, Failure, PreparedStatement, StatementKind, TransactionState,
@@ -187,9 +187,15 @@
 
 /// Which keys of the store hold what, and how to read them.
 pub trait StoredDocuments {
+    /// The prefix of all that operators write, the configuration included.
+    fn operators_prefix(&self) -> String;
+
     /// The key of the configuration.
     fn configuration_key(&self) -> String;
 
+    /// The zone whose evacuation is requested for as long as `key` is there.
+    fn evacuated_zone(&self, key: &str) -> Option<ZoneName>;
+
     /// The prefix of the databases' announcements.
     fn announcements_prefix(&self) -> String;
 
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -340,6 +340,7 @@
             connected: self.connected,
             own_commit: self.own_commit,
             deadline: Instant::now() + route.statement_timeout,
+            regions: route.regions_for(tenant.as_deref()),
             route,
             tenant,
             attempts: Cell::new(0),
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -114,12 +114,26 @@
     pub stop_s: f64,
     /// Pause between two announcements of a database, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Within how long nothing more reaches the databases of a zone whose evacuation was requested,
+    /// in milliseconds.
+    #[serde(default = "evacuation_bound_ms")]
+    pub evacuate_ms: u64,
     /// Operations by which a tenant may exceed its rate and burst in a window.
     #[serde(default)]
     pub quota_slack: u32,
 }
 
+/// Bound of an evacuation where the settings don't tell: what operators are told to expect.
+fn evacuation_bound_ms() -> u64 {
+    5_000
+}
+
 impl BoundSettings {
+    /// Within how long nothing more reaches the databases of an evacuated zone.
+    pub fn evacuation(&self) -> Duration {
+        Duration::from_millis(self.evacuate_ms)
+    }
+
     /// How long a leaving database may get new work.
     pub fn drain(&self) -> Duration {
         Duration::from_millis(self.drain_ms)
@@ -224,6 +238,9 @@
         if !(0.0..=1_024.0).contains(&self.node.processor_share) {
             return Err("`node.processor_share` must be from 0 to 1024".to_owned());
         }
+        if self.bounds.evacuate_ms == 0 {
+            return Err("`bounds.evacuate_ms` must be above 0".to_owned());
+        }
         if self.bounds.stop_s <= 0.0 {
             return Err("`bounds.stop_s` must be above 0".to_owned());
         }
--- a/crates/dyketally-gateway/src/statement/checkout.rs
+++ b/crates/dyketally-gateway/src/statement/checkout.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use dyketally::admission::Patience;
+use dyketally::eligibility::{Permission, ServingRegions};
+use dyketally::identifiers::DatabaseName;
 use dyketally::statement::FailureKind;
 use tokio::time::Instant;
 
@@ -38,6 +40,8 @@
     /// In whose name the connection must be open; `None` where any will do, as for statements of the
     /// gateway's own.
     pub user: Option<DatabaseUser>,
+    /// Through which regions' nodes it may go.
+    pub regions: ServingRegions,
 }
 
 /// What a connection is wanted for.
@@ -72,7 +76,9 @@
         tokio::task::spawn_local(async move {
             let mut batch = Batch::own([OwnStatement::Rollback]);
             batch.reset = reset;
-            let rolled_back = tokio::time::timeout(ROLLBACK_LIMIT, checkout.run(&batch)).await;
+            let permission = Permission::control(checkout.database());
+            let running = checkout.run(&batch, permission);
+            let rolled_back = tokio::time::timeout(ROLLBACK_LIMIT, running).await;
             let Ok(Ok(answers)) = rolled_back else {
                 return;
             };
@@ -82,13 +88,26 @@
         });
     }
 
-    async fn run(&mut self, batch: &Batch) -> Result<Vec<Answer>, CallError> {
+    /// The database that it leads to.
+    fn database(&self) -> &DatabaseName {
+        match self {
+            Self::Own(checkout) => checkout.database(),
+            Self::Remote(call) => call.database(),
+        }
+    }
+
+    /// Runs a batch, for which `permission` was obtained.
+    async fn run(
+        &mut self,
+        batch: &Batch,
+        permission: Permission,
+    ) -> Result<Vec<Answer>, CallError> {
         match self {
             Self::Own(checkout) => {
-                let run = checkout.run(batch);
+                let run = checkout.run(batch, permission);
                 run.await.map_err(CallError::DatabaseBroke)
             }
-            Self::Remote(call) => call.run(batch).await,
+            Self::Remote(call) => call.run(batch, permission).await,
         }
     }
 }
@@ -110,7 +129,7 @@
         values: &BTreeMap<String, String>,
         claim: Claim,
     ) -> Result<Checkout, FailureKind> {
-        match self.reach(&target.name, claim.user.as_ref()) {
+        match self.reach(&target.name, claim.user.as_ref(), &claim.regions) {
             Reach::Via(homes) => {
                 let call = HomeCall::new(self.clone(), target.name.clone(), homes, claim);
                 Ok(Checkout::Remote(call))
@@ -166,11 +185,12 @@
         checkout: &mut Checkout,
         target: &Target,
         batch: &Batch,
+        permission: Permission,
     ) -> Result<Vec<Answer>, Unanswered> {
         let _in_flight = InFlight::begin(&target.state);
         let started = Instant::now();
         let is_own = matches!(checkout, Checkout::Own(_));
-        let run = checkout.run(batch);
+        let run = checkout.run(batch, permission);
         tokio::pin!(run);
         let result = match tokio::time::timeout(SILENCE, &mut run).await {
             Ok(result) => result,
--- a/crates/dyketally-gateway/src/statement/mod.rs
+++ b/crates/dyketally-gateway/src/statement/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod batch;
 pub mod checkout;
+pub mod eligibility;
 pub mod hand_over;
 pub mod reach;
 pub mod read;
--- a/crates/dyketally-gateway/src/statement/reach.rs
+++ b/crates/dyketally-gateway/src/statement/reach.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::eligibility::ServingRegions;
 use dyketally::identifiers::GroupName;
 use tokio::time::Instant;
 
@@ -77,8 +78,8 @@
     /// Takes in that an attempt at `group` failed. True when the group has had no primary that this
     /// node can use for so long that statements which need one should be refused.
     pub fn is_unled(self: &Rc<Self>, group: &GroupName) -> bool {
-        let primary = self.primary_target(group);
-        if primary.is_some_and(|primary| !primary.state.is_suspended()) {
+        let primary = self.primary_target(group, &ServingRegions::anywhere());
+        if primary.is_ok_and(|primary| !primary.state.is_suspended()) {
             return false;
         }
         let state = self.group(group);
--- a/crates/dyketally-gateway/src/statement/read.rs
+++ b/crates/dyketally-gateway/src/statement/read.rs
@@ -19,7 +19,7 @@
 use crate::statement::batch::{Batch, Step};
 use crate::statement::checkout::Work;
 use crate::statement::hand_over::HandOver;
-use crate::statement::request::{Request, Served};
+use crate::statement::request::{Request, Served, Stage};
 use crate::statement::target::Target;
 use crate::statement::write::{Attempt, RETRY_PAUSE};
 
@@ -58,6 +58,13 @@
             let none_started = started.is_none();
             running.extend(started);
             let idle = may_start && none_started && running.is_empty();
+            if idle
+                && request
+                    .served_nowhere(self, request.need().is_none())
+                    .is_some()
+            {
+                return request.refuse(FailureKind::NotServedHere);
+            }
             if idle && self.is_unled(&request.route.group) {
                 return request.refuse(refusal);
             }
@@ -124,7 +131,7 @@
         };
         let group = &request.route.group;
         let known = need.position(&self.group(group).observations.borrow());
-        self.has_untried(group, known, tried)
+        self.has_untried(group, &request.regions, known, tried)
     }
 
     async fn choose_read(
@@ -136,17 +143,19 @@
         let Some(need) = request.need() else {
             self.counters.reads_bound_to_primaries.add();
             let pause = Instant::now() + RETRY_PAUSE;
-            let target = self.primary_by(group, pause.min(request.give_up())).await?;
-            return Some((target, Proof::Leads));
+            let until = pause.min(request.give_up());
+            let primary = self.primary_by(group, &request.regions, until).await;
+            return Some((primary.ok()?, Proof::Leads));
         };
         let state = self.group(group);
         let known = need.position(&state.observations.borrow());
-        let first = self.first_untried(group, known, tried)?;
+        let first = self.first_untried(group, &request.regions, known, tried)?;
         if let Some(position) = known {
             return Some((first, Proof::Holds(position)));
         }
         if first.leads {
-            return Some((self.primary_target(group)?, Proof::Leads));
+            let primary = self.primary_target(group, &request.regions);
+            return Some((primary.ok()?, Proof::Leads));
         }
         let confirmed = self.ensure_observation(group, need.covered, request.give_up());
         if confirmed.await.is_some()
@@ -154,8 +163,8 @@
         {
             return Some((first, Proof::Holds(position)));
         }
-        let primary = self.primary_target(group)?;
-        Some((primary, Proof::Leads))
+        let primary = self.primary_target(group, &request.regions);
+        Some((primary.ok()?, Proof::Leads))
     }
 
     async fn read_once(
@@ -178,7 +187,7 @@
         };
         let batch = Batch::of(request.context(), steps);
         let sent = self.now();
-        let exchange = request.exchange(self, &mut checkout, target, &batch);
+        let exchange = request.exchange(self, &mut checkout, target, &batch, Stage::First);
         let (answers, hand_over) = match exchange.await {
             Ok(answered) => answered,
             Err(unanswered) => return unanswered.into(),
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use dyketally::admission::Patience;
+use dyketally::eligibility::{Denial, Intent, ServingRegions};
 use dyketally::freshness::FreshnessNeed;
 use dyketally::group::LogPosition;
 use dyketally::route_policy::RoutePolicy;
@@ -23,6 +24,7 @@
 use crate::ports::DatabaseUser;
 use crate::statement::batch::{Batch, SessionContext, Step};
 use crate::statement::checkout::{Checkout, Claim, Unanswered, Work};
+use crate::statement::eligibility::failure_kind;
 use crate::statement::hand_over::{HandOver, HandOvers, Unrun};
 use crate::statement::target::Target;
 
@@ -37,6 +39,18 @@
 const REFUSED_AFTER_SHARE: f64 = 0.4;
 /// When callers are told to come back after a refusal.
 const COME_BACK_MS: u64 = 250;
+/// The same where no database may serve the statement: a primary may be on its way to one that may,
+/// which takes about so long.
+const NOT_SERVED_COME_BACK_MS: u64 = 1_000;
+
+/// Where a statement stands in its transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// A single statement, or the first one of a transaction.
+    First,
+    /// A further one of a transaction that is open at a database.
+    Further,
+}
 
 /// A prepared statement to run, with the caller's arguments.
 #[derive(Clone, Debug)]
@@ -61,6 +75,8 @@
     pub route: Rc<RoutePolicy>,
     /// Whose it is, where callers need a key.
     pub tenant: Option<Arc<Tenant>>,
+    /// The regions that serve it.
+    pub regions: ServingRegions,
     /// When the statement arrived, or its transaction did.
     pub arrived: Timestamp,
     /// When its session was connected.
@@ -110,9 +126,13 @@
 
     /// The statement has not run, as `_unrun` tells; the caller should come back.
     pub fn not_run(kind: FailureKind, _unrun: Unrun) -> Self {
+        let come_back_ms = match kind {
+            FailureKind::NotServedHere => NOT_SERVED_COME_BACK_MS,
+            _ => COME_BACK_MS,
+        };
         Self::failed(
             kind,
-            &format!("the statement has not run; come back after {COME_BACK_MS} ms"),
+            &format!("the statement has not run; come back after {come_back_ms} ms"),
         )
     }
 
@@ -193,6 +213,7 @@
             },
             work,
             user: Some(self.user()),
+            regions: self.regions.clone(),
         }
     }
 
@@ -226,7 +247,7 @@
         let limit = self.route.latency_objective.mul_f64(REFUSED_AFTER_SHARE);
         let elapsed = gateway.now().saturating_since(self.arrived);
         match refusal {
-            FailureKind::QueueTooLong => true,
+            FailureKind::QueueTooLong | FailureKind::NotServedHere => true,
             FailureKind::NoConnection | FailureKind::Overloaded => elapsed >= limit,
             _ => false,
         }
@@ -260,9 +281,16 @@
         checkout: &mut Checkout,
         target: &Target,
         batch: &Batch,
+        stage: Stage,
     ) -> Result<(Vec<Answer>, HandOver), Unanswered> {
+        let intent = match stage {
+            Stage::First => Intent::first(&self.regions, batch.needs_leader()),
+            Stage::Further => Intent::further(batch.needs_leader()),
+        };
+        let permission = gateway.may_send(target, &intent);
+        let permission = permission.map_err(|denial| Unanswered::NotRun(failure_kind(denial)))?;
         let hand_over = self.hand_overs.begin();
-        match gateway.exchange(checkout, target, batch).await {
+        match gateway.exchange(checkout, target, batch, permission).await {
             Ok(answers) => Ok((answers, hand_over)),
             Err(Unanswered::NotRun(kind)) => {
                 hand_over.rejected();
@@ -272,6 +300,14 @@
         }
     }
 
+    /// Why no database of the group can serve it for now, `needs_leader` or not; counted and logged.
+    pub fn served_nowhere(&self, gateway: &Gateway, needs_leader: bool) -> Option<Denial> {
+        let intent = Intent::first(&self.regions, needs_leader);
+        let denial = gateway.denied_for_good(&self.route.group, &intent)?;
+        gateway.report_served_nowhere(&self.route, &self.regions, denial);
+        Some(denial)
+    }
+
     /// Counts an attempt at a database.
     pub fn attempt(&self, gateway: &Gateway) {
         if self.attempts.get() > 0 {
--- a/crates/dyketally-gateway/src/statement/target.rs
+++ b/crates/dyketally-gateway/src/statement/target.rs
@@ -3,17 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::directory::{Member, MemberState};
+use dyketally::directory::Member;
+use dyketally::eligibility::{Denial, Intent, ServingRegions};
 use dyketally::group::LogPosition;
-use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::identifiers::{DatabaseName, GroupName, ZoneName};
 use dyketally::placement::Distance;
 use tokio::time::Instant;
 
 use crate::database::health::DatabaseState;
 use crate::gateway::Gateway;
 
-/// Share of the drain bound for which a leaving primary still gets work when nobody succeeds it.
-const LEAVING_PRIMARY_SHARE: f64 = 0.6;
 /// Added to the estimate of a database in another region, whose traffic is dear.
 const REGION_PENALTY_MS: f64 = 25.0;
 /// Added to the estimate of a replica that probably lacks what a read needs: the time that asking it in
@@ -29,6 +28,8 @@
     pub name: DatabaseName,
     /// Its group.
     pub group: GroupName,
+    /// Where it runs.
+    pub zone: ZoneName,
     /// The database as this node uses it.
     pub state: Rc<DatabaseState>,
     /// True when it is believed to lead.
@@ -36,30 +37,44 @@
 }
 
 impl Gateway {
-    /// The database that leads `group`, if it may get new work.
-    pub fn primary_target(&self, group: &GroupName) -> Option<Target> {
+    /// The database that leads `group`, if it may get new work that `regions` bind.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub fn primary_target(
+        &self,
+        group: &GroupName,
+        regions: &ServingRegions,
+    ) -> Result<Target, Denial> {
         let directory = self.directory.borrow();
-        let primary = directory.primary(group)?;
-        let usable = self.may_lead(primary) && !self.is_fenced(primary.name());
-        (usable && !self.is_unclear(group)).then(|| self.target(primary, true))
-    }
-
-    fn may_lead(&self, primary: &Member) -> bool {
-        let Some(leaving_since) = primary.leaving_since else {
-            return true;
-        };
-        let bound = self.settings.bounds.drain().mul_f64(LEAVING_PRIMARY_SHARE);
-        self.now().saturating_since(leaving_since) < bound
+        let primary = directory.primary(group).ok_or(Denial::Leaderless)?;
+        let permission = self.judge(primary, &Intent::first(regions, true))?;
+        // Whoever sends asks again.
+        drop(permission);
+        match self.is_unclear(group) {
+            true => Err(Denial::BeingReplaced),
+            false => Ok(self.target(primary, true)),
+        }
     }
 
-    /// The database that leads `group`, as soon as one is known, by `until` at the latest.
-    pub async fn primary_by(self: &Rc<Self>, group: &GroupName, until: Instant) -> Option<Target> {
+    /// The database that leads `group`, as soon as one is known that may get work which `regions`
+    /// bind, by `until` at the latest.
+    ///
+    /// # Errors
+    /// Why there is none; at once if waiting won't help.
+    pub async fn primary_by(
+        self: &Rc<Self>,
+        group: &GroupName,
+        regions: &ServingRegions,
+        until: Instant,
+    ) -> Result<Target, Denial> {
         loop {
-            if let Some(target) = self.primary_target(group) {
-                return Some(target);
-            }
-            if Instant::now() >= until {
-                return None;
+            let denial = match self.primary_target(group, regions) {
+                Ok(target) => return Ok(target),
+                Err(denial) => denial,
+            };
+            if denial.is_lasting() || Instant::now() >= until {
+                return Err(denial);
             }
             self.search_primary(group);
             let pause = (Instant::now() + SEARCH_INTERVAL).min(until);
@@ -67,15 +82,22 @@
         }
     }
 
-    /// The databases that may serve a read whose log must hold `needed`, best first.
-    pub fn read_targets(&self, group: &GroupName, needed: Option<LogPosition>) -> Vec<Target> {
+    /// The databases that may serve a read that `regions` bind and whose log must hold `needed`, best
+    /// first.
+    pub fn read_targets(
+        &self,
+        group: &GroupName,
+        regions: &ServingRegions,
+        needed: Option<LogPosition>,
+    ) -> Vec<Target> {
         let directory = self.directory.borrow();
         let primary = directory
             .primary(group)
             .map(|primary| primary.name().clone());
+        let intent = Intent::first(regions, false);
         let ready = directory
             .members(group)
-            .filter(|member| member.state == MemberState::Ready);
+            .filter(|member| self.judge(member, &intent).is_ok());
         let is_too_new = self.age_of(group, needed) < self.replica_lag.get().value(self.now());
         let mut ranked: Vec<(f64, Target)> = ready
             .map(|member| {
@@ -100,10 +122,11 @@
     pub fn has_untried(
         &self,
         group: &GroupName,
+        regions: &ServingRegions,
         needed: Option<LogPosition>,
         tried: &[DatabaseName],
     ) -> bool {
-        let targets = self.read_targets(group, needed);
+        let targets = self.read_targets(group, regions, needed);
         let usable = |target: &Target| {
             let behind = needed.is_some_and(|needed| target.state.is_behind(needed));
             !tried.contains(&target.name) && !behind && !target.state.is_suspended()
@@ -115,10 +138,11 @@
     pub fn first_untried(
         &self,
         group: &GroupName,
+        regions: &ServingRegions,
         needed: Option<LogPosition>,
         tried: &mut Vec<DatabaseName>,
     ) -> Option<Target> {
-        let targets = self.read_targets(group, needed);
+        let targets = self.read_targets(group, regions, needed);
         let untried = targets.iter().find(|target| !tried.contains(&target.name));
         if let Some(untried) = untried {
             return Some(untried.clone());
@@ -160,6 +184,7 @@
         Target {
             name: announcement.database.clone(),
             group: announcement.group.clone(),
+            zone: announcement.zone.clone(),
             state,
             leads,
         }
--- a/crates/dyketally-gateway/src/statement/transaction.rs
+++ b/crates/dyketally-gateway/src/statement/transaction.rs
@@ -17,7 +17,7 @@
 use crate::quota::Permit;
 use crate::statement::batch::{Batch, Flow, Reset, Step};
 use crate::statement::checkout::{Checkout, Unanswered, Work};
-use crate::statement::request::{Request, Served};
+use crate::statement::request::{Request, Served, Stage};
 use crate::statement::target::Target;
 use crate::statement::write::RETRY_PAUSE;
 
@@ -220,7 +220,8 @@
         let mut batch = Batch::of(request.context(), vec![request.step(None)]);
         batch.reset = reset;
         let sent = gateway.now();
-        let exchange = request.exchange(gateway, &mut bound.checkout, &bound.target, &batch);
+        let (checkout, target) = (&mut bound.checkout, &bound.target);
+        let exchange = request.exchange(gateway, checkout, target, &batch, Stage::Further);
         let (mut answers, hand_over) = exchange.await.ok()?;
         let answer = answers.pop()?;
         if answer.was_rejected() {
@@ -254,6 +255,10 @@
                 }
                 Ok(First::NotRun(_) | First::Lost) => {
                     self.drop_bound();
+                    let needs_leader = self.need(request).is_none();
+                    if request.served_nowhere(gateway, needs_leader).is_some() {
+                        return Err("no database of the group may serve it");
+                    }
                     let unled = gateway.is_unled(&request.route.group);
                     if unled && !self.may_try_another(gateway, request, &passed_over) {
                         return Err("the group has had no primary in reach for long");
@@ -295,7 +300,7 @@
         batch.flow = Flow::UntilFailure;
         batch.reset = self.reset_after_failure();
         let sent = gateway.now();
-        let exchange = request.exchange(gateway, &mut checkout, &target, &batch);
+        let exchange = request.exchange(gateway, &mut checkout, &target, &batch, Stage::First);
         let (answers, hand_over) = match exchange.await {
             Ok(answered) => answered,
             Err(Unanswered::NotRun(kind)) => {
@@ -366,7 +371,7 @@
         };
         let group = &request.route.group;
         let known = need.position(&gateway.group(group).observations.borrow());
-        gateway.has_untried(group, known, tried)
+        gateway.has_untried(group, &request.regions, known, tried)
     }
 
     async fn choose(
@@ -378,7 +383,8 @@
         let group = &request.route.group;
         let until = (Instant::now() + RETRY_PAUSE).min(request.give_up());
         let Some(need) = self.need(request) else {
-            return Some((gateway.primary_by(group, until).await?, None));
+            let primary = gateway.primary_by(group, &request.regions, until).await;
+            return Some((primary.ok()?, None));
         };
         let state = gateway.group(group);
         let mut position = need.position(&state.observations.borrow());
@@ -387,7 +393,7 @@
             asked.await?;
             position = need.position(&state.observations.borrow());
         }
-        let target = gateway.first_untried(group, position, passed_over)?;
+        let target = gateway.first_untried(group, &request.regions, position, passed_over)?;
         Some((target, position))
     }
 
--- a/crates/dyketally-gateway/src/statement/write.rs
+++ b/crates/dyketally-gateway/src/statement/write.rs
@@ -10,7 +10,7 @@
 use crate::gateway::Gateway;
 use crate::statement::batch::Batch;
 use crate::statement::checkout::{Checkout, Unanswered, Work};
-use crate::statement::request::{Request, Served};
+use crate::statement::request::{Request, Served, Stage};
 use crate::statement::target::Target;
 
 /// Pause before a statement that was not run is sent again.
@@ -33,9 +33,16 @@
         loop {
             let group = &request.route.group;
             let patience = self.group(group).unled.wait_until(request.give_up());
-            let Some(target) = self.primary_by(group, patience).await else {
-                self.group(group).unled.missed();
-                return request.refuse(refusal);
+            let target = match self.primary_by(group, &request.regions, patience).await {
+                Ok(target) => target,
+                Err(denial) if denial.is_lasting() => {
+                    self.report_served_nowhere(&request.route, &request.regions, denial);
+                    return request.refuse(FailureKind::NotServedHere);
+                }
+                Err(_) => {
+                    self.group(group).unled.missed();
+                    return request.refuse(refusal);
+                }
             };
             let attempt = self.write_once(request, &target);
             match tokio::time::timeout_at(request.deadline, attempt).await {
@@ -64,7 +71,7 @@
         let batch = Batch::of(request.context(), vec![request.step(None)]);
         request.attempt(self);
         let sent = self.now();
-        let exchange = request.exchange(self, &mut checkout, target, &batch);
+        let exchange = request.exchange(self, &mut checkout, target, &batch, Stage::First);
         let (mut answers, hand_over) = match exchange.await {
             Ok(answered) => answered,
             Err(unanswered) => return unanswered.into(),
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -11,7 +11,7 @@
 
 use super::SUBJECTS;
 use super::message::{FeedMessage, Ping, decode, encode};
-use crate::counters::SentBytes;
+use crate::counters::CountsByKind;
 use crate::fleet::link::frames;
 use crate::gateway::Gateway;
 
@@ -78,7 +78,7 @@
 
 /// Sends a message; `None` if it can't be sent, or there is none.
 async fn send(
-    sent: &SentBytes,
+    sent: &CountsByKind,
     kind: &'static str,
     sink: &mut (impl Sink<Bytes, Error = io::Error> + Unpin),
     message: Option<Bytes>,
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -7,6 +7,7 @@
 
 use dyketally::admission::Patience;
 use dyketally::directory::MemberState;
+use dyketally::eligibility::{Permission, ServingRegions};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::GroupName;
 use dyketally::statement::{DatabaseStatus, FailureKind, TransactionState};
@@ -70,7 +71,7 @@
         let group = group.clone();
         tokio::task::spawn_local(async move {
             let sent = gateway.now();
-            if let Some(target) = gateway.primary_target(&group) {
+            if let Ok(target) = gateway.primary_target(&group, &ServingRegions::anywhere()) {
                 gateway.confirm_leader(&target).await;
             }
             let state = gateway.group(&group);
@@ -104,7 +105,9 @@
         self.counters.confirmations.add();
         let sent = self.now();
         let batch = Batch::own([OwnStatement::Begin, OwnStatement::Rollback]);
-        let Ok(answers) = self.exchange(&mut checkout, target, &batch).await else {
+        let permission = Permission::control(&target.name);
+        let exchange = self.exchange(&mut checkout, target, &batch, permission);
+        let Ok(answers) = exchange.await else {
             return Confirmation::Unclear;
         };
         let ended = answers[1].state == TransactionState::Idle;
@@ -178,7 +181,9 @@
                 let checkout = self.checkout_for(target, &values, own_claim(until));
                 let mut checkout = checkout.await.ok()?;
                 let batch = Batch::own([statement.clone()]);
-                let answers = self.exchange(&mut checkout, target, &batch).await.ok()?;
+                let permission = Permission::control(&target.name);
+                let exchange = self.exchange(&mut checkout, target, &batch, permission);
+                let answers = exchange.await.ok()?;
                 let answer = answers.into_iter().next()?;
                 checkout.give_back();
                 match answer.end {
@@ -205,5 +210,6 @@
         },
         work: Work::Statements,
         user: None,
+        regions: ServingRegions::anywhere(),
     }
 }
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use dyketally::directory::MemberState;
+use dyketally::eligibility::ServingRegions;
 use dyketally::failover::{Appointments, PollResult, Verdict, judge};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
@@ -27,6 +28,8 @@
 const PROLONGED: Duration = Duration::from_millis(2_500);
 /// How long a database that can be reached again may take to announce itself.
 const LISTED_AGAIN: Duration = Duration::from_secs(2);
+/// Pause between two moves of one group's primary to other regions: each interrupts its writes.
+const MOVE_PAUSE: Duration = Duration::from_secs(10);
 /// Pause after an attempt that failed.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a group may be without a known primary before it is given one.
@@ -43,6 +46,8 @@
     busy: RefCell<HashSet<GroupName>>,
     /// When a fence around the primary of a group couldn't be closed.
     unclosed: RefCell<HashMap<GroupName, Instant>>,
+    /// When a group's primary was last moved to other regions, or should have been.
+    moved: RefCell<HashMap<GroupName, Instant>>,
 }
 
 /// Why a primary is replaced.
@@ -53,6 +58,10 @@
     /// It no longer announces itself, which may be the store's fault or its path to the store's: it
     /// may lead as before, and should hand over.
     Unlisted(Target),
+    /// Its zone is evacuated, and a database elsewhere can take over.
+    Evacuated(Target),
+    /// More of what may ask for it is served in these regions.
+    Misplaced(Target, ServingRegions),
     /// No node reaches it. It was suspected this long ago.
     Lost(Target, Duration),
     /// Nobody leads.
@@ -63,7 +72,11 @@
     /// The primary that is replaced.
     pub(super) fn old(&self) -> Option<&Target> {
         match self {
-            Self::Leaves(old) | Self::Unlisted(old) | Self::Lost(old, _) => Some(old),
+            Self::Leaves(old)
+            | Self::Unlisted(old)
+            | Self::Evacuated(old)
+            | Self::Misplaced(old, _)
+            | Self::Lost(old, _) => Some(old),
             Self::Leaderless => None,
         }
     }
@@ -92,6 +105,7 @@
             control,
             busy: RefCell::default(),
             unclosed: RefCell::default(),
+            moved: RefCell::default(),
             appointments: RefCell::default(),
         })
     }
@@ -161,6 +175,15 @@
             }
             _ => {}
         }
+        if holds
+            && self.gateway.is_evacuated(&primary.zone)
+            && self.gateway.has_successor(group, &primary.name)
+        {
+            return Some(Cause::Evacuated(primary));
+        }
+        if holds && let Some(regions) = self.better_regions(group, &primary) {
+            return Some(Cause::Misplaced(primary, regions));
+        }
         let key = (group.clone(), primary.name.clone());
         let since = self.suspicions().borrow().get(&key).copied()?;
         match self.verdict(&primary, since).await {
@@ -191,6 +214,17 @@
             .is_some_and(|at| at.elapsed() < LISTED_AGAIN)
     }
 
+    /// Where the group should be led from rather than by `primary`, if it is time to move it.
+    fn better_regions(&self, group: &GroupName, primary: &Target) -> Option<ServingRegions> {
+        let regions = self.gateway.preferred_regions(primary)?;
+        let mut moved = self.moved.borrow_mut();
+        if moved.get(group).is_some_and(|at| at.elapsed() < MOVE_PAUSE) {
+            return None;
+        }
+        moved.insert(group.clone(), Instant::now());
+        Some(regions)
+    }
+
     fn suspicions(&self) -> &RefCell<HashMap<(GroupName, DatabaseName), Instant>> {
         &self.gateway.membership.suspicions
     }
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dyketally::directory::MemberState;
+use dyketally::eligibility::ServingRegions;
 use dyketally::failover::{Candidate, Succession, choose_successor};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
@@ -30,12 +31,18 @@
     /// Gives the group another primary; true when it leads.
     pub(super) async fn replace(self: &Rc<Self>, group: &GroupName, cause: &Cause) -> bool {
         let succeeded = match cause {
-            Cause::Leaves(old) | Cause::Unlisted(old) => match self.hand_over(group, old).await {
-                Handover::Leads => true,
-                Handover::Failed => false,
-                // It doesn't answer, so it is replaced like one that is lost.
-                Handover::Unheard => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
-            },
+            Cause::Leaves(old) | Cause::Unlisted(old) | Cause::Evacuated(old) => {
+                let anywhere = ServingRegions::anywhere();
+                match self.hand_over(group, old, &anywhere).await {
+                    Handover::Leads => true,
+                    Handover::Failed => false,
+                    // It doesn't answer, so it is replaced like one that is lost.
+                    Handover::Unheard => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
+                }
+            }
+            Cause::Misplaced(old, regions) => {
+                self.hand_over(group, old, regions).await == Handover::Leads
+            }
             Cause::Lost(old, suspected) => self.take_over(group, Some(old), *suspected).await,
             Cause::Leaderless => self.take_over(group, None, LEADERLESS).await,
         };
@@ -45,9 +52,15 @@
         succeeded
     }
 
-    /// Has the old primary step down, and the database succeed it that has its whole log.
-    async fn hand_over(self: &Rc<Self>, group: &GroupName, old: &Target) -> Handover {
-        let surveyed = self.survey(group, Some(old), OwnStatement::Status).await;
+    /// Has the old primary step down, and the database in `regions` succeed it that has its whole log.
+    async fn hand_over(
+        self: &Rc<Self>,
+        group: &GroupName,
+        old: &Target,
+        regions: &ServingRegions,
+    ) -> Handover {
+        let mut surveyed = self.survey(group, Some(old), OwnStatement::Status).await;
+        self.restrict(&mut surveyed.candidates, regions);
         if let Some(leading) = &surveyed.leading {
             self.found(group, leading);
             return Handover::Leads;
@@ -58,7 +71,9 @@
         let Some(position) = self.step_down(old, surveyed.newest_term + 1).await else {
             return Handover::Unheard;
         };
-        let successor = self.caught_up(group, old, position, successor).await;
+        let successor = self
+            .caught_up(group, old, position, successor, regions)
+            .await;
         match self.appoint(group, &successor).await {
             Appointed::Leads => Handover::Leads,
             Appointed::Perhaps | Appointed::Never => Handover::Failed,
@@ -232,13 +247,25 @@
             member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
         });
         let described = members.map(|member| {
-            let ready = member.state == MemberState::Ready;
+            let evacuated = self.gateway.is_evacuated(&member.announcement.zone);
+            let ready = member.state == MemberState::Ready && !evacuated;
             let preference = self.gateway.distance(member) as u32;
             (self.gateway.target(member, false), ready, preference)
         });
         described.collect()
     }
 
+    /// Leaves only those candidates ready that are in `regions`.
+    fn restrict(&self, candidates: &mut [Candidate], regions: &ServingRegions) {
+        let directory = self.gateway.directory.borrow();
+        for candidate in candidates {
+            let member = directory.member(&candidate.name);
+            let zone = member.map(|member| &member.announcement.zone);
+            let region = zone.map(|zone| self.gateway.region_of_zone(zone));
+            candidate.ready &= region.is_some_and(|region| regions.allows(&region));
+        }
+    }
+
     /// Takes the lead from `old`, so that its log ends; the end of that log. Goes by way of another
     /// node if this one doesn't reach it.
     async fn step_down(&self, old: &Target, term: u64) -> Option<LogPosition> {
@@ -263,11 +290,13 @@
         old: &Target,
         position: LogPosition,
         chosen: DatabaseName,
+        regions: &ServingRegions,
     ) -> DatabaseName {
         let until = Instant::now() + CATCH_UP_LIMIT;
         let mut chosen = chosen;
         while Instant::now() < until {
-            let survey = self.survey(group, Some(old), OwnStatement::Status).await;
+            let mut survey = self.survey(group, Some(old), OwnStatement::Status).await;
+            self.restrict(&mut survey.candidates, regions);
             let candidates: Vec<Candidate> = survey
                 .candidates
                 .into_iter()
--- a/crates/dyketally/src/directory.rs
+++ b/crates/dyketally/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::group::Role;
 use crate::identifiers::{DatabaseName, GroupName, ZoneName};
@@ -35,6 +36,8 @@
     pub ready: bool,
     /// The role it believes it has.
     pub role: Role,
+    /// How much longer it bears less than its full load after its start.
+    pub cold_for: Duration,
 }
 
 /// A database with what is known of it.
--- /dev/null
+++ b/crates/dyketally/src/eligibility/evacuations.rs
@@ -0,0 +1,70 @@
+//! Zones whose databases get nothing more, by the operators' request.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::identifiers::ZoneName;
+use crate::time::Timestamp;
+
+/// The zones that are evacuated, and since when this node knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    zones: BTreeMap<ZoneName, Timestamp>,
+}
+
+/// What changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationChange {
+    /// A zone is evacuated from now on.
+    Began(ZoneName),
+    /// A zone is used again.
+    Ended(ZoneName),
+}
+
+impl Evacuations {
+    /// Takes in a request to evacuate a zone. One that is known already keeps its time.
+    pub fn requested(&mut self, now: Timestamp, zone: ZoneName) -> Option<EvacuationChange> {
+        if self.zones.contains_key(&zone) {
+            return None;
+        }
+        self.zones.insert(zone.clone(), now);
+        Some(EvacuationChange::Began(zone))
+    }
+
+    /// Takes in that a zone is taken back.
+    pub fn taken_back(&mut self, zone: &ZoneName) -> Option<EvacuationChange> {
+        let removed = self.zones.remove(zone);
+        removed.map(|_| EvacuationChange::Ended(zone.clone()))
+    }
+
+    /// Takes in all requests that stand: those it lacks were taken back.
+    pub fn replaced(
+        &mut self,
+        now: Timestamp,
+        standing: &BTreeSet<ZoneName>,
+    ) -> Vec<EvacuationChange> {
+        let ended = self.zones.keys().filter(|zone| !standing.contains(*zone));
+        let ended: Vec<ZoneName> = ended.cloned().collect();
+        let mut changes: Vec<EvacuationChange> = Vec::new();
+        changes.extend(ended.iter().filter_map(|zone| self.taken_back(zone)));
+        let requested = standing.iter().cloned();
+        changes.extend(requested.filter_map(|zone| self.requested(now, zone)));
+        changes
+    }
+
+    /// For how long a zone has been evacuated, if it is.
+    pub fn evacuated_for(&self, zone: &ZoneName, now: Timestamp) -> Option<Duration> {
+        let since = self.zones.get(zone)?;
+        Some(now.saturating_since(*since))
+    }
+
+    /// True while a zone is evacuated.
+    pub fn contains(&self, zone: &ZoneName) -> bool {
+        self.zones.contains_key(zone)
+    }
+
+    /// The zones that are evacuated.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.zones.keys()
+    }
+}
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod document;
 pub mod drain;
+pub mod eligibility;
 pub mod failover;
 pub mod freshness;
 pub mod group;
--- a/crates/dyketally/src/route_policy.rs
+++ b/crates/dyketally/src/route_policy.rs
@@ -1,13 +1,14 @@
 //! Routes from the database that a caller names to the group that serves it, as of one revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::eligibility::{Demand, ServingRegions};
 use crate::freshness::ReadConsistency;
-use crate::identifiers::GroupName;
+use crate::identifiers::{GroupName, RegionName};
 use crate::policy::Revision;
-use crate::tenant::{ApiKey, Tenant, TenantDirectory};
+use crate::tenant::{ApiKey, OperationRate, Tenant, TenantDirectory};
 
 /// How the statements of one named database are treated.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +27,18 @@
     pub priority: u32,
     /// True when callers need no key.
     pub auth_exempt: bool,
+    /// Regions that serve it.
+    pub regions: ServingRegions,
+}
+
+impl RoutePolicy {
+    /// Regions that serve `tenant` on this route: those that both allow.
+    pub fn regions_for(&self, tenant: Option<&Tenant>) -> ServingRegions {
+        match tenant {
+            Some(tenant) => self.regions.and(&tenant.regions),
+            None => self.regions.clone(),
+        }
+    }
 }
 
 /// No tenant has the caller's key.
@@ -40,6 +53,17 @@
     pub connection_limit: u32,
     /// Replicas that must have received a commit before it is acknowledged.
     pub acknowledging_replicas: u32,
+    /// How its databases start; `None` where they bear their full load at once.
+    pub slow_start: Option<SlowStart>,
+}
+
+/// How databases of a group come to bear their full load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowStart {
+    /// For how long a database is cold after its start.
+    pub cold_for: Duration,
+    /// Requests that a cold database bears.
+    pub rate: OperationRate,
 }
 
 /// All routes and groups of one revision.
@@ -76,6 +100,48 @@
         }
     }
 
+    /// The regions that routes and tenants name.
+    pub fn named_regions(&self) -> BTreeSet<RegionName> {
+        let routes = self.routes.values();
+        let routes = routes.flat_map(|route| route.regions.named());
+        let tenants = self.tenants.iter().flat_map(|tenants| tenants.tenants());
+        let tenants = tenants.flat_map(|tenant| tenant.regions.named());
+        routes.chain(tenants).cloned().collect()
+    }
+
+    /// True when some route or tenant isn't served everywhere.
+    pub fn binds_regions(&self) -> bool {
+        let routes = self.routes.values();
+        let mut routes = routes.map(|route| &route.regions);
+        let tenants = self.tenants.iter().flat_map(|tenants| tenants.tenants());
+        let mut tenants = tenants.map(|tenant| &tenant.regions);
+        routes.any(|regions| !regions.is_anywhere())
+            || tenants.any(|regions| !regions.is_anywhere())
+    }
+
+    /// What may ask for the primary of `group`, by the regions that serve it. Tenants weigh by their
+    /// rates; bounded reads don't count, since replicas serve them.
+    pub fn demands(&self, group: &GroupName) -> Vec<Demand> {
+        let routes = self.routes.values().filter(|route| {
+            &route.group == group
+                && !matches!(route.consistency, ReadConsistency::BoundedStaleness { .. })
+        });
+        let by_route = routes.map(|route| match &self.tenants {
+            Some(tenants) if !route.auth_exempt => {
+                let demands = tenants.tenants().map(|tenant| Demand {
+                    regions: route.regions_for(Some(tenant)),
+                    weight: tenant.weight(),
+                });
+                demands.collect()
+            }
+            _ => vec![Demand {
+                regions: route.regions.clone(),
+                weight: 1.0,
+            }],
+        });
+        by_route.flatten().collect()
+    }
+
     /// The longest staleness bound of any route of `group`.
     pub fn longest_bound(&self, group: &GroupName) -> Duration {
         let routes = self.routes.values().filter(|route| &route.group == group);
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -79,6 +79,9 @@
     Unauthenticated,
     /// The tenant has used up the operations that it may ask for.
     QuotaExceeded,
+    /// No database that may serve the statement is where its route and its tenant are served, or in
+    /// a zone that isn't evacuated.
+    NotServedHere,
     /// The database has no free slot.
     Busy,
     /// No connection to the database was free in time.
@@ -114,7 +117,8 @@
     pub fn not_run(self) -> bool {
         matches!(
             self,
-            FailureKind::Busy
+            FailureKind::NotServedHere
+                | FailureKind::Busy
                 | FailureKind::NoConnection
                 | FailureKind::QueueTooLong
                 | FailureKind::ReplicaBehind
--- a/crates/dyketally/src/tenant/directory.rs
+++ b/crates/dyketally/src/tenant/directory.rs
@@ -89,6 +89,11 @@
         self.by_name.get(name)
     }
 
+    /// All tenants, by name.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.by_name.values().map(|tenant| &**tenant)
+    }
+
     /// Number of tenants.
     pub fn len(&self) -> usize {
         self.by_name.len()
--- a/crates/dyketally/src/tenant/mod.rs
+++ b/crates/dyketally/src/tenant/mod.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::eligibility::ServingRegions;
 use crate::identifiers::TenantName;
 
 pub use api_key::ApiKey;
@@ -20,6 +21,15 @@
     pub priority: u32,
     /// How many operations it may ask for; `None` for as many as it likes.
     pub quota: Option<Quota>,
+    /// Regions that serve it.
+    pub regions: ServingRegions,
+}
+
+impl Tenant {
+    /// How much it may ask for relative to others: operations a second, 1 where they aren't limited.
+    pub fn weight(&self) -> f64 {
+        self.quota.map_or(1.0, |quota| f64::from(quota.rate.0))
+    }
 }
 
 /// Operations that a tenant may ask for, over all nodes together.
--- a/crates/dyketally/tests/directory.rs
+++ b/crates/dyketally/tests/directory.rs
@@ -20,6 +20,7 @@
         slots: 3,
         ready,
         role,
+        cold_for: Duration::ZERO,
     }
 }
 
