Refuse sessions, and unfinished messages, before descriptors and memory run out

Cause: a node took every connection and every byte. Where a zone's callers meet few nodes a small one (4,300 descriptors, 160 MB) would have none left for links and databases, and 160 callers with an unfinished message of 1 MiB each would end it. Change: dyketally::capacity decides from the settings' descriptors and memory: beyond its sessions a node tells callers to go elsewhere, beyond 128 of these it closes connections at once, and it isn't ready until a tenth of its sessions are gone. Unfinished messages of all sessions together keep a quarter of the memory at most. Nothing changes without the settings.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -42,6 +42,8 @@
 pub struct Counters {
     /// Sessions opened.
     pub sessions: Counter,
+    /// Connections of callers that were refused since this node had no room for them.
+    pub sessions_refused: Counter,
     /// Single statements and statements of transactions that succeeded.
     pub served: Counter,
     /// Statements that failed.
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -51,6 +51,13 @@
         /// What is wrong.
         reason: &'a str,
     },
+    /// This node has no room for further sessions, so it isn't ready; or it has room again.
+    SessionsFull {
+        /// True while there is no room.
+        full: bool,
+        /// Sessions that are open.
+        open: u32,
+    },
     /// Operators request that the databases of a zone get nothing more.
     EvacuationBegan {
         /// The zone.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 use crate::measures::Measures;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::quota::Quotas;
+use crate::session::Sessions;
 use crate::settings::Settings;
 use crate::statement::reach::Unled;
 use crate::store::feed::Feed;
@@ -93,8 +94,8 @@
     pub counters: Counters,
     /// The same for its metrics, with times.
     pub measures: Rc<Measures>,
-    /// Sessions that are open.
-    pub sessions: Cell<usize>,
+    /// Sessions that are open, and how many there may be.
+    pub sessions: Sessions,
     /// Calls of other nodes that run here, and their transactions that are open.
     pub calls: Cell<usize>,
     /// Zones whose databases get nothing more.
@@ -137,6 +138,7 @@
         store_calls: Arc<StoreCalls>,
     ) -> Rc<Self> {
         let quotas = Quotas::new(settings.bounds.quota_slack);
+        let sessions = Sessions::new(settings.node.capacity());
         Rc::new(Self {
             settings,
             caller_protocol,
@@ -147,7 +149,7 @@
             peers: RefCell::default(),
             counters: Counters::new(store_calls),
             measures: Rc::default(),
-            sessions: Cell::new(0),
+            sessions,
             calls: Cell::new(0),
             evacuations: RefCell::default(),
             homes: Homes::default(),
@@ -180,9 +182,10 @@
         self.routes.borrow().clone()
     }
 
-    /// True when the process knows routes and databases.
+    /// True when the process knows routes and databases, and has room for sessions.
     pub fn is_ready(&self) -> bool {
-        self.configured.get() && self.listed.get().is_some() && !self.is_stopping()
+        let is_informed = self.configured.get() && self.listed.get().is_some();
+        is_informed && !self.is_stopping() && !self.sessions.is_full()
     }
 
     /// True when a configuration is in force.
--- a/crates/dyketally-gateway/src/measures.rs
+++ b/crates/dyketally-gateway/src/measures.rs
@@ -233,7 +233,7 @@
         let set = |name: &str, help: &str, value: usize| {
             gauge(registry, name, help, Some(value as f64));
         };
-        set("dyketally_sessions", "Open sessions.", self.sessions.get());
+        set("dyketally_sessions", "Open sessions.", self.sessions.open());
         set(
             "dyketally_nodes",
             "Nodes that run.",
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -167,9 +167,7 @@
 async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(session::serve(gateway.clone(), stream));
-            }
+            Ok((stream, _)) => session::accept(&gateway, stream),
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         }
     }
@@ -200,7 +198,7 @@
     let last = began + bound.mul_f64(STOP_SHARE);
     let transactions = began + bound.mul_f64(TRANSACTIONS_SHARE);
     gateway.events.write(&Event::Stopping {
-        sessions: gateway.sessions.get(),
+        sessions: gateway.sessions.open(),
     });
     gateway.enter(StopPhase::Leaving);
     // The leases run out by themselves if the store doesn't answer.
@@ -212,12 +210,12 @@
     gateway.enter(StopPhase::EndingTransactions);
     wait_for_sessions(gateway, last).await;
     gateway.events.write(&Event::Stopped {
-        sessions: gateway.sessions.get(),
+        sessions: gateway.sessions.open(),
     });
 }
 
 async fn wait_for_sessions(gateway: &Rc<Gateway>, until: Instant) {
-    while gateway.sessions.get() + gateway.calls.get() > 0 && Instant::now() < until {
+    while gateway.sessions.open() + gateway.calls.get() > 0 && Instant::now() < until {
         tokio::time::sleep(STOP_LOOK).await;
     }
 }
--- a/crates/dyketally-gateway/src/session/caller.rs
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -11,12 +11,15 @@
 
 use super::Session;
 use super::admission::Admission;
+use super::sessions::Buffered;
 use crate::gateway::Gateway;
 use crate::ports::{CallerMessage, Reply};
 use crate::statement::request::Served;
 
 /// Longest time from the connection to the first message.
 const INTRODUCTION_LIMIT: Duration = Duration::from_secs(5);
+/// The same where the caller is refused whatever it asks for: each of them holds a descriptor.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time that a new session waits for a first configuration.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_600);
 /// Longest time that a caller may take to accept an answer.
@@ -29,6 +32,8 @@
     gateway: Rc<Gateway>,
     stream: TcpStream,
     input: BytesMut,
+    /// Its share of the input that this node keeps.
+    buffered: Buffered,
 }
 
 /// What a session waits for.
@@ -43,10 +48,12 @@
 impl Caller {
     /// A connection that was just accepted.
     pub(super) fn new(gateway: Rc<Gateway>, stream: TcpStream) -> Self {
+        let buffered = Buffered::none(&gateway);
         Self {
             gateway,
             stream,
             input: BytesMut::new(),
+            buffered,
         }
     }
 
@@ -79,6 +86,18 @@
         Some(Session::new(&self.gateway, database, key))
     }
 
+    /// Waits for the first message for a moment, and tells the caller to go to another node.
+    pub(super) async fn refuse_introduction(&mut self) {
+        let message = tokio::time::timeout(REFUSAL_LIMIT, self.next_message()).await;
+        if let Ok(Next::Message(_)) = message {
+            let served = Served::failed(
+                FailureKind::Overloaded,
+                "this node has no room for another session; connect to another one",
+            );
+            self.refuse(served).await;
+        }
+    }
+
     /// Tells the caller why there is no session, or no longer one.
     pub(super) async fn refuse(&mut self, served: Served) {
         if let Err(failure) = served.end {
@@ -95,6 +114,10 @@
                 Ok(None) => {}
                 Err(error) => return Next::Garbage(error.to_string()),
             }
+            self.buffered.set(self.input.len());
+            if !self.buffered.fits() {
+                return Next::Garbage("this node has no memory left for long messages".to_owned());
+            }
             self.input.reserve(READ_CHUNK);
             match self.stream.read_buf(&mut self.input).await {
                 Ok(0) | Err(_) => return Next::Closed,
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -2,12 +2,14 @@
 
 mod admission;
 mod caller;
+mod sessions;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dyketally::capacity::SessionVerdict;
 use dyketally::group::LogPosition;
 use dyketally::policy::Access;
 use dyketally::statement::{FailureKind, PreparedStatement, StatementKind, TransactionState};
@@ -18,6 +20,8 @@
 
 use self::admission::Admission;
 use self::caller::{Caller, Next};
+use self::sessions::OpenSession;
+pub use self::sessions::Sessions;
 use crate::database::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement};
@@ -31,16 +35,40 @@
 /// What signs a statement that the gateway answers itself.
 const OWN_SIGNATURE: &[u8] = b"-";
 
+/// Serves a connection that a caller opened, or refuses it where there is no room.
+pub fn accept(gateway: &Rc<Gateway>, stream: TcpStream) {
+    let verdict = gateway.sessions.judge();
+    if verdict != SessionVerdict::Serve {
+        gateway.counters.sessions_refused.add();
+    }
+    if verdict == SessionVerdict::Close {
+        return;
+    }
+    let open = OpenSession::begin(gateway);
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        match verdict {
+            SessionVerdict::Serve => serve(gateway, stream, open).await,
+            SessionVerdict::Refuse | SessionVerdict::Close => refuse(gateway, stream, open).await,
+        }
+    });
+}
+
 /// Serves one caller until it leaves or the process stops.
-pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, _open: OpenSession) {
     prepare_socket(&stream);
-    gateway.sessions.set(gateway.sessions.get() + 1);
     gateway.counters.sessions.add();
     let mut caller = Caller::new(gateway.clone(), stream);
     if let Some(mut session) = caller.introduce().await {
         session.run(&mut caller).await;
     }
-    gateway.sessions.set(gateway.sessions.get() - 1);
+}
+
+/// Tells a caller that this node has no room for it.
+async fn refuse(gateway: Rc<Gateway>, stream: TcpStream, _open: OpenSession) {
+    prepare_socket(&stream);
+    let mut caller = Caller::new(gateway, stream);
+    caller.refuse_introduction().await;
 }
 
 struct Session {
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dyketally::capacity::Capacity;
 use dyketally::identifiers::{Locality, NodeName, RegionName, ZoneName};
 use dyketally::placement::NORMAL_WEIGHT;
 use serde::Deserialize;
@@ -59,6 +60,10 @@
     /// databases.
     #[serde(default = "whole_processor")]
     pub processor_share: f64,
+    /// Descriptors that it may open; not limited if it isn't given.
+    pub descriptors: Option<u32>,
+    /// Memory that it may use, in megabytes; not limited if it isn't given.
+    pub memory_mb: Option<u32>,
     /// True when the whole system starts for the first time, so that nobody is served yet and nodes
     /// may take their time to get to know each other.
     #[serde(default)]
@@ -78,6 +83,14 @@
 }
 
 impl NodeSettings {
+    /// What it can hold.
+    pub fn capacity(&self) -> Capacity {
+        Capacity {
+            descriptors: self.descriptors,
+            memory_mb: self.memory_mb,
+        }
+    }
+
     /// Its share of the databases that it keeps connections to, relative to other nodes.
     pub fn weight(&self) -> u16 {
         let weight = self.processor_share * f64::from(NORMAL_WEIGHT);
@@ -238,6 +251,9 @@
         if !(0.0..=1_024.0).contains(&self.node.processor_share) {
             return Err("`node.processor_share` must be from 0 to 1024".to_owned());
         }
+        if self.node.descriptors == Some(0) || self.node.memory_mb == Some(0) {
+            return Err("`node.descriptors` and `node.memory_mb` must be above 0".to_owned());
+        }
         if self.bounds.evacuate_ms == 0 {
             return Err("`bounds.evacuate_ms` must be above 0".to_owned());
         }
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -5,6 +5,7 @@
 //! the hollow nodes of the scale run drive the very same code.
 
 pub mod admission;
+pub mod capacity;
 pub mod configuration;
 pub mod directory;
 pub mod document;
--- /dev/null
+++ b/crates/dyketally/tests/capacity.rs
@@ -0,0 +1,53 @@
+//! What a node can hold.
+
+use dyketally::capacity::{Capacity, SessionVerdict};
+use rstest::rstest;
+
+fn with_descriptors(descriptors: u32) -> Capacity {
+    Capacity {
+        descriptors: Some(descriptors),
+        memory_mb: None,
+    }
+}
+
+#[rstest]
+#[case::first(4_300, 0, SessionVerdict::Serve)]
+#[case::last_that_fits(4_300, 3_659, SessionVerdict::Serve)]
+#[case::one_too_many(4_300, 3_660, SessionVerdict::Refuse)]
+#[case::last_that_is_told(4_300, 3_787, SessionVerdict::Refuse)]
+#[case::no_room_to_refuse(4_300, 3_788, SessionVerdict::Close)]
+#[case::hardly_any_descriptors(100, 15, SessionVerdict::Serve)]
+#[case::hardly_any_are_used_up(100, 16, SessionVerdict::Refuse)]
+fn sessions_leave_descriptors_for_the_rest(
+    #[case] descriptors: u32,
+    #[case] open: u32,
+    #[case] expected: SessionVerdict,
+) {
+    assert_eq!(with_descriptors(descriptors).judge(open), expected);
+}
+
+#[test]
+fn a_node_without_limits_serves_all() {
+    let unlimited = Capacity::default();
+    assert_eq!(unlimited.judge(u32::MAX), SessionVerdict::Serve);
+    assert!(!unlimited.is_full(u32::MAX, false));
+    assert_eq!(unlimited.input_bytes(), None);
+}
+
+#[rstest]
+#[case::not_yet(3_659, false, false)]
+#[case::full(3_660, false, true)]
+#[case::stays_full(3_400, true, true)]
+#[case::has_room_again(3_294, true, false)]
+fn a_full_node_waits_for_room(#[case] open: u32, #[case] was_full: bool, #[case] expected: bool) {
+    assert_eq!(with_descriptors(4_300).is_full(open, was_full), expected);
+}
+
+#[test]
+fn input_gets_a_quarter_of_the_memory() {
+    let small = Capacity {
+        descriptors: None,
+        memory_mb: Some(160),
+    };
+    assert_eq!(small.input_bytes(), Some(40 << 20));
+}
