Refuse keys that may have been taken away unnoticed, where the settings ask for it

Cause: the platform's `fail_closed` and `revoke_ms` were read nowhere.

Change: `[access] when_out_of_touch` and `key_bound_ms`, with defaults that change nothing. What counts is when the configuration was last confirmed to be the newest one: the time at which the store was asked that answered a read or a watch, or a relay's such time by way of a ping (`KeyTrust` in the library). Once that is older than seven tenths of the bound, operations that need a key are refused as not run, open transactions are rolled back at their next statement, and a node none of whose routes go without keys isn't ready. The watch of the configuration is asked again after a seventh of the bound, so that it shows that it stands. A relay that the store turns away follows another one that is in touch, and a node that finds the first relays out of touch tries further ones; a node that relays reach serves on.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -48,6 +48,8 @@
     pub failed: Counter,
     /// Operations and sessions refused since no tenant has the caller's key.
     pub unknown_keys: Counter,
+    /// Operations and sessions refused since the node can't know whether the caller's key still stands.
+    pub keys_uncertain: Counter,
     /// Operations refused since their tenant has used up its quota.
     pub over_quota: Counter,
     /// Operations decided on without an accountant of the tenant's quota.
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -102,6 +102,13 @@
     Isolated,
     /// This node would hear again of primaries that are replaced.
     InTouch,
+    /// This node can't know any longer whether keys of callers still stand, and refuses what needs one.
+    KeysUncertain {
+        /// How long ago they were confirmed last, in milliseconds; none if they never were.
+        confirmed_ms_ago: Option<u64>,
+    },
+    /// This node knows again which keys stand.
+    KeysConfirmed,
     /// A primary doesn't answer this node.
     PrimarySuspected {
         /// The group.
--- a/crates/dyketally-gateway/src/fleet/member.rs
+++ b/crates/dyketally-gateway/src/fleet/member.rs
@@ -148,6 +148,7 @@
                 ..TransactionRequest::default()
             })
             .await?;
+        self.gateway.store_replied_to_this_node(asked);
         self.gateway.store_replied(asked);
         Ok(lease.id)
     }
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::measures::Measures;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::quota::Quotas;
+use crate::session::known_keys::KnownKeys;
 use crate::settings::Settings;
 use crate::statement::reach::Unled;
 use crate::store::feed::Feed;
@@ -108,6 +109,8 @@
     pub fences: RefCell<Fences>,
     /// Whether this node would hear of a primary that is replaced.
     pub touch: Touch,
+    /// How current the keys of callers are.
+    pub keys: KnownKeys,
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
@@ -132,6 +135,7 @@
         store_calls: Arc<StoreCalls>,
     ) -> Rc<Self> {
         let quotas = Quotas::new(settings.bounds.quota_slack);
+        let keys = KnownKeys::new(settings.access.key_policy());
         Rc::new(Self {
             settings,
             caller_protocol,
@@ -151,6 +155,7 @@
             replica_lag: Cell::default(),
             fences: RefCell::default(),
             touch: Touch::default(),
+            keys,
             listed: Cell::new(None),
             settling: Cell::new(false),
             sharing_out: Cell::new(false),
@@ -174,9 +179,10 @@
         self.routes.borrow().clone()
     }
 
-    /// True when the process knows routes and databases.
+    /// True when the process knows routes and databases, and may serve some of them.
     pub fn is_ready(&self) -> bool {
-        self.configured.get() && self.listed.get().is_some() && !self.is_stopping()
+        let has_all = self.configured.get() && self.listed.get().is_some();
+        has_all && !self.is_stopping() && !self.refuses_all()
     }
 
     /// True when a configuration is in force.
--- a/crates/dyketally-gateway/src/session/admission.rs
+++ b/crates/dyketally-gateway/src/session/admission.rs
@@ -29,6 +29,10 @@
                 "no route leads to this database; check its name",
             ));
         };
+        if routes.needs_key(route) && !gateway.keys_hold() {
+            gateway.counters.keys_uncertain.add();
+            return Err(Served::key_uncertain());
+        }
         match routes.identify(route, key) {
             Ok(tenant) => Ok(Self {
                 route: Rc::new(route.clone()),
@@ -43,4 +47,10 @@
             }
         }
     }
+
+    /// True while a transaction that was admitted may go on. It goes on by the configuration that held
+    /// as it began, but not while the node can't know whether its key still stands.
+    pub(super) fn holds(&self, gateway: &Gateway) -> bool {
+        self.tenant.is_none() || gateway.keys_hold()
+    }
 }
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller;
+pub mod known_keys;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
@@ -28,6 +29,8 @@
 
 /// Why a statement is refused whose tenant has used up its quota.
 const OVER_QUOTA: &str = "the tenant's quota";
+/// Why a transaction is given up whose key may have been taken away unnoticed.
+const KEY_UNCERTAIN: &str = "the node can't know whether the key still stands";
 /// What signs a statement that the gateway answers itself.
 const OWN_SIGNATURE: &[u8] = b"-";
 
@@ -221,7 +224,12 @@
         else {
             return (no_transaction(), TransactionState::Idle);
         };
+        let holds = admission.holds(&self.gateway);
         let request = self.request(statement, None, admission);
+        if !holds {
+            let served = self.give_up_uncertain(&mut transaction, &request);
+            return (served, TransactionState::Idle);
+        }
         if let Err(served) = self.permit_transaction(&mut transaction, &request).await {
             return (served, TransactionState::Idle);
         }
@@ -240,8 +248,9 @@
         execution: Option<Execution>,
     ) -> (Served, TransactionState) {
         if let (Some(admission), true) = (&self.admission, self.transaction.is_some()) {
+            let holds = admission.holds(&self.gateway);
             let request = self.request(statement, execution, admission.clone());
-            return self.run_in_transaction(request, access).await;
+            return self.run_in_transaction(request, access, holds).await;
         }
         let admission = match self.admit() {
             Ok(admission) => admission,
@@ -256,10 +265,16 @@
         &mut self,
         request: Request,
         access: Access,
+        key_holds: bool,
     ) -> (Served, TransactionState) {
         let Some(mut transaction) = self.transaction.take() else {
             return (no_transaction(), TransactionState::Idle);
         };
+        if !key_holds {
+            let served = self.give_up_uncertain(&mut transaction, &request);
+            self.transaction = Some(transaction);
+            return (served, TransactionState::Failed);
+        }
         let permitted = self.permit_transaction(&mut transaction, &request).await;
         let transaction = self.transaction.insert(transaction);
         if let Err(served) = permitted {
@@ -271,6 +286,16 @@
         (served, state)
     }
 
+    /// Rolls back a transaction whose key may have been taken away unnoticed.
+    fn give_up_uncertain(&self, transaction: &mut Transaction, request: &Request) -> Served {
+        self.gateway.counters.keys_uncertain.add();
+        transaction.roll_back();
+        transaction.failed = true;
+        let served = Served::rolled_back();
+        request.log(&self.gateway, &served, KEY_UNCERTAIN);
+        served
+    }
+
     async fn run_single(&mut self, request: Request, access: Access) -> Served {
         let request = Rc::new(request);
         let tenant = request.tenant.as_ref();
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -2,12 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use dyketally::identifiers::{Locality, NodeName, RegionName, ZoneName};
 use dyketally::placement::NORMAL_WEIGHT;
+use dyketally::tenant::KeyPolicy;
 use serde::Deserialize;
 
+/// What `access.key_bound_ms` may be. Below the least a node in touch would refuse what it could
+/// serve: news take up to 1.2 s from the store by way of a relay, besides the pauses between two
+/// confirmations.
+const KEY_BOUNDS_MS: RangeInclusive<u64> = 2_000..=86_400_000;
+
 /// Everything a process of the gateway is told at its start. Unknown fields are ignored, since
 /// the file may gain some.
 #[derive(Clone, Debug, Deserialize)]
@@ -28,6 +35,52 @@
     /// How reads are shared out.
     #[serde(default)]
     pub reads: ReadSettings,
+    /// Who may do what while the node can't be sure.
+    #[serde(default)]
+    pub access: AccessSettings,
+}
+
+/// What becomes of operations that need a key while the node is out of touch.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct AccessSettings {
+    /// Whether operations are served while their key may have been taken away unnoticed.
+    pub when_out_of_touch: OutOfTouch,
+    /// Longest time from a key's removal to the last operation that is served with it where such
+    /// operations are refused, in milliseconds.
+    pub key_bound_ms: u64,
+}
+
+/// Whether operations are served while their key may have been taken away unnoticed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum OutOfTouch {
+    /// They are served by the keys that were known last.
+    #[default]
+    Serve,
+    /// They are refused.
+    Refuse,
+}
+
+impl Default for AccessSettings {
+    fn default() -> Self {
+        Self {
+            when_out_of_touch: OutOfTouch::Serve,
+            key_bound_ms: 5_000,
+        }
+    }
+}
+
+impl AccessSettings {
+    /// What becomes of operations whose key may have been taken away unnoticed.
+    pub fn key_policy(&self) -> KeyPolicy {
+        match self.when_out_of_touch {
+            OutOfTouch::Serve => KeyPolicy::Serve,
+            OutOfTouch::Refuse => KeyPolicy::Refuse {
+                bound: Duration::from_millis(self.key_bound_ms),
+            },
+        }
+    }
 }
 
 /// How reads are shared out.
@@ -224,6 +277,12 @@
         if !(0.0..=1_024.0).contains(&self.node.processor_share) {
             return Err("`node.processor_share` must be from 0 to 1024".to_owned());
         }
+        if !KEY_BOUNDS_MS.contains(&self.access.key_bound_ms) {
+            let (least, most) = KEY_BOUNDS_MS.into_inner();
+            return Err(format!(
+                "`access.key_bound_ms` must be from {least} to {most}"
+            ));
+        }
         if self.bounds.stop_s <= 0.0 {
             return Err("`bounds.stop_s` must be above 0".to_owned());
         }
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -128,6 +128,17 @@
         )
     }
 
+    /// The caller's key may have been taken away unnoticed, and nothing has run.
+    pub fn key_uncertain() -> Self {
+        Self::failed(
+            FailureKind::KeyUncertain,
+            &format!(
+                "this node is out of touch and can't know whether the key still stands; nothing has \
+                 run; connect to another node, or come back after {COME_BACK_MS} ms"
+            ),
+        )
+    }
+
     /// The statement's transaction is rolled back, and nothing was kept. Its statements may have run.
     pub fn rolled_back() -> Self {
         Self::failed(
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::message::{FeedMessage, Ping, decode, encode};
-use super::{SUBJECTS, Subject};
+use super::{OUT_OF_TOUCH, SUBJECTS, Subject};
 use crate::event::Event;
 use crate::fleet::link::{Frames, frames};
 use crate::fleet::relay::{self, Opening};
@@ -34,8 +34,6 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Longest time that connecting to a relay may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Age of a relay's contact with the store from which on another relay is looked for.
-const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
 /// How long a relay that is out of touch is followed before others are tried again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
 /// How long the store may take to show that it replies to this node.
@@ -87,10 +85,13 @@
     pub async fn run(self) {
         loop {
             self.follow_all(Demand::InTouch).await;
-            // The store may turn some nodes away and serve others.
-            match self.store_replies().await {
-                true => self.gateway.feed.without_relay.notify_waiters(),
-                false => self.follow_all(Demand::Any).await,
+            // Relays that have all lost the store don't follow each other: none would serve the rest.
+            if !self.gateway.is_relay() {
+                // The store may turn some nodes away and serve others.
+                match self.store_replies().await {
+                    true => self.gateway.feed.without_relay.notify_waiters(),
+                    false => self.follow_all(Demand::Any).await,
+                }
             }
             let changed = self.gateway.membership.nodes_changed.notified();
             // Either way it is time to look again.
@@ -257,10 +258,13 @@
     }
 
     fn ping_interval(&self) -> Duration {
-        match self.in_outage || self.is_quiet {
+        let interval = match self.in_outage || self.is_quiet {
             true => PING_INTERVAL_IN_OUTAGE,
             false => PING_INTERVAL,
-        }
+        };
+        let access = &self.follower.gateway.settings.access;
+        let confirmed_each = access.key_policy().confirmed_each();
+        confirmed_each.map_or(interval, |each| interval.min(each))
     }
 
     async fn send_ping(&mut self) -> Option<()> {
@@ -275,7 +279,14 @@
     fn take(&mut self, message: FeedMessage) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
         let (subject, update) = match message {
-            FeedMessage::Pong { ping, contact } => return self.take_pong(ping, contact),
+            FeedMessage::Pong {
+                ping,
+                contact,
+                configuration_age,
+            } => {
+                self.take_configuration_age(ping, configuration_age);
+                return self.take_pong(ping, contact);
+            }
             FeedMessage::Whole {
                 subject,
                 complete_to,
@@ -306,6 +317,16 @@
         Ok(())
     }
 
+    /// A pong tells that everything the relay had heard before was passed on.
+    fn take_configuration_age(&self, ping: u64, age: Option<Duration>) {
+        let is_reply = ping == self.ping.number && ping > 0;
+        let has_configuration = self.whole.contains(&Subject::Configuration);
+        if let Some(age) = age.filter(|_| is_reply && has_configuration) {
+            let gateway = &self.follower.gateway;
+            gateway.keys_confirmed_by_relay(self.ping.at, age);
+        }
+    }
+
     fn take_pong(&mut self, ping: u64, contact: RelayContact) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
         self.in_outage = contact.store.is_none_or(|age| age > OUT_OF_TOUCH);
--- a/crates/dyketally-gateway/src/store/feed/message.rs
+++ b/crates/dyketally-gateway/src/store/feed/message.rs
@@ -1,6 +1,7 @@
 //! What nodes send each other over a feed.
 
 use std::io::{Read, Write};
+use std::time::Duration;
 
 use bytes::Bytes;
 use dyketally_store::key_value::{Entry, StoreRevision, WatchEvent};
@@ -36,6 +37,9 @@
         /// The ping; zero in the first message.
         ping: u64,
         contact: RelayContact,
+        /// How long ago the relay's configuration was confirmed to be the newest one; `None` while it
+        /// never was.
+        configuration_age: Option<Duration>,
     },
 }
 
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -32,6 +32,9 @@
 /// How long a node that lost its relay looks for another before it asks the store: time to try
 /// three relays that don't reply.
 const SEARCH_LIMIT: Duration = Duration::from_millis(1_500);
+/// Age of a relay's contact with the store from which on it counts as out of touch: its followers look
+/// for another relay, and so does the relay itself.
+const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
 /// How long a watch that was lost counts as one that is being renewed, which takes two calls.
 const WATCH_RENEWED_WITHIN: Duration = Duration::from_secs(1);
 /// Changes that a slow follower may be behind.
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -7,6 +7,7 @@
 use dyketally::identifiers::{NodeName, ZoneName};
 use dyketally::placement;
 
+use super::OUT_OF_TOUCH;
 use crate::fleet::message::PeerMessage;
 use crate::fleet::peer::Peers;
 use crate::gateway::Gateway;
@@ -38,11 +39,13 @@
         relays.contains(&&self.settings.node.name)
     }
 
-    /// True when there may be relays that this node should follow. The holder of the duty counts as in
-    /// touch by its own calls alone, so it has its news from the store as well.
+    /// True when there may be relays that this node should follow: it is none itself, or one that has
+    /// lost the store while others may not have. The holder of the duty counts as in touch by its own
+    /// calls alone, so it has its news from the store as well.
     pub fn may_follow_relays(&self) -> bool {
         let holds_duty = self.membership.last_duty().is_some();
-        !holds_duty && !self.is_small_fleet() && !self.is_relay_of_zone()
+        let watches = self.is_relay_of_zone() && !self.has_lost_store_for(OUT_OF_TOUCH);
+        !holds_duty && !self.is_small_fleet() && !watches
     }
 
     /// Waits until it is clear that this node has no relay to follow. When the whole system starts
@@ -62,13 +65,19 @@
     /// some of others. None in a small fleet, and for a relay. While the store hasn't told which nodes
     /// run, those that seeds named.
     pub(super) fn relays_to_follow(&self) -> Vec<SocketAddr> {
-        let relays = match self.membership.is_known() {
-            false => self.membership.named_relays(),
-            true if self.may_follow_relays() => self.ranked_relays(&self.settings.node.zone),
+        let own = self.settings.listen.peers;
+        let usable =
+            |address: &SocketAddr| *address != own && !self.feed.passed_over.contains(address);
+        match self.membership.is_known() {
+            false => {
+                let named = self.membership.named_relays().into_iter();
+                named.filter(usable).collect()
+            }
+            true if self.may_follow_relays() => {
+                self.ranked_relays(&self.settings.node.zone, usable)
+            }
             true => Vec::new(),
-        };
-        let usable = |address: &SocketAddr| !self.feed.passed_over.contains(address);
-        relays.into_iter().filter(usable).collect()
+        }
     }
 
     /// The relays that a node of `zone` may follow. In a small fleet any node's copy will do.
@@ -76,11 +85,17 @@
         match self.is_small_fleet() {
             true if self.feed.is_relaying() => vec![self.settings.listen.peers],
             true => Vec::new(),
-            false => self.ranked_relays(zone),
+            false => self.ranked_relays(zone, |_| true),
         }
     }
 
-    fn ranked_relays(&self, zone: &ZoneName) -> Vec<SocketAddr> {
+    /// The usable relays for a node of `zone`, best first: those of the zone, and a few of others, so
+    /// that a node which finds all of these out of touch tries further ones next.
+    fn ranked_relays(
+        &self,
+        zone: &ZoneName,
+        usable: impl Fn(&SocketAddr) -> bool,
+    ) -> Vec<SocketAddr> {
         let nodes = self.membership.nodes();
         let own = &self.settings.node.name;
         let relays_of = |zone: &ZoneName| {
@@ -91,11 +106,14 @@
         for other in self.settings.zones.keys().filter(|other| *other != zone) {
             others.extend(relays_of(other));
         }
-        let mut relays = placement::preference(own, &relays_of(zone));
-        let others = placement::preference(own, &others);
-        relays.extend(others.into_iter().take(FURTHER_RELAYS));
-        let known = relays.into_iter().filter_map(|relay| nodes.get(relay));
-        known.map(|node| node.address).collect()
+        let ranked = |relays: &[&NodeName]| -> Vec<SocketAddr> {
+            let ranked = placement::preference(own, relays).into_iter();
+            let known = ranked.filter_map(|relay| nodes.get(relay));
+            known.map(|node| node.address).filter(&usable).collect()
+        };
+        let mut relays = ranked(&relays_of(zone));
+        relays.extend(ranked(&others).into_iter().take(FURTHER_RELAYS));
+        relays
     }
 }
 
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -99,6 +99,10 @@
         if let Some(lost_for) = self.feed.watches_lost_for() {
             contact.store = contact.store.map(|age| age.max(lost_for));
         }
-        FeedMessage::Pong { ping, contact }
+        FeedMessage::Pong {
+            ping,
+            contact,
+            configuration_age: self.configuration_age(),
+        }
     }
 }
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use dyketally::retry::Backoff;
+use dyketally::time::Timestamp;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
-    Entry, Key, KeyRange, KeyValueStore, RangeRequest, StoreRevision, WatchEvent, WatchRequest,
-    WatchStream,
+    Consistency, Entry, Key, KeyRange, KeyValueStore, RangeRequest, StoreRevision, WatchEvent,
+    WatchRequest, WatchStream,
 };
 use futures::StreamExt;
 use rand::Rng;
@@ -107,7 +108,7 @@
     followed: Followed,
     sink: Sink,
 ) {
-    let mut progress = Progress::new(gateway.clone(), followed.prefix.clone());
+    let mut progress = Progress::new(gateway.clone(), &followed);
     let feed = &gateway.feed;
     let sink = |update: StoreUpdate| {
         feed.take(followed.subject, &update);
@@ -153,12 +154,17 @@
     sink: &impl Fn(StoreUpdate),
     progress: &mut Progress,
 ) -> Result<StoreRevision, StoreError> {
+    let asked = progress.gateway.now();
+    let is_newest = request.consistency == Consistency::Linearizable;
     let reply = store.range(request).await?;
     progress.reset();
     progress.gateway.membership.store_answered();
     progress.was_read = true;
     progress.keys = reply.entries.iter().map(|it| it.key.clone()).collect();
     sink(StoreUpdate::All(reply.entries));
+    if is_newest {
+        progress.confirm(asked);
+    }
     Ok(reply.store_revision)
 }
 
@@ -221,6 +227,7 @@
     let request = WatchRequest {
         range: followed.range(),
         from: seen.next(),
+        longest_quiet: progress.confirmed_each(),
     };
     let gateway = progress.gateway.clone();
     let error = match store.watch(request).await {
@@ -245,7 +252,11 @@
 ) -> StoreError {
     // The first batch may be the client's own and prove nothing.
     let mut batches = batches.skip(1);
-    while let Some(batch) = batches.next().await {
+    loop {
+        let asked = progress.gateway.now();
+        let Some(batch) = batches.next().await else {
+            break;
+        };
         let batch = match batch {
             Ok(batch) => batch,
             Err(error) => return error,
@@ -257,6 +268,7 @@
             progress.note(&event);
             sink(StoreUpdate::Changed(event));
         }
+        progress.confirm(asked);
         if any {
             tokio::time::sleep(progress.pause(gathering)).await;
         }
@@ -269,6 +281,7 @@
 struct Progress {
     gateway: Rc<Gateway>,
     prefix: String,
+    subject: Subject,
     keys: HashSet<Key>,
     started: Instant,
     /// True once all keys were read.
@@ -319,10 +332,27 @@
         };
     }
 
-    fn new(gateway: Rc<Gateway>, prefix: String) -> Self {
+    /// Longest time that a watch may say nothing; `None` if that doesn't matter.
+    fn confirmed_each(&self) -> Option<Duration> {
+        let policy = self.gateway.settings.access.key_policy();
+        match self.subject {
+            Subject::Configuration => policy.confirmed_each(),
+            Subject::Announcements | Subject::Nodes => None,
+        }
+    }
+
+    /// Takes in that nothing older than `asked` is missing.
+    fn confirm(&self, asked: Timestamp) {
+        if self.subject == Subject::Configuration {
+            self.gateway.keys_confirmed(asked);
+        }
+    }
+
+    fn new(gateway: Rc<Gateway>, followed: &Followed) -> Self {
         Self {
             gateway,
-            prefix,
+            prefix: followed.prefix.clone(),
+            subject: followed.subject,
             keys: HashSet::new(),
             started: Instant::now(),
             was_read: false,
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -73,6 +73,8 @@
 #[derive(Debug, Default)]
 pub struct Touch {
     contact: RefCell<Contact>,
+    /// When this node asked the store that replied to it last, not to a relay.
+    own_store_reply: Cell<Option<Timestamp>>,
 }
 
 impl Gateway {
@@ -94,6 +96,9 @@
     ) -> Result<Duration, StoreError> {
         let asked = self.now();
         let renewed = self.membership.renew(store, lease).await;
+        if renewed.is_ok() {
+            self.store_replied_to_this_node(asked);
+        }
         let counts = self.membership.last_duty().is_none() && self.feed.is_current();
         if renewed.is_ok() && counts {
             self.store_replied(asked);
@@ -114,6 +119,7 @@
         let asked = self.now();
         let renewed = self.membership.renew(store, lease).await;
         if renewed.is_ok() {
+            self.store_replied_to_this_node(asked);
             self.store_replied(asked - DUTY_CONTACT_SHORTER);
         }
         renewed
@@ -130,6 +136,18 @@
         self.touch.contact.borrow_mut().store_replied(asked);
     }
 
+    /// Takes in that the store replied to a call of this node's own that was made at `asked`.
+    pub fn store_replied_to_this_node(&self, asked: Timestamp) {
+        let last = self.touch.own_store_reply.get();
+        self.touch.own_store_reply.set(last.max(Some(asked)));
+    }
+
+    /// True when the store, which once replied to this node, hasn't for `time`.
+    pub fn has_lost_store_for(&self, time: Duration) -> bool {
+        let last = self.touch.own_store_reply.get();
+        last.is_some_and(|asked| self.now().saturating_since(asked) >= time)
+    }
+
     /// How lately this node was in touch, for the nodes that follow it. A node that catches up may
     /// lack news, so for them it is in touch with nobody.
     pub fn relay_contact(&self) -> RelayContact {
--- a/crates/dyketally-lab/src/platform/convert.rs
+++ b/crates/dyketally-lab/src/platform/convert.rs
@@ -55,6 +55,7 @@
     WatchRequest {
         range: key_range(create.key, create.range_end),
         from: StoreRevision(create.start_revision.unsigned()),
+        longest_quiet: None,
     }
 }
 
--- a/crates/dyketally-lab/tests/platform/watch_contract.rs
+++ b/crates/dyketally-lab/tests/platform/watch_contract.rs
@@ -15,6 +15,7 @@
     let request = WatchRequest {
         range: KeyRange::prefix("w/"),
         from,
+        longest_quiet: None,
     };
     store.watch(request).await.expect("a watch")
 }
--- a/crates/dyketally-proxy/src/stores/configuration_store/read.rs
+++ b/crates/dyketally-proxy/src/stores/configuration_store/read.rs
@@ -125,6 +125,7 @@
         let request = WatchRequest {
             range: self.keys.changes(),
             from: store_revision.next(),
+            longest_quiet: None,
         };
         let batches = self.store.watch(request).await?;
         let changes = batches.map(|batch| changes_of(batch?));
--- a/crates/dyketally-store/src/key_value.rs
+++ b/crates/dyketally-store/src/key_value.rs
@@ -304,6 +304,9 @@
     pub range: KeyRange,
     /// The first revision to report.
     pub from: StoreRevision,
+    /// Longest time until the next batch, which is empty if nothing changed: it shows that the watch
+    /// still stands. `None` for as long as the store likes; stores that push changes may ignore it.
+    pub longest_quiet: Option<Duration>,
 }
 
 /// One change of a watched key.
--- a/crates/dyketally/src/route_policy.rs
+++ b/crates/dyketally/src/route_policy.rs
@@ -58,6 +58,16 @@
 }
 
 impl RouteSet {
+    /// True when callers need a key on `route`.
+    pub fn needs_key(&self, route: &RoutePolicy) -> bool {
+        self.tenants.is_some() && !route.auth_exempt
+    }
+
+    /// True when callers need a key on all routes.
+    pub fn all_need_keys(&self) -> bool {
+        !self.routes.is_empty() && self.routes.values().all(|route| self.needs_key(route))
+    }
+
     /// The tenant that a caller with `key` acts for on `route`; `None` where callers need no key.
     ///
     /// # Errors
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -77,6 +77,8 @@
     UnknownDatabase,
     /// No tenant has the caller's key.
     Unauthenticated,
+    /// The node can't know whether the caller's key still stands.
+    KeyUncertain,
     /// The tenant has used up the operations that it may ask for.
     QuotaExceeded,
     /// The database has no free slot.
--- a/crates/dyketally/src/tenant/mod.rs
+++ b/crates/dyketally/src/tenant/mod.rs
@@ -2,6 +2,7 @@
 
 mod api_key;
 mod directory;
+mod key_trust;
 
 use std::fmt;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 
 pub use api_key::ApiKey;
 pub use directory::{TenantDirectory, TenantError, TenantPolicy};
+pub use key_trust::{KeyPolicy, KeyTrust};
 
 /// A tenant as of one revision of the configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/dyketally/tests/key_trust.rs
@@ -0,0 +1,125 @@
+//! How long keys are trusted, and, fuzzed, that none is used past the bound over any chain of relays.
+
+use std::time::Duration;
+
+use dyketally::tenant::{KeyPolicy, KeyTrust};
+use dyketally::time::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const BOUND: Duration = Duration::from_secs(5);
+const REFUSING: KeyPolicy = KeyPolicy::Refuse { bound: BOUND };
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+#[rstest]
+#[case::never_confirmed(None, 0, false)]
+#[case::just_confirmed(Some(10_000), 10_000, true)]
+#[case::shortly_before_the_end(Some(10_000), 13_499, true)]
+#[case::at_the_end(Some(10_000), 13_500, false)]
+#[case::long_after(Some(10_000), 600_000, false)]
+#[case::confirmed_again_meanwhile(Some(12_000), 13_600, true)]
+fn trust_ends_before_the_bound(
+    #[case] confirmed: Option<u64>,
+    #[case] now: u64,
+    #[case] holds: bool,
+) {
+    let mut trust = KeyTrust::new(REFUSING);
+    if let Some(confirmed) = confirmed {
+        trust.confirm(at(confirmed));
+    }
+    assert_eq!(trust.holds(at(now)), holds);
+}
+
+#[test]
+fn without_a_bound_keys_are_trusted_whatever_their_age() {
+    let trust = KeyTrust::new(KeyPolicy::Serve);
+    assert!(trust.holds(at(3_600_000)));
+    assert_eq!(KeyPolicy::Serve.confirmed_each(), None);
+}
+
+#[test]
+fn an_older_confirmation_changes_nothing() {
+    let mut trust = KeyTrust::new(REFUSING);
+    trust.confirm(at(9_000));
+    trust.confirm(at(4_000));
+    assert_eq!(trust.age(at(10_000)), Some(Duration::from_secs(1)));
+}
+
+/// A node that has just started can't date what is older than its clock, and must not take it for new.
+#[test]
+fn what_was_confirmed_before_the_nodes_start_isnt_taken_for_newer() {
+    let mut trust = KeyTrust::new(REFUSING);
+    trust.confirm_relayed(at(500), Duration::from_secs(600));
+    assert!(!trust.holds(at(600)));
+    trust.confirm_relayed(at(500), Duration::from_millis(500));
+    assert!(trust.holds(at(600)));
+}
+
+/// Pauses of a watch that was asked twice, and of one question to a relay, leave room for the way.
+#[test]
+fn regular_confirmations_keep_trust_up() {
+    let pause = REFUSING.confirmed_each().expect("a pause");
+    let trusted = REFUSING.trusted_for().expect("a limit");
+    assert!(pause * 4 < trusted);
+    assert!(trusted < BOUND);
+}
+
+/// What happens to a chain from the store by way of a relay to a node.
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u64),
+    StoreAnswersRelay { asked_before: u64 },
+    RelayAnswersNode { asked_before: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let before = 0_u64..4_000;
+    prop_oneof![
+        (0_u64..3_000).prop_map(Step::Pass),
+        before
+            .clone()
+            .prop_map(|asked_before| Step::StoreAnswersRelay { asked_before }),
+        before.prop_map(|asked_before| Step::RelayAnswersNode { asked_before }),
+    ]
+}
+
+proptest! {
+    /// Replies may be late by any time. A node that still trusts its keys has heard of every one that
+    /// was taken away longer ago than the bound.
+    #[test]
+    fn no_key_is_trusted_past_the_bound(steps in prop::collection::vec(step(), 1..60)) {
+        // The clocks of the two nodes started at different times.
+        let node_start = 7_000;
+        let mut now = 20_000;
+        let mut relay = KeyTrust::new(REFUSING);
+        let mut node = KeyTrust::new(REFUSING);
+        // When the configuration that each has was truly the newest one.
+        let mut relay_knows = 0;
+        let mut node_knows = 0;
+        for step in steps {
+            match step {
+                Step::Pass(time) => now += time,
+                Step::StoreAnswersRelay { asked_before } => {
+                    relay.confirm(at(now - asked_before));
+                    relay_knows = relay_knows.max(now - asked_before);
+                }
+                Step::RelayAnswersNode { asked_before } => {
+                    // The relay answered at some time since it was asked; the latest is the worst.
+                    if let Some(age) = relay.age(at(now)) {
+                        node.confirm_relayed(at(now - node_start - asked_before), age);
+                        node_knows = node_knows.max(relay_knows);
+                    }
+                }
+            }
+            if node.holds(at(now - node_start)) {
+                prop_assert!(now - node_knows < BOUND.as_millis() as u64);
+            }
+            if relay.holds(at(now)) {
+                prop_assert!(now - relay_knows < BOUND.as_millis() as u64);
+            }
+        }
+    }
+}
