Go back to relays of the own zone

Change: while a node follows a relay of another zone it asks those of its own each 2 to 3 s for their first message, which tells whether they are in touch, and leaves only for one that is: to follow means to be sent a copy of everything.

--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::message::{FeedMessage, Ping, decode, encode};
+use super::nearer::until_nearer_relay;
 use super::{OUT_OF_TOUCH, SUBJECTS, Subject};
 use crate::event::Event;
 use crate::fleet::link::{Frames, frames};
@@ -33,7 +34,7 @@
 /// Silence after which a relay is given up.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Longest time that connecting to a relay may take.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// How long a relay that is out of touch is followed before others are tried again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
 /// How long the store may take to show that it replies to this node.
@@ -84,13 +85,19 @@
     /// Follows relays while there are any, until the process ends.
     pub async fn run(self) {
         loop {
-            self.follow_all(Demand::InTouch).await;
+            if self.follow_all(Demand::InTouch).await == Next::Nearer {
+                continue;
+            }
             // Relays that have all lost the store don't follow each other: none would serve the rest.
             if !self.gateway.is_relay() {
                 // The store may turn some nodes away and serve others.
                 match self.store_replies().await {
                     true => self.gateway.feed.without_relay.notify_waiters(),
-                    false => self.follow_all(Demand::Any).await,
+                    false => {
+                        if self.follow_all(Demand::Any).await == Next::Nearer {
+                            continue;
+                        }
+                    }
                 }
             }
             let changed = self.gateway.membership.nodes_changed.notified();
@@ -99,10 +106,14 @@
         }
     }
 
-    async fn follow_all(&self, demand: Demand) {
+    /// Follows one relay after the other until none is left, or a nearer one is in touch.
+    async fn follow_all(&self, demand: Demand) -> Next {
         for relay in self.gateway.relays_to_follow() {
-            self.follow(relay, demand).await;
+            if self.follow(relay, demand).await == Next::Nearer {
+                return Next::Nearer;
+            }
         }
+        Next::Other
     }
 
     /// True when the store replies to this node; false without asking where it has no relay to leave
@@ -117,7 +128,7 @@
     }
 
     /// Follows one relay until it is lost.
-    async fn follow(&self, relay: SocketAddr, demand: Demand) {
+    async fn follow(&self, relay: SocketAddr, demand: Demand) -> Next {
         let opening = relay::open(relay, &Opening::Feed);
         let connected = tokio::time::timeout(CONNECT_LIMIT, opening).await;
         let ended = match connected {
@@ -138,12 +149,23 @@
         if !ended.may_be_followed_again {
             feed.passed_over.add(relay);
         }
+        ended.next
     }
 }
 
+/// Which relay is followed next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// One of the own zone, which is in touch.
+    Nearer,
+    /// The next best.
+    Other,
+}
+
 /// Why a relay is followed no longer.
 struct Ended {
     reason: &'static str,
+    next: Next,
     /// False when the relay should be passed over for a while.
     may_be_followed_again: bool,
 }
@@ -152,6 +174,7 @@
     fn failed(reason: &'static str) -> Self {
         Self {
             reason,
+            next: Next::Other,
             may_be_followed_again: false,
         }
     }
@@ -159,6 +182,7 @@
     fn left(reason: &'static str) -> Self {
         Self {
             reason,
+            next: Next::Other,
             may_be_followed_again: true,
         }
     }
@@ -211,6 +235,8 @@
         let mut next_ping = None;
         let mut heard = began;
         let mut looked = began;
+        let nearer = until_nearer_relay(&gateway, self.relay);
+        tokio::pin!(nearer);
         loop {
             let message = tokio::select! {
                 message = self.frames.next() => Some(message),
@@ -218,6 +244,12 @@
                 () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
                     return Ended::failed("it is silent");
                 }
+                () = &mut nearer => {
+                    return Ended {
+                        next: Next::Nearer,
+                        ..Ended::left("a relay of this node's zone is in touch again")
+                    };
+                }
             };
             match message {
                 None => {
@@ -234,6 +266,7 @@
                     if let Err(reason) = self.take(message) {
                         return Ended {
                             reason,
+                            next: Next::Other,
                             may_be_followed_again: self.in_outage,
                         };
                     }
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -8,6 +8,7 @@
 
 mod follow;
 mod message;
+mod nearer;
 mod relays;
 mod serve;
 
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -80,6 +80,23 @@
         }
     }
 
+    /// The usable relays of this node's zone, the best first; none while it should follow none.
+    pub(super) fn relays_of_own_zone(&self) -> Vec<SocketAddr> {
+        if !self.membership.is_known() || !self.may_follow_relays() {
+            return Vec::new();
+        }
+        let nodes = self.membership.nodes();
+        let zone = &self.settings.node.zone;
+        let is_near = |relay: &SocketAddr| {
+            let node = nodes.values().find(|node| node.address == *relay);
+            node.is_some_and(|node| &node.locality.zone == zone)
+        };
+        self.relays_to_follow()
+            .into_iter()
+            .filter(is_near)
+            .collect()
+    }
+
     /// The relays that a node of `zone` may follow. In a small fleet any node's copy will do.
     pub fn relays_for(&self, zone: &ZoneName) -> Vec<SocketAddr> {
         match self.is_small_fleet() {
