--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::quota::Quotas;
 use crate::session::Sessions;
+use crate::session::known_keys::KnownKeys;
 use crate::settings::Settings;
 use crate::statement::reach::Unled;
 use crate::store::feed::Feed;
@@ -114,6 +115,8 @@
     pub fences: RefCell<Fences>,
     /// Whether this node would hear of a primary that is replaced.
     pub touch: Touch,
+    /// How current the keys of callers are.
+    pub keys: KnownKeys,
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
@@ -139,6 +142,7 @@
     ) -> Rc<Self> {
         let quotas = Quotas::new(settings.bounds.quota_slack);
         let sessions = Sessions::new(settings.node.capacity());
+        let keys = KnownKeys::new(settings.access.key_policy());
         Rc::new(Self {
             settings,
             caller_protocol,
@@ -159,6 +163,7 @@
             replica_lag: Cell::default(),
             fences: RefCell::default(),
             touch: Touch::default(),
+            keys,
             listed: Cell::new(None),
             settling: Cell::new(false),
             sharing_out: Cell::new(false),
@@ -182,10 +187,12 @@
         self.routes.borrow().clone()
     }
 
-    /// True when the process knows routes and databases, and has room for sessions.
+    /// True when the process knows routes and databases, may serve some of them, and has room for
+    /// sessions.
     pub fn is_ready(&self) -> bool {
-        let is_informed = self.configured.get() && self.listed.get().is_some();
-        is_informed && !self.is_stopping() && !self.sessions.is_full()
+        let has_all = self.configured.get() && self.listed.get().is_some();
+        let may_serve = !self.refuses_all() && !self.sessions.is_full();
+        has_all && !self.is_stopping() && may_serve
     }
 
     /// True when a configuration is in force.
