Hand primaries over without losing commits, and give no grace to evacuations of unknown age

Change: before a primary steps down for an evacuation or a move, a replica must keep up; if none has its whole log afterwards it leads again. Requests that stood already have no grace. Leave is asked for behind the wait. Successors are chosen where most of what may ask for them is served. library: Moves, best_regions. Idle connections to a primary that is still used are kept.

--- a/crates/dyketally-gateway/src/database/pool/checkout.rs
+++ b/crates/dyketally-gateway/src/database/pool/checkout.rs
@@ -41,8 +41,15 @@
         &self.pool.database
     }
 
-    /// Runs a batch, for which `permission` was obtained; one that goes on with a transaction waits
-    /// for its turn first.
+    /// Waits for its turn to run a batch that goes on with a transaction. Whoever needs leave for the
+    /// batch asks for it behind this wait.
+    pub async fn wait_for_turn(&mut self, batch: &Batch) {
+        if self.running.is_none() && batch.takes_slot() {
+            self.running = Some(self.pool.turn().await);
+        }
+    }
+
+    /// Runs a batch, for which `permission` was obtained.
     ///
     /// # Errors
     /// The connection broke; any of the steps may have run.
@@ -52,9 +59,7 @@
         permission: Permission,
     ) -> Result<Vec<Answer>, Broken> {
         debug_assert!(permission.is_for(self.database()));
-        if self.running.is_none() && batch.takes_slot() {
-            self.running = Some(self.pool.turn().await);
-        }
+        self.wait_for_turn(batch).await;
         let connection = self
             .connection
             .as_mut()
--- a/crates/dyketally-gateway/src/fleet/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -110,6 +110,7 @@
         return (CallReply::Leaving, None);
     };
     let target = bound.target.clone();
+    checkout.wait_for_turn(&call.batch).await;
     let permission = match permission(gateway, &target, &call.batch, Begins(begins)) {
         Ok(permission) => permission,
         Err(denial) => return (denied(denial), None),
--- a/crates/dyketally-gateway/src/statement/checkout.rs
+++ b/crates/dyketally-gateway/src/statement/checkout.rs
@@ -88,6 +88,14 @@
         });
     }
 
+    /// Waits for its turn to run a batch that goes on with a transaction. A home waits by itself.
+    pub async fn wait_for_turn(&mut self, batch: &Batch) {
+        match self {
+            Self::Own(checkout) => checkout.wait_for_turn(batch).await,
+            Self::Remote(_) => {}
+        }
+    }
+
     /// The database that it leads to.
     fn database(&self) -> &DatabaseName {
         match self {
--- a/crates/dyketally-gateway/src/statement/eligibility.rs
+++ b/crates/dyketally-gateway/src/statement/eligibility.rs
@@ -8,7 +8,7 @@
 use dyketally::directory::{Member, MemberState};
 use dyketally::eligibility::{
     Denial, EligibilityBounds, EvacuationChange, Intent, Permission, ServingRegions, Standing,
-    judge, preferred_region,
+    best_regions, judge, preferred_region,
 };
 use dyketally::identifiers::{DatabaseName, GroupName, RegionName, ZoneName};
 use dyketally::route_policy::RoutePolicy;
@@ -113,7 +113,7 @@
 
     /// Takes in all evacuations that operators request.
     pub fn evacuations_are(&self, zones: &BTreeSet<ZoneName>) {
-        let changes = self.evacuations.borrow_mut().replaced(self.now(), zones);
+        let changes = self.evacuations.borrow_mut().replaced(zones);
         self.evacuations_changed(changes);
     }
 
@@ -163,7 +163,13 @@
         let directory = self.directory.borrow();
         for (name, database) in self.databases.borrow().iter() {
             let member = directory.member(name);
-            if member.is_some_and(|member| &member.announcement.zone == zone) {
+            let in_zone = |member: &&Member| &member.announcement.zone == zone;
+            let Some(member) = member.filter(in_zone) else {
+                continue;
+            };
+            // A primary serves on until another one leads.
+            let primary = directory.primary(&member.announcement.group);
+            if primary.is_none_or(|primary| primary.name() != name) {
                 database.pool.close_idle(true);
             }
         }
@@ -214,20 +220,42 @@
         nodes.any(|node| node.address == address && node.locality.region == region)
     }
 
-    /// Where the primary of a group should lead rather than in the region of `primary`, by what
-    /// routes and tenants allow.
-    pub fn preferred_regions(&self, primary: &Target) -> Option<ServingRegions> {
+    /// The regions in which a successor of `primary` should lead: those that serve most of what may
+    /// ask for it, of those that have a database which can take over.
+    pub fn successor_regions(&self, primary: &Target) -> ServingRegions {
         let routes = self.routes();
         if !routes.binds_regions() {
-            return None;
+            return ServingRegions::anywhere();
         }
+        let candidates = self.usable_regions(&primary.group, Some(&primary.name));
+        let regions = best_regions(&routes.demands(&primary.group), &candidates);
+        ServingRegions::only(regions)
+    }
+
+    /// The regions of databases that may serve, but for `passed_over`.
+    fn usable_regions(
+        &self,
+        group: &GroupName,
+        passed_over: Option<&DatabaseName>,
+    ) -> Vec<RegionName> {
         let directory = self.directory.borrow();
-        let usable = directory.members(&primary.group);
-        let usable = usable.filter(|member| self.may_serve(member));
+        let members = directory.members(group);
+        let usable =
+            members.filter(|member| self.may_serve(member) && passed_over != Some(member.name()));
         let regions: BTreeSet<RegionName> = usable
             .map(|member| self.region_of_zone(&member.announcement.zone))
             .collect();
-        let candidates: Vec<RegionName> = regions.into_iter().collect();
+        regions.into_iter().collect()
+    }
+
+    /// Where the primary of a group should lead rather than in the region of `primary`, by what
+    /// routes and tenants allow.
+    pub fn preferred_regions(&self, primary: &Target) -> Option<ServingRegions> {
+        let routes = self.routes();
+        if !routes.binds_regions() {
+            return None;
+        }
+        let candidates = self.usable_regions(&primary.group, None);
         let current = self.region_of_zone(&primary.zone);
         let demands = routes.demands(&primary.group);
         let preferred = preferred_region(&demands, &current, &candidates);
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -298,6 +298,8 @@
             Stage::First => Intent::first(&self.regions, batch.needs_leader()),
             Stage::Further => Intent::further(batch.needs_leader()),
         };
+        // Leave is asked for behind all waits, since the zone may be evacuated meanwhile.
+        checkout.wait_for_turn(batch).await;
         let permission = gateway.may_send(target, &intent);
         let permission = permission.map_err(|denial| Unanswered::NotRun(failure_kind(denial)))?;
         let hand_over = self.hand_overs.begin();
--- a/crates/dyketally-gateway/src/statement/target.rs
+++ b/crates/dyketally-gateway/src/statement/target.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::directory::Member;
+use dyketally::directory::{Member, MemberState};
 use dyketally::eligibility::{Denial, Intent, ServingRegions};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName, ZoneName};
@@ -47,7 +47,9 @@
         regions: &ServingRegions,
     ) -> Result<Target, Denial> {
         let directory = self.directory.borrow();
-        let primary = directory.primary(group).ok_or(Denial::Leaderless)?;
+        let Some(primary) = directory.primary(group) else {
+            return Err(self.without_primary(group));
+        };
         let permission = self.judge(primary, &Intent::first(regions, true))?;
         // Whoever sends asks again.
         drop(permission);
@@ -57,6 +59,21 @@
         }
     }
 
+    /// Why a group without a known primary has none.
+    fn without_primary(&self, group: &GroupName) -> Denial {
+        let directory = self.directory.borrow();
+        let mut ready = directory
+            .members(group)
+            .filter(|member| member.state == MemberState::Ready)
+            .peekable();
+        let has_ready = ready.peek().is_some();
+        let evacuated = has_ready && ready.all(|it| self.is_evacuated(&it.announcement.zone));
+        match evacuated {
+            true => Denial::EvacuatedEverywhere,
+            false => Denial::Leaderless,
+        }
+    }
+
     /// The database that leads `group`, as soon as one is known that may get work which `regions`
     /// bind, by `until` at the latest.
     ///
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use dyketally::directory::MemberState;
-use dyketally::eligibility::ServingRegions;
+use dyketally::eligibility::{Moves, ServingRegions};
 use dyketally::failover::{Appointments, PollResult, Verdict, judge};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
@@ -28,8 +28,6 @@
 const PROLONGED: Duration = Duration::from_millis(2_500);
 /// How long a database that can be reached again may take to announce itself.
 const LISTED_AGAIN: Duration = Duration::from_secs(2);
-/// Pause between two moves of one group's primary to other regions: each interrupts its writes.
-const MOVE_PAUSE: Duration = Duration::from_secs(10);
 /// Pause after an attempt that failed.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a group may be without a known primary before it is given one.
@@ -46,8 +44,8 @@
     busy: RefCell<HashSet<GroupName>>,
     /// When a fence around the primary of a group couldn't be closed.
     unclosed: RefCell<HashMap<GroupName, Instant>>,
-    /// When a group's primary was last moved to other regions, or should have been.
-    moved: RefCell<HashMap<GroupName, Instant>>,
+    /// When primaries may be moved to other regions.
+    pub(super) moves: RefCell<Moves>,
 }
 
 /// Why a primary is replaced.
@@ -105,7 +103,7 @@
             control,
             busy: RefCell::default(),
             unclosed: RefCell::default(),
-            moved: RefCell::default(),
+            moves: RefCell::default(),
             appointments: RefCell::default(),
         })
     }
@@ -217,12 +215,9 @@
     /// Where the group should be led from rather than by `primary`, if it is time to move it.
     fn better_regions(&self, group: &GroupName, primary: &Target) -> Option<ServingRegions> {
         let regions = self.gateway.preferred_regions(primary)?;
-        let mut moved = self.moved.borrow_mut();
-        if moved.get(group).is_some_and(|at| at.elapsed() < MOVE_PAUSE) {
-            return None;
-        }
-        moved.insert(group.clone(), Instant::now());
-        Some(regions)
+        let now = self.gateway.now();
+        let may_begin = self.moves.borrow().may_begin(group, now);
+        may_begin.then_some(regions)
     }
 
     fn suspicions(&self) -> &RefCell<HashMap<(GroupName, DatabaseName), Instant>> {
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -31,17 +31,25 @@
     /// Gives the group another primary; true when it leads.
     pub(super) async fn replace(self: &Rc<Self>, group: &GroupName, cause: &Cause) -> bool {
         let succeeded = match cause {
-            Cause::Leaves(old) | Cause::Unlisted(old) | Cause::Evacuated(old) => {
+            Cause::Leaves(old) | Cause::Unlisted(old) => {
                 let anywhere = ServingRegions::anywhere();
-                match self.hand_over(group, old, &anywhere).await {
+                match self.hand_over(group, old, &anywhere, Behind::Promote).await {
                     Handover::Leads => true,
-                    Handover::Failed => false,
+                    Handover::PutOff | Handover::Failed => false,
                     // It doesn't answer, so it is replaced like one that is lost.
                     Handover::Unheard => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
                 }
             }
+            Cause::Evacuated(old) => self.evacuate(group, old).await,
             Cause::Misplaced(old, regions) => {
-                self.hand_over(group, old, regions).await == Handover::Leads
+                let now = self.gateway.now();
+                self.moves.borrow_mut().begun(group, now);
+                let handover = self.hand_over(group, old, regions, Behind::Return).await;
+                if handover == Handover::PutOff {
+                    let now = self.gateway.now();
+                    self.moves.borrow_mut().put_off(group, now);
+                }
+                handover == Handover::Leads
             }
             Cause::Lost(old, suspected) => self.take_over(group, Some(old), *suspected).await,
             Cause::Leaderless => self.take_over(group, None, LEADERLESS).await,
@@ -52,12 +60,28 @@
         succeeded
     }
 
+    /// Moves the lead out of an evacuated zone.
+    async fn evacuate(self: &Rc<Self>, group: &GroupName, old: &Target) -> bool {
+        let regions = self.gateway.successor_regions(old);
+        let mut handover = self.hand_over(group, old, &regions, Behind::Return).await;
+        if handover == Handover::PutOff && !regions.is_anywhere() {
+            let anywhere = ServingRegions::anywhere();
+            handover = self.hand_over(group, old, &anywhere, Behind::Return).await;
+        }
+        match handover {
+            Handover::Leads => true,
+            Handover::PutOff | Handover::Failed => false,
+            Handover::Unheard => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
+        }
+    }
+
     /// Has the old primary step down, and the database in `regions` succeed it that has its whole log.
     async fn hand_over(
         self: &Rc<Self>,
         group: &GroupName,
         old: &Target,
         regions: &ServingRegions,
+        behind: Behind,
     ) -> Handover {
         let mut surveyed = self.survey(group, Some(old), OwnStatement::Status).await;
         self.restrict(&mut surveyed.candidates, regions);
@@ -66,15 +90,23 @@
             return Handover::Leads;
         }
         let Some(successor) = self.choose(group, Some(old), &surveyed) else {
-            return Handover::Failed;
+            return Handover::PutOff;
         };
+        if behind == Behind::Return && self.lags(group, old, &successor, regions).await {
+            self.step(group, "put off", "no replica keeps up".to_owned());
+            return Handover::PutOff;
+        }
         let Some(position) = self.step_down(old, surveyed.newest_term + 1).await else {
             return Handover::Unheard;
         };
-        let successor = self
-            .caught_up(group, old, position, successor, regions)
-            .await;
+        let caught_up = self.caught_up(group, old, position, successor, regions);
+        let successor = match (caught_up.await, behind) {
+            (CaughtUp::Whole(successor), _) => successor,
+            (CaughtUp::Behind(successor), Behind::Promote) => successor,
+            (CaughtUp::Behind(_), Behind::Return) => old.name.clone(),
+        };
         match self.appoint(group, &successor).await {
+            Appointed::Leads if successor == old.name => Handover::Failed,
             Appointed::Leads => Handover::Leads,
             Appointed::Perhaps | Appointed::Never => Handover::Failed,
         }
@@ -247,7 +279,8 @@
             member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
         });
         let described = members.map(|member| {
-            let evacuated = self.gateway.is_evacuated(&member.announcement.zone);
+            // Where nobody leads one that stepped down may have the longest log, wherever it is.
+            let evacuated = old.is_some() && self.gateway.is_evacuated(&member.announcement.zone);
             let ready = member.state == MemberState::Ready && !evacuated;
             let preference = self.gateway.distance(member) as u32;
             (self.gateway.target(member, false), ready, preference)
@@ -283,6 +316,23 @@
         None
     }
 
+    /// True when no ready database receives within [`CATCH_UP_LIMIT`] what `old` holds now: to have it
+    /// step down would end its work with nobody to go on. A primary that doesn't tell isn't waited for.
+    async fn lags(
+        &self,
+        group: &GroupName,
+        old: &Target,
+        successor: &DatabaseName,
+        regions: &ServingRegions,
+    ) -> bool {
+        let status = OwnStatement::Status;
+        let Some(status) = self.gateway.ask_status(old, status, STATUS_LIMIT).await else {
+            return false;
+        };
+        let caught_up = self.caught_up(group, old, status.received, successor.clone(), regions);
+        matches!(caught_up.await, CaughtUp::Behind(_))
+    }
+
     /// Waits until a ready database has received `position`; the first that has is chosen.
     async fn caught_up(
         &self,
@@ -291,7 +341,7 @@
         position: LogPosition,
         chosen: DatabaseName,
         regions: &ServingRegions,
-    ) -> DatabaseName {
+    ) -> CaughtUp {
         let until = Instant::now() + CATCH_UP_LIMIT;
         let mut chosen = chosen;
         while Instant::now() < until {
@@ -310,19 +360,39 @@
                 .iter()
                 .any(|candidate| candidate.name == chosen && candidate.received >= Some(position));
             if holds {
-                return chosen;
+                return CaughtUp::Whole(chosen);
             }
             tokio::time::sleep(CATCH_UP_PAUSE).await;
         }
-        chosen
+        CaughtUp::Behind(chosen)
     }
 }
 
+/// What to do with a primary that stepped down when no other database has its whole log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Behind {
+    /// It is about to end, so the best of the others leads without the rest of the log.
+    Promote,
+    /// It runs on, so it leads again.
+    Return,
+}
+
+/// The database that is to succeed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum CaughtUp {
+    /// It has the whole log.
+    Whole(DatabaseName),
+    /// It lacks some of it, as all others do.
+    Behind(DatabaseName),
+}
+
 /// What became of a planned handover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Handover {
     /// Another database leads.
     Leads,
+    /// Nothing was done, as no database could succeed.
+    PutOff,
     /// None could be appointed.
     Failed,
     /// The old primary didn't say that it stepped down, and may go on.
--- a/crates/dyketally/src/eligibility/evacuations.rs
+++ b/crates/dyketally/src/eligibility/evacuations.rs
@@ -6,10 +6,19 @@
 use crate::identifiers::ZoneName;
 use crate::time::Timestamp;
 
-/// The zones that are evacuated, and since when this node knows.
+/// The zones that are evacuated, and since when.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evacuations {
-    zones: BTreeMap<ZoneName, Timestamp>,
+    zones: BTreeMap<ZoneName, Since>,
+}
+
+/// Since when a zone has been evacuated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Since {
+    /// The request came at this time.
+    Requested(Timestamp),
+    /// The request stood already when this node looked, perhaps for long.
+    Unknown,
 }
 
 /// What changed.
@@ -27,7 +36,7 @@
         if self.zones.contains_key(&zone) {
             return None;
         }
-        self.zones.insert(zone.clone(), now);
+        self.zones.insert(zone.clone(), Since::Requested(now));
         Some(EvacuationChange::Began(zone))
     }
 
@@ -37,25 +46,28 @@
         removed.map(|_| EvacuationChange::Ended(zone.clone()))
     }
 
-    /// Takes in all requests that stand: those it lacks were taken back.
-    pub fn replaced(
-        &mut self,
-        now: Timestamp,
-        standing: &BTreeSet<ZoneName>,
-    ) -> Vec<EvacuationChange> {
+    /// Takes in all requests that stand: those it lacks were taken back. A request that is new here
+    /// may be old: the node has just started, or heard nothing for a while.
+    pub fn replaced(&mut self, standing: &BTreeSet<ZoneName>) -> Vec<EvacuationChange> {
         let ended = self.zones.keys().filter(|zone| !standing.contains(*zone));
         let ended: Vec<ZoneName> = ended.cloned().collect();
         let mut changes: Vec<EvacuationChange> = Vec::new();
         changes.extend(ended.iter().filter_map(|zone| self.taken_back(zone)));
-        let requested = standing.iter().cloned();
-        changes.extend(requested.filter_map(|zone| self.requested(now, zone)));
+        for zone in standing {
+            if !self.contains(zone) {
+                self.zones.insert(zone.clone(), Since::Unknown);
+                changes.push(EvacuationChange::Began(zone.clone()));
+            }
+        }
         changes
     }
 
-    /// For how long a zone has been evacuated, if it is.
+    /// For how long a zone has been evacuated, if it is; the longest time there is if that isn't known.
     pub fn evacuated_for(&self, zone: &ZoneName, now: Timestamp) -> Option<Duration> {
-        let since = self.zones.get(zone)?;
-        Some(now.saturating_since(*since))
+        Some(match self.zones.get(zone)? {
+            Since::Requested(at) => now.saturating_since(*at),
+            Since::Unknown => Duration::MAX,
+        })
     }
 
     /// True while a zone is evacuated.
--- a/crates/dyketally/src/eligibility/mod.rs
+++ b/crates/dyketally/src/eligibility/mod.rs
@@ -5,6 +5,7 @@
 //! [`Permission`] that it got: a path that forgets to ask doesn't compile.
 
 mod evacuations;
+mod moves;
 mod preference;
 mod regions;
 
@@ -13,7 +14,8 @@
 use crate::identifiers::{DatabaseName, RegionName};
 
 pub use evacuations::{EvacuationChange, Evacuations};
-pub use preference::{Demand, preferred_region};
+pub use moves::Moves;
+pub use preference::{Demand, best_regions, preferred_region};
 pub use regions::ServingRegions;
 
 /// Share of the drain bound for which a leaving primary still gets work when nobody succeeds it.
--- a/crates/dyketally/src/eligibility/preference.rs
+++ b/crates/dyketally/src/eligibility/preference.rs
@@ -25,13 +25,9 @@
     current: &RegionName,
     candidates: &[RegionName],
 ) -> Option<RegionName> {
-    let served = |region: &RegionName| -> f64 {
-        let allowed = demands.iter().filter(|it| it.regions.allows(region));
-        allowed.map(|demand| demand.weight).sum()
-    };
-    let here = served(current);
+    let here = served(demands, current);
     let others = candidates.iter().filter(|region| *region != current);
-    let ranked = others.map(|region| (served(region), region));
+    let ranked = others.map(|region| (served(demands, region), region));
     // Of equals the first by name, so that all nodes choose alike.
     let best = ranked.max_by(|(one, first), (other, second)| {
         let by_served = one.total_cmp(other);
@@ -40,3 +36,20 @@
     let (there, region) = best?;
     (there > here * WORTH_MOVING).then(|| region.clone())
 }
+
+/// The regions among `candidates` from which a primary that leads there wouldn't be moved again: those
+/// that serve the most, and others that come close.
+pub fn best_regions(demands: &[Demand], candidates: &[RegionName]) -> Vec<RegionName> {
+    let most = candidates.iter().map(|region| served(demands, region));
+    let most = most.fold(0.0, f64::max);
+    let close = candidates
+        .iter()
+        .filter(|region| served(demands, region) * WORTH_MOVING >= most);
+    close.cloned().collect()
+}
+
+/// How much of what may ask for a primary is served where it leads in `region`.
+fn served(demands: &[Demand], region: &RegionName) -> f64 {
+    let allowed = demands.iter().filter(|it| it.regions.allows(region));
+    allowed.map(|demand| demand.weight).sum()
+}
--- /dev/null
+++ b/crates/dyketally/tests/moves.rs
@@ -0,0 +1,30 @@
+//! When primaries may be moved to other regions.
+
+use dyketally::eligibility::Moves;
+use dyketally::identifiers::GroupName;
+use dyketally::time::Timestamp;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp::from_millis(milliseconds)
+}
+
+#[test]
+fn a_group_is_moved_once_in_a_while() {
+    let (orders, stock) = (GroupName::from("orders"), GroupName::from("stock"));
+    let mut moves = Moves::default();
+    assert!(moves.may_begin(&orders, at(0)));
+    moves.begun(&orders, at(0));
+    assert!(!moves.may_begin(&orders, at(9_999)));
+    assert!(moves.may_begin(&stock, at(9_999)));
+    assert!(moves.may_begin(&orders, at(10_000)));
+}
+
+#[test]
+fn a_move_that_was_put_off_is_tried_again_soon() {
+    let orders = GroupName::from("orders");
+    let mut moves = Moves::default();
+    moves.begun(&orders, at(0));
+    moves.put_off(&orders, at(500));
+    assert!(!moves.may_begin(&orders, at(1_499)));
+    assert!(moves.may_begin(&orders, at(1_500)));
+}
