Share one renewed token among groups whose primaries are handed over together

Change: renewals follow one another, and one that finds the token renewed uses it. A primary steps down for an evacuation or a move only once there is a token. Test: the_primaries_of_several_groups_hand_over_at_the_same_time failed before (3 appointments without a token) and passes. Conclusion: zones with several primaries are evacuated in one go.

--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -73,7 +73,11 @@
     }
 
     /// A token with which no other database of the group was appointed.
-    async fn token_for(&self, group: &GroupName, successor: &DatabaseName) -> Option<Duty> {
+    pub(super) async fn token_for(
+        &self,
+        group: &GroupName,
+        successor: &DatabaseName,
+    ) -> Option<Duty> {
         let membership = &self.gateway.membership;
         let held = membership.last_duty()?;
         let token_use = self
@@ -83,7 +87,7 @@
         let unchallenged = membership.duty().is_some() || membership.store_lost();
         let duty = match (token_use, unchallenged) {
             (TokenUse::Use, true) => held,
-            _ => self.duty.renew_token().await?,
+            _ => self.duty.renew_token(held.token).await?,
         };
         let mut appointments = self.appointments.borrow_mut();
         appointments.appointing(group, successor, duty.token);
--- a/crates/dyketally-gateway/src/succession/duty.rs
+++ b/crates/dyketally-gateway/src/succession/duty.rs
@@ -10,6 +10,7 @@
 use dyketally_store::key_value::{
     Condition, KeyRange, KeyValueStore, LeaseId, RangeRequest, StoreRevision, TransactionRequest,
 };
+use tokio::sync::Mutex;
 use tokio::time::Instant;
 
 use crate::event::Event;
@@ -40,6 +41,8 @@
     store: Rc<dyn KeyValueStore>,
     keys: Rc<Keys>,
     peers: Rc<Peers>,
+    /// Held while the token is renewed: of two renewals at one time the store refuses one.
+    renewing: Mutex<()>,
 }
 
 impl DutyKeeper {
@@ -55,6 +58,7 @@
             store,
             keys,
             peers,
+            renewing: Mutex::new(()),
         })
     }
 
@@ -247,10 +251,15 @@
         (entry.lease == Some(lease)).then_some(entry.modified.0)
     }
 
-    /// Gives the duty a greater token, so that earlier appointments which are still under way
-    /// are refused. `None` when the duty is lost or the store doesn't answer.
-    pub async fn renew_token(&self) -> Option<Duty> {
+    /// Gives the duty a token greater than `used`, so that earlier appointments which are still under
+    /// way are refused. Groups that ask at the same time share one. `None` when the duty is lost or
+    /// the store doesn't answer.
+    pub async fn renew_token(&self, used: u64) -> Option<Duty> {
+        let _renewing = self.renewing.lock().await;
         let duty = self.membership().duty()?;
+        if duty.token > used {
+            return Some(duty);
+        }
         let lease = self.membership().duty_lease()?;
         let unchanged = Condition::Unchanged {
             key: self.keys.duty(),
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -96,6 +96,11 @@
             self.step(group, "put off", "no replica keeps up".to_owned());
             return Handover::PutOff;
         }
+        // Nobody could be appointed without a token, nor the old primary again.
+        if behind == Behind::Return && self.token_for(group, &successor).await.is_none() {
+            self.step(group, "put off", "the duty could not be renewed".to_owned());
+            return Handover::PutOff;
+        }
         let Some(position) = self.step_down(old, surveyed.newest_term + 1).await else {
             return Handover::Unheard;
         };
