--- a/crates/dyketally-gateway/src/measures.rs
+++ b/crates/dyketally-gateway/src/measures.rs
@@ -266,9 +266,44 @@
             "Time that commits are expected to take to replicas.",
             Some(lag.as_secs_f64()),
         );
+        self.collect_places(registry);
         self.collect_databases(registry);
     }
 
+    /// Where operators allow statements to run.
+    fn collect_places(&self, registry: &Registry) {
+        let evacuated = gauges(
+            registry,
+            "dyketally_evacuated",
+            "1 for each zone whose databases get nothing more.",
+            &["zone"],
+        );
+        for zone in self.evacuations.borrow().zones() {
+            evacuated.with_label_values(&[zone.as_str()]).set(1);
+        }
+        let serving = gauges(
+            registry,
+            "dyketally_serving_region",
+            "1 for each region that may serve a route which not all regions serve.",
+            &["route", "region"],
+        );
+        let routes = self.routes();
+        for route in routes.routes.values() {
+            for region in route.regions.named() {
+                let labels = [route.name.as_str(), region.as_str()];
+                serving.with_label_values(&labels).set(1);
+            }
+        }
+        let tenants = routes.tenants.iter().flat_map(|tenants| tenants.tenants());
+        let bound = tenants.filter(|tenant| !tenant.regions.is_anywhere());
+        gauge(
+            registry,
+            "dyketally_bound_tenants",
+            "Tenants that not all regions serve.",
+            Some(bound.count() as f64),
+        );
+    }
+
     fn collect_databases(&self, registry: &Registry) {
         let pools = gauges(
             registry,
