Count bytes sent to other nodes by zone and node, and those of the store

Cause: what makes the bytes between regions in large fleets was unknown; the counters told only kinds.

Change: the counters line has sent_bytes_by_zone, sent_bytes_far (kinds that go to other regions), store_received_bytes and store_sent_bytes, and is written at a planned stop as well, with a line `traffic` that tells the bytes by node; the metrics have all of them. A receiver that opened the connection is known by its host.

Tests: kinds, zones and nodes add up at every node of 14, and a planned stop tells the line (traffic.rs). They weren't run on the code before, which lacks the names.

--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -25,15 +25,21 @@
     }
 }
 
-/// Bytes sent to other nodes by kind of message, without the headers of the network.
+/// Bytes sent to other nodes, by kind of message or by zone, without the headers of the network.
 #[derive(Debug, Default, Serialize)]
 #[serde(transparent)]
-pub struct SentBytes(RefCell<BTreeMap<&'static str, u64>>);
+pub struct SentBytes(RefCell<BTreeMap<String, u64>>);
 
 impl SentBytes {
     /// Counts a message of `kind`.
-    pub fn add(&self, kind: &'static str, bytes: usize) {
-        *self.0.borrow_mut().entry(kind).or_default() += bytes as u64;
+    pub fn add(&self, kind: &str, bytes: usize) {
+        let mut counts = self.0.borrow_mut();
+        match counts.get_mut(kind) {
+            Some(count) => *count += bytes as u64,
+            None => {
+                counts.insert(kind.to_owned(), bytes as u64);
+            }
+        }
     }
 }
 
@@ -66,8 +72,12 @@
     pub further_attempts: Counter,
     /// Empty transactions that asked a primary for its position.
     pub confirmations: Counter,
-    /// Bytes sent to other nodes.
+    /// Bytes sent to other nodes, by kind of message.
     pub sent_bytes: SentBytes,
+    /// The same by zone of the receiver.
+    pub sent_bytes_by_zone: SentBytes,
+    /// Bytes sent to nodes of other regions, by kind of message.
+    pub sent_bytes_far: SentBytes,
     /// Calls to the store.
     #[serde(flatten)]
     pub store: Arc<StoreCalls>,
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -1,8 +1,10 @@
 //! Structured log: one JSON line for each decision, bounded in lines per second.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::Write;
 
+use dyketally::identifiers::NodeName;
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -152,6 +154,11 @@
     },
     /// What the process has done since its start.
     Counters(&'a Counters),
+    /// Bytes sent to each other node since the start.
+    Traffic {
+        /// By node.
+        sent_bytes: BTreeMap<NodeName, u64>,
+    },
     /// A statement was answered with a failure of the gateway's own, or only on a further attempt.
     StatementDecided {
         /// The caller's name for the attempt.
--- a/crates/dyketally-gateway/src/fleet/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -54,6 +54,9 @@
 
 /// Serves the calls of one link until it is closed.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+    let Ok(caller) = stream.peer_addr() else {
+        return;
+    };
     let mut frames = frames(stream);
     let mut bound = None;
     while let Some(Ok(message)) = frames.next().await {
@@ -69,8 +72,7 @@
         let Ok(message) = postcard::to_stdvec(&reply) else {
             return;
         };
-        let sent = &gateway.counters.sent_bytes;
-        sent.add("call_reply", message.len());
+        gateway.count_sent("call_reply", caller, message.len());
         if frames.send(Bytes::from(message)).await.is_err() {
             return;
         }
--- a/crates/dyketally-gateway/src/fleet/link.rs
+++ b/crates/dyketally-gateway/src/fleet/link.rs
@@ -98,6 +98,7 @@
 }
 
 struct Link {
+    home: SocketAddr,
     frames: Frames,
     rests_since: Instant,
 }
@@ -107,6 +108,7 @@
         let opening = relay::open(home, &Opening::Calls);
         let stream = tokio::time::timeout(CONNECT_LIMIT, opening).await??;
         Ok(Self {
+            home,
             frames: frames(stream),
             rests_since: Instant::now(),
         })
@@ -119,7 +121,7 @@
 
     async fn call(&mut self, gateway: &Gateway, call: &Call<'_>) -> Result<CallReply, Broken> {
         let message = postcard::to_stdvec(call).map_err(Broken::new)?;
-        gateway.counters.sent_bytes.add("call", message.len());
+        gateway.count_sent("call", self.home, message.len());
         self.frames
             .send(Bytes::from(message))
             .await
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -242,10 +242,7 @@
     /// Sends one message; it may get lost.
     pub fn send(&self, to: SocketAddr, message: &PeerMessage) {
         if let Ok(bytes) = postcard::to_stdvec(message) {
-            self.gateway
-                .counters
-                .sent_bytes
-                .add(message.kind(), bytes.len());
+            self.gateway.count_sent(message.kind(), to, bytes.len());
             // A datagram that can't be sent is one that got lost.
             let _ = self.socket.try_send_to(&bytes, to);
         }
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::store::feed::Feed;
 use crate::store::metered_store::StoreCalls;
 use crate::succession::lead::{Touch, Vettings};
+use crate::traffic::Traffic;
 
 /// Observations are kept for at least this long.
 const OBSERVED_AT_LEAST: Duration = Duration::from_secs(1);
@@ -91,6 +92,8 @@
     pub counters: Counters,
     /// The same for its metrics, with times.
     pub measures: Rc<Measures>,
+    /// Where the bytes go that it sends to other nodes.
+    pub traffic: Traffic,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
     /// Calls of other nodes that run here, and their transactions that are open.
@@ -146,6 +149,7 @@
             peers: RefCell::default(),
             counters: Counters::new(store_calls),
             measures: Rc::default(),
+            traffic: Traffic::default(),
             sessions: Cell::new(0),
             calls: Cell::new(0),
             homes: Homes::default(),
@@ -283,9 +287,14 @@
         });
     }
 
+    /// Writes the counters into the log.
+    pub fn tell_counters(&self) {
+        self.events.write(&Event::Counters(&self.counters));
+    }
+
     /// Does what is due now and then.
     pub fn tidy(&self) {
-        self.events.write(&Event::Counters(&self.counters));
+        self.tell_counters();
         let long_ago = self.now() - GONE_REMEMBERED;
         let forgotten = self.directory.borrow_mut().forget_gone_before(long_ago);
         if !forgotten.is_empty() {
@@ -414,6 +423,7 @@
     /// connections, once for all changes that come together.
     pub fn nodes_changed(self: &Rc<Self>) {
         self.homes.forget();
+        self.traffic.forget_addresses();
         if self.sharing_out.replace(true) {
             return;
         }
--- a/crates/dyketally-gateway/src/lib.rs
+++ b/crates/dyketally-gateway/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod statement;
 pub mod store;
 mod succession;
+pub mod traffic;
 
 pub use node::{Adapters, run};
--- a/crates/dyketally-gateway/src/measures.rs
+++ b/crates/dyketally-gateway/src/measures.rs
@@ -259,6 +259,12 @@
             "Revision of the configuration in force.",
             Some(revision),
         );
+        let name = "dyketally_sent_bytes_to_node_total";
+        let sent = gauges(registry, name, "Bytes sent to another node.", &["node"]);
+        for (node, bytes) in self.traffic.by_node() {
+            let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+            sent.with_label_values(&[node.as_str()]).set(bytes);
+        }
         let lag = self.replica_lag.get().value(self.now());
         gauge(
             registry,
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -210,6 +210,10 @@
     wait_for_sessions(gateway, transactions).await;
     gateway.enter(StopPhase::EndingTransactions);
     wait_for_sessions(gateway, last).await;
+    gateway.tell_counters();
+    gateway.events.write(&Event::Traffic {
+        sent_bytes: gateway.traffic.by_node(),
+    });
     gateway.events.write(&Event::Stopped {
         sessions: gateway.sessions.get(),
     });
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -11,7 +11,6 @@
 
 use super::SUBJECTS;
 use super::message::{FeedMessage, Ping, decode, encode};
-use crate::counters::SentBytes;
 use crate::fleet::link::frames;
 use crate::gateway::Gateway;
 
@@ -29,11 +28,14 @@
     if !may_serve() {
         return;
     }
+    let Ok(follower) = stream.peer_addr() else {
+        return;
+    };
     let (mut sink, mut pings) = frames(stream).split();
     // A follower that looks for a relay in touch with the store leaves behind this, and shouldn't have
     // been sent all the rest.
-    let sent = &gateway.counters.sent_bytes;
-    if send(sent, PONG, &mut sink, encode(&gateway.pong(0)))
+    let sent = |kind, bytes| gateway.count_sent(kind, follower, bytes);
+    if send(&sent, PONG, &mut sink, encode(&gateway.pong(0)))
         .await
         .is_none()
     {
@@ -45,11 +47,11 @@
     let mut changes = gateway.feed.changes.subscribe();
     for subject in SUBJECTS {
         let whole = gateway.feed.whole(subject);
-        if send(sent, WHOLE, &mut sink, whole).await.is_none() {
+        if send(&sent, WHOLE, &mut sink, whole).await.is_none() {
             return;
         }
     }
-    if send(sent, PONG, &mut sink, gateway.answer(&ping))
+    if send(&sent, PONG, &mut sink, gateway.answer(&ping))
         .await
         .is_none()
     {
@@ -70,21 +72,21 @@
                 Some(Err(_)) | None => return,
             },
         };
-        if !may_serve() || send(sent, kind, &mut sink, message).await.is_none() {
+        if !may_serve() || send(&sent, kind, &mut sink, message).await.is_none() {
             return;
         }
     }
 }
 
-/// Sends a message; `None` if it can't be sent, or there is none.
+/// Sends a message, and tells `sent` so; `None` if it can't be sent, or there is none.
 async fn send(
-    sent: &SentBytes,
+    sent: &impl Fn(&'static str, usize),
     kind: &'static str,
     sink: &mut (impl Sink<Bytes, Error = io::Error> + Unpin),
     message: Option<Bytes>,
 ) -> Option<()> {
     let message = message?;
-    sent.add(kind, message.len());
+    sent(kind, message.len());
     sink.send(message).await.ok()
 }
 
--- a/crates/dyketally-gateway/src/store/metered_store.rs
+++ b/crates/dyketally-gateway/src/store/metered_store.rs
@@ -7,8 +7,9 @@
 use async_trait::async_trait;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
-    Consistency, KeyValueStore, Lease, LeaseId, PutRequest, RangeReply, RangeRequest,
-    StoreRevision, TransactionReply, TransactionRequest, WatchRequest, WatchStream,
+    Consistency, Entry, KeyValueStore, Lease, LeaseId, Operation, PutRequest, RangeReply,
+    RangeRequest, StoreRevision, TransactionReply, TransactionRequest, WatchBatch, WatchEvent,
+    WatchRequest, WatchStream,
 };
 use futures::StreamExt;
 use serde::Serialize;
@@ -29,6 +30,35 @@
     store_leases: AtomicU64,
     /// Leases renewed.
     store_renewals: AtomicU64,
+    /// Bytes of keys and values that the store sent, before they are encoded.
+    store_received_bytes: AtomicU64,
+    /// Bytes of keys and values that the store was sent.
+    store_sent_bytes: AtomicU64,
+}
+
+fn add_bytes(total: &AtomicU64, bytes: usize) {
+    total.fetch_add(bytes as u64, Ordering::Relaxed);
+}
+
+fn bytes_of(entries: &[Entry]) -> usize {
+    let bytes = entries.iter().map(bytes_of_entry);
+    bytes.sum()
+}
+
+fn bytes_of_entry(entry: &Entry) -> usize {
+    entry.key.as_bytes().len() + entry.value.len()
+}
+
+fn bytes_of_batch(batch: &WatchBatch) -> usize {
+    let events = batch.events.iter().map(|event| match event {
+        WatchEvent::Put(entry) => bytes_of_entry(entry),
+        WatchEvent::Deleted { key, .. } => key.as_bytes().len(),
+    });
+    events.sum()
+}
+
+fn bytes_of_put(put: &PutRequest) -> usize {
+    put.key.as_bytes().len() + put.value.len()
 }
 
 fn count(calls: &AtomicU64) {
@@ -55,16 +85,24 @@
             Consistency::Linearizable => &self.calls.store_reads,
             Consistency::Stale => &self.calls.store_stale_reads,
         });
-        self.inner.range(request).await
+        let reply = self.inner.range(request).await?;
+        add_bytes(&self.calls.store_received_bytes, bytes_of(&reply.entries));
+        Ok(reply)
     }
 
     async fn transact(&self, request: TransactionRequest) -> Result<TransactionReply, StoreError> {
         count(&self.calls.store_writes);
+        for operation in &request.then {
+            if let Operation::Put(put) = operation {
+                add_bytes(&self.calls.store_sent_bytes, bytes_of_put(put));
+            }
+        }
         self.inner.transact(request).await
     }
 
     async fn put(&self, request: PutRequest) -> Result<StoreRevision, StoreError> {
         count(&self.calls.store_writes);
+        add_bytes(&self.calls.store_sent_bytes, bytes_of_put(&request));
         self.inner.put(request).await
     }
 
@@ -91,6 +129,9 @@
             if number > 0 {
                 count(&calls.store_watches);
             }
+            if let Ok(batch) = &batch {
+                add_bytes(&calls.store_received_bytes, bytes_of_batch(batch));
+            }
             batch
         });
         Ok(Box::pin(counted))
