Send a follower no copy of what it has already

Change: a follower's first ping has the digests of its copies (keys and their revisions), and a relay answers `Unchanged` where they agree. A relay whose watch was lost and is back sends a whole copy only if the read brought something else. Announcements are always sent, since their list also tells that it was read. The first ping can be read by older builds, and theirs by this one. The following of one relay has a file of its own.

--- /dev/null
+++ b/crates/dyketally-gateway/src/store/feed/following.rs
@@ -0,0 +1,320 @@
+//! One relay that is followed, from its first message until it is left.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dyketally::time::Timestamp;
+use dyketally_store::key_value::StoreRevision;
+use futures::{SinkExt, StreamExt};
+use tokio::time::Instant;
+
+use super::follow::{Follower, SEARCH_INTERVAL};
+use super::message::{FeedMessage, FirstPing, Ping, decode, encode};
+use super::nearer::until_nearer_relay;
+use super::{OUT_OF_TOUCH, SUBJECTS, Subject};
+use crate::event::Event;
+use crate::fleet::link::Frames;
+use crate::store::follow::StoreUpdate;
+use crate::succession::lead::RelayContact;
+
+/// Pause between two pings. A contact with the store holds for 2.9 s; the relay's own is at most
+/// 0.8 s old, so three pings may be lost.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
+/// Pause between two pings while the relay has lost the store: its contact with the other nodes
+/// holds for 0.9 s only.
+const PING_INTERVAL_IN_OUTAGE: Duration = Duration::from_millis(300);
+/// Age of a relay's contact with the store from which on it is pinged as in an outage: a relay in touch
+/// renews its lease each 0.7 s, and one that is left for being out of touch has to be left early enough
+/// for another one's reply to arrive before this node's own contact has run out.
+const STORE_QUIET: Duration = Duration::from_millis(1_100);
+/// Silence after which a relay is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long a relay that is out of touch is followed before others are tried again.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Which relays are followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Demand {
+    /// Those in touch with the store.
+    InTouch,
+    /// Any, for a while: no relay is in touch with the store.
+    Any,
+}
+
+/// Which relay is followed next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Next {
+    /// One of the own zone, which is in touch.
+    Nearer,
+    /// The next best.
+    Other,
+}
+
+/// Why a relay is followed no longer.
+pub(super) struct Ended {
+    pub(super) reason: &'static str,
+    pub(super) next: Next,
+    /// False when the relay should be passed over for a while.
+    pub(super) may_be_followed_again: bool,
+}
+
+impl Ended {
+    pub(super) fn failed(reason: &'static str) -> Self {
+        Self {
+            reason,
+            next: Next::Other,
+            may_be_followed_again: false,
+        }
+    }
+
+    fn left(reason: &'static str) -> Self {
+        Self {
+            reason,
+            next: Next::Other,
+            may_be_followed_again: true,
+        }
+    }
+}
+
+/// A ping that was sent.
+struct SentPing {
+    number: u64,
+    at: Timestamp,
+}
+
+/// One relay that is being followed.
+pub(super) struct Following<'a> {
+    follower: &'a Follower,
+    relay: SocketAddr,
+    frames: Frames,
+    demand: Demand,
+    /// Subjects that the relay has sent as a whole.
+    whole: HashSet<Subject>,
+    /// The last ping; number zero before the first.
+    ping: SentPing,
+    /// True while the relay has lost the store.
+    in_outage: bool,
+    /// True while the relay hasn't heard from the store for a while.
+    is_quiet: bool,
+}
+
+impl<'a> Following<'a> {
+    /// A relay that was just connected to.
+    pub(super) fn new(
+        follower: &'a Follower,
+        relay: SocketAddr,
+        frames: Frames,
+        demand: Demand,
+    ) -> Self {
+        Self {
+            follower,
+            relay,
+            frames,
+            demand,
+            whole: HashSet::new(),
+            ping: SentPing {
+                number: 0,
+                at: Timestamp::ZERO,
+            },
+            in_outage: false,
+            is_quiet: false,
+        }
+    }
+
+    /// Follows the relay until that ends.
+    pub(super) async fn run(mut self) -> Ended {
+        let gateway = self.follower.gateway.clone();
+        let began = Instant::now();
+        // The relay speaks first.
+        let mut next_ping = None;
+        let mut heard = began;
+        let mut looked = began;
+        let nearer = until_nearer_relay(&gateway, self.relay);
+        tokio::pin!(nearer);
+        loop {
+            let message = tokio::select! {
+                message = self.frames.next() => Some(message),
+                () = until(next_ping) => None,
+                () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
+                    return Ended::failed("it is silent");
+                }
+                () = &mut nearer => {
+                    return Ended {
+                        next: Next::Nearer,
+                        ..Ended::left("a relay of this node's zone is in touch again")
+                    };
+                }
+            };
+            match message {
+                None => {
+                    next_ping = Some(Instant::now() + self.ping_interval());
+                    if self.send_ping().await.is_none() {
+                        return Ended::failed("it can't be reached");
+                    }
+                }
+                Some(Some(Ok(message))) => {
+                    heard = Instant::now();
+                    let Some(message) = decode(&message) else {
+                        return Ended::failed("it sent what is no message");
+                    };
+                    if let Err(reason) = self.take(message) {
+                        return Ended {
+                            reason,
+                            next: Next::Other,
+                            may_be_followed_again: self.in_outage,
+                        };
+                    }
+                    next_ping.get_or_insert(heard);
+                }
+                Some(Some(Err(_)) | None) => {
+                    return Ended::failed("it watches the store no longer");
+                }
+            }
+            let reviews = self.demand == Demand::Any && self.in_outage;
+            if reviews && began.elapsed() >= REVIEW_INTERVAL {
+                return Ended::left("another one may be in touch with the store");
+            }
+            // Ranking all nodes behind each of many changes would cost more than they do.
+            if looked.elapsed() >= SEARCH_INTERVAL {
+                looked = Instant::now();
+                if gateway.membership.is_known() && !gateway.may_follow_relays() {
+                    return Ended::left("this node watches the store itself now");
+                }
+            }
+        }
+    }
+
+    fn ping_interval(&self) -> Duration {
+        let interval = match self.in_outage || self.is_quiet {
+            true => PING_INTERVAL_IN_OUTAGE,
+            false => PING_INTERVAL,
+        };
+        let access = &self.follower.gateway.settings.access;
+        let confirmed_each = access.key_policy().confirmed_each();
+        confirmed_each.map_or(interval, |each| interval.min(each))
+    }
+
+    async fn send_ping(&mut self) -> Option<()> {
+        let number = self.ping.number + 1;
+        let at = self.follower.gateway.now();
+        self.ping = SentPing { number, at };
+        let ping = Ping { number };
+        let message = match number {
+            1 => {
+                let known = self.follower.gateway.feed.digests();
+                encode(&FirstPing { ping, known })?
+            }
+            _ => encode(&ping)?,
+        };
+        self.frames.send(message).await.ok()
+    }
+
+    /// Takes in a message; why the relay can't be followed if that is so.
+    fn take(&mut self, message: FeedMessage) -> Result<(), &'static str> {
+        let gateway = &self.follower.gateway;
+        let (subject, update) = match message {
+            FeedMessage::Unchanged {
+                subject,
+                complete_to,
+            } => {
+                self.take_whole(subject, complete_to)?;
+                self.note_if_fed();
+                return Ok(());
+            }
+            FeedMessage::Pong {
+                ping,
+                contact,
+                configuration_age,
+            } => {
+                self.take_configuration_age(ping, configuration_age);
+                return self.take_pong(ping, contact);
+            }
+            FeedMessage::Whole {
+                subject,
+                complete_to,
+                entries,
+            } => {
+                self.take_whole(subject, complete_to)?;
+                (subject, StoreUpdate::All(entries))
+            }
+            FeedMessage::Changed { subject, event } => (subject, StoreUpdate::Changed(event)),
+        };
+        gateway.feed.take(subject, &update);
+        if let Some(sink) = self.follower.sinks.get(&subject) {
+            sink(update);
+        }
+        self.note_if_fed();
+        Ok(())
+    }
+
+    /// Takes in that the follower has all of a subject as it was at `complete_to`.
+    fn take_whole(
+        &mut self,
+        subject: Subject,
+        complete_to: StoreRevision,
+    ) -> Result<(), &'static str> {
+        if complete_to < self.follower.gateway.feed.revision(subject) {
+            return Err("it is behind");
+        }
+        self.whole.insert(subject);
+        Ok(())
+    }
+
+    /// Takes in that the relay feeds this node, once it has told of all subjects.
+    fn note_if_fed(&self) {
+        let gateway = &self.follower.gateway;
+        if self.whole.len() == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
+            let relay = self.relay.to_string();
+            gateway.events.write(&Event::RelayFollowed { relay });
+            // A node that has just joined has heard from the store, but none of its news. What a former
+            // relay vouched for holds under the next one, too: to drop it would isolate the node for as
+            // long as it takes to catch up.
+            if self.in_outage && !self.follower.was_vouched_for.get() {
+                gateway.disregard_store();
+            }
+        }
+    }
+
+    /// A pong tells that everything the relay had heard before was passed on.
+    fn take_configuration_age(&self, ping: u64, age: Option<Duration>) {
+        let is_reply = ping == self.ping.number && ping > 0;
+        let has_configuration = self.whole.contains(&Subject::Configuration);
+        if let Some(age) = age.filter(|_| is_reply && has_configuration) {
+            let gateway = &self.follower.gateway;
+            gateway.keys_confirmed_by_relay(self.ping.at, age);
+        }
+    }
+
+    fn take_pong(&mut self, ping: u64, contact: RelayContact) -> Result<(), &'static str> {
+        let gateway = &self.follower.gateway;
+        self.in_outage = contact.store.is_none_or(|age| age > OUT_OF_TOUCH);
+        self.is_quiet = contact.store.is_none_or(|age| age > STORE_QUIET);
+        if self.in_outage && self.demand == Demand::InTouch {
+            return Err("it is out of touch with the store");
+        }
+        if !self.in_outage {
+            self.demand = Demand::InTouch;
+        }
+        let is_fed = self.whole.len() == SUBJECTS.len();
+        // A node that the others don't know of isn't in touch with them.
+        let is_listed = gateway.feed.lists(Subject::Nodes, &self.follower.own_key);
+        if ping == self.ping.number && ping > 0 && is_fed && is_listed {
+            let vouched = contact.store.is_some();
+            self.follower
+                .was_vouched_for
+                .set(vouched || self.follower.was_vouched_for.get());
+            gateway.take_relay_contact(self.ping.at, contact);
+        }
+        Ok(())
+    }
+}
+
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+const _: () = assert!(PING_INTERVAL.as_millis() * 3 < SILENCE_LIMIT.as_millis());
--- a/crates/dyketally-gateway/src/store/feed/message.rs
+++ b/crates/dyketally-gateway/src/store/feed/message.rs
@@ -1,5 +1,6 @@
 //! What nodes send each other over a feed.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{Read, Write};
 use std::time::Duration;
 
@@ -41,6 +42,11 @@
         /// never was.
         configuration_age: Option<Duration>,
     },
+    /// The follower has all keys of a subject as they are, by its digest.
+    Unchanged {
+        subject: Subject,
+        complete_to: StoreRevision,
+    },
 }
 
 /// What a follower sends.
@@ -50,6 +56,30 @@
     pub number: u64,
 }
 
+/// What a follower sends first: a ping, and what it has already.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct FirstPing {
+    pub ping: Ping,
+    pub known: Vec<(Subject, Digest)>,
+}
+
+/// Stands for the keys of a copy and the revisions at which they were put last. The hash may differ
+/// between builds, and the copy is then sent as a whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Digest(u64);
+
+impl Digest {
+    /// The digest of a copy.
+    pub(super) fn of<'a>(entries: impl Iterator<Item = &'a Entry>) -> Self {
+        let mut hasher = DefaultHasher::new();
+        for entry in entries {
+            entry.key.hash(&mut hasher);
+            entry.modified.hash(&mut hasher);
+        }
+        Self(hasher.finish())
+    }
+}
+
 /// Encodes a message; `None` if it can't be.
 pub(super) fn encode(message: &impl Serialize) -> Option<Bytes> {
     let body = postcard::to_stdvec(message).ok()?;
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -7,6 +7,7 @@
 //! followers, too. A node that reaches no relay watches the store itself.
 
 mod follow;
+mod following;
 mod message;
 mod nearer;
 mod relays;
@@ -28,7 +29,7 @@
 
 use crate::fleet::passed_over::PassedOver;
 use crate::store::follow::StoreUpdate;
-use message::{FeedMessage, encode};
+use message::{Digest, FeedMessage, encode};
 
 /// How long a node that lost its relay looks for another before it asks the store: time to try
 /// three relays that don't reply.
@@ -67,6 +68,8 @@
     /// The store's revision up to which this copy lacks nothing.
     complete_to: StoreRevision,
     watch: OwnWatch,
+    /// True when a read brought something that followers weren't told as a change.
+    differs_from_followers: bool,
     /// All of it as it is sent to followers, until it changes.
     encoded: Option<Bytes>,
 }
@@ -83,10 +86,12 @@
 impl Copy {
     fn replace(&mut self, entries: &[Entry]) {
         self.encoded = None;
+        let before = Digest::of(self.entries.values());
         self.entries = entries
             .iter()
             .map(|it| (it.key.clone(), it.clone()))
             .collect();
+        self.differs_from_followers |= before != Digest::of(self.entries.values());
         let newest = entries.iter().map(|entry| entry.modified).max();
         self.revision = self.revision.max(newest.unwrap_or_default());
     }
@@ -174,12 +179,17 @@
         copy.complete_to = revision;
         copy.encoded = None;
         copy.watch = OwnWatch::Stands;
-        drop(copies);
         // Followers lack what changed while this node's former watch was lost.
+        let differs = std::mem::take(&mut copy.differs_from_followers);
+        drop(copies);
+        let known = match differs {
+            true => Vec::new(),
+            false => self.digests(),
+        };
         if self.has_followers()
-            && let Some(whole) = self.whole(subject)
+            && let Some(message) = self.whole_unless_known(subject, &known)
         {
-            self.send(whole);
+            self.send(message);
         }
     }
 
@@ -244,6 +254,38 @@
         Some(entry.modified)
     }
 
+    /// The digest of this node's copy of a subject, if it has one that may stand in for another node's.
+    /// A list of the announcements also tells that it was read, so that one is always sent.
+    fn digest(&self, subject: Subject) -> Option<Digest> {
+        if subject == Subject::Announcements {
+            return None;
+        }
+        let copies = self.copies.borrow();
+        let copy = copies.get(&subject)?;
+        Some(Digest::of(copy.entries.values()))
+    }
+
+    /// What a follower that has copies of `known` digests is sent of a subject.
+    fn whole_unless_known(&self, subject: Subject, known: &[(Subject, Digest)]) -> Option<Bytes> {
+        let digest = self.digest(subject);
+        let is_known = digest.is_some_and(|digest| known.contains(&(subject, digest)));
+        if !is_known {
+            return self.whole(subject);
+        }
+        let copies = self.copies.borrow();
+        let copy = copies.get(&subject)?;
+        encode(&FeedMessage::Unchanged {
+            subject,
+            complete_to: copy.revision.max(copy.complete_to),
+        })
+    }
+
+    /// The digests of this node's copies.
+    fn digests(&self) -> Vec<(Subject, Digest)> {
+        let digests = SUBJECTS.map(|subject| Some((subject, self.digest(subject)?)));
+        digests.into_iter().flatten().collect()
+    }
+
     /// All of a subject as it is sent to followers.
     fn whole(&self, subject: Subject) -> Option<Bytes> {
         let mut copies = self.copies.borrow_mut();
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -10,7 +10,7 @@
 use tokio::sync::broadcast::error::RecvError;
 
 use super::SUBJECTS;
-use super::message::{FeedMessage, Ping, decode, encode};
+use super::message::{FeedMessage, FirstPing, Ping, decode, encode};
 use crate::fleet::link::frames;
 use crate::gateway::Gateway;
 
@@ -44,9 +44,11 @@
     let Ok(Some(Ok(ping))) = tokio::time::timeout(FIRST_PING_LIMIT, pings.next()).await else {
         return;
     };
+    // A follower of an older build tells nothing of what it has.
+    let known = decode(&ping).map_or(Vec::new(), |first: FirstPing| first.known);
     let mut changes = gateway.feed.changes.subscribe();
     for subject in SUBJECTS {
-        let whole = gateway.feed.whole(subject);
+        let whole = gateway.feed.whole_unless_known(subject, &known);
         if send(&sent, WHOLE, &mut sink, whole).await.is_none() {
             return;
         }
