--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -25,15 +25,22 @@
     }
 }
 
-/// Counts by kind: of messages to other nodes their bytes, without the headers of the network.
+/// Counts by kind; of messages to other nodes their bytes by kind or by zone, without the headers of
+/// the network.
 #[derive(Debug, Default, Serialize)]
 #[serde(transparent)]
-pub struct CountsByKind(RefCell<BTreeMap<&'static str, u64>>);
+pub struct CountsByKind(RefCell<BTreeMap<String, u64>>);
 
 impl CountsByKind {
     /// Counts `count` more of `kind`.
-    pub fn add(&self, kind: &'static str, count: usize) {
-        *self.0.borrow_mut().entry(kind).or_default() += count as u64;
+    pub fn add(&self, kind: &str, more: usize) {
+        let mut counts = self.0.borrow_mut();
+        match counts.get_mut(kind) {
+            Some(count) => *count += more as u64,
+            None => {
+                counts.insert(kind.to_owned(), more as u64);
+            }
+        }
     }
 }
 
@@ -70,8 +77,12 @@
     pub confirmations: Counter,
     /// Sendings to databases that were denied, by reason.
     pub denied: CountsByKind,
-    /// Bytes sent to other nodes.
+    /// Bytes sent to other nodes, by kind of message.
     pub sent_bytes: CountsByKind,
+    /// The same by zone of the receiver.
+    pub sent_bytes_by_zone: CountsByKind,
+    /// Bytes sent to nodes of other regions, by kind of message.
+    pub sent_bytes_far: CountsByKind,
     /// Calls to the store.
     #[serde(flatten)]
     pub store: Arc<StoreCalls>,
