Close fences half a second after contact ends, by a short contact

Cause: a fence waited 3.2 s for nodes that didn't confirm, until their contact with the store had surely ended.

Change: beside the contact of 2.9 s there is a short one of 0.5 s. Nodes ask the holder of the duty for it each 0.1 s, most by way of their relay, and hear with each reply which fences stand. While nobody grants it, replies of more than half of the nodes do, asked for each 0.2 s. A node trusts a primary without asking only while it has both. A fence closes 0.65 s after the holder and half of the nodes have it, if the store tells of it by then. Whoever takes the duty grants nothing for 3.2 s, and a round whose lease may have ended counts only nodes that confirm: the fuzz found that a round could outlive its holder's first tenure and close in its second. No call to the store is added.

Tests: fence_fuzz also has nodes that stand still, clocks that differ by up to 8%, a duty that changes hands, and grants; what the long contact alone rests on is fuzzed as before, by the same eleven faults.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dyketally::failover::FenceId;
+use dyketally::failover::{FenceId, GRANTS_SETTLE};
 use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName};
 use dyketally::placement::Candidate;
 use dyketally_store::StoreError;
@@ -189,6 +189,8 @@
     heard_holder: RefCell<Option<(NodeRecord, Instant)>>,
     duty_lease: Cell<Option<HeldLease>>,
     duty: Cell<Option<Duty>>,
+    /// When this node took the duty that it holds.
+    duty_taken: Cell<Option<Instant>>,
     store_contact: Cell<Option<Instant>>,
     store_failing: Cell<bool>,
 }
@@ -419,7 +421,17 @@
 
     /// Takes in that this node holds the duty.
     pub fn hold_duty(&self, duty: Duty) {
-        self.duty.set(Some(duty));
+        if self.duty.replace(Some(duty)).is_none() {
+            self.duty_taken.set(Some(Instant::now()));
+        }
+    }
+
+    /// True while this node may grant others the short contact: it alone surely holds the duty, and has
+    /// for long enough.
+    pub fn grants_contact(&self) -> bool {
+        let taken = self.duty_taken.get();
+        let is_settled = taken.is_some_and(|at| at.elapsed() >= GRANTS_SETTLE);
+        is_settled && self.duty().is_some()
     }
 
     /// Takes in until when the duty's lease runs.
@@ -430,6 +442,7 @@
     /// Takes in that this node no longer holds the duty; true if it did.
     pub fn lay_down_duty(&self) -> bool {
         self.duty_lease.set(None);
+        self.duty_taken.set(None);
         self.duty.take().is_some()
     }
 }
--- a/crates/dyketally-gateway/src/fleet/message.rs
+++ b/crates/dyketally-gateway/src/fleet/message.rs
@@ -81,6 +81,23 @@
         /// The fences that stand at the sender.
         fenced: Vec<StandingFence>,
     },
+    /// Asks for the short contact.
+    ContactAsked {
+        /// Names the question in replies.
+        round: u64,
+    },
+    /// How lately the sender was in touch.
+    ContactTold {
+        /// The question.
+        round: u64,
+        /// How long ago it asked for the short contact that was granted, in milliseconds; 0 where it
+        /// grants it itself.
+        granted_ms: Option<u32>,
+        /// How long ago it asked the nodes more than half of which replied, in milliseconds.
+        majority_ms: Option<u32>,
+        /// The fences that stand at the sender.
+        fenced: Vec<StandingFence>,
+    },
     /// Asks for a heartbeat. Unlike [`PeerMessage::AreYouThere`] it doesn't tell that the sender
     /// counts the receiver among those that it is in touch with.
     HeartbeatAsked,
@@ -151,6 +168,8 @@
             Self::LiftFence { .. } => "lift_fence",
             Self::AreYouThere { .. } => "are_you_there",
             Self::Here { .. } => "here",
+            Self::ContactAsked { .. } => "contact_asked",
+            Self::ContactTold { .. } => "contact_told",
             Self::HeartbeatAsked => "heartbeat_asked",
             Self::Heartbeat => "heartbeat",
             Self::RelaysAsked { .. } => "relays_asked",
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -192,6 +192,21 @@
                 self.gateway.heard_of_fences(fenced, "a sign of life");
                 pass_on(&self.life_rounds, round, from);
             }
+            PeerMessage::ContactAsked { round } => {
+                let told = self.gateway.tell_short_contact(round);
+                self.send(from, &told);
+            }
+            PeerMessage::ContactTold {
+                round,
+                granted_ms,
+                majority_ms,
+                fenced,
+            } => {
+                self.gateway
+                    .heard_of_fences(fenced, "a reply about contact");
+                self.gateway
+                    .take_short_contact(round, granted_ms, majority_ms);
+            }
             PeerMessage::HeartbeatAsked => self.send(from, &PeerMessage::Heartbeat),
             PeerMessage::Heartbeat => {
                 if let Some(heartbeats) = self.heartbeats.borrow().as_ref() {
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -37,6 +37,7 @@
 use crate::succession::failover::Failover;
 use crate::succession::fence::FenceKeeper;
 use crate::succession::lead::keep_in_touch;
+use crate::succession::short_contact::keep_short_contact;
 
 /// Pause between two rounds of tidying up.
 const TIDY_INTERVAL: Duration = Duration::from_secs(5);
@@ -126,6 +127,7 @@
     tokio::task::spawn_local(relay::serve(gateway.clone(), relayed));
     tokio::task::spawn_local(peers.clone().run());
     tokio::task::spawn_local(keep_in_touch(gateway.clone(), peers.clone()));
+    tokio::task::spawn_local(keep_short_contact(gateway.clone(), peers.clone()));
     tokio::task::spawn_local(ask_seeds(gateway.clone(), peers.clone()));
     tokio::task::spawn_local(failover.run());
     tokio::task::spawn_local(liveness.run());
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -294,6 +294,7 @@
             sink(update);
         }
         if self.whole.len() == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
+            gateway.feed.relay.set(Some(self.relay));
             let relay = self.relay.to_string();
             gateway.events.write(&Event::RelayFollowed { relay });
             // A node that has just joined has heard from the store, but none of its news. What a former
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -11,8 +11,9 @@
 mod relays;
 mod serve;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -111,6 +112,8 @@
     copies: RefCell<HashMap<Subject, Copy>>,
     changes: broadcast::Sender<Bytes>,
     fed: watch::Sender<bool>,
+    /// Where the relay hears other nodes that feeds this one.
+    relay: Cell<Option<SocketAddr>>,
     /// Told when this node reaches the store and no relay does.
     without_relay: Notify,
     /// Relays that failed or are behind.
@@ -123,6 +126,7 @@
             copies: RefCell::default(),
             changes: broadcast::Sender::new(CHANGES_KEPT),
             fed: watch::Sender::new(false),
+            relay: Cell::default(),
             without_relay: Notify::new(),
             passed_over: PassedOver::default(),
         }
@@ -259,6 +263,11 @@
         *self.fed.borrow()
     }
 
+    /// Where the relay hears other nodes that feeds this one.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay.get().filter(|_| self.is_fed())
+    }
+
     /// Waits until this node is fed if it isn't, and the other way round.
     pub async fn fed_changes(&self) {
         let mut fed = self.fed.subscribe();
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -22,6 +22,8 @@
 
 /// Pause before nodes that didn't confirm are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
+/// Pause before the round is judged anew though nobody has replied.
+const LOOK_INTERVAL: Duration = Duration::from_millis(25);
 /// Tries to have the store no longer tell of a fence, and the pause between two of them.
 const DELETIONS_AT_MOST: u32 = 4;
 const DELETION_PAUSE: Duration = Duration::from_millis(400);
@@ -219,6 +221,9 @@
             {
                 round.published(at);
             }
+            if gateway.membership.duty().is_none() {
+                round.lease_broken();
+            }
             let former_holder = gateway.membership.former_holder();
             let lapsed = former_holder
                 .is_some_and(|holder| silent.contains(&holder) && !heard.contains(&holder));
@@ -239,7 +244,8 @@
                 );
                 ask_at = Instant::now() + ASK_AGAIN;
             }
-            let reply = tokio::time::timeout_at(ask_at, replies.receiver.recv()).await;
+            let look_at = ask_at.min(Instant::now() + LOOK_INTERVAL);
+            let reply = tokio::time::timeout_at(look_at, replies.receiver.recv()).await;
             let Ok(Some(reply)) = reply else {
                 continue;
             };
--- a/crates/dyketally-gateway/src/succession/lead.rs
+++ b/crates/dyketally-gateway/src/succession/lead.rs
@@ -23,6 +23,7 @@
 use crate::gateway::Gateway;
 use crate::ports::OwnStatement;
 use crate::statement::target::Target;
+use crate::succession::short_contact::Questions;
 
 /// How long a database may take to tell whether it leads.
 const ROLE_LIMIT: Duration = Duration::from_millis(300);
@@ -72,7 +73,8 @@
 /// Whether this node is in touch.
 #[derive(Debug, Default)]
 pub struct Touch {
-    contact: RefCell<Contact>,
+    pub(super) contact: RefCell<Contact>,
+    pub(super) questions: RefCell<Questions>,
 }
 
 impl Gateway {
@@ -135,7 +137,7 @@
     pub fn relay_contact(&self) -> RelayContact {
         let now = self.now();
         let contact = self.touch.contact.borrow();
-        let is_held = contact.is_held(now);
+        let is_held = contact.is_long_held(now);
         let fences = self.fences.borrow().standing(now);
         RelayContact {
             store: contact.store_age(now).filter(|_| is_held),
--- a/crates/dyketally-gateway/src/succession/mod.rs
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -8,3 +8,4 @@
 pub mod lead;
 pub mod probe;
 mod replacement;
+pub mod short_contact;
--- a/crates/dyketally/src/failover/contact.rs
+++ b/crates/dyketally/src/failover/contact.rs
@@ -3,6 +3,12 @@
 //! Whoever replaces a primary tells all nodes and the store. A node that has lately been in touch
 //! with the store, or with more than half of the nodes, would have heard. One that hasn't is
 //! isolated: before it trusts a primary it has to make sure that no other database leads.
+//!
+//! Beside this long contact there is a short one, so that nodes which are lost together with a primary
+//! needn't be waited for until their long contact has ended: the holder of the duty of replacing
+//! primaries grants it with each reply, and each reply tells which fences stand. While nobody grants, a
+//! reply of more than half of the nodes does as well. A node trusts a primary without asking only while
+//! it has both.
 
 use std::time::Duration;
 
@@ -12,18 +18,28 @@
 pub const STORE_HOLDS: Duration = Duration::from_millis(2_900);
 /// How long one contact with more than half of the nodes holds.
 pub const MAJORITY_HOLDS: Duration = Duration::from_millis(900);
+/// How long a short contact holds: four or five rounds of [`GRANT_INTERVAL`], of which three may be lost
+/// between zones that are 40 ms apart and back.
+pub const SHORT_HOLDS: Duration = Duration::from_millis(500);
+/// Pause between two times that a node asks for the short contact.
+pub const GRANT_INTERVAL: Duration = Duration::from_millis(100);
+/// Age of the short contact from which on a node looks for it elsewhere: two rounds were lost.
+pub const GRANT_LATE: Duration = Duration::from_millis(250);
 /// How long a node that was isolated may take to hear what it missed, once it is in touch again.
 const CATCH_UP: Duration = Duration::from_secs(3);
 /// Age of the contact with the store from which on the other nodes are asked.
 const ASK_NODES_AFTER: Duration = Duration::from_millis(2_300);
 /// Pause between two rounds of asking them.
 const ASK_NODES_INTERVAL: Duration = Duration::from_millis(350);
+/// The same while nobody grants the short contact, which then rests on their replies.
+const ASK_NODES_INTERVAL_WITHOUT_GRANTS: Duration = Duration::from_millis(200);
 
 /// When a node was last in touch. All times are those at which it asked, not those of the replies.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contact {
     store: Option<Timestamp>,
     majority: Option<Timestamp>,
+    granted: Option<Timestamp>,
     /// When it was in touch again after it had been isolated.
     regained: Option<Timestamp>,
 }
@@ -49,6 +65,11 @@
         self.majority = self.majority.max(Some(asked));
     }
 
+    /// Takes in that the holder of the duty granted the short contact that was asked for at `asked`.
+    pub fn granted(&mut self, asked: Timestamp) {
+        self.granted = self.granted.max(Some(asked));
+    }
+
     fn replied(&mut self, asked: Timestamp) {
         if self.was_ever_made() && !self.holds(asked) {
             self.regained = Some(asked);
@@ -66,6 +87,11 @@
         within(self.store, STORE_HOLDS) || within(self.majority, MAJORITY_HOLDS)
     }
 
+    fn is_short_held(&self, now: Timestamp) -> bool {
+        let short = self.granted.max(self.majority);
+        short.is_some_and(|asked| now.saturating_since(asked) < SHORT_HOLDS)
+    }
+
     fn is_catching_up(&self, now: Timestamp) -> bool {
         self.regained
             .is_some_and(|at| now.saturating_since(at) < CATCH_UP)
@@ -74,9 +100,24 @@
     /// True when the node would have heard of a primary that is replaced. A node that was never in
     /// touch wouldn't: what it knows may come from others, or be old.
     pub fn is_held(&self, now: Timestamp) -> bool {
+        self.is_long_held(now) && self.is_short_held(now)
+    }
+
+    /// True while the long contact holds and the node has caught up.
+    pub fn is_long_held(&self, now: Timestamp) -> bool {
         self.holds(now) && !self.is_catching_up(now)
     }
 
+    /// How long ago the short contact was asked for that was granted last; `None` while none was.
+    pub fn granted_age(&self, now: Timestamp) -> Option<Duration> {
+        self.granted.map(|asked| now.saturating_since(asked))
+    }
+
+    /// True when the short contact should be looked for elsewhere than where it was asked for.
+    pub fn is_grant_late(&self, now: Timestamp) -> bool {
+        self.granted_age(now).is_none_or(|age| age >= GRANT_LATE)
+    }
+
     /// How long ago the store was asked that replied last; `None` while it never did.
     pub fn store_age(&self, now: Timestamp) -> Option<Duration> {
         self.store.map(|asked| now.saturating_since(asked))
@@ -90,8 +131,12 @@
 
     /// When the other nodes should be asked next; `None` while the store was never reached.
     pub fn ask_nodes_at(&self, last_asked: Option<Timestamp>) -> Option<Timestamp> {
-        let due = self.store? + ASK_NODES_AFTER;
-        Some(last_asked.map_or(due, |asked| due.max(asked + ASK_NODES_INTERVAL)))
+        let store_late = self.store? + ASK_NODES_AFTER;
+        let after =
+            |due: Timestamp, interval| last_asked.map_or(due, |asked| due.max(asked + interval));
+        let grant_late = self.granted.map_or(Timestamp::ZERO, |at| at + GRANT_LATE);
+        let without_grants = after(grant_late, ASK_NODES_INTERVAL_WITHOUT_GRANTS);
+        Some(after(store_late, ASK_NODES_INTERVAL).min(without_grants))
     }
 }
 
@@ -99,3 +144,6 @@
 pub fn is_majority(replied: usize, nodes: usize) -> bool {
     (replied + 1) * 2 > nodes
 }
+
+const _: () = assert!(GRANT_INTERVAL.as_millis() < GRANT_LATE.as_millis());
+const _: () = assert!(GRANT_LATE.as_millis() < SHORT_HOLDS.as_millis());
--- /dev/null
+++ b/crates/dyketally/tests/fence_fuzz/round.rs
@@ -0,0 +1,167 @@
+//! Rounds of fences around the primary, and its replacement.
+
+use std::time::Duration;
+
+use dyketally::failover::{FenceRound, FenceVerdict};
+use dyketally::time::Timestamp;
+use rand::Rng;
+
+use super::Fault;
+use super::world::{Rule, World};
+
+/// Steps between two rounds of asking nodes to confirm.
+const ASK_STEPS: usize = 3;
+/// Time that the store has told of a fence, and that half of the nodes have confirmed it, when the long
+/// contact of all others has ended.
+const LONG_ISOLATES: Duration = Duration::from_millis(3_200);
+const HALF_ISOLATES: Duration = Duration::from_millis(1_200);
+
+/// A round of whoever held the duty as it began.
+pub struct Round {
+    round: FenceRound,
+    owner: usize,
+    /// The step at which the answer comes that the store tells of the fence.
+    answer_at: Option<usize>,
+    /// Since when the owner knows that the store does, and that half of the nodes have confirmed.
+    published: Option<Timestamp>,
+    half: Option<Timestamp>,
+    began: usize,
+    confirmed: Vec<bool>,
+}
+
+impl World {
+    /// The holder of the duty replaces the primary when it doesn't reach it, and whoever began a round
+    /// goes on with it.
+    pub fn replace(&mut self) {
+        let holder = self.duty.holder;
+        let owner = self.round.as_ref().map_or(holder, |round| round.owner);
+        let begins = !self.nodes[holder].reaches_primary && self.surely_holds(holder);
+        if self.replaced || self.is_frozen(owner) || !(self.round.is_some() || begins) {
+            return;
+        }
+        let now = self.now(owner);
+        let mut round = self.round.take().unwrap_or_else(|| self.new_round(owner));
+        if (self.step - round.began).is_multiple_of(ASK_STEPS) {
+            if self.step > round.began && round.answer_at.is_none() {
+                round.answer_at = self.publish(owner);
+            }
+            self.ask(&mut round);
+        }
+        if round.answer_at.is_some_and(|at| at <= self.step) {
+            round.round.published(now);
+            round.published.get_or_insert(now);
+        }
+        let runs = self.surely_holds(owner) || self.fault == Fault::ClosesWithoutLease;
+        if !runs {
+            round.round.lease_broken();
+        }
+        match self.judged(&round) {
+            // Without the lease there is no token to appoint a successor with.
+            FenceVerdict::Closed if !runs => {}
+            FenceVerdict::Closed => {
+                self.replaced = true;
+                self.published = false;
+                self.closed_early = self.is_early(&round);
+            }
+            FenceVerdict::Open => self.round = Some(round),
+            FenceVerdict::Contested | FenceVerdict::NoQuorum => self.lift(owner),
+        }
+    }
+
+    /// Has the store tell of the fence; the step at which its answer comes. It may be long under way,
+    /// and its sender stand still meanwhile.
+    fn publish(&mut self, owner: usize) -> Option<usize> {
+        let lease_runs = self.true_time() < self.duty.ends || self.rule == Rule::Long;
+        if self.duty.holder != owner || !lease_runs || !self.nodes[owner].reaches_store {
+            return None;
+        }
+        self.published = true;
+        if self.rule == Rule::Long {
+            return Some(self.step);
+        }
+        if self.random.random_bool(0.1) {
+            self.nodes[owner].frozen_until = self.step + self.random.random_range(1..160);
+        }
+        Some(self.step + self.random.random_range(0..4))
+    }
+
+    fn new_round(&mut self, owner: usize) -> Round {
+        let now = self.now(owner);
+        let mut confirmed = vec![false; self.nodes.len()];
+        confirmed[owner] = true;
+        self.nodes[owner].fenced = true;
+        let mut round = FenceRound::new(now, self.nodes.len());
+        round.confirmed(now);
+        Round {
+            round,
+            owner,
+            answer_at: None,
+            published: None,
+            half: (self.nodes.len() <= 2).then_some(now),
+            began: self.step,
+            confirmed,
+        }
+    }
+
+    fn ask(&mut self, round: &mut Round) {
+        let owner = round.owner;
+        let now = self.now(owner);
+        let mut confirmations = round.confirmed.iter().filter(|it| **it).count();
+        for (index, confirmed) in round.confirmed.iter_mut().enumerate() {
+            if *confirmed || !self.hears(owner, index) {
+                continue;
+            }
+            match self.nodes[index].reaches_primary {
+                true if self.fault != Fault::ConfirmedOnly => round.round.contested(),
+                reaches => {
+                    let at = match self.fault {
+                        Fault::QuorumBackdated => Timestamp::ZERO,
+                        _ => now,
+                    };
+                    round.round.confirmed(at);
+                    *confirmed = true;
+                    confirmations += 1;
+                    if confirmations * 2 >= self.nodes.len() {
+                        round.half.get_or_insert(at);
+                    }
+                    self.nodes[index].fenced = !reaches;
+                }
+            }
+        }
+    }
+
+    fn judged(&self, round: &Round) -> FenceVerdict {
+        let verdict = round.round.verdict(self.now(round.owner));
+        match (self.fault, verdict) {
+            (fault, FenceVerdict::Closed) if self.is_early(round) && self.rule == Rule::Long => {
+                match fault {
+                    Fault::SilentNodesIgnored => FenceVerdict::Closed,
+                    _ => FenceVerdict::Open,
+                }
+            }
+            (Fault::SilentNodesIgnored, FenceVerdict::Open) => FenceVerdict::Closed,
+            (Fault::NoQuorumNeeded, FenceVerdict::NoQuorum) => FenceVerdict::Closed,
+            _ => verdict,
+        }
+    }
+
+    /// True when the long contact of nodes that didn't confirm may still hold.
+    fn is_early(&self, round: &Round) -> bool {
+        let now = self.now(round.owner);
+        let lasted = |since: Option<Timestamp>, time| {
+            since.is_some_and(|since| now.saturating_since(since) >= time)
+        };
+        let silent = round.confirmed.iter().any(|confirmed| !confirmed);
+        silent && !(lasted(round.published, LONG_ISOLATES) && lasted(round.half, HALF_ISOLATES))
+    }
+
+    /// Nodes that don't hear it keep the fence.
+    fn lift(&mut self, owner: usize) {
+        self.published = false;
+        for index in 0..self.nodes.len() {
+            if self.hears(owner, index) {
+                self.nodes[index].fenced = false;
+            }
+        }
+    }
+}
