Look for a silent home, and have its database judged at once

Cause: homes run near their databases, so both are lost together with a zone. Callers of a home waited until the connection to it broke, 2.5 s, and the first suspicion came after 1.83 s. A poll asked nodes drawn from all zones, of which those of the lost one couldn't vote.

Change: a call without a reply for 0.2 s has the home asked by datagram. One that doesn't reply to two of them within 0.14 s is passed over and its primary reported, without probing it first: the poll that follows finds out. Polls ask nodes of other regions than the database's before those of its own.

--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -2,7 +2,7 @@
 //! few homes otherwise.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -69,6 +69,8 @@
     placed: RefCell<HashMap<DatabaseName, Rc<Placed>>>,
     /// Homes that failed or leave.
     pub passed_over: PassedOver,
+    /// Homes that are being looked for.
+    looked_for: RefCell<HashSet<SocketAddr>>,
 }
 
 impl Homes {
@@ -122,6 +124,33 @@
         placed.nodes().copied().collect()
     }
 
+    /// Finds out whether a home runs that stays silent on a call for `database`. One that doesn't reply
+    /// to datagrams either is passed over. Homes run near their databases, so that both are often lost
+    /// together: a primary is reported at once, and the poll that follows finds out.
+    pub fn look_for_home(self: &Rc<Self>, home: SocketAddr, database: &DatabaseName) {
+        let Some(peers) = self.peers.borrow().clone() else {
+            return;
+        };
+        if !self.homes.looked_for.borrow_mut().insert(home) {
+            return;
+        }
+        let gateway = self.clone();
+        let database = database.clone();
+        tokio::task::spawn_local(async move {
+            let found = peers.is_reached(home).await;
+            gateway.homes.looked_for.borrow_mut().remove(&home);
+            if found {
+                return;
+            }
+            gateway.homes.passed_over.add(home);
+            gateway.links.close(home);
+            let target = gateway.known_target(&database);
+            if let Some(target) = target.filter(|target| gateway.is_primary(target)) {
+                gateway.report_suspicion(&target);
+            }
+        });
+    }
+
     fn placed(&self, database: &DatabaseName) -> Option<Rc<Placed>> {
         if let Some(placed) = self.homes.placed.borrow().get(database) {
             return Some(placed.clone());
--- a/crates/dyketally-gateway/src/fleet/link.rs
+++ b/crates/dyketally-gateway/src/fleet/link.rs
@@ -30,6 +30,8 @@
 const LONGEST_MESSAGE: usize = 4 << 20;
 /// Longest time that connecting to a home may take.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Silence of a home that is called from which on it is looked for.
+const SILENCE: Duration = Duration::from_millis(200);
 /// How long a link that isn't used is kept. A link that rested may lead to a machine that is gone.
 const REST_LIMIT: Duration = Duration::from_secs(3);
 /// Links to one home that are kept while they aren't used.
@@ -230,7 +232,9 @@
                 batch: Cow::Borrowed(batch),
             };
             let began = Instant::now();
-            let reply = link.call(&self.gateway, &call).await;
+            let reply = self
+                .call_watched(home, link.call(&self.gateway, &call))
+                .await;
             self.gateway.measures.spent(Stage::Link, began.elapsed());
             let reply = reply.map_err(|broken| {
                 self.pass_over(home);
@@ -257,6 +261,18 @@
         }
     }
 
+    /// Waits for the reply of `home`, and has it looked for when it stays silent.
+    async fn call_watched<T>(&self, home: SocketAddr, call: impl Future<Output = T>) -> T {
+        tokio::pin!(call);
+        match tokio::time::timeout(SILENCE, &mut call).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                self.gateway.look_for_home(home, &self.database);
+                call.await
+            }
+        }
+    }
+
     fn pass_over(&self, home: SocketAddr) {
         self.gateway.homes.passed_over.add(home);
         self.gateway.links.close(home);
--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -2,7 +2,7 @@
 //! store that are bound to leases; `member` and `duty` keep this node's.
 
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -297,6 +297,15 @@
         self.departed.borrow_mut().remove(node);
     }
 
+    /// The nodes that run in the same region as a database at `locality`.
+    pub fn near(&self, locality: &Locality) -> HashSet<SocketAddr> {
+        let nodes = self.nodes.borrow();
+        let near = nodes
+            .values()
+            .filter(|node| node.locality.region == locality.region);
+        near.map(|node| node.address).collect()
+    }
+
     /// The addresses of all other nodes that may still run, whether or not the store lists them.
     pub fn electorate(&self, own: &NodeName) -> Vec<SocketAddr> {
         let departed = self.departed.borrow();
--- a/crates/dyketally-gateway/src/fleet/peer.rs
+++ b/crates/dyketally-gateway/src/fleet/peer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dyketally::failover::Evidence;
-use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::identifiers::{DatabaseName, GroupName, Locality};
 use dyketally::quota::Decision;
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -22,6 +22,10 @@
 const RELAY_SEARCH: Duration = Duration::from_millis(450);
 /// For longer than this no node counts a sign of life that this one gave it.
 const SIGN_OF_LIFE_HOLDS: Duration = Duration::from_millis(1_200);
+/// How long a node may take to reply that it is reached, and how often it is asked: regions lie 20 ms
+/// apart, and a datagram may get lost.
+const REACH_LIMIT: Duration = Duration::from_millis(70);
+const REACH_TRIES: u32 = 2;
 const LONGEST_DATAGRAM: usize = 1_024;
 /// Nodes that are asked about a primary.
 const POLLED_AT_MOST: usize = 12;
@@ -282,12 +286,33 @@
         }
     }
 
+    /// True when the node at `address` replies to a datagram soon.
+    pub async fn is_reached(&self, address: SocketAddr) -> bool {
+        let mut replies = self.collect_reach_replies();
+        let message = PeerMessage::ReachAsked {
+            round: replies.round,
+        };
+        for _ in 0..REACH_TRIES {
+            self.send(address, &message);
+            let reply = tokio::time::timeout(REACH_LIMIT, replies.receiver.recv());
+            if matches!(reply.await, Ok(Some(()))) {
+                return true;
+            }
+        }
+        false
+    }
+
     fn polled(&self, database: &DatabaseName) -> Vec<SocketAddr> {
         let own = &self.gateway.settings.node.name;
         let mut polled = self.gateway.homes_of(database);
         let mut others = self.gateway.membership.electorate(own);
         others.retain(|address| !polled.contains(address));
         others.shuffle(&mut rand::rng());
+        // The database's own zone or region may be lost with it, and couldn't tell.
+        if let Some(locality) = self.gateway.locality_of(database) {
+            let near = self.gateway.membership.near(&locality);
+            others.sort_by_key(|address| near.contains(address));
+        }
         polled.extend(others);
         polled.truncate(POLLED_AT_MOST);
         polled
@@ -383,6 +408,13 @@
         }
     }
 
+    /// Where a database runs, if it is known.
+    fn locality_of(&self, database: &DatabaseName) -> Option<Locality> {
+        let directory = self.directory.borrow();
+        let zone = &directory.member(database)?.announcement.zone;
+        Some(self.settings.locality(zone))
+    }
+
     /// A database as a target.
     pub fn known_target(&self, database: &DatabaseName) -> Option<Target> {
         let directory = self.directory.borrow();
--- a/crates/dyketally-gateway/src/succession/probe.rs
+++ b/crates/dyketally-gateway/src/succession/probe.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    fn is_primary(&self, target: &Target) -> bool {
+    /// True when a database is the leader of its group as far as this node knows.
+    pub fn is_primary(&self, target: &Target) -> bool {
         let directory = self.directory.borrow();
         let primary = directory.primary(&target.group);
         primary.is_some_and(|primary| primary.name() == &target.name)
