--- a/crates/dyketally-gateway/src/succession/short_contact.rs
+++ b/crates/dyketally-gateway/src/succession/short_contact.rs
@@ -11,6 +11,7 @@
 
 use dyketally::failover::{GRANT_INTERVAL, SHORT_HOLDS};
 use dyketally::time::Timestamp;
+use rand::seq::IteratorRandom;
 
 use crate::fleet::message::PeerMessage;
 use crate::fleet::peer::Peers;
@@ -93,13 +94,24 @@
     }
 
     /// Whom this node asks for the short contact: its relay, which is near; the holder of the duty while
-    /// it has none, or no grant comes by way of it.
+    /// it has none. Where no grant comes by way of these, the holder and some other node of its zone,
+    /// which may have a better relay.
     fn short_contact_sources(&self) -> impl Iterator<Item = SocketAddr> {
         let relay = self.feed.relay();
         let is_late = self.touch.contact.borrow().is_grant_late(self.now());
-        let direct = relay.is_none() || is_late;
-        let holder = self.membership.holder().filter(|_| direct);
-        relay.into_iter().chain(holder)
+        let holder = self.membership.holder();
+        let holder = holder.filter(|_| relay.is_none() || is_late);
+        let neighbour = is_late.then(|| self.some_neighbour()).flatten();
+        relay.into_iter().chain(holder).chain(neighbour)
+    }
+
+    fn some_neighbour(&self) -> Option<SocketAddr> {
+        let own = &self.settings.node;
+        let nodes = self.membership.nodes();
+        let others = nodes.values().filter(|node| node.node != own.name);
+        let neighbours = others.filter(|node| node.locality.zone == own.zone);
+        let neighbour = neighbours.choose(&mut rand::rng())?;
+        Some(neighbour.address)
     }
 }
 
