Ask a quiet watch again, since it may have been lost without a word

Cause: a node that asks the store for nothing while it is lost for a moment doesn't notice; its watches, lost without a word, were taken up again after 18.7 s, so a configuration or an evacuation came late (found by the soak). Change: a watch of the operators' keys that says nothing for 0.6 of the settings' bound on contact is asked again, one of the announcements after 0.6 of the bound of drains. Nodes without further settings ask after 2.4 s.

--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -16,6 +16,9 @@
 /// confirmations.
 const KEY_BOUNDS_MS: RangeInclusive<u64> = 2_000..=86_400_000;
 
+/// The least that `bounds.contact_ms` may be: below it nodes would ask the store without a pause.
+const CONTACT_AT_LEAST_MS: u64 = 500;
+
 /// Everything a process of the gateway is told at its start. Unknown fields are ignored, since
 /// the file may gain some.
 #[derive(Clone, Debug, Deserialize)]
@@ -176,6 +179,9 @@
 pub struct BoundSettings {
     /// How long a leaving database may get new work, in milliseconds.
     pub drain_ms: u64,
+    /// How soon after an outage of the store a node has to act on news again, in milliseconds.
+    #[serde(default = "contact_bound_ms")]
+    pub contact_ms: u64,
     /// How long a process may take to stop, in seconds.
     pub stop_s: f64,
     /// Pause between two announcements of a database, in milliseconds.
@@ -194,7 +200,17 @@
     5_000
 }
 
+/// The shortest of the bounds that operators have asked for.
+fn contact_bound_ms() -> u64 {
+    4_000
+}
+
 impl BoundSettings {
+    /// How soon after an outage of the store a node has to act on news again.
+    pub fn contact(&self) -> Duration {
+        Duration::from_millis(self.contact_ms)
+    }
+
     /// Within how long nothing more reaches the databases of an evacuated zone.
     pub fn evacuation(&self) -> Duration {
         Duration::from_millis(self.evacuate_ms)
@@ -307,6 +323,11 @@
         if self.node.descriptors == Some(0) || self.node.memory_mb == Some(0) {
             return Err("`node.descriptors` and `node.memory_mb` must be above 0".to_owned());
         }
+        if self.bounds.contact_ms < CONTACT_AT_LEAST_MS {
+            return Err(format!(
+                "`bounds.contact_ms` must be at least {CONTACT_AT_LEAST_MS}"
+            ));
+        }
         if self.bounds.evacuate_ms == 0 {
             return Err("`bounds.evacuate_ms` must be above 0".to_owned());
         }
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -37,6 +37,9 @@
 /// random. Such reads are cheap.
 const NODES_LOOK: Duration = Duration::from_millis(700);
 const NODES_LOOK_SPREAD: Duration = Duration::from_millis(300);
+/// Share of the bound on news within which a quiet watch is asked again, which leaves room for the
+/// question and for passing on what it brings.
+const QUIET_SHARE: f64 = 0.6;
 /// Longest pause after a change before a watch goes on.
 const LONGEST_GATHERING: Duration = Duration::from_millis(1_200);
 /// So many keys are followed without any pause.
@@ -227,7 +230,7 @@
     let request = WatchRequest {
         range: followed.range(),
         from: seen.next(),
-        longest_quiet: progress.confirmed_each(),
+        longest_quiet: progress.longest_quiet(),
     };
     let gateway = progress.gateway.clone();
     let error = match store.watch(request).await {
@@ -332,12 +335,18 @@
         };
     }
 
-    /// Longest time that a watch may say nothing; `None` if that doesn't matter.
-    fn confirmed_each(&self) -> Option<Duration> {
-        let policy = self.gateway.settings.access.key_policy();
+    /// Longest time that a watch may say nothing; `None` if that doesn't matter. A watch that was lost
+    /// without a word, while nothing else was asked of the store, is found by that alone.
+    fn longest_quiet(&self) -> Option<Duration> {
+        let bounds = &self.gateway.settings.bounds;
         match self.subject {
-            Subject::Configuration => policy.confirmed_each(),
-            Subject::Announcements | Subject::Nodes => None,
+            Subject::Configuration => {
+                let quiet = bounds.contact().mul_f64(QUIET_SHARE);
+                let confirmed = self.gateway.settings.access.key_policy().confirmed_each();
+                Some(confirmed.map_or(quiet, |each| each.min(quiet)))
+            }
+            Subject::Announcements => Some(bounds.drain().mul_f64(QUIET_SHARE)),
+            Subject::Nodes => None,
         }
     }
 
