--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -42,12 +42,16 @@
 pub struct Counters {
     /// Sessions opened.
     pub sessions: Counter,
+    /// Connections of callers that were refused since this node had no room for them.
+    pub sessions_refused: Counter,
     /// Single statements and statements of transactions that succeeded.
     pub served: Counter,
     /// Statements that failed.
     pub failed: Counter,
     /// Operations and sessions refused since no tenant has the caller's key.
     pub unknown_keys: Counter,
+    /// Operations and sessions refused since the node can't know whether the caller's key still stands.
+    pub keys_uncertain: Counter,
     /// Operations refused since their tenant has used up its quota.
     pub over_quota: Counter,
     /// Operations decided on without an accountant of the tenant's quota.
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -51,6 +51,13 @@
         /// What is wrong.
         reason: &'a str,
     },
+    /// This node has no room for further sessions, so it isn't ready; or it has room again.
+    SessionsFull {
+        /// True while there is no room.
+        full: bool,
+        /// Sessions that are open.
+        open: u32,
+    },
     /// Operators request that the databases of a zone get nothing more.
     EvacuationBegan {
         /// The zone.
@@ -133,6 +140,13 @@
     Isolated,
     /// This node would hear again of primaries that are replaced.
     InTouch,
+    /// This node can't know any longer whether keys of callers still stand, and refuses what needs one.
+    KeysUncertain {
+        /// How long ago they were confirmed last, in milliseconds; none if they never were.
+        confirmed_ms_ago: Option<u64>,
+    },
+    /// This node knows again which keys stand.
+    KeysConfirmed,
     /// A primary doesn't answer this node.
     PrimarySuspected {
         /// The group.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -29,6 +29,8 @@
 use crate::measures::Measures;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::quota::Quotas;
+use crate::session::Sessions;
+use crate::session::known_keys::KnownKeys;
 use crate::settings::Settings;
 use crate::statement::reach::Unled;
 use crate::store::feed::Feed;
@@ -93,8 +95,8 @@
     pub counters: Counters,
     /// The same for its metrics, with times.
     pub measures: Rc<Measures>,
-    /// Sessions that are open.
-    pub sessions: Cell<usize>,
+    /// Sessions that are open, and how many there may be.
+    pub sessions: Sessions,
     /// Calls of other nodes that run here, and their transactions that are open.
     pub calls: Cell<usize>,
     /// Zones whose databases get nothing more.
@@ -113,6 +115,8 @@
     pub fences: RefCell<Fences>,
     /// Whether this node would hear of a primary that is replaced.
     pub touch: Touch,
+    /// How current the keys of callers are.
+    pub keys: KnownKeys,
     /// When the directory was last read as a whole.
     listed: Cell<Option<Instant>>,
     settling: Cell<bool>,
@@ -137,6 +141,8 @@
         store_calls: Arc<StoreCalls>,
     ) -> Rc<Self> {
         let quotas = Quotas::new(settings.bounds.quota_slack);
+        let sessions = Sessions::new(settings.node.capacity());
+        let keys = KnownKeys::new(settings.access.key_policy());
         Rc::new(Self {
             settings,
             caller_protocol,
@@ -147,7 +153,7 @@
             peers: RefCell::default(),
             counters: Counters::new(store_calls),
             measures: Rc::default(),
-            sessions: Cell::new(0),
+            sessions,
             calls: Cell::new(0),
             evacuations: RefCell::default(),
             homes: Homes::default(),
@@ -157,6 +163,7 @@
             replica_lag: Cell::default(),
             fences: RefCell::default(),
             touch: Touch::default(),
+            keys,
             listed: Cell::new(None),
             settling: Cell::new(false),
             sharing_out: Cell::new(false),
@@ -180,9 +187,12 @@
         self.routes.borrow().clone()
     }
 
-    /// True when the process knows routes and databases.
+    /// True when the process knows routes and databases, may serve some of them, and has room for
+    /// sessions.
     pub fn is_ready(&self) -> bool {
-        self.configured.get() && self.listed.get().is_some() && !self.is_stopping()
+        let has_all = self.configured.get() && self.listed.get().is_some();
+        let may_serve = !self.refuses_all() && !self.sessions.is_full();
+        has_all && !self.is_stopping() && may_serve
     }
 
     /// True when a configuration is in force.
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -2,12 +2,15 @@
 
 mod admission;
 mod caller;
+pub mod known_keys;
+mod sessions;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dyketally::capacity::SessionVerdict;
 use dyketally::group::LogPosition;
 use dyketally::policy::Access;
 use dyketally::statement::{FailureKind, PreparedStatement, StatementKind, TransactionState};
@@ -18,6 +21,8 @@
 
 use self::admission::Admission;
 use self::caller::{Caller, Next};
+use self::sessions::OpenSession;
+pub use self::sessions::Sessions;
 use crate::database::connection::prepare_socket;
 use crate::gateway::{Gateway, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement};
@@ -28,19 +33,45 @@
 
 /// Why a statement is refused whose tenant has used up its quota.
 const OVER_QUOTA: &str = "the tenant's quota";
+/// Why a transaction is given up whose key may have been taken away unnoticed.
+const KEY_UNCERTAIN: &str = "the node can't know whether the key still stands";
 /// What signs a statement that the gateway answers itself.
 const OWN_SIGNATURE: &[u8] = b"-";
 
+/// Serves a connection that a caller opened, or refuses it where there is no room.
+pub fn accept(gateway: &Rc<Gateway>, stream: TcpStream) {
+    let verdict = gateway.sessions.judge();
+    if verdict != SessionVerdict::Serve {
+        gateway.counters.sessions_refused.add();
+    }
+    if verdict == SessionVerdict::Close {
+        return;
+    }
+    let open = OpenSession::begin(gateway);
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        match verdict {
+            SessionVerdict::Serve => serve(gateway, stream, open).await,
+            SessionVerdict::Refuse | SessionVerdict::Close => refuse(gateway, stream, open).await,
+        }
+    });
+}
+
 /// Serves one caller until it leaves or the process stops.
-pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, _open: OpenSession) {
     prepare_socket(&stream);
-    gateway.sessions.set(gateway.sessions.get() + 1);
     gateway.counters.sessions.add();
     let mut caller = Caller::new(gateway.clone(), stream);
     if let Some(mut session) = caller.introduce().await {
         session.run(&mut caller).await;
     }
-    gateway.sessions.set(gateway.sessions.get() - 1);
+}
+
+/// Tells a caller that this node has no room for it.
+async fn refuse(gateway: Rc<Gateway>, stream: TcpStream, _open: OpenSession) {
+    prepare_socket(&stream);
+    let mut caller = Caller::new(gateway, stream);
+    caller.refuse_introduction().await;
 }
 
 struct Session {
@@ -221,7 +252,12 @@
         else {
             return (no_transaction(), TransactionState::Idle);
         };
+        let holds = admission.holds(&self.gateway);
         let request = self.request(statement, None, admission);
+        if !holds {
+            let served = self.give_up_uncertain(&mut transaction, &request);
+            return (served, TransactionState::Idle);
+        }
         if let Err(served) = self.permit_transaction(&mut transaction, &request).await {
             return (served, TransactionState::Idle);
         }
@@ -240,8 +276,9 @@
         execution: Option<Execution>,
     ) -> (Served, TransactionState) {
         if let (Some(admission), true) = (&self.admission, self.transaction.is_some()) {
+            let holds = admission.holds(&self.gateway);
             let request = self.request(statement, execution, admission.clone());
-            return self.run_in_transaction(request, access).await;
+            return self.run_in_transaction(request, access, holds).await;
         }
         let admission = match self.admit() {
             Ok(admission) => admission,
@@ -256,10 +293,16 @@
         &mut self,
         request: Request,
         access: Access,
+        key_holds: bool,
     ) -> (Served, TransactionState) {
         let Some(mut transaction) = self.transaction.take() else {
             return (no_transaction(), TransactionState::Idle);
         };
+        if !key_holds {
+            let served = self.give_up_uncertain(&mut transaction, &request);
+            self.transaction = Some(transaction);
+            return (served, TransactionState::Failed);
+        }
         let permitted = self.permit_transaction(&mut transaction, &request).await;
         let transaction = self.transaction.insert(transaction);
         if let Err(served) = permitted {
@@ -271,6 +314,16 @@
         (served, state)
     }
 
+    /// Rolls back a transaction whose key may have been taken away unnoticed.
+    fn give_up_uncertain(&self, transaction: &mut Transaction, request: &Request) -> Served {
+        self.gateway.counters.keys_uncertain.add();
+        transaction.roll_back();
+        transaction.failed = true;
+        let served = Served::rolled_back();
+        request.log(&self.gateway, &served, KEY_UNCERTAIN);
+        served
+    }
+
     async fn run_single(&mut self, request: Request, access: Access) -> Served {
         let request = Rc::new(request);
         let tenant = request.tenant.as_ref();
--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -12,7 +12,8 @@
 use tokio::time::Instant;
 
 use super::message::{FeedMessage, Ping, decode, encode};
-use super::{SUBJECTS, Subject};
+use super::nearer::until_nearer_relay;
+use super::{OUT_OF_TOUCH, SUBJECTS, Subject};
 use crate::event::Event;
 use crate::fleet::link::{Frames, frames};
 use crate::fleet::relay::{self, Opening};
@@ -33,9 +34,7 @@
 /// Silence after which a relay is given up.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 /// Longest time that connecting to a relay may take.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Age of a relay's contact with the store from which on another relay is looked for.
-const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
+pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// How long a relay that is out of touch is followed before others are tried again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
 /// How long the store may take to show that it replies to this node.
@@ -86,11 +85,20 @@
     /// Follows relays while there are any, until the process ends.
     pub async fn run(self) {
         loop {
-            self.follow_all(Demand::InTouch).await;
-            // The store may turn some nodes away and serve others.
-            match self.store_replies().await {
-                true => self.gateway.feed.without_relay.notify_waiters(),
-                false => self.follow_all(Demand::Any).await,
+            if self.follow_all(Demand::InTouch).await == Next::Nearer {
+                continue;
+            }
+            // Relays that have all lost the store don't follow each other: none would serve the rest.
+            if !self.gateway.is_relay() {
+                // The store may turn some nodes away and serve others.
+                match self.store_replies().await {
+                    true => self.gateway.feed.without_relay.notify_waiters(),
+                    false => {
+                        if self.follow_all(Demand::Any).await == Next::Nearer {
+                            continue;
+                        }
+                    }
+                }
             }
             let changed = self.gateway.membership.nodes_changed.notified();
             // Either way it is time to look again.
@@ -98,10 +106,14 @@
         }
     }
 
-    async fn follow_all(&self, demand: Demand) {
+    /// Follows one relay after the other until none is left, or a nearer one is in touch.
+    async fn follow_all(&self, demand: Demand) -> Next {
         for relay in self.gateway.relays_to_follow() {
-            self.follow(relay, demand).await;
+            if self.follow(relay, demand).await == Next::Nearer {
+                return Next::Nearer;
+            }
         }
+        Next::Other
     }
 
     /// True when the store replies to this node; false without asking where it has no relay to leave
@@ -116,7 +128,7 @@
     }
 
     /// Follows one relay until it is lost.
-    async fn follow(&self, relay: SocketAddr, demand: Demand) {
+    async fn follow(&self, relay: SocketAddr, demand: Demand) -> Next {
         let opening = relay::open(relay, &Opening::Feed);
         let connected = tokio::time::timeout(CONNECT_LIMIT, opening).await;
         let ended = match connected {
@@ -137,12 +149,23 @@
         if !ended.may_be_followed_again {
             feed.passed_over.add(relay);
         }
+        ended.next
     }
 }
 
+/// Which relay is followed next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// One of the own zone, which is in touch.
+    Nearer,
+    /// The next best.
+    Other,
+}
+
 /// Why a relay is followed no longer.
 struct Ended {
     reason: &'static str,
+    next: Next,
     /// False when the relay should be passed over for a while.
     may_be_followed_again: bool,
 }
@@ -151,6 +174,7 @@
     fn failed(reason: &'static str) -> Self {
         Self {
             reason,
+            next: Next::Other,
             may_be_followed_again: false,
         }
     }
@@ -158,6 +182,7 @@
     fn left(reason: &'static str) -> Self {
         Self {
             reason,
+            next: Next::Other,
             may_be_followed_again: true,
         }
     }
@@ -210,6 +235,8 @@
         let mut next_ping = None;
         let mut heard = began;
         let mut looked = began;
+        let nearer = until_nearer_relay(&gateway, self.relay);
+        tokio::pin!(nearer);
         loop {
             let message = tokio::select! {
                 message = self.frames.next() => Some(message),
@@ -217,6 +244,12 @@
                 () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
                     return Ended::failed("it is silent");
                 }
+                () = &mut nearer => {
+                    return Ended {
+                        next: Next::Nearer,
+                        ..Ended::left("a relay of this node's zone is in touch again")
+                    };
+                }
             };
             match message {
                 None => {
@@ -233,6 +266,7 @@
                     if let Err(reason) = self.take(message) {
                         return Ended {
                             reason,
+                            next: Next::Other,
                             may_be_followed_again: self.in_outage,
                         };
                     }
@@ -257,10 +291,13 @@
     }
 
     fn ping_interval(&self) -> Duration {
-        match self.in_outage || self.is_quiet {
+        let interval = match self.in_outage || self.is_quiet {
             true => PING_INTERVAL_IN_OUTAGE,
             false => PING_INTERVAL,
-        }
+        };
+        let access = &self.follower.gateway.settings.access;
+        let confirmed_each = access.key_policy().confirmed_each();
+        confirmed_each.map_or(interval, |each| interval.min(each))
     }
 
     async fn send_ping(&mut self) -> Option<()> {
@@ -275,7 +312,14 @@
     fn take(&mut self, message: FeedMessage) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
         let (subject, update) = match message {
-            FeedMessage::Pong { ping, contact } => return self.take_pong(ping, contact),
+            FeedMessage::Pong {
+                ping,
+                contact,
+                configuration_age,
+            } => {
+                self.take_configuration_age(ping, configuration_age);
+                return self.take_pong(ping, contact);
+            }
             FeedMessage::Whole {
                 subject,
                 complete_to,
@@ -306,6 +350,16 @@
         Ok(())
     }
 
+    /// A pong tells that everything the relay had heard before was passed on.
+    fn take_configuration_age(&self, ping: u64, age: Option<Duration>) {
+        let is_reply = ping == self.ping.number && ping > 0;
+        let has_configuration = self.whole.contains(&Subject::Configuration);
+        if let Some(age) = age.filter(|_| is_reply && has_configuration) {
+            let gateway = &self.follower.gateway;
+            gateway.keys_confirmed_by_relay(self.ping.at, age);
+        }
+    }
+
     fn take_pong(&mut self, ping: u64, contact: RelayContact) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
         self.in_outage = contact.store.is_none_or(|age| age > OUT_OF_TOUCH);
