--- a/crates/dyketally-gateway/src/succession/mod.rs
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -9,3 +9,4 @@
 pub mod probe;
 mod replacement;
 pub mod short_contact;
+mod survey;
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::directory::MemberState;
 use dyketally::eligibility::ServingRegions;
 use dyketally::failover::{Candidate, Succession, choose_successor};
 use dyketally::group::LogPosition;
@@ -15,9 +14,8 @@
 use crate::statement::target::Target;
 use crate::succession::appointment::Appointed;
 use crate::succession::failover::{Cause, Failover, LEADERLESS, RETRY_PAUSE};
+use crate::succession::survey::{STATUS_LIMIT, Survey};
 
-/// How long a database may take to tell its status.
-const STATUS_LIMIT: Duration = Duration::from_millis(400);
 /// How long the databases' positions may be taken for those of now.
 const SURVEY_HOLDS: Duration = Duration::from_millis(250);
 /// How long a primary that should hand over is asked to.
@@ -236,74 +234,6 @@
         limits.map_or(0, |limits| limits.acknowledging_replicas as usize)
     }
 
-    fn replica_count(&self, group: &GroupName, old: Option<&Target>) -> usize {
-        let directory = self.gateway.directory.borrow();
-        let members = directory.members(group);
-        let replicas = members.filter(|member| {
-            member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
-        });
-        replicas.count()
-    }
-
-    /// Asks all databases of the group but `old` for their status with `statement`.
-    async fn survey(
-        &self,
-        group: &GroupName,
-        old: Option<&Target>,
-        statement: OwnStatement,
-    ) -> Survey {
-        let members = self.members_but(group, old);
-        let asked = members.iter().map(|(target, ..)| {
-            let statement = statement.clone();
-            self.gateway.ask_status(target, statement, STATUS_LIMIT)
-        });
-        let replies = futures::future::join_all(asked).await;
-        let mut survey = Survey::default();
-        for ((target, ready, preference), status) in members.into_iter().zip(replies) {
-            if let Some(status) = status {
-                survey.newest_term = survey.newest_term.max(status.term);
-                survey.newest_term = survey.newest_term.max(status.received.term.0);
-                if status.leads && ready {
-                    survey.leading = Some(target.clone());
-                }
-            }
-            survey.candidates.push(Candidate {
-                name: target.name,
-                received: status.map(|status| status.received),
-                ready,
-                preference,
-            });
-        }
-        self.step(group, "survey", format!("{:?}", survey.candidates));
-        survey
-    }
-
-    fn members_but(&self, group: &GroupName, old: Option<&Target>) -> Vec<(Target, bool, u32)> {
-        let directory = self.gateway.directory.borrow();
-        let members = directory.members(group).filter(|member| {
-            member.state != MemberState::Gone && old.is_none_or(|old| &old.name != member.name())
-        });
-        let described = members.map(|member| {
-            // Where nobody leads one that stepped down may have the longest log, wherever it is.
-            let evacuated = old.is_some() && self.gateway.is_evacuated(&member.announcement.zone);
-            let ready = member.state == MemberState::Ready && !evacuated;
-            let preference = self.gateway.distance(member) as u32;
-            (self.gateway.target(member, false), ready, preference)
-        });
-        described.collect()
-    }
-
-    /// Leaves only those candidates ready that are in `regions`.
-    fn restrict(&self, candidates: &mut [Candidate], regions: &ServingRegions) {
-        let directory = self.gateway.directory.borrow();
-        for candidate in candidates {
-            let member = directory.member(&candidate.name);
-            let zone = member.map(|member| &member.announcement.zone);
-            let region = zone.map(|zone| self.gateway.region_of_zone(zone));
-            candidate.ready &= region.is_some_and(|region| regions.allows(&region));
-        }
-    }
-
     /// Takes the lead from `old`, so that its log ends; the end of that log. Goes by way of another
     /// node if this one doesn't reach it.
     async fn step_down(&self, old: &Target, term: u64) -> Option<LogPosition> {
@@ -350,7 +280,8 @@
         let until = Instant::now() + CATCH_UP_LIMIT;
         let mut chosen = chosen;
         while Instant::now() < until {
-            let mut survey = self.survey(group, Some(old), OwnStatement::Status).await;
+            // Looks are too frequent for the log.
+            let mut survey = self.statuses(group, Some(old), OwnStatement::Status).await;
             self.restrict(&mut survey.candidates, regions);
             let candidates: Vec<Candidate> = survey
                 .candidates
@@ -403,19 +334,3 @@
     /// The old primary didn't say that it stepped down, and may go on.
     Unheard,
 }
-
-#[derive(Debug, Default)]
-struct Survey {
-    candidates: Vec<Candidate>,
-    newest_term: u64,
-    leading: Option<Target>,
-}
-
-impl Survey {
-    /// The databases that didn't tell their status.
-    fn silent(&self) -> Vec<DatabaseName> {
-        let silent = self.candidates.iter();
-        let silent = silent.filter(|candidate| candidate.received.is_none());
-        silent.map(|candidate| candidate.name.clone()).collect()
-    }
-}
