Send changes of long documents as differences

Cause: each change of the configuration went whole to each follower: 394 kB for one route of 2,000 in a fleet of 14 (the new test on the code before).

Change: a relay sends the difference to the version before, of values from 1 KiB on; the library cuts a document behind each closing brace and names the runs that the older version has (`Delta`). A follower applies it only to the version that it was made for; one that has another leaves the relay and is sent a copy at the next.

Red first: a_small_change_of_a_large_configuration_is_sent_as_such failed on the code before ("393520 bytes were sent"). The library's tests are a table of changes and two properties: the newer version comes out, and nothing panics on another one.

Tests relays (12) and keys_out_of_touch (5) passed.

--- a/crates/dyketally-gateway/src/store/feed/following.rs
+++ b/crates/dyketally-gateway/src/store/feed/following.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dyketally::time::Timestamp;
-use dyketally_store::key_value::StoreRevision;
+use dyketally_store::key_value::{StoreRevision, WatchEvent};
 use futures::{SinkExt, StreamExt};
 use tokio::time::Instant;
 
@@ -238,6 +238,11 @@
                 self.take_whole(subject, complete_to)?;
                 (subject, StoreUpdate::All(entries))
             }
+            FeedMessage::Patched { subject, patch } => {
+                let entry = gateway.feed.patched(subject, &patch);
+                let entry = entry.ok_or("it changed what this node doesn't have")?;
+                (subject, StoreUpdate::Changed(WatchEvent::Put(entry)))
+            }
             FeedMessage::Changed { subject, event } => (subject, StoreUpdate::Changed(event)),
         };
         gateway.feed.take(subject, &update);
--- a/crates/dyketally-gateway/src/store/feed/message.rs
+++ b/crates/dyketally-gateway/src/store/feed/message.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::delta::Delta;
 use dyketally_store::key_value::{Entry, StoreRevision, WatchEvent};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
@@ -47,6 +48,18 @@
         subject: Subject,
         complete_to: StoreRevision,
     },
+    /// A long value changed a little.
+    Patched { subject: Subject, patch: Patch },
+}
+
+/// A change as the difference to the version of the key that the follower has.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Patch {
+    /// When that version was put.
+    pub from: StoreRevision,
+    /// The new version, without its value.
+    pub entry: Entry,
+    pub delta: Delta,
 }
 
 /// What a follower sends.
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dyketally::delta::Delta;
 use dyketally_store::key_value::{Entry, Key, StoreRevision, WatchEvent};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, broadcast, watch};
@@ -29,7 +30,7 @@
 
 use crate::fleet::passed_over::PassedOver;
 use crate::store::follow::StoreUpdate;
-use message::{Digest, FeedMessage, encode};
+use message::{Digest, FeedMessage, Patch, encode};
 
 /// How long a node that lost its relay looks for another before it asks the store: time to try
 /// three relays that don't reply.
@@ -39,6 +40,9 @@
 const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
 /// How long a watch that was lost counts as one that is being renewed, which takes two calls.
 const WATCH_RENEWED_WITHIN: Duration = Duration::from_secs(1);
+/// Values from this length on are sent as differences to the version before, in bytes: shorter ones
+/// fit into one packet anyway.
+const PATCHED_FROM: usize = 1_024;
 /// Changes that a slow follower may be behind.
 const CHANGES_KEPT: usize = 256;
 
@@ -96,6 +100,38 @@
         self.revision = self.revision.max(newest.unwrap_or_default());
     }
 
+    /// How followers that have this copy are told of a change that it doesn't have yet: of a long value
+    /// only what is new.
+    fn message(&self, subject: Subject, event: &WatchEvent) -> FeedMessage {
+        let patch = match event {
+            WatchEvent::Put(entry) => self.patch(entry),
+            WatchEvent::Deleted { .. } => None,
+        };
+        match patch {
+            Some(patch) => FeedMessage::Patched { subject, patch },
+            None => FeedMessage::Changed {
+                subject,
+                event: event.clone(),
+            },
+        }
+    }
+
+    fn patch(&self, entry: &Entry) -> Option<Patch> {
+        let old = self.entries.get(&entry.key)?;
+        if entry.value.len() < PATCHED_FROM || old.modified >= entry.modified {
+            return None;
+        }
+        let delta = Delta::between(&old.value, &entry.value)?;
+        Some(Patch {
+            from: old.modified,
+            entry: Entry {
+                value: Bytes::new(),
+                ..entry.clone()
+            },
+            delta,
+        })
+    }
+
     fn change(&mut self, event: &WatchEvent) {
         self.encoded = None;
         let revision = match event {
@@ -146,21 +182,30 @@
         match update {
             StoreUpdate::All(entries) => copy.replace(entries),
             StoreUpdate::Changed(event) => {
+                let message = self.has_followers().then(|| copy.message(subject, event));
                 copy.change(event);
                 drop(copies);
-                self.pass_on(subject, event);
+                if let Some(message) = message.and_then(|message| encode(&message)) {
+                    self.send(message);
+                }
             }
         }
     }
 
-    fn pass_on(&self, subject: Subject, event: &WatchEvent) {
-        if !self.has_followers() {
-            return;
-        }
-        let event = event.clone();
-        if let Some(message) = encode(&FeedMessage::Changed { subject, event }) {
-            self.send(message);
-        }
+    /// What a difference to this node's copy stands for; `None` if it was made for another version.
+    fn patched(&self, subject: Subject, patch: &Patch) -> Option<Entry> {
+        let copies = self.copies.borrow();
+        let old = copies.get(&subject)?.entries.get(&patch.entry.key)?;
+        let value = match old.modified == patch.from {
+            true => patch.delta.apply(&old.value)?,
+            // A copy that was sent while the change was under way has it already.
+            false if old.modified >= patch.entry.modified => return Some(old.clone()),
+            false => return None,
+        };
+        Some(Entry {
+            value: value.into(),
+            ..patch.entry.clone()
+        })
     }
 
     fn has_followers(&self) -> bool {
--- a/crates/dyketally-gateway/src/store/feed/nearer.rs
+++ b/crates/dyketally-gateway/src/store/feed/nearer.rs
@@ -46,8 +46,9 @@
         FeedMessage::Pong { contact, .. } => {
             Some(contact.store.is_some_and(|age| age <= OUT_OF_TOUCH))
         }
-        FeedMessage::Whole { .. } | FeedMessage::Changed { .. } | FeedMessage::Unchanged { .. } => {
-            None
-        }
+        FeedMessage::Whole { .. }
+        | FeedMessage::Changed { .. }
+        | FeedMessage::Patched { .. }
+        | FeedMessage::Unchanged { .. } => None,
     }
 }
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod configuration;
+pub mod delta;
 pub mod directory;
 pub mod document;
 pub mod drain;
