--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod capacity;
 pub mod configuration;
+pub mod delta;
 pub mod directory;
 pub mod document;
 pub mod drain;
