--- a/crates/dyketally-gateway/src/database/pool/guards.rs
+++ b/crates/dyketally-gateway/src/database/pool/guards.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// What whoever has a connection keeps of the pool's counts.
+/// The counts of the pool that a connection in use holds.
 pub(super) struct Held {
     pub(super) pinned: Option<Pinned>,
     /// Set from the time at which something may run to the end of what runs.
--- a/crates/dyketally-gateway/src/database/pool/mod.rs
+++ b/crates/dyketally-gateway/src/database/pool/mod.rs
@@ -104,7 +104,7 @@
     gate: RefCell<Gate>,
     /// How fast the database may be loaded.
     loading: Rc<Loading>,
-    /// True while whoever waits for a cold database is woken from time to time.
+    /// True while a task wakes the waiters of a cold database one after the other.
     pacing: Cell<bool>,
     started: Instant,
     measures: Rc<Measures>,
--- a/crates/dyketally-gateway/src/database/pool/pacing.rs
+++ b/crates/dyketally-gateway/src/database/pool/pacing.rs
@@ -16,8 +16,8 @@
         self.loading.is_cold()
     }
 
-    /// Makes sure that a cold database will take a batch within `patience`, and that whoever waits for
-    /// it is woken.
+    /// Checks that a cold database will take a batch within `patience`, and starts the task that wakes
+    /// its waiters.
     ///
     /// # Errors
     /// It won't.
