--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What a developer runs. Everything needs cargo and the crates registry, nothing else.
 
 CARGO ?= cargo
-# Seconds that `make fuzz` runs for.
+# Seconds that `make fuzz` and `make soak` run for.
 TIME ?= 60
 # Names of the tests in KNOWN-RED.txt, first word of each line: passed over, and printed by CI.
 KNOWN_RED := $(shell test -f KNOWN-RED.txt && awk 'NF {print "--skip " $$1}' KNOWN-RED.txt)
@@ -11,7 +11,7 @@
 bench-days:
 	for day in bench/days/*.toml; do $(FLEETBENCH) run $(SITE) $$day | grep -E "^[a-z-]+ +[0-9]+/"; done
 
-.PHONY: build test demo demo-platform bench-days faults faults-short fuzz load
+.PHONY: build test demo demo-platform bench-days faults faults-short soak fuzz load
 
 # All programs, for development.
 build:
@@ -37,6 +37,12 @@
 faults-short: build
 	target/debug/dyketally-lab faults --selection short --seed 1
 
+# The gateway's processes among stand-ins and callers, with faults for TIME seconds, drawn from SEED
+# or from a fresh seed, which is printed. Logs of a run that found something go to target/soak.
+soak: build
+	DYKETALLY_SOAK_SECONDS=$(TIME) DYKETALLY_SOAK_SEED=$(SEED) $(CARGO) test \
+		-p dyketally-platform --test soak -- --ignored --nocapture for_a_chosen_time
+
 # Fuzzes the library's parts for TIME seconds, from a fresh seed or from DYKETALLY_FUZZ_SEED.
 fuzz:
 	DYKETALLY_FUZZ_SECONDS=$(TIME) $(CARGO) test -p dyketally --test fuzz -- \
