--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 bench-days:
 	for day in bench/days/*.toml; do $(FLEETBENCH) run $(SITE) $$day | grep -E "^[a-z-]+ +[0-9]+/"; done
 
-.PHONY: build test demo demo-platform bench-days faults faults-short soak fuzz load
+.PHONY: build test demo demo-platform bench-days faults faults-short soak soak-seeds fuzz load
 
 # All programs, for development.
 build:
@@ -43,6 +43,11 @@
 	DYKETALLY_SOAK_SECONDS=$(TIME) DYKETALLY_SOAK_SEED=$(SEED) $(CARGO) test \
 		-p dyketally-platform --test soak -- --ignored --nocapture for_a_chosen_time
 
+# Seeds of the soak that failed late.
+soak-seeds: build
+	$(CARGO) test -p dyketally-platform --test soak -- --ignored --nocapture --test-threads 1 \
+		a_long_seed_that_once_failed
+
 # Fuzzes the library's parts for TIME seconds, from a fresh seed or from DYKETALLY_FUZZ_SEED.
 fuzz:
 	DYKETALLY_FUZZ_SECONDS=$(TIME) $(CARGO) test -p dyketally --test fuzz -- \
