Tell of each version of the configuration whence it came and whom it reached

A node that acts by an old configuration could not be told from one whose relay is late, or whose store doesn't answer: the log had the moment at which a version was in force and nothing before it.

Each version is now logged as received (from the store or a relay; as a copy, a change or a difference), in force or passed over, and passed on (to how many, in how many bytes), all with the store's revision. A node tells when nobody has confirmed for contact_ms that its configuration is the newest one. No decision changes.

--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::counters::Counters;
+use crate::store::feed::Form;
 
 /// Lines written per second; further ones are counted.
 const LINES_PER_SECOND: u32 = 60;
@@ -45,7 +46,55 @@
         revision: u64,
         /// Its routes.
         routes: usize,
+        /// The store's revision at which it was put.
+        stored: u64,
     },
+    /// A configuration that this node received isn't put in force, since it isn't newer than the one
+    /// that is.
+    ConfigurationNotNewer {
+        /// Its revision.
+        revision: u64,
+        /// The revision in force.
+        in_force: u64,
+        /// The store's revision at which it was put.
+        stored: u64,
+    },
+    /// A document of the operators' that is newer than this node's arrived.
+    ConfigurationReceived {
+        /// Its key.
+        key: String,
+        /// The store's revision at which it was put.
+        stored: u64,
+        /// Who told: the store, or the address of a relay.
+        source: String,
+        /// Whether it came with all others, alone, or as a difference.
+        form: Form,
+        /// Its length in bytes, once it is decoded.
+        bytes: usize,
+    },
+    /// What operators wrote was passed on to the nodes that follow this one.
+    ConfigurationPassedOn {
+        /// The store's revision that it brings them to.
+        stored: u64,
+        /// Whether all documents were sent, one, or a difference.
+        form: Form,
+        /// Bytes sent to each follower.
+        bytes: usize,
+        /// Followers.
+        followers: usize,
+    },
+    /// Nobody has confirmed for a while that this node's configuration is the newest one.
+    ConfigurationUnconfirmed {
+        /// How long ago that was confirmed last, in milliseconds.
+        confirmed_ms_ago: u64,
+        /// Who should tell: the store, or the address of a relay.
+        source: String,
+        /// How long this node's own watch of the store has been lost, in milliseconds; none while it
+        /// stands.
+        watch_lost_for_ms: Option<u64>,
+    },
+    /// This node's configuration is confirmed again.
+    ConfigurationConfirmed,
     /// A document in the store can't be used.
     DocumentRefused {
         /// Its key.
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::route_policy::RouteSet;
 use dyketally::time::Timestamp;
+use dyketally_store::key_value::StoreRevision;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -220,14 +221,24 @@
         }
     }
 
-    /// Puts routes in force, unless newer ones are.
-    pub fn put_in_force(&self, routes: RouteSet) {
-        if self.configured.get() && routes.revision <= self.routes.borrow().revision {
+    /// Puts routes in force that were `stored` at a revision of the store's, unless newer ones are.
+    pub fn put_in_force(&self, routes: RouteSet, stored: StoreRevision) {
+        let in_force = self.routes.borrow().revision;
+        if self.configured.get() && routes.revision <= in_force {
+            // Copies bring what is in force again and again; that needs no line.
+            if routes.revision < in_force {
+                self.events.write(&Event::ConfigurationNotNewer {
+                    revision: routes.revision.0,
+                    in_force: in_force.0,
+                    stored: stored.0,
+                });
+            }
             return;
         }
         self.events.write(&Event::ConfigurationInForce {
             revision: routes.revision.0,
             routes: routes.routes.len(),
+            stored: stored.0,
         });
         let bound_before = self.routes.borrow().binds_regions();
         *self.routes.borrow_mut() = Rc::new(routes);
--- a/crates/dyketally-gateway/src/measures.rs
+++ b/crates/dyketally-gateway/src/measures.rs
@@ -259,6 +259,21 @@
             "Revision of the configuration in force.",
             Some(revision),
         );
+        if let Some(age) = self.configuration_age() {
+            gauge(
+                registry,
+                "dyketally_configuration_age_seconds",
+                "Time since the configuration was confirmed to be the newest one.",
+                Some(age.as_secs_f64()),
+            );
+        }
+        let lost_for = self.feed.watches_lost_for();
+        gauge(
+            registry,
+            "dyketally_watch_lost_seconds",
+            "Time for which this node's own watch of the store has been lost; 0 while it stands.",
+            lost_for.map(|lost_for| lost_for.as_secs_f64()),
+        );
         let name = "dyketally_sent_bytes_to_node_total";
         let sent = gauges(registry, name, "Bytes sent to another node.", &["node"]);
         for (node, bytes) in self.traffic.by_node() {
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -34,6 +34,7 @@
 use crate::store::feed::{Follower, Sink, Subject, ask_seeds};
 use crate::store::follow::{FirstRead, Followed, Gathering, StoreUpdate, follow};
 use crate::store::metered_store::StoreCalls;
+use crate::store::unconfirmed::tell_unconfirmed;
 use crate::succession::duty::DutyKeeper;
 use crate::succession::failover::Failover;
 use crate::succession::fence::FenceKeeper;
@@ -135,6 +136,7 @@
     let joined = tokio::task::spawn_local(member.clone().run());
     let on_duty = tokio::task::spawn_local(duty.run());
     tokio::task::spawn_local(tidy(gateway.clone()));
+    tokio::task::spawn_local(tell_unconfirmed(gateway.clone()));
     let own_key = keys.node();
     follow_store(
         &gateway,
@@ -324,7 +326,7 @@
             return;
         }
         match self.documents.configuration(&entry.value) {
-            Ok(routes) => self.gateway.put_in_force(routes),
+            Ok(routes) => self.gateway.put_in_force(routes, entry.modified),
             Err(reason) => self.refuse(&entry.key, &reason),
         }
     }
--- a/crates/dyketally-gateway/src/store/feed/following.rs
+++ b/crates/dyketally-gateway/src/store/feed/following.rs
@@ -12,7 +12,7 @@
 use super::follow::{Follower, SEARCH_INTERVAL};
 use super::message::{FeedMessage, FirstPing, Ping, decode, encode};
 use super::nearer::until_nearer_relay;
-use super::{OUT_OF_TOUCH, SUBJECTS, Subject};
+use super::{Form, OUT_OF_TOUCH, SUBJECTS, Source, Subject};
 use crate::event::Event;
 use crate::fleet::link::Frames;
 use crate::store::follow::StoreUpdate;
@@ -213,7 +213,7 @@
     /// Takes in a message; why the relay can't be followed if that is so.
     fn take(&mut self, message: FeedMessage) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
-        let (subject, update) = match message {
+        let (subject, update, form) = match message {
             FeedMessage::Unchanged {
                 subject,
                 complete_to,
@@ -236,16 +236,19 @@
                 entries,
             } => {
                 self.take_whole(subject, complete_to)?;
-                (subject, StoreUpdate::All(entries))
+                (subject, StoreUpdate::All(entries), Form::Copy)
             }
             FeedMessage::Patched { subject, patch } => {
                 let entry = gateway.feed.patched(subject, &patch);
                 let entry = entry.ok_or("it changed what this node doesn't have")?;
-                (subject, StoreUpdate::Changed(WatchEvent::Put(entry)))
+                let update = StoreUpdate::Changed(WatchEvent::Put(entry));
+                (subject, update, Form::Difference)
+            }
+            FeedMessage::Changed { subject, event } => {
+                (subject, StoreUpdate::Changed(event), Form::Change)
             }
-            FeedMessage::Changed { subject, event } => (subject, StoreUpdate::Changed(event)),
         };
-        gateway.feed.take(subject, &update);
+        gateway.take_news(subject, &update, Source::Relay(self.relay), form);
         if let Some(sink) = self.follower.sinks.get(&subject) {
             sink(update);
         }
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -6,32 +6,36 @@
 //! also tells how lately it was in touch with the store and the other nodes, which counts for its
 //! followers, too. A node that reaches no relay watches the store itself.
 
+mod copy;
 mod follow;
 mod following;
 mod message;
 mod nearer;
+mod news;
 mod relays;
 mod serve;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use dyketally::delta::Delta;
-use dyketally_store::key_value::{Entry, Key, StoreRevision, WatchEvent};
+use dyketally_store::key_value::{Entry, Key, StoreRevision};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, broadcast, watch};
 use tokio::time::Instant;
 
 pub use follow::{Follower, Sink};
+pub use news::{Form, Source};
 pub use relays::ask_seeds;
 pub use serve::serve;
 
 use crate::fleet::passed_over::PassedOver;
 use crate::store::follow::StoreUpdate;
+use copy::{Copy, OwnWatch};
 use message::{Digest, FeedMessage, Patch, encode};
+use news::PassedOn;
 
 /// How long a node that lost its relay looks for another before it asks the store: time to try
 /// three relays that don't reply.
@@ -41,9 +45,6 @@
 const OUT_OF_TOUCH: Duration = Duration::from_secs(2);
 /// How long a watch that was lost counts as one that is being renewed, which takes two calls.
 const WATCH_RENEWED_WITHIN: Duration = Duration::from_secs(1);
-/// Values from this length on are sent as differences to the version before, in bytes: shorter ones
-/// fit into one packet anyway.
-const PATCHED_FROM: usize = 1_024;
 /// Changes that a slow follower may be behind.
 const CHANGES_KEPT: usize = 256;
 
@@ -64,94 +65,6 @@
     Subject::Nodes,
 ];
 
-/// This node's copy of one subject.
-#[derive(Debug, Default)]
-struct Copy {
-    entries: BTreeMap<Key, Entry>,
-    /// The revision of the last change that is known.
-    revision: StoreRevision,
-    /// The store's revision up to which this copy lacks nothing.
-    complete_to: StoreRevision,
-    watch: OwnWatch,
-    /// True when a read brought something that followers weren't told as a change.
-    differs_from_followers: bool,
-    /// All of it as it is sent to followers, until it changes.
-    encoded: Option<Bytes>,
-}
-
-/// This node's own watch of a subject.
-#[derive(Clone, Copy, Debug, Default)]
-enum OwnWatch {
-    #[default]
-    Never,
-    Stands,
-    LostAt(Instant),
-}
-
-impl Copy {
-    fn replace(&mut self, entries: &[Entry]) {
-        self.encoded = None;
-        let before = Digest::of(self.entries.values());
-        self.entries = entries
-            .iter()
-            .map(|it| (it.key.clone(), it.clone()))
-            .collect();
-        self.differs_from_followers |= before != Digest::of(self.entries.values());
-        let newest = entries.iter().map(|entry| entry.modified).max();
-        self.revision = self.revision.max(newest.unwrap_or_default());
-    }
-
-    /// How followers that have this copy are told of a change that it doesn't have yet: of a long value
-    /// only what is new.
-    fn message(&self, subject: Subject, event: &WatchEvent) -> FeedMessage {
-        let patch = match event {
-            WatchEvent::Put(entry) => self.patch(entry),
-            WatchEvent::Deleted { .. } => None,
-        };
-        match patch {
-            Some(patch) => FeedMessage::Patched { subject, patch },
-            None => FeedMessage::Changed {
-                subject,
-                event: event.clone(),
-            },
-        }
-    }
-
-    fn patch(&self, entry: &Entry) -> Option<Patch> {
-        let old = self.entries.get(&entry.key)?;
-        if entry.value.len() < PATCHED_FROM || old.modified >= entry.modified {
-            return None;
-        }
-        let delta = Delta::between(&old.value, &entry.value)?;
-        Some(Patch {
-            from: old.modified,
-            entry: Entry {
-                value: Bytes::new(),
-                ..entry.clone()
-            },
-            delta,
-        })
-    }
-
-    fn change(&mut self, event: &WatchEvent) {
-        self.encoded = None;
-        let revision = match event {
-            WatchEvent::Put(entry) => {
-                self.entries.insert(entry.key.clone(), entry.clone());
-                entry.modified
-            }
-            WatchEvent::Deleted {
-                key,
-                store_revision,
-            } => {
-                self.entries.remove(key);
-                *store_revision
-            }
-        };
-        self.revision = self.revision.max(revision);
-    }
-}
-
 /// What this node has of the subjects, and who follows it.
 pub struct Feed {
     copies: RefCell<HashMap<Subject, Copy>>,
@@ -179,19 +92,25 @@
 }
 
 impl Feed {
-    /// Takes in what this node's own watch or its relay told.
-    pub fn take(&self, subject: Subject, update: &StoreUpdate) {
+    /// Takes in what this node's own watch or its relay told, and passes a change on to followers.
+    fn take(&self, subject: Subject, update: &StoreUpdate) -> Option<PassedOn> {
         let mut copies = self.copies.borrow_mut();
         let copy = copies.entry(subject).or_default();
         match update {
-            StoreUpdate::All(entries) => copy.replace(entries),
+            StoreUpdate::All(entries) => {
+                copy.replace(entries);
+                None
+            }
             StoreUpdate::Changed(event) => {
                 let message = self.has_followers().then(|| copy.message(subject, event));
                 copy.change(event);
                 drop(copies);
-                if let Some(message) = message.and_then(|message| encode(&message)) {
-                    self.send(message);
-                }
+                let message = message?;
+                let form = match message {
+                    FeedMessage::Patched { .. } => Form::Difference,
+                    _ => Form::Change,
+                };
+                Some(self.send(form, encode(&message)?))
             }
         }
     }
@@ -216,13 +135,20 @@
         self.changes.receiver_count() > 0
     }
 
-    fn send(&self, message: Bytes) {
+    fn send(&self, form: Form, message: Bytes) -> PassedOn {
+        let bytes = message.len();
         // The last follower may just have left.
-        let _ = self.changes.send(message);
+        let followers = self.changes.send(message).unwrap_or_default();
+        PassedOn {
+            form,
+            bytes,
+            followers,
+        }
     }
 
-    /// Takes in that this node read a subject from the store at `revision` and watches it.
-    pub fn watched(&self, subject: Subject, revision: StoreRevision) {
+    /// Takes in that this node read a subject from the store at `revision` and watches it; what its
+    /// followers are sent since they may lack something.
+    pub fn watched(&self, subject: Subject, revision: StoreRevision) -> Option<PassedOn> {
         let mut copies = self.copies.borrow_mut();
         let copy = copies.entry(subject).or_default();
         copy.complete_to = revision;
@@ -235,11 +161,11 @@
             true => Vec::new(),
             false => self.digests(),
         };
-        if self.has_followers()
-            && let Some(message) = self.whole_unless_known(subject, &known)
-        {
-            self.send(message);
+        if !self.has_followers() {
+            return None;
         }
+        let message = self.whole_unless_known(subject, &known)?;
+        Some(self.send(Form::Copy, message))
     }
 
     /// Takes in that this node's own watch of a subject was lost or given up.
@@ -273,7 +199,7 @@
     }
 
     /// How long some watch of this node's has been lost; `None` while all of them stand.
-    fn watches_lost_for(&self) -> Option<Duration> {
+    pub fn watches_lost_for(&self) -> Option<Duration> {
         let copies = self.copies.borrow();
         let lost = copies.values().filter_map(|copy| match copy.watch {
             OwnWatch::LostAt(at) => Some(at.elapsed()),
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -17,7 +17,7 @@
 
 use crate::event::Event;
 use crate::gateway::Gateway;
-use crate::store::feed::{Sink, Subject};
+use crate::store::feed::{Form, Sink, Source, Subject};
 
 /// Pause before the store is asked again after failures.
 const PAUSE: Backoff = Backoff {
@@ -65,6 +65,20 @@
     Changed(WatchEvent),
 }
 
+impl StoreUpdate {
+    /// The store's revision of the newest change in it; zero if it holds no keys.
+    pub fn newest(&self) -> StoreRevision {
+        match self {
+            Self::All(entries) => {
+                let revisions = entries.iter().map(|entry| entry.modified);
+                revisions.max().unwrap_or_default()
+            }
+            Self::Changed(WatchEvent::Put(entry)) => entry.modified,
+            Self::Changed(WatchEvent::Deleted { store_revision, .. }) => *store_revision,
+        }
+    }
+}
+
 /// What is followed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Followed {
@@ -114,7 +128,11 @@
     let mut progress = Progress::new(gateway.clone(), &followed);
     let feed = &gateway.feed;
     let sink = |update: StoreUpdate| {
-        feed.take(followed.subject, &update);
+        let form = match update {
+            StoreUpdate::All(_) => Form::Copy,
+            StoreUpdate::Changed(_) => Form::Change,
+        };
+        gateway.take_news(followed.subject, &update, Source::Store, form);
         sink(update);
     };
     let mut seen = start(&*store, &followed, &sink, &mut progress).await;
@@ -141,7 +159,7 @@
                 continue;
             }
         };
-        feed.watched(followed.subject, seen);
+        gateway.watch_stands(followed.subject, seen);
         tokio::select! {
             () = watch_from(&store, &followed, seen, &sink, &mut progress) => {}
             () = feed.until_fed() => {}
--- a/crates/dyketally-gateway/src/store/mod.rs
+++ b/crates/dyketally-gateway/src/store/mod.rs
@@ -3,3 +3,4 @@
 pub mod feed;
 pub mod follow;
 pub mod metered_store;
+pub mod unconfirmed;
