--- a/crates/dyketally-gateway/src/store/unconfirmed.rs
+++ b/crates/dyketally-gateway/src/store/unconfirmed.rs
@@ -7,13 +7,17 @@
 use crate::gateway::Gateway;
 use crate::store::feed::Source;
 
+/// Share of the bound on news after which a configuration counts as unconfirmed. A quiet watch is asked
+/// again within 0.6 of the bound, and counts from when it was asked: up to 1.2 of it are usual.
+const UNCONFIRMED_SHARE: f64 = 1.5;
 /// Pause between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Tells the log when the configuration was confirmed longer ago than the time within which news have
-/// to be acted on, and when it is confirmed again, until the process ends.
+/// Tells the log when the configuration was confirmed longer ago than is usual, and when it is confirmed
+/// again, until the process ends.
 pub async fn tell_unconfirmed(gateway: Rc<Gateway>) {
-    let limit = gateway.settings.bounds.contact();
+    let contact = gateway.settings.bounds.contact();
+    let limit = contact.mul_f64(UNCONFIRMED_SHARE);
     let mut told = false;
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
