Read answers of HTTP services for as long as they make progress

Cause: the time that a call may take (0.8 s; a watch's wait and 0.7 s) counted the transfer of the answer. A copy of a configuration with 4,266 routes has 986,615 bytes on the wire; at 10 Mbit/s that is 0.79 s and the way there and back. A change that fell late into a watch's wait cut the watch, the read behind it never came to its end, and each attempt began from the first byte and filled the link.

The limit now holds until the answer begins.

--- a/crates/dyketally-proxy/src/stores/etcd/mod.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/mod.rs
@@ -16,8 +16,6 @@
 use super::store_error::StoreError;
 use super::wire::{self, path};
 
-pub(crate) use self::transport::describe;
-
 /// Time for a connection to be set up.
 pub const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time from a request to its reply.
--- a/crates/dyketally-proxy/src/stores/etcd/transport.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/transport.rs
@@ -1,9 +1,9 @@
 //! One HTTP exchange with the gateway, and what its failure means.
 
-use std::error::Error;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use dyketally_http::{describe, read_body};
 use reqwest::header::{HeaderMap, RETRY_AFTER};
 use reqwest::{Response, StatusCode};
 use serde::Serialize;
@@ -64,20 +64,24 @@
         })
     }
 
-    /// Sends `request` and reads the one message of the response.
+    /// Sends `request`, waits for the response to begin within the time that the settings name, and
+    /// reads its one message, which may take longer over a thin link.
     pub(super) async fn call<Reply: DeserializeOwned>(
         &self,
         path: &str,
         request: &impl Serialize,
         effect: Effect,
     ) -> Result<Reply, StoreError> {
-        let exchange = async {
-            let response = self.send(path, request, effect).await?;
-            let body = response.bytes().await;
-            let body = body.map_err(|error| effect.failed_after_send(describe(&error)))?;
-            parse(&body)
-        };
-        self.bounded(exchange, effect).await
+        let response = self
+            .bounded(self.send(path, request, effect), effect)
+            .await?;
+        match read_body(response).await {
+            Ok(body) => parse(&body),
+            Err(error) => {
+                self.try_another_endpoint();
+                Err(effect.failed_after_send(error.to_string()))
+            }
+        }
     }
 
     /// Like [`Self::call`], for a method whose response is a stream of one message.
@@ -114,11 +118,15 @@
             }
         };
         if let Err(StoreError::Unavailable { .. } | StoreError::Undetermined { .. }) = &result {
-            self.endpoint.fetch_add(1, Ordering::Relaxed);
+            self.try_another_endpoint();
         }
         result
     }
 
+    fn try_another_endpoint(&self) {
+        self.endpoint.fetch_add(1, Ordering::Relaxed);
+    }
+
     async fn send(
         &self,
         path: &str,
@@ -205,15 +213,3 @@
         reason: error.to_string(),
     })
 }
-
-/// An error of the HTTP client with its causes, on one line.
-pub(crate) fn describe(error: &reqwest::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(inner) = cause {
-        text.push_str(": ");
-        text.push_str(&inner.to_string());
-        cause = inner.source();
-    }
-    text
-}
--- a/crates/dyketally-proxy/src/stores/etcd/watch.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/watch.rs
@@ -2,12 +2,13 @@
 
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
+use dyketally_http::describe;
 use dyketally_store::watch::{WatchSource, batches_of};
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use reqwest::Response;
 
-use super::transport::{describe, parse, stream_result};
+use super::transport::{parse, stream_result};
 use crate::stores::key_value::{WatchBatch, WatchStream};
 use crate::stores::store_error::StoreError;
 use crate::stores::wire::{StreamItem, WatchResponse};
--- a/crates/dyketally-proxy/src/stores/machine_list_http.rs
+++ b/crates/dyketally-proxy/src/stores/machine_list_http.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use dyketally_http::{describe, read_body};
 
 use super::machine_list::{MachineList, MachineListError, Machines};
 
@@ -11,10 +12,12 @@
 pub struct HttpMachineList {
     client: reqwest::Client,
     address: String,
+    request_timeout: Duration,
 }
 
 impl HttpMachineList {
-    /// Reads the list from `address`, a URL; gives a read up after `request_timeout`.
+    /// Reads the list from `address`, a URL; gives a read up if no answer begins within
+    /// `request_timeout`.
     ///
     /// # Errors
     /// When the HTTP client can't be set up.
@@ -24,12 +27,12 @@
     ) -> Result<Self, MachineListError> {
         let client = reqwest::Client::builder()
             .no_proxy()
-            .timeout(request_timeout)
             .build()
-            .map_err(unavailable)?;
+            .map_err(|error| unavailable(describe(&error)))?;
         Ok(Self {
             client,
             address: address.into(),
+            request_timeout,
         })
     }
 }
@@ -37,18 +40,20 @@
 #[async_trait]
 impl MachineList for HttpMachineList {
     async fn machines(&self) -> Result<Machines, MachineListError> {
-        let response = self.client.get(&self.address).send().await;
-        let response = response.map_err(unavailable)?;
-        let response = response.error_for_status().map_err(unavailable)?;
-        let body = response.bytes().await.map_err(unavailable)?;
+        let sent = self.client.get(&self.address).send();
+        let sent = tokio::time::timeout(self.request_timeout, sent).await;
+        let response =
+            sent.map_err(|_| unavailable(format!("no answer within {:?}", self.request_timeout)))?;
+        let response = response.and_then(reqwest::Response::error_for_status);
+        let response = response.map_err(|error| unavailable(describe(&error)))?;
+        let body = read_body(response).await;
+        let body = body.map_err(|error| unavailable(error.to_string()))?;
         serde_json::from_slice(&body).map_err(|error| MachineListError::Malformed {
             reason: error.to_string(),
         })
     }
 }
 
-fn unavailable(error: reqwest::Error) -> MachineListError {
-    MachineListError::Unavailable {
-        reason: super::etcd::describe(&error),
-    }
+fn unavailable(reason: String) -> MachineListError {
+    MachineListError::Unavailable { reason }
 }
