Let a relay whose news stay away follow another one

Cause: a relay took any reply of the store to it, a renewed lease among them, as a sign that it has the store's news. It told its followers that its watch was lost, and they left within 2.3 s; it looked for nobody else itself, and served by its old configuration for as long as its reads failed.

A relay whose own watch has been lost for 2 s now follows others, as one does that lost the store. After 10 s it sees whether it can watch again; it has 2 s for that, or until a read fails. A read of its own is dropped once a relay feeds it, since what that tells may be newer than a large answer.

A follower took a relay for silent 2.5 s after the last whole message, and only the last ping's reply counted: behind a copy that takes a link longer, both are wrong. Parts of a message count as a sign of life, and each reply counts from when its own ping was sent.

--- a/crates/dyketally-gateway/src/store/feed/follow.rs
+++ b/crates/dyketally-gateway/src/store/feed/follow.rs
@@ -57,8 +57,10 @@
     /// Follows relays while there are any, until the process ends.
     pub async fn run(self) {
         loop {
-            if self.follow_all(Demand::InTouch).await == Next::Nearer {
-                continue;
+            match self.follow_all(Demand::InTouch).await {
+                Next::Nearer => continue,
+                Next::Store => self.gateway.feed.without_relay.notify_waiters(),
+                Next::Other => {}
             }
             // Relays that have all lost the store don't follow each other: none would serve the rest.
             if !self.gateway.is_relay() {
@@ -78,11 +80,13 @@
         }
     }
 
-    /// Follows one relay after the other until none is left, or a nearer one is in touch.
+    /// Follows one relay after the other until none is left, a nearer one is in touch, or this node
+    /// turns to the store itself.
     async fn follow_all(&self, demand: Demand) -> Next {
         for relay in self.gateway.relays_to_follow() {
-            if self.follow(relay, demand).await == Next::Nearer {
-                return Next::Nearer;
+            match self.follow(relay, demand).await {
+                Next::Other => {}
+                next => return next,
             }
         }
         Next::Other
@@ -111,7 +115,7 @@
             Ok(Err(_)) | Err(_) => Ended::failed("it can't be reached"),
         };
         let feed = &self.gateway.feed;
-        if feed.fed.send_replace(false) {
+        if feed.unfed() {
             let relay = relay.to_string();
             let reason = ended.reason;
             self.gateway
--- a/crates/dyketally-gateway/src/store/feed/following.rs
+++ b/crates/dyketally-gateway/src/store/feed/following.rs
@@ -12,6 +12,7 @@
 use super::follow::{Follower, SEARCH_INTERVAL};
 use super::message::{FeedMessage, FirstPing, Ping, decode, encode};
 use super::nearer::until_nearer_relay;
+use super::pings::{Heard, Pings};
 use super::{Form, OUT_OF_TOUCH, SUBJECTS, Source, Subject};
 use crate::event::Event;
 use crate::fleet::link::Frames;
@@ -33,6 +34,10 @@
 /// How long a relay that is out of touch is followed before others are tried again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
 
+/// How long a relay that lost its news follows others before it sees whether it can watch the store
+/// again: it goes without news meanwhile, and its attempt may fill its link in vain.
+const OWN_WATCH_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Which relays are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Demand {
@@ -49,6 +54,8 @@
     Nearer,
     /// The next best.
     Other,
+    /// None: this node watches the store itself.
+    Store,
 }
 
 /// Why a relay is followed no longer.
@@ -68,21 +75,15 @@
         }
     }
 
-    fn left(reason: &'static str) -> Self {
+    fn left(reason: &'static str, next: Next) -> Self {
         Self {
             reason,
-            next: Next::Other,
+            next,
             may_be_followed_again: true,
         }
     }
 }
 
-/// A ping that was sent.
-struct SentPing {
-    number: u64,
-    at: Timestamp,
-}
-
 /// One relay that is being followed.
 pub(super) struct Following<'a> {
     follower: &'a Follower,
@@ -91,8 +92,7 @@
     demand: Demand,
     /// Subjects that the relay has sent as a whole.
     whole: HashSet<Subject>,
-    /// The last ping; number zero before the first.
-    ping: SentPing,
+    pings: Pings,
     /// True while the relay has lost the store.
     in_outage: bool,
     /// True while the relay hasn't heard from the store for a while.
@@ -113,10 +113,7 @@
             frames,
             demand,
             whole: HashSet::new(),
-            ping: SentPing {
-                number: 0,
-                at: Timestamp::ZERO,
-            },
+            pings: Pings::default(),
             in_outage: false,
             is_quiet: false,
         }
@@ -128,7 +125,7 @@
         let began = Instant::now();
         // The relay speaks first.
         let mut next_ping = None;
-        let mut heard = began;
+        let mut heard = Heard::new(began);
         let mut looked = began;
         let nearer = until_nearer_relay(&gateway, self.relay);
         tokio::pin!(nearer);
@@ -136,25 +133,27 @@
             let message = tokio::select! {
                 message = self.frames.next() => Some(message),
                 () = until(next_ping) => None,
-                () = tokio::time::sleep_until(heard + SILENCE_LIMIT) => {
+                () = tokio::time::sleep_until(heard.at + SILENCE_LIMIT) => {
+                    if heard.more_than_before(&self.frames) {
+                        continue;
+                    }
                     return Ended::failed("it is silent");
                 }
                 () = &mut nearer => {
-                    return Ended {
-                        next: Next::Nearer,
-                        ..Ended::left("a relay of this node's zone is in touch again")
-                    };
+                    let reason = "a relay of this node's zone is in touch again";
+                    return Ended::left(reason, Next::Nearer);
                 }
             };
             match message {
                 None => {
+                    heard.more_than_before(&self.frames);
                     next_ping = Some(Instant::now() + self.ping_interval());
                     if self.send_ping().await.is_none() {
                         return Ended::failed("it can't be reached");
                     }
                 }
                 Some(Some(Ok(message))) => {
-                    heard = Instant::now();
+                    heard = Heard::new(Instant::now());
                     let Some(message) = decode(&message) else {
                         return Ended::failed("it sent what is no message");
                     };
@@ -165,7 +164,7 @@
                             may_be_followed_again: self.in_outage,
                         };
                     }
-                    next_ping.get_or_insert(heard);
+                    next_ping.get_or_insert(heard.at);
                 }
                 Some(Some(Err(_)) | None) => {
                     return Ended::failed("it watches the store no longer");
@@ -173,13 +172,19 @@
             }
             let reviews = self.demand == Demand::Any && self.in_outage;
             if reviews && began.elapsed() >= REVIEW_INTERVAL {
-                return Ended::left("another one may be in touch with the store");
+                let reason = "another one may be in touch with the store";
+                return Ended::left(reason, Next::Other);
             }
             // Ranking all nodes behind each of many changes would cost more than they do.
             if looked.elapsed() >= SEARCH_INTERVAL {
                 looked = Instant::now();
                 if gateway.membership.is_known() && !gateway.may_follow_relays() {
-                    return Ended::left("this node watches the store itself now");
+                    let reason = "this node watches the store itself now";
+                    return Ended::left(reason, Next::Store);
+                }
+                if began.elapsed() >= OWN_WATCH_INTERVAL && gateway.may_watch_again() {
+                    let reason = "this node sees whether it can watch the store again";
+                    return Ended::left(reason, Next::Store);
                 }
             }
         }
@@ -196,9 +201,7 @@
     }
 
     async fn send_ping(&mut self) -> Option<()> {
-        let number = self.ping.number + 1;
-        let at = self.follower.gateway.now();
-        self.ping = SentPing { number, at };
+        let number = self.pings.send(self.follower.gateway.now());
         let ping = Ping { number };
         let message = match number {
             1 => {
@@ -227,8 +230,9 @@
                 contact,
                 configuration_age,
             } => {
-                self.take_configuration_age(ping, configuration_age);
-                return self.take_pong(ping, contact);
+                let asked = self.pings.answered(ping);
+                self.take_configuration_age(asked, configuration_age);
+                return self.take_pong(asked, contact);
             }
             FeedMessage::Whole {
                 subject,
@@ -274,6 +278,8 @@
         let gateway = &self.follower.gateway;
         if self.whole.len() == SUBJECTS.len() && !gateway.feed.fed.send_replace(true) {
             gateway.feed.relay.set(Some(self.relay));
+            let stepped_back = gateway.may_watch_again();
+            gateway.feed.stepped_back.set(stepped_back);
             let relay = self.relay.to_string();
             gateway.events.write(&Event::RelayFollowed { relay });
             // A node that has just joined has heard from the store, but none of its news. What a former
@@ -285,17 +291,22 @@
         }
     }
 
-    /// A pong tells that everything the relay had heard before was passed on.
-    fn take_configuration_age(&self, ping: u64, age: Option<Duration>) {
-        let is_reply = ping == self.ping.number && ping > 0;
+    /// A pong tells that everything the relay had heard before was passed on; it was asked for at `asked`.
+    fn take_configuration_age(&self, asked: Option<Timestamp>, age: Option<Duration>) {
         let has_configuration = self.whole.contains(&Subject::Configuration);
-        if let Some(age) = age.filter(|_| is_reply && has_configuration) {
+        if let (Some(asked), Some(age)) = (asked, age)
+            && has_configuration
+        {
             let gateway = &self.follower.gateway;
-            gateway.keys_confirmed_by_relay(self.ping.at, age);
+            gateway.keys_confirmed_by_relay(asked, age);
         }
     }
 
-    fn take_pong(&mut self, ping: u64, contact: RelayContact) -> Result<(), &'static str> {
+    fn take_pong(
+        &mut self,
+        asked: Option<Timestamp>,
+        contact: RelayContact,
+    ) -> Result<(), &'static str> {
         let gateway = &self.follower.gateway;
         self.in_outage = contact.store.is_none_or(|age| age > OUT_OF_TOUCH);
         self.is_quiet = contact.store.is_none_or(|age| age > STORE_QUIET);
@@ -308,12 +319,15 @@
         let is_fed = self.whole.len() == SUBJECTS.len();
         // A node that the others don't know of isn't in touch with them.
         let is_listed = gateway.feed.lists(Subject::Nodes, &self.follower.own_key);
-        if ping == self.ping.number && ping > 0 && is_fed && is_listed {
+        if let Some(asked) = asked
+            && is_fed
+            && is_listed
+        {
             let vouched = contact.store.is_some();
             self.follower
                 .was_vouched_for
                 .set(vouched || self.follower.was_vouched_for.get());
-            gateway.take_relay_contact(self.ping.at, contact);
+            gateway.take_relay_contact(asked, contact);
         }
         Ok(())
     }
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod nearer;
 mod news;
+pub mod pings;
 mod relays;
 mod serve;
 
@@ -70,6 +71,12 @@
     copies: RefCell<HashMap<Subject, Copy>>,
     changes: broadcast::Sender<Bytes>,
     fed: watch::Sender<bool>,
+    /// Since when no relay feeds this node.
+    unfed_since: Cell<Instant>,
+    /// True once this node has failed to read a subject itself while no relay fed it.
+    own_read_failed: Cell<bool>,
+    /// True while a relay feeds this node only since its own watch was lost.
+    stepped_back: Cell<bool>,
     /// Where the relay hears other nodes that feeds this one.
     relay: Cell<Option<SocketAddr>>,
     /// Told when this node reaches the store and no relay does.
@@ -84,6 +91,9 @@
             copies: RefCell::default(),
             changes: broadcast::Sender::new(CHANGES_KEPT),
             fed: watch::Sender::new(false),
+            unfed_since: Cell::new(Instant::now()),
+            own_read_failed: Cell::default(),
+            stepped_back: Cell::default(),
             relay: Cell::default(),
             without_relay: Notify::new(),
             passed_over: PassedOver::default(),
@@ -208,6 +218,30 @@
         lost.max()
     }
 
+    /// Takes in that this node failed to read a subject from the store.
+    pub fn own_read_failed(&self) {
+        self.own_read_failed.set(!self.is_fed());
+    }
+
+    /// True when this node follows a relay since its own watch was lost, or has to: some watch has been lost
+    /// for `limit`, and it isn't about to find out whether it can watch again. For that it has `limit`
+    /// once it has left a relay, or until a read fails.
+    fn lacks_news_for(&self, limit: Duration) -> bool {
+        if self.is_fed() {
+            return self.stepped_back.get();
+        }
+        let is_lost = self.watches_lost_for().is_some_and(|lost| lost >= limit);
+        let tries = !self.own_read_failed.get() && self.unfed_since.get().elapsed() < limit;
+        is_lost && !tries
+    }
+
+    /// Takes in that no relay feeds this node any more; true if one did.
+    fn unfed(&self) -> bool {
+        self.unfed_since.set(Instant::now());
+        self.own_read_failed.set(false);
+        self.fed.send_replace(false)
+    }
+
     fn revision(&self, subject: Subject) -> StoreRevision {
         let copies = self.copies.borrow();
         let copy = copies.get(&subject);
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -40,14 +40,24 @@
     }
 
     /// True when there may be relays that this node should follow: it is none itself, or one that has
-    /// lost the store while others may not have. The holder of the duty counts as in touch by its own
+    /// lost the store or its news while others may not have. The holder of the duty counts as in touch by its own
     /// calls alone, so it has its news from the store as well.
     pub fn may_follow_relays(&self) -> bool {
         let holds_duty = self.membership.last_duty().is_some();
-        let watches = self.is_relay_of_zone() && !self.has_lost_store_for(OUT_OF_TOUCH);
+        // That the store renews a lease doesn't show that its news arrive: a large configuration over a
+        // thin link may not, and the relay would act by an old one.
+        let hears =
+            !self.has_lost_store_for(OUT_OF_TOUCH) && !self.feed.lacks_news_for(OUT_OF_TOUCH);
+        let watches = self.is_relay_of_zone() && hears;
         !holds_duty && !self.is_small_fleet() && !watches
     }
 
+    /// True for a relay that the store replies to. If it follows another one since its own watch was lost,
+    /// it should see from time to time whether it can watch again.
+    pub(super) fn may_watch_again(&self) -> bool {
+        self.is_relay() && !self.has_lost_store_for(OUT_OF_TOUCH)
+    }
+
     /// Waits until it is clear that this node has no relay to follow. When the whole system starts
     /// the list of the nodes is incomplete for a while, so then only a relay is sure of that.
     pub async fn until_without_relay(&self) {
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -145,12 +145,19 @@
             Some(seen) => Ok(seen),
             None => {
                 let request = RangeRequest::all(followed.range());
-                read(&*store, request, &sink, &mut progress).await
+                let read = read(&*store, request, &sink, &mut progress);
+                // What a relay tells meanwhile may be newer than a large answer once it has arrived.
+                tokio::select! {
+                    biased;
+                    () = feed.until_fed() => continue,
+                    read = read => read,
+                }
             }
         };
         let seen = match read {
             Ok(seen) => seen,
             Err(error) => {
+                feed.own_read_failed();
                 progress.after(&error).await;
                 if gateway.may_follow_relays() {
                     // If none feeds this node by then it asks the store itself.
@@ -206,19 +213,13 @@
     let until = Instant::now() + awaited;
     let mut seen = None;
     loop {
-        match followed.first {
-            // Nobody is served yet, and a relay will have them.
-            FirstRead::Newest if first_start => {}
-            FirstRead::Newest => {
-                let request = RangeRequest::all(followed.range());
-                seen = read(store, request, sink, progress).await.ok();
-            }
-            FirstRead::Stale => {
-                let request = RangeRequest::stale(followed.range());
-                // If it fails the next read mends that.
-                let _ = read(store, request, sink, progress).await;
-            }
-        }
+        let first = first_read(store, followed, sink, progress);
+        // What a relay tells meanwhile may be newer than a large answer once it has arrived.
+        seen = tokio::select! {
+            biased;
+            () = gateway.feed.until_fed() => return None,
+            first = first => first.or(seen),
+        };
         let spread = NODES_LOOK_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         let look = match followed.subject {
             Subject::Nodes => until.min(Instant::now() + NODES_LOOK + spread),
@@ -235,6 +236,29 @@
     }
 }
 
+/// Reads keys for the first time; the revision from which on to watch, if they are the newest ones.
+async fn first_read(
+    store: &dyn KeyValueStore,
+    followed: &Followed,
+    sink: &impl Fn(StoreUpdate),
+    progress: &mut Progress,
+) -> Option<StoreRevision> {
+    match followed.first {
+        // Nobody is served yet, and a relay will have them.
+        FirstRead::Newest if progress.gateway.settings.node.first_start => None,
+        FirstRead::Newest => {
+            let request = RangeRequest::all(followed.range());
+            read(store, request, sink, progress).await.ok()
+        }
+        FirstRead::Stale => {
+            let request = RangeRequest::stale(followed.range());
+            // If it fails the next read mends that.
+            let _ = read(store, request, sink, progress).await;
+            None
+        }
+    }
+}
+
 /// Watches until the watch is lost. Nothing is concluded from a watch that is taken up again: the
 /// store may have made changes while it was cut and dropped them from its history, so the caller
 /// reads all keys again.
