Have long first copies from relays, and relays where links are large

Cause: a node that starts reads the configuration from the store. A relay's copy of the same is compressed and comes from the own zone mostly.

A node that starts gives up a first answer above 64 KiB at its head and waits up to 4 s for a relay; shorter ones it reads as before. A relay that has yet to read everything keeps a follower waiting for up to 2 s: it closed the connection, and was passed over for 1.5 s. Of the nodes of a zone those with the largest links are relays (settings: node.link_mbps, from the template); sizes within a factor of four count as equal.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use dyketally::failover::{FenceId, GRANTS_SETTLE};
 use dyketally::identifiers::{DatabaseName, GroupName, Locality, NodeName};
-use dyketally::placement::Candidate;
+use dyketally::placement::{Candidate, LinkClass};
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
     Entry, Key, KeyValueStore, LeaseId, Operation, PutRequest, WatchEvent,
@@ -48,6 +48,9 @@
     pub locality: Locality,
     /// Its share of the databases relative to other nodes.
     pub weight: u16,
+    /// How much its link carries; nodes of older builds don't tell.
+    #[serde(default)]
+    pub link: LinkClass,
 }
 
 impl NodeRecord {
@@ -58,6 +61,7 @@
             locality: &self.locality,
             weight: self.weight,
             leaving: false,
+            link: self.link,
         }
     }
 }
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -192,6 +192,7 @@
         address: settings.listen.peers,
         locality: settings.own_locality(),
         weight: settings.node.weight(),
+        link: settings.node.link(),
     }
 }
 
--- a/crates/dyketally-gateway/src/settings.rs
+++ b/crates/dyketally-gateway/src/settings.rs
@@ -7,7 +7,7 @@
 
 use dyketally::capacity::Capacity;
 use dyketally::identifiers::{Locality, NodeName, RegionName, ZoneName};
-use dyketally::placement::NORMAL_WEIGHT;
+use dyketally::placement::{LinkClass, NORMAL_WEIGHT};
 use dyketally::tenant::KeyPolicy;
 use serde::Deserialize;
 
@@ -16,6 +16,8 @@
 /// confirmations.
 const KEY_BOUNDS_MS: RangeInclusive<u64> = 2_000..=86_400_000;
 
+/// What `node.link_mbps` may be, in megabits a second: beyond it a figure is in another unit.
+const LINK_MBPS: RangeInclusive<f64> = 0.1..=1_000_000.0;
 /// The least that `bounds.contact_ms` may be: below it nodes would ask the store without a pause.
 const CONTACT_AT_LEAST_MS: u64 = 500;
 
@@ -120,6 +122,9 @@
     pub descriptors: Option<u32>,
     /// Memory that it may use, in megabytes; not limited if it isn't given.
     pub memory_mb: Option<u32>,
+    /// Megabits a second that its link carries; those with more watch the store for others first. Nodes
+    /// that don't tell come last.
+    pub link_mbps: Option<f64>,
     /// True when the whole system starts for the first time, so that nobody is served yet and nodes
     /// may take their time to get to know each other.
     #[serde(default)]
@@ -147,6 +152,12 @@
         }
     }
 
+    /// How much its link carries.
+    pub fn link(&self) -> LinkClass {
+        self.link_mbps
+            .map_or_else(LinkClass::default, LinkClass::of_megabits)
+    }
+
     /// Its share of the databases that it keeps connections to, relative to other nodes.
     pub fn weight(&self) -> u16 {
         let weight = self.processor_share * f64::from(NORMAL_WEIGHT);
@@ -334,6 +345,14 @@
         if self.node.descriptors == Some(0) || self.node.memory_mb == Some(0) {
             return Err("`node.descriptors` and `node.memory_mb` must be above 0".to_owned());
         }
+        if self
+            .node
+            .link_mbps
+            .is_some_and(|it| !LINK_MBPS.contains(&it))
+        {
+            let (least, most) = LINK_MBPS.into_inner();
+            return Err(format!("`node.link_mbps` must be from {least} to {most}"));
+        }
         if self.bounds.contact_ms < CONTACT_AT_LEAST_MS {
             return Err(format!(
                 "`bounds.contact_ms` must be at least {CONTACT_AT_LEAST_MS}"
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -81,6 +81,8 @@
     relay: Cell<Option<SocketAddr>>,
     /// Told when this node reaches the store and no relay does.
     without_relay: Notify,
+    /// Told when this node has read another subject.
+    copies_changed: Notify,
     /// Relays that failed or are behind.
     passed_over: PassedOver,
 }
@@ -96,6 +98,7 @@
             stepped_back: Cell::default(),
             relay: Cell::default(),
             without_relay: Notify::new(),
+            copies_changed: Notify::new(),
             passed_over: PassedOver::default(),
         }
     }
@@ -164,6 +167,7 @@
         copy.complete_to = revision;
         copy.encoded = None;
         copy.watch = OwnWatch::Stands;
+        self.copies_changed.notify_waiters();
         // Followers lack what changed while this node's former watch was lost.
         let differs = std::mem::take(&mut copy.differs_from_followers);
         drop(copies);
--- a/crates/dyketally-gateway/src/store/feed/serve.rs
+++ b/crates/dyketally-gateway/src/store/feed/serve.rs
@@ -14,6 +14,9 @@
 use crate::fleet::link::frames;
 use crate::gateway::Gateway;
 
+/// How long a follower is kept waiting while this node reads what it will pass on: less than a relay may
+/// be silent.
+const COPIES_LIMIT: Duration = Duration::from_secs(2);
 /// How long a follower may take to say that it stays.
 const FIRST_PING_LIMIT: Duration = Duration::from_secs(2);
 /// Kinds of messages, for counters.
@@ -25,7 +28,9 @@
 /// goes on while the store is lost, and tells so: that all its followers ask the store helps nobody.
 pub async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
     let may_serve = || gateway.feed.is_relaying() && !gateway.is_stopping();
-    if !may_serve() {
+    // When many nodes start at once followers tend to come before their relay has read everything.
+    let copies = gateway.until_relaying();
+    if tokio::time::timeout(COPIES_LIMIT, copies).await.is_err() || !may_serve() {
         return;
     }
     let Ok(follower) = stream.peer_addr() else {
@@ -93,6 +98,17 @@
 }
 
 impl Gateway {
+    /// Waits until this node has read all that it passes on, if it is a relay or may turn out to be one.
+    async fn until_relaying(&self) {
+        let may_relay = || !self.membership.is_known() || self.is_relay();
+        while !self.feed.is_relaying() && !self.feed.is_fed() && may_relay() {
+            tokio::select! {
+                () = self.feed.copies_changed.notified() => {}
+                () = self.membership.nodes_changed.notified() => {}
+            }
+        }
+    }
+
     fn answer(&self, ping: &[u8]) -> Option<Bytes> {
         let ping: Ping = decode(ping)?;
         encode(&self.pong(ping.number))
--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -33,6 +33,13 @@
 /// The same at the first start of the whole system: all nodes have to get to know each other first,
 /// and nobody waits to be served.
 const RELAY_AWAITED_AT_FIRST_START: Duration = Duration::from_secs(3);
+/// The same when the answer is a long one: a relay may need a second for its own copy, and as long for
+/// those that it sends. At 300 nodes that all start at once, and 1 MB each, asking the store instead takes
+/// its link 2.4 s at the least, and all of it goes between regions.
+const RELAY_AWAITED_FOR_LONG: Duration = Duration::from_secs(4);
+/// Answers to first reads that are longer are had from a relay, in bytes. Shorter ones arrive sooner from
+/// the store.
+const LONG_ANSWER: usize = 64 << 10;
 /// Pause between two reads of the nodes' keys while no relay is known, and what is added to it at
 /// random. Such reads are cheap.
 const NODES_LOOK: Duration = Duration::from_millis(700);
@@ -210,16 +217,23 @@
         true => RELAY_AWAITED_AT_FIRST_START,
         false => RELAY_AWAITED,
     };
-    let until = Instant::now() + awaited;
+    let began = Instant::now();
+    let mut until = began + awaited;
     let mut seen = None;
     loop {
         let first = first_read(store, followed, sink, progress);
         // What a relay tells meanwhile may be newer than a large answer once it has arrived.
-        seen = tokio::select! {
+        let first = tokio::select! {
             biased;
             () = gateway.feed.until_fed() => return None,
-            first = first => first.or(seen),
+            first = first => first,
         };
+        match first {
+            Ok(first) => seen = first.or(seen),
+            Err(StoreError::LongAnswer { .. }) => until = began + RELAY_AWAITED_FOR_LONG,
+            // The next read mends that.
+            Err(_) => {}
+        }
         let spread = NODES_LOOK_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         let look = match followed.subject {
             Subject::Nodes => until.min(Instant::now() + NODES_LOOK + spread),
@@ -242,19 +256,18 @@
     followed: &Followed,
     sink: &impl Fn(StoreUpdate),
     progress: &mut Progress,
-) -> Option<StoreRevision> {
+) -> Result<Option<StoreRevision>, StoreError> {
+    let range = followed.range();
     match followed.first {
         // Nobody is served yet, and a relay will have them.
-        FirstRead::Newest if progress.gateway.settings.node.first_start => None,
+        FirstRead::Newest if progress.gateway.settings.node.first_start => Ok(None),
         FirstRead::Newest => {
-            let request = RangeRequest::all(followed.range());
-            read(store, request, sink, progress).await.ok()
+            let request = RangeRequest::all(range);
+            read(store, request, sink, progress).await.map(Some)
         }
         FirstRead::Stale => {
-            let request = RangeRequest::stale(followed.range());
-            // If it fails the next read mends that.
-            let _ = read(store, request, sink, progress).await;
-            None
+            let request = RangeRequest::stale(range).unless_longer_than(LONG_ANSWER);
+            read(store, request, sink, progress).await.map(|_| None)
         }
     }
 }
--- a/crates/dyketally-http/src/body.rs
+++ b/crates/dyketally-http/src/body.rs
@@ -16,7 +16,7 @@
 pub const SLOWEST_RATE: u32 = 50_000;
 /// How long a body may take before its rate counts: more than a silence, which is told apart.
 const RATE_COUNTS_AFTER: Duration = Duration::from_secs(3);
-/// Longest body that is read, in bytes: some versions of the longest value (1 MiB, a third more in the
+/// Longest body that is read where the caller has no limit of its own, in bytes: some versions of the longest value (1 MiB, a third more in the
 /// store's encoding), since a watch that is behind is sent each of them.
 pub const LONGEST_BODY: usize = 16 << 20;
 
@@ -37,9 +37,14 @@
     /// It came slower than [`SLOWEST_RATE`].
     #[error("the answer is too slow; {0}")]
     Slow(Progress),
-    /// It is longer than [`LONGEST_BODY`].
-    #[error("the answer is longer than {LONGEST_BODY} bytes; {0}")]
-    Long(Progress),
+    /// It is longer than the caller wants it.
+    #[error("the answer is longer than {longest} bytes; {progress}")]
+    Long {
+        /// The limit.
+        longest: usize,
+        /// How much had arrived.
+        progress: Progress,
+    },
 }
 
 /// How much of a body has arrived.
@@ -51,6 +56,15 @@
     pub length: Option<u64>,
 }
 
+impl Progress {
+    fn length_at_least(self) -> usize {
+        let length = self
+            .length
+            .map_or(0, |it| usize::try_from(it).unwrap_or(usize::MAX));
+        length.max(self.arrived)
+    }
+}
+
 impl std::fmt::Display for Progress {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self.length {
@@ -60,12 +74,13 @@
     }
 }
 
-/// Reads the body of an answer. There is no limit to its time as a whole: a large answer over a thin
-/// link would then never be read, and each attempt would fill the link and end with nothing.
+/// Reads the body of an answer if it has at most `longest` bytes. There is no limit to its time as a
+/// whole: a large answer over a thin link would then never be read, and each attempt would fill the link
+/// and end with nothing.
 ///
 /// # Errors
 /// The connection failed, or the body is silent, too slow or too long.
-pub async fn read_body(mut response: Response) -> Result<Bytes, BodyError> {
+pub async fn read_body(mut response: Response, longest: usize) -> Result<Bytes, BodyError> {
     let began = Instant::now();
     let length = response.content_length();
     let mut body = BytesMut::new();
@@ -74,8 +89,8 @@
             arrived: body.len(),
             length,
         };
-        if body.len() > LONGEST_BODY {
-            return Err(BodyError::Long(progress));
+        if progress.length_at_least() > longest {
+            return Err(BodyError::Long { longest, progress });
         }
         let silent = Instant::now() + SILENCE_LIMIT;
         let slow = began + RATE_COUNTS_AFTER + time_at_slowest_rate(body.len());
--- a/crates/dyketally-http/tests/body.rs
+++ b/crates/dyketally-http/tests/body.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use dyketally_http::{BodyError, SILENCE_LIMIT, SLOWEST_RATE, read_body};
+use dyketally_http::{BodyError, LONGEST_BODY, SILENCE_LIMIT, SLOWEST_RATE, read_body};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -46,11 +46,15 @@
 }
 
 async fn read(sending: Sending) -> Result<usize, BodyError> {
+    read_at_most(sending, LONGEST_BODY).await
+}
+
+async fn read_at_most(sending: Sending, longest: usize) -> Result<usize, BodyError> {
     let address = serve(sending).await;
     let client = reqwest::Client::builder().no_proxy().build();
     let client = client.expect("a client");
     let response = client.get(format!("http://{address}/")).send().await;
-    let body = read_body(response.expect("a head")).await?;
+    let body = read_body(response.expect("a head"), longest).await?;
     Ok(body.len())
 }
 
@@ -110,3 +114,16 @@
     let text = failed.to_string();
     assert!(text.contains("200 of 250 bytes had arrived"), "{text}");
 }
+
+/// It isn't transferred: the head tells its length.
+#[tokio::test]
+async fn a_body_that_is_too_long_is_given_up_at_its_head() {
+    let sending = Sending {
+        pieces: 2,
+        piece: 100,
+        pause: SILENCE_LIMIT * 2,
+        missing: 0,
+    };
+    let failed = read_at_most(sending, 199).await.expect_err("no body");
+    assert!(matches!(failed, BodyError::Long { .. }), "{failed}");
+}
--- a/crates/dyketally-lab/src/platform/convert.rs
+++ b/crates/dyketally-lab/src/platform/convert.rs
@@ -31,6 +31,7 @@
 
 pub(super) fn range_request(request: wire::RangeRequest) -> RangeRequest {
     RangeRequest {
+        longest: None,
         range: key_range(request.key, request.range_end),
         limit: u32::try_from(request.limit.0).unwrap_or(0),
         order: match request.sort_order {
--- a/crates/dyketally-proxy/src/peers/view.rs
+++ b/crates/dyketally-proxy/src/peers/view.rs
@@ -6,7 +6,7 @@
 
 use dyketally::identifiers::{DatabaseName, Locality, NodeName};
 use dyketally::membership::Member;
-use dyketally::placement::{Candidate, RELAYS_PER_ZONE, home, rank, relays};
+use dyketally::placement::{Candidate, LinkClass, RELAYS_PER_ZONE, home, rank, relays};
 
 /// All members at one moment.
 #[derive(Clone, Debug)]
@@ -72,6 +72,7 @@
             locality: &self.locality,
             weight: self.weight,
             leaving: self.leaving,
+            link: LinkClass::default(),
         }
     }
 }
--- a/crates/dyketally-proxy/src/stores/etcd/transport.rs
+++ b/crates/dyketally-proxy/src/stores/etcd/transport.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use dyketally_http::{describe, read_body};
+use dyketally_http::{LONGEST_BODY, describe, read_body};
 use reqwest::header::{HeaderMap, RETRY_AFTER};
 use reqwest::{Response, StatusCode};
 use serde::Serialize;
@@ -75,7 +75,7 @@
         let response = self
             .bounded(self.send(path, request, effect), effect)
             .await?;
-        match read_body(response).await {
+        match read_body(response, LONGEST_BODY).await {
             Ok(body) => parse(&body),
             Err(error) => {
                 self.try_another_endpoint();
--- a/crates/dyketally-proxy/src/stores/machine_list_http.rs
+++ b/crates/dyketally-proxy/src/stores/machine_list_http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use dyketally_http::{describe, read_body};
+use dyketally_http::{LONGEST_BODY, describe, read_body};
 
 use super::machine_list::{MachineList, MachineListError, Machines};
 
@@ -46,7 +46,7 @@
             sent.map_err(|_| unavailable(format!("no answer within {:?}", self.request_timeout)))?;
         let response = response.and_then(reqwest::Response::error_for_status);
         let response = response.map_err(|error| unavailable(describe(&error)))?;
-        let body = read_body(response).await;
+        let body = read_body(response, LONGEST_BODY).await;
         let body = body.map_err(|error| unavailable(error.to_string()))?;
         serde_json::from_slice(&body).map_err(|error| MachineListError::Malformed {
             reason: error.to_string(),
--- a/crates/dyketally-store/src/error.rs
+++ b/crates/dyketally-store/src/error.rs
@@ -16,6 +16,15 @@
         /// What the transport or the service reported.
         reason: String,
     },
+    /// The answer is longer than the caller wants it.
+    #[error(
+        "the answer of the key-value service is longer than {longest} bytes; read it without that limit, \
+         or have it from another node"
+    )]
+    LongAnswer {
+        /// The limit that the caller set.
+        longest: usize,
+    },
     /// The request was not carried out because the caller exceeded its rate.
     #[error(
         "the key-value service limits the rate of requests and nothing was changed; try again \
--- a/crates/dyketally-store/src/key_value.rs
+++ b/crates/dyketally-store/src/key_value.rs
@@ -149,6 +149,9 @@
     pub at: Option<StoreRevision>,
     /// How new the entries have to be. A store may answer with newer ones than asked for.
     pub consistency: Consistency,
+    /// Length of the answer from which on it isn't worth its transfer, in bytes as they are sent; `None`
+    /// for any. A store may answer with more all the same.
+    pub longest: Option<usize>,
 }
 
 impl RangeRequest {
@@ -160,6 +163,7 @@
             order: KeyOrder::Ascending,
             at: None,
             consistency: Consistency::Linearizable,
+            longest: None,
         }
     }
 
@@ -170,6 +174,14 @@
             ..Self::all(range)
         }
     }
+
+    /// Gives up an answer that is longer than `bytes` before it is transferred.
+    pub fn unless_longer_than(self, bytes: usize) -> Self {
+        Self {
+            longest: Some(bytes),
+            ..self
+        }
+    }
 }
 
 /// One key with its value.
--- a/crates/dyketally/src/membership/member.rs
+++ b/crates/dyketally/src/membership/member.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::identifiers::{Locality, NodeName};
-use crate::placement::Candidate;
+use crate::placement::{Candidate, LinkClass};
 use crate::policy::Revision;
 
 /// Orders what is said about one node: a statement about a greater incarnation is newer.
@@ -133,6 +133,7 @@
             locality: &self.locality,
             weight: self.weight,
             leaving: self.leaving,
+            link: LinkClass::default(),
         })
     }
 }
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -6,12 +6,14 @@
 //! this from their own view of the members. Two nodes that disagree for a moment both act as the
 //! home; the database's own connection limit bounds the two together.
 
+mod link_class;
 mod score;
 mod sharing;
 mod tier;
 
 use crate::identifiers::{DatabaseName, Locality, NodeName, TenantName};
 
+pub use link_class::LinkClass;
 pub use sharing::Sharing;
 pub use tier::Distance;
 
@@ -35,6 +37,8 @@
     pub weight: u16,
     /// The node has told that it leaves: chosen only when no other node is left.
     pub leaving: bool,
+    /// How much its link carries.
+    pub link: LinkClass,
 }
 
 /// The home of `database`, which runs at `locality`; `None` when there is no candidate.
@@ -114,7 +118,9 @@
     scored.into_iter().map(|(_, node)| node).collect()
 }
 
-/// The nodes of the zone at `locality` that watch the platform's service for the whole zone.
+/// The nodes of the zone at `locality` that watch the platform's service for the whole zone. Those whose
+/// links carry most go first: a relay takes in each change as the service has it, and sends it to all
+/// nodes that follow it.
 pub fn relays<'a>(
     locality: &Locality,
     candidates: impl IntoIterator<Item = Candidate<'a>>,
@@ -129,7 +135,11 @@
             weight: NORMAL_WEIGHT,
             ..candidate
         };
-        Ranked::new(equal_weight, Tier::of(&candidate, locality), key)
+        let ranked = Ranked::new(equal_weight, Tier::of(&candidate, locality), key);
+        Ranked {
+            link: candidate.link,
+            ..ranked
+        }
     });
     first_few(ranked.collect(), count)
 }
@@ -146,6 +156,8 @@
 struct Ranked<'a> {
     node: &'a NodeName,
     tier: Tier,
+    /// Goes before the score where it matters.
+    link: LinkClass,
     score: Score,
 }
 
@@ -154,14 +166,17 @@
         Self {
             node: candidate.node,
             tier,
+            link: LinkClass::default(),
             score: key.score(candidate.node, candidate.weight),
         }
     }
 
     fn order(&self, other: &Self) -> std::cmp::Ordering {
         let by_tier = self.tier.cmp(&other.tier);
+        let by_link = || other.link.cmp(&self.link);
         let by_score = || other.score.cmp(&self.score);
         by_tier
+            .then_with(by_link)
             .then_with(by_score)
             .then_with(|| self.node.cmp(other.node))
     }
--- a/crates/dyketally/tests/placement.rs
+++ b/crates/dyketally/tests/placement.rs
@@ -2,7 +2,8 @@
 
 use dyketally::identifiers::{DatabaseName, Locality, NodeName, TenantName};
 use dyketally::placement::{
-    Candidate, NORMAL_WEIGHT, Sharing, accountants, home, preference, preference_for, rank, relays,
+    Candidate, LinkClass, NORMAL_WEIGHT, Sharing, accountants, home, preference, preference_for,
+    rank, relays,
 };
 use rstest::rstest;
 
@@ -15,6 +16,7 @@
     locality: Locality,
     weight: u16,
     leaving: bool,
+    link: LinkClass,
 }
 
 impl Node {
@@ -24,6 +26,7 @@
             locality: &self.locality,
             weight: self.weight,
             leaving: self.leaving,
+            link: self.link,
         }
     }
 }
@@ -44,6 +47,7 @@
         locality: zone(number),
         weight: NORMAL_WEIGHT,
         leaving: false,
+        link: LinkClass::default(),
     }
 }
 
@@ -176,6 +180,53 @@
     }
 }
 
+/// Two relays on the thinnest links of their zone took about a second for each change of a large
+/// configuration, while two nodes on links of 200 Mbit/s followed them.
+#[test]
+fn nodes_with_large_links_are_relays_first() {
+    let mut nodes: Vec<_> = (0..60).map(node).collect();
+    // Zone 0 holds nodes 0, 6, 12 and so on.
+    for (number, megabits) in [(6, 200.0), (18, 200.0), (30, 100.0)] {
+        nodes[number].link = LinkClass::of_megabits(megabits);
+    }
+    let chosen = |nodes: &[Node], count| -> Vec<NodeName> {
+        let candidates = nodes.iter().map(Node::candidate);
+        relays(&zone(0), candidates, count)
+            .into_iter()
+            .cloned()
+            .collect()
+    };
+    let mut first = chosen(&nodes, 3);
+    first.sort();
+    let expected: Vec<NodeName> = [18, 30, 6].map(|number| nodes[number].name.clone()).into();
+    assert_eq!(first, expected);
+    nodes[6].leaving = true;
+    assert!(!chosen(&nodes, 3).contains(&nodes[6].name));
+    // Where homes are isn't decided by links.
+    let plain: Vec<_> = (0..60).map(node).collect();
+    let databases = databases(100);
+    nodes[6].leaving = false;
+    assert_eq!(homes(&databases, &nodes), homes(&databases, &plain));
+}
+
+#[rstest]
+#[case::half_as_much_again(100.0, 150.0)]
+#[case::none_and_next_to_none(0.0, 1.0)]
+fn links_of_similar_size_are_of_one_class(#[case] one: f64, #[case] other: f64) {
+    assert_eq!(LinkClass::of_megabits(one), LinkClass::of_megabits(other));
+}
+
+#[rstest]
+#[case(10.0, 100.0)]
+#[case(2.0, 10.0)]
+#[case(200.0, 1_000.0)]
+fn links_that_carry_several_times_as_much_are_of_a_higher_class(
+    #[case] less: f64,
+    #[case] more: f64,
+) {
+    assert!(LinkClass::of_megabits(less) < LinkClass::of_megabits(more));
+}
+
 #[test]
 fn without_candidates_there_is_no_home() {
     assert_eq!(home(&"db-0".into(), &zone(0), []), None);
--- a/crates/dyketally/tests/slow_start_at_size.rs
+++ b/crates/dyketally/tests/slow_start_at_size.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dyketally::identifiers::{DatabaseName, Locality, NodeName, RegionName, ZoneName};
-use dyketally::placement::{self, Candidate, NORMAL_WEIGHT};
+use dyketally::placement::{self, Candidate, LinkClass, NORMAL_WEIGHT};
 use dyketally::route_policy::SlowStart;
 use dyketally::slow_start::{Budget, Margin, Pace, Throttle};
 use dyketally::tenant::OperationRate;
@@ -47,6 +47,7 @@
         locality,
         weight: NORMAL_WEIGHT,
         leaving: false,
+        link: LinkClass::default(),
     });
     let count = Budget::of(OperationRate::per_second(RATE), MARGIN).holders;
     let ranked = placement::rank(&name, &zone(database % ZONES), candidates, count);
