--- a/crates/dyketally-gateway/src/store/follow.rs
+++ b/crates/dyketally-gateway/src/store/follow.rs
@@ -37,8 +37,8 @@
 /// those that it sends. At 300 nodes that all start at once, and 1 MB each, asking the store instead takes
 /// its link 2.4 s at the least, and all of it goes between regions.
 const RELAY_AWAITED_FOR_LONG: Duration = Duration::from_secs(4);
-/// Answers to first reads that are longer are had from a relay, in bytes. Shorter ones arrive sooner from
-/// the store.
+/// First answers on the configuration that are longer are had from a relay, in bytes. Shorter ones arrive
+/// sooner from the store.
 const LONG_ANSWER: usize = 64 << 10;
 /// Pause between two reads of the nodes' keys while no relay is known, and what is added to it at
 /// random. Such reads are cheap.
@@ -266,7 +266,12 @@
             read(store, request, sink, progress).await.map(Some)
         }
         FirstRead::Stale => {
-            let request = RangeRequest::stale(range).unless_longer_than(LONG_ANSWER);
+            let request = RangeRequest::stale(range);
+            let request = match followed.subject {
+                Subject::Configuration => request.unless_longer_than(LONG_ANSWER),
+                // Without the nodes' keys no relay is known, however long they are.
+                Subject::Nodes | Subject::Announcements => request,
+            };
             read(store, request, sink, progress).await.map(|_| None)
         }
     }
