--- a/crates/dyketally-lab/tests/home/reads.rs
+++ b/crates/dyketally-lab/tests/home/reads.rs
@@ -133,7 +133,8 @@
     let primary = fixture.primary;
     let value = "v".repeat(TOO_LONG);
     let text = format!("INSERT INTO parts (key, value) VALUES ('a', '{value}')");
-    assert!(fixture.run(fixture.write(primary, &text)).await.is_done());
+    let written = fixture.run(fixture.write(primary, &text)).await;
+    assert!(written.is_done(), "{:?}", written.completion);
     let text = "SELECT value FROM parts WHERE key = 'a'";
     let answer = fixture
         .run(fixture.read(primary, Freshness::Current, text))
