Log why an appointed database isn't taken for the leader

While all databases of a group are cold at once almost nothing is served, and the log says no more than `not led`. Three causes would fit: the question whether the database leads gets no connection, since a cold database's rate is used up; it gets one and no answer; or the answer is that of a leader and this node doesn't count it, since a fence stands around the database. `Confirmation::Unclear` says which, and the step `not led` counts the replies by kind.

--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -3,6 +3,7 @@
 //! Relies on the coordinator's lease for tokens, on the adapter for the appointment, and on confirmations to
 //! see that the database leads.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -104,8 +105,11 @@
             return false;
         };
         let until = Instant::now() + TAKE_LEAD_LIMIT;
+        let mut replies: BTreeMap<Confirmation, u32> = BTreeMap::new();
         while Instant::now() < until {
-            if self.leadership.confirmations.confirm_leader(&target).await == Confirmation::Leads {
+            let reply = self.leadership.confirmations.confirm_leader(&target).await;
+            *replies.entry(reply).or_default() += 1;
+            if reply == Confirmation::Leads {
                 self.leadership.confirmations.acted_as_primary(&target);
                 self.peers.broadcast(&PeerMessage::Leads {
                     group: group.clone(),
@@ -119,7 +123,7 @@
         self.step(
             group,
             "not led",
-            format!("{successor} didn't take the lead"),
+            format!("{successor} didn't take the lead: {replies:?}"),
         );
         false
     }
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -35,14 +35,27 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(120);
 
 /// What an exchange to confirm that a database leads came to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Confirmation {
     /// It leads.
     Leads,
     /// It answered that it doesn't.
     Follows,
-    /// It didn't answer, or not in a way that shows it.
-    Unclear,
+    /// It isn't known.
+    Unclear(Unclear),
+}
+
+/// Why it isn't known whether a database leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Unclear {
+    /// There was no connection to it in time.
+    NoConnection,
+    /// It didn't answer in time, or not in a way that shows it.
+    NoAnswer,
+    /// It answered as a leader while a fence stands around it.
+    Fenced,
+    /// It answered as a leader, and this node, which is isolated, can't rule out that another one leads.
+    Rivalled,
 }
 
 /// What runs for one group.
@@ -140,35 +153,43 @@
         let until = Instant::now() + CONFIRM_LIMIT;
         let exchange = self.exchange_as_leader(target, until);
         match tokio::time::timeout_at(until, exchange).await {
-            Ok(confirmation) => confirmation.unwrap_or(Confirmation::Unclear),
+            Ok(Ok(confirmation)) => confirmation,
+            Ok(Err(unclear)) => Confirmation::Unclear(unclear),
             // Dropped: the caller treats it like a database that didn't answer.
-            Err(_) => Confirmation::Unclear,
+            Err(_) => Confirmation::Unclear(Unclear::NoAnswer),
         }
     }
 
-    /// The outcome; `None` when there is no answer.
-    async fn exchange_as_leader(&self, target: &Target, until: Instant) -> Option<Confirmation> {
+    async fn exchange_as_leader(
+        &self,
+        target: &Target,
+        until: Instant,
+    ) -> Result<Confirmation, Unclear> {
         let work = Work::Statements;
-        let mut connection = self.statements.connect(target, until, work).await?;
+        let connection = self.statements.connect(target, until, work).await;
+        let mut connection = connection.ok_or(Unclear::NoConnection)?;
         self.cx.counters.confirmations.add();
         let sent = self.cx.now();
         let batch = Batch::own([OwnStatement::Begin, OwnStatement::Rollback]);
-        let answers = connection.run(&batch).await?;
+        let answers = connection.run(&batch).await.ok_or(Unclear::NoAnswer)?;
         let ended = answers[1].state == TransactionState::Idle;
         if ended {
             connection.give_back();
         }
         match &answers[0].end {
             Ok(_) if answers[1].end.is_ok() && ended => {
+                if self.databases.is_fenced(&target.name) {
+                    return Err(Unclear::Fenced);
+                }
                 if !self.checks.is_unrivalled(target).await {
-                    return None;
+                    return Err(Unclear::Rivalled);
                 }
                 let position = answers[0].position;
                 self.databases.observe(&target.group, position, sent);
-                Some(Confirmation::Leads)
+                Ok(Confirmation::Leads)
             }
-            Err(failure) if failure.kind == FailureKind::ReadOnly => Some(Confirmation::Follows),
-            _ => None,
+            Err(failure) if failure.kind == FailureKind::ReadOnly => Ok(Confirmation::Follows),
+            _ => Err(Unclear::NoAnswer),
         }
     }
 
