Take an appointed database for the leader though a fence from its own loss stands

What callers saw: when all databases of a group lose power together and come back cold, nothing was served for seven seconds, and each request waited up to 550 ms for its refusal.

Cause: a fence around a database that was replaced ended only with its round, with a confirmation, or after 8 s; and an answer of a leader counted as a confirmation only while no fence stood. Databases that are lost in turn are appointed again within half a second, and nobody believed them.

A fence no longer counts against a database whose appointment was accepted with the newest token: no older appointment can take effect any more, so its lead is the last one. All rounds around it are then lifted. What was sent before it led anew may be answered out of its former lead, whose end its log may lack; such answers count for nothing. Two ways to the same hole stood behind it and are mended with it: a database that is lost right after its appointment isn't waited for any more once the nodes find it lost; a new coordinator appoints a primary that leads behind a fence of its predecessor's. A survey takes a database for the leader only if no other knows of a later term.

--- a/crates/dyketally-gateway/src/database/fences.rs
+++ b/crates/dyketally-gateway/src/database/fences.rs
@@ -5,6 +5,7 @@
 
 use dyketally::failover::{FenceId, StandingFence};
 use dyketally::identifiers::DatabaseName;
+use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
 use super::Databases;
@@ -37,6 +38,16 @@
         self.fences.borrow().holds(self.cx.now(), database)
     }
 
+    /// The round of the fence around `database`, if one stands here.
+    pub fn fence_round(&self, database: &DatabaseName) -> Option<FenceId> {
+        self.fences.borrow().round(self.cx.now(), database)
+    }
+
+    /// True when `database` has been replaced and leads anew since `sent`.
+    pub fn led_anew_since(&self, sent: Timestamp, database: &DatabaseName) -> bool {
+        self.fences.borrow().led_anew_since(sent, database)
+    }
+
     /// The fences that stand here, with their ages.
     pub fn standing_fences(&self) -> Vec<StandingFence> {
         self.fences.borrow().standing(self.cx.now())
--- a/crates/dyketally-gateway/src/statement/read.rs
+++ b/crates/dyketally-gateway/src/statement/read.rs
@@ -210,7 +210,9 @@
             BehindBegin::ProvesNothing => {
                 Attempt::Lost(Broken::new("the database doesn't lead its group"))
             }
-            BehindBegin::AnswerOfLeader if !self.leadership.checks.is_upheld(target).await => {
+            BehindBegin::AnswerOfLeader
+                if !self.leadership.checks.is_upheld(target, sent).await =>
+            {
                 Attempt::Lost(Broken::replaced())
             }
             BehindBegin::AnswerOfLeader => {
--- a/crates/dyketally-gateway/src/statement/transaction/commit.rs
+++ b/crates/dyketally-gateway/src/statement/transaction/commit.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use dyketally::statement::{FailureKind, TransactionState};
+use dyketally::time::Timestamp;
 
 use super::{Transaction, TransactionAnswer};
 use crate::database::connection::{Answer, Broken};
@@ -23,14 +24,15 @@
             let served = Served::failed(FailureKind::Aborted, message);
             return TransactionAnswer::ended(served, Reason::TransactionFailed);
         }
+        let sent = statements.cx.now();
         if self.bound.is_none() {
             let Ok(answer) = self.run_first(statements, request).await else {
                 return self.give_up_unkept(statements, request);
             };
-            return self.committed(statements, request, answer).await;
+            return self.committed(statements, request, answer, sent).await;
         }
         match self.send_until_run(statements, request).await {
-            Ok(Some(answer)) => self.committed(statements, request, answer).await,
+            Ok(Some(answer)) => self.committed(statements, request, answer, sent).await,
             Ok(None) => self.lost(statements, request, LostCommit::Broke),
             Err(_) => self.lost(statements, request, LostCommit::DeadlinePassed),
         }
@@ -41,8 +43,9 @@
         statements: &Rc<Statements>,
         request: &Request,
         answer: Answer,
+        sent: Timestamp,
     ) -> TransactionAnswer {
-        if self.wrote && answer.end.is_ok() && !self.is_upheld(statements).await {
+        if self.wrote && answer.end.is_ok() && !self.is_upheld(statements, sent).await {
             self.bound = None;
             let served = Served::in_doubt(&Broken::replaced().reason);
             request.log(statements, &served, Reason::DatabaseReplaced);
@@ -56,11 +59,13 @@
         TransactionAnswer::answered(answer, TransactionState::Idle)
     }
 
-    /// True unless the transaction runs at a database that led the group and no longer does.
-    async fn is_upheld(&self, statements: &Rc<Statements>) -> bool {
+    /// True unless the transaction runs at a database that led the group and no longer does, or not without
+    /// a break since `sent`.
+    async fn is_upheld(&self, statements: &Rc<Statements>, sent: Timestamp) -> bool {
         match &self.bound {
             Some(bound) if bound.leads => {
-                statements.leadership.checks.is_upheld(&bound.target).await
+                let checks = &statements.leadership.checks;
+                checks.is_upheld(&bound.target, sent).await
             }
             _ => true,
         }
--- a/crates/dyketally-gateway/src/statement/transaction/first.rs
+++ b/crates/dyketally-gateway/src/statement/transaction/first.rs
@@ -125,7 +125,7 @@
         }
         statements.learn(&target, learn::from_answer(OPERATION, proof, target.leads));
         let leads = proof == Proof::Leads;
-        if leads && !statements.leadership.checks.is_upheld(&target).await {
+        if leads && !statements.leadership.checks.is_upheld(&target, sent).await {
             return Attempt::NotRun(FailureKind::ReadOnly);
         }
         if leads {
--- a/crates/dyketally-gateway/src/statement/write.rs
+++ b/crates/dyketally-gateway/src/statement/write.rs
@@ -112,7 +112,7 @@
             checkout.give_back();
         }
         match &answer.end {
-            Ok(_) if !self.leadership.checks.is_upheld(target).await => {
+            Ok(_) if !self.leadership.checks.is_upheld(target, sent).await => {
                 return Attempt::Lost(Broken::replaced());
             }
             Ok(_) => self.databases.observe(&target.group, answer.position, sent),
--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::failover::TokenUse;
+use dyketally::failover::{Evidence, TokenUse, Verdict};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
@@ -15,7 +15,7 @@
 use crate::fleet::coordinator::Term;
 use crate::fleet::message::PeerMessage;
 use crate::ports::Appointment;
-use crate::succession::confirm::Confirmation;
+use crate::succession::confirm::{Confirmation, Unclear};
 use crate::succession::failover::Failover;
 
 /// How long an appointed database may take to lead: promotions took up to 1.33 s (longest of 17; decision
@@ -104,13 +104,16 @@
         let Some(target) = self.member_target(successor) else {
             return false;
         };
-        let until = Instant::now() + TAKE_LEAD_LIMIT;
+        let began = Instant::now();
+        let until = began + TAKE_LEAD_LIMIT;
         let mut replies: BTreeMap<Confirmation, u32> = BTreeMap::new();
         while Instant::now() < until {
-            let reply = self.leadership.confirmations.confirm_leader(&target).await;
+            let confirmations = &self.leadership.confirmations;
+            let reply = confirmations.confirm_appointed(&target).await;
             *replies.entry(reply).or_default() += 1;
             if reply == Confirmation::Leads {
-                self.leadership.confirmations.acted_as_primary(&target);
+                self.fences.lift_all(successor);
+                confirmations.acted_as_primary(&target);
                 self.peers.broadcast(&PeerMessage::Leads {
                     group: group.clone(),
                     database: successor.clone(),
@@ -118,6 +121,13 @@
                 self.step(group, "done", format!("{successor} leads"));
                 return true;
             }
+            if reply == Confirmation::Unclear(Unclear::NoConnection)
+                && self.was_lost(&target, began).await
+            {
+                let detail = format!("{successor} was lost before it led: {replies:?}");
+                self.step(group, "lost again", detail);
+                return false;
+            }
             tokio::time::sleep(TAKE_LEAD_PAUSE).await;
         }
         self.step(
@@ -128,6 +138,14 @@
         false
     }
 
+    /// True when a database that was appointed at `appointed` has been lost, by the verdict of the nodes. One
+    /// that ended right after its appointment was waited for in vain for all of [`TAKE_LEAD_LIMIT`], in which
+    /// nobody was appointed in its place.
+    async fn was_lost(&self, target: &Target, appointed: Instant) -> bool {
+        let evidence = self.leadership.suspicions.evidence_of(target).await;
+        evidence == Evidence::Refused && self.verdict(target, appointed).await == Verdict::Lost
+    }
+
     fn member_target(&self, name: &DatabaseName) -> Option<Target> {
         let directory = self.databases.directory.borrow();
         let member = directory.member(name)?;
--- a/crates/dyketally-gateway/src/succession/cause.rs
+++ b/crates/dyketally-gateway/src/succession/cause.rs
@@ -36,6 +36,8 @@
     Cold(Target),
     /// No node reaches it. It was suspected this long ago.
     Lost(Target, Duration),
+    /// It leads, but a fence stands around it, and nobody is replacing it.
+    Shunned(Target),
     /// No database leads.
     NoPrimary,
 }
@@ -50,7 +52,7 @@
             | Self::Misplaced(old, _)
             | Self::Cold(old)
             | Self::Lost(old, _) => Some(old),
-            Self::NoPrimary => None,
+            Self::Shunned(_) | Self::NoPrimary => None,
         }
     }
 }
@@ -68,10 +70,27 @@
             };
         };
         let planned = || self.planned_cause(group, &primary, state);
-        match lease_runs.then(planned).flatten() {
-            Some(cause) => Some(cause),
-            None => self.loss(group, primary).await,
+        if let Some(cause) = lease_runs.then(planned).flatten() {
+            return Some(cause);
         }
+        let loss = self.loss(group, &primary).await;
+        loss.or_else(|| {
+            self.is_shunned(group, &primary)
+                .then_some(Cause::Shunned(primary))
+        })
+    }
+
+    /// True when a fence stands around `primary` though this coordinator replaces it by no other database: a
+    /// former one may have ended before it could say that the database leads again. Nobody suspects a
+    /// primary that answers, so the group would be without one until the fence runs out.
+    fn is_shunned(&self, group: &GroupName, primary: &Target) -> bool {
+        let appointments = self.appointments.borrow();
+        let replaced = appointments
+            .last(group)
+            .is_some_and(|it| it != &primary.name);
+        self.fleet.coordinator.term().is_some()
+            && !replaced
+            && self.databases.is_fenced(&primary.name)
     }
 
     fn known_primary(&self, group: &GroupName) -> Option<(Target, MemberState)> {
@@ -108,11 +127,11 @@
     }
 
     /// The loss of a primary that some node suspects, if it is lost by the verdict of the nodes.
-    async fn loss(&self, group: &GroupName, primary: Target) -> Option<Cause> {
+    async fn loss(&self, group: &GroupName, primary: &Target) -> Option<Cause> {
         let key = (group.clone(), primary.name.clone());
         let suspicions = &self.fleet.coordinator.suspicions;
         let since = suspicions.borrow().get(&key).copied()?;
-        match self.verdict(&primary, since).await {
+        match self.verdict(primary, since).await {
             Verdict::Alive => {
                 suspicions.borrow_mut().remove(&key);
                 None
@@ -120,7 +139,7 @@
             Verdict::Undecided => None,
             Verdict::Lost => {
                 suspicions.borrow_mut().remove(&key);
-                Some(Cause::Lost(primary, since.elapsed()))
+                Some(Cause::Lost(primary.clone(), since.elapsed()))
             }
         }
     }
--- a/crates/dyketally-gateway/src/succession/checks.rs
+++ b/crates/dyketally-gateway/src/succession/checks.rs
@@ -90,21 +90,18 @@
         !self.is_replaced(target) && self.cx.is_in_touch()
     }
 
-    /// True when an answer of `target` that has just arrived is a leader's: no other database had taken
-    /// the lead before.
-    pub async fn is_upheld(self: &Rc<Self>, target: &Target) -> bool {
-        if self.is_replaced(target) {
+    /// True when an answer of `target` to what was sent at `sent` is a leader's: no other database had taken
+    /// the lead before it arrived.
+    pub async fn is_upheld(self: &Rc<Self>, target: &Target, sent: Timestamp) -> bool {
+        if self.is_replaced(target) || self.databases.led_anew_since(sent, &target.name) {
             return false;
         }
         self.is_unrivalled(target).await
     }
 
     /// True when no other database of the group can have taken the lead by now: this node would have
-    /// received its fence, or all others deny it.
+    /// received a fence around `target`, or all others deny it. Whether one stands isn't looked at.
     pub(super) async fn is_unrivalled(self: &Rc<Self>, target: &Target) -> bool {
-        if self.databases.is_fenced(&target.name) {
-            return false;
-        }
         self.cx.is_in_touch() || self.others_deny_leading(target).await
     }
 
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -58,6 +58,15 @@
     Rivalled,
 }
 
+/// Whether a fence around a database denies that it leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fence {
+    /// It does.
+    Counts,
+    /// It was put up before the database took the lead.
+    IsOver,
+}
+
 /// What runs for one group.
 #[derive(Debug, Default)]
 struct GroupConfirmation {
@@ -150,8 +159,20 @@
 
     /// Asks a database to open and drop a transaction that only a primary accepts.
     pub async fn confirm_leader(&self, target: &Target) -> Confirmation {
+        self.confirm(target, Fence::Counts).await
+    }
+
+    /// Asks the same of a database whose appointment, with the newest fencing token, was accepted. A fence
+    /// that still stands around it is from its own loss shortly before. It says nothing about the new lead:
+    /// without this, a group whose databases were lost and came back in turn was without a primary for as
+    /// long as that fence stands (8 s).
+    pub async fn confirm_appointed(&self, target: &Target) -> Confirmation {
+        self.confirm(target, Fence::IsOver).await
+    }
+
+    async fn confirm(&self, target: &Target, fence: Fence) -> Confirmation {
         let until = Instant::now() + CONFIRM_LIMIT;
-        let exchange = self.exchange_as_leader(target, until);
+        let exchange = self.exchange_as_leader(target, fence, until);
         match tokio::time::timeout_at(until, exchange).await {
             Ok(Ok(confirmation)) => confirmation,
             Ok(Err(unclear)) => Confirmation::Unclear(unclear),
@@ -163,6 +184,7 @@
     async fn exchange_as_leader(
         &self,
         target: &Target,
+        fence: Fence,
         until: Instant,
     ) -> Result<Confirmation, Unclear> {
         let work = Work::Statements;
@@ -178,7 +200,7 @@
         }
         match &answers[0].end {
             Ok(_) if answers[1].end.is_ok() && ended => {
-                if self.databases.is_fenced(&target.name) {
+                if fence == Fence::Counts && self.databases.is_fenced(&target.name) {
                     return Err(Unclear::Fenced);
                 }
                 if !self.checks.is_unrivalled(target).await {
--- a/crates/dyketally-gateway/src/succession/fence.rs
+++ b/crates/dyketally-gateway/src/succession/fence.rs
@@ -110,13 +110,35 @@
 
     /// Has all nodes take `database` for a leader again.
     pub fn lift(&self, database: &DatabaseName) {
-        if let Some(published) = self.published.borrow_mut().remove(database) {
-            published.withdrawn.notify_one();
-        }
+        self.withdraw(database);
         let Some(id) = self.rounds.borrow_mut().remove(database) else {
             return;
         };
         self.databases.lift_round(database, id);
+        self.broadcast_lift(database, id);
+    }
+
+    /// Lifts all fences around `database`, which has taken the lead since they were put up, also those of a
+    /// former coordinator. Nodes that miss the datagram which names the new leader would go on refusing
+    /// what only that can run until the fence runs out.
+    pub fn lift_all(&self, database: &DatabaseName) {
+        self.withdraw(database);
+        let own = self.rounds.borrow_mut().remove(database);
+        let standing = self.databases.fence_round(database);
+        self.databases.lift_fence(database);
+        let other = standing.filter(|standing| Some(*standing) != own);
+        for id in own.into_iter().chain(other) {
+            self.broadcast_lift(database, id);
+        }
+    }
+
+    fn withdraw(&self, database: &DatabaseName) {
+        if let Some(published) = self.published.borrow_mut().remove(database) {
+            published.withdrawn.notify_one();
+        }
+    }
+
+    fn broadcast_lift(&self, database: &DatabaseName, id: FenceId) {
         let message = PeerMessage::LiftFence {
             database: database.clone(),
             id,
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -40,6 +40,7 @@
                 self.move_lead(group, old, &anywhere).await
             }
             Cause::Lost(old, suspected) => self.take_over(group, Some(old), *suspected).await,
+            Cause::Shunned(primary) => self.reinstate(group, primary).await,
             Cause::NoPrimary => self.take_over(group, None, NO_PRIMARY_GRACE).await,
         };
         if self.acknowledging(group) > 0 && !succeeded {
@@ -48,6 +49,23 @@
         succeeded
     }
 
+    /// Has all nodes take `primary` for the leader again, around which a fence stands of a former coordinator's.
+    /// It is appointed with this one's token: nothing changes where it leads, and an appointment of another
+    /// database that is under way can't take effect any more.
+    async fn reinstate(self: &Rc<Self>, group: &GroupName, primary: &Target) -> bool {
+        let surveyed = self.survey(group, None, OwnStatement::Status).await;
+        match &surveyed.leading {
+            Some(leading) if leading.name == primary.name => {
+                self.appoint(group, &primary.name).await == Appointed::Leads
+            }
+            Some(leading) => {
+                self.found(group, leading);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Moves the lead to `regions` without need, so not while no replica there keeps up.
     async fn move_lead(
         self: &Rc<Self>,
--- a/crates/dyketally-gateway/src/succession/survey.rs
+++ b/crates/dyketally-gateway/src/succession/survey.rs
@@ -76,11 +76,13 @@
         });
         let replies = futures::future::join_all(asked).await;
         let mut survey = Survey::default();
+        let mut newest_lead = None;
         for ((target, ready, preference), status) in members.into_iter().zip(replies) {
             if let Some(status) = status {
                 survey.newest_term = survey.newest_term.max(status.term);
                 survey.newest_term = survey.newest_term.max(status.received.term.0);
-                if status.leads && ready {
+                if status.leads && ready && newest_lead.is_none_or(|term| status.term > term) {
+                    newest_lead = Some(status.term);
                     survey.leading = Some(target.clone());
                 }
             }
@@ -92,6 +94,11 @@
                 preference,
             });
         }
+        // One that was succeeded and hasn't heard of it says that it leads, too. Its group's other databases
+        // know of a later term.
+        if newest_lead.is_some_and(|term| term < survey.newest_term) {
+            survey.leading = None;
+        }
         survey
     }
 
--- a/crates/dyketally/src/failover/appointments.rs
+++ b/crates/dyketally/src/failover/appointments.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// The database of `group` that was appointed last.
+    pub fn last(&self, group: &GroupName) -> Option<&DatabaseName> {
+        self.last.get(group).map(|(_, appointed)| appointed)
+    }
+
     /// Records that the service refused `token`: somebody may hold a greater one.
     pub fn refused(&mut self, token: u64) {
         self.refused = self.refused.max(Some(token));
--- a/crates/dyketally/src/failover/fences.rs
+++ b/crates/dyketally/src/failover/fences.rs
@@ -36,6 +36,8 @@
 pub struct Fences {
     standing: HashMap<DatabaseName, (FenceId, Timestamp)>,
     lifted: HashMap<DatabaseName, Timestamp>,
+    /// When a fence was lifted that stood around a database, since that leads anew.
+    led_anew: HashMap<DatabaseName, Timestamp>,
     lifted_rounds: HashMap<FenceId, Timestamp>,
 }
 
@@ -72,6 +74,7 @@
     pub fn lift(&mut self, now: Timestamp, database: &DatabaseName) {
         if let Some((id, _)) = self.standing.remove(database) {
             self.lifted_rounds.insert(id, now);
+            self.led_anew.insert(database.clone(), now);
         }
         self.lifted.insert(database.clone(), now);
     }
@@ -89,6 +92,19 @@
         self.lifted_rounds.insert(id, now);
     }
 
+    /// True when a database has been replaced and leads anew since `sent`: an answer to what was sent then
+    /// may be one of its former lead, whose end may be missing from the log that it has now.
+    pub fn led_anew_since(&self, sent: Timestamp, database: &DatabaseName) -> bool {
+        self.led_anew.get(database).is_some_and(|at| *at >= sent)
+    }
+
+    /// The round of the fence around a database, if one stands.
+    pub fn round(&self, now: Timestamp, database: &DatabaseName) -> Option<FenceId> {
+        let standing = self.standing.get(database);
+        let standing = standing.filter(|_| self.holds(now, database));
+        standing.map(|(id, _)| *id)
+    }
+
     /// True while a database mustn't be taken for a leader.
     pub fn holds(&self, now: Timestamp, database: &DatabaseName) -> bool {
         let standing = self.standing.get(database);
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -263,6 +263,28 @@
     assert_eq!(fences.holds(at(2_500), &"a".into()), holds);
 }
 
+/// What was sent before a replaced database led anew may be answered out of its former lead.
+#[rstest]
+#[case::sent_before_it_was_fenced(900, true)]
+#[case::sent_before_it_led_anew(1_999, true)]
+#[case::sent_since(2_001, false)]
+fn an_answer_of_a_former_lead_is_known(#[case] sent: u64, #[case] is_former: bool) {
+    let mut fences = fenced();
+    fences.lift(at(2_000), &"a".into());
+    assert_eq!(fences.led_anew_since(at(sent), &"a".into()), is_former);
+    assert!(!fences.led_anew_since(at(sent), &"b".into()));
+}
+
+#[test]
+fn a_database_that_was_never_replaced_leads_without_a_break() {
+    let mut fences = Fences::default();
+    fences.lift(at(2_000), &"a".into());
+    assert!(!fences.led_anew_since(at(1_000), &"a".into()));
+    let mut fences = fenced();
+    fences.lift_round(at(2_000), &"a".into(), ROUND);
+    assert!(!fences.led_anew_since(at(1_000), &"a".into()));
+}
+
 /// A node that is farther away puts a fence up after a nearer one has lifted it, and tells of it.
 #[rstest]
 #[case::the_round_that_was_lifted(ROUND, false)]
