Log why a stand-in database stands for election, and print it in tests of homes

Beside much load the write of 5 MB that prepares a test ends as `Unknown { NotConfirmed }`, supposedly since the stand-in elects another primary. Two causes would fit: the primary's heartbeats wait behind the long row on the link; or the member itself stands still for longer than it waits for a primary, and takes its own pause for the primary's silence. A line tells how long ago the member saw the clock, how many messages wait for it and how many bytes have arrived since the last one; tests of homes print it.

--- a/crates/dyketally-lab/src/database/peers.rs
+++ b/crates/dyketally-lab/src/database/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +12,9 @@
 use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio::time::Instant;
+use tokio_util::codec::{Framed, FramedRead, LengthDelimitedCodec};
+use tokio_util::io::InspectReader;
 use tokio_util::sync::CancellationToken;
 
 use super::replication::{Append, Envelope, Message};
@@ -32,10 +35,13 @@
 fn framed(stream: TcpStream) -> FramedStream {
     // Messages are small and urgent; a socket without the option still works.
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder()
+    Framed::new(stream, codec())
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
         .max_frame_length(LARGEST_FRAME)
-        .new_codec();
-    Framed::new(stream, codec)
+        .new_codec()
 }
 
 /// Drives the member of `database` until `stopped`.
@@ -45,7 +51,9 @@
     stopped: CancellationToken,
 ) {
     let (inbox_sender, inbox) = mpsc::channel(QUEUE_LENGTH);
-    tokio::spawn(accept_peers(listener, inbox_sender, stopped.clone()));
+    let arrived = Arc::new(AtomicUsize::new(0));
+    let accepting = accept_peers(listener, inbox_sender, arrived.clone(), stopped.clone());
+    tokio::spawn(accepting);
     let peers = database.settings.peers.iter();
     let outboxes = peers
         .map(|peer| {
@@ -62,6 +70,9 @@
         outboxes,
         delayed: VecDeque::new(),
         reported: None,
+        arrived,
+        received: 0,
+        ticked: Instant::now(),
     };
     stopped.run_until_cancelled(driver.run()).await;
 }
@@ -69,20 +80,28 @@
 async fn accept_peers(
     listener: TcpListener,
     inbox: mpsc::Sender<Envelope>,
+    arrived: Arc<AtomicUsize>,
     stopped: CancellationToken,
 ) {
     while let Some(accepted) = stopped.run_until_cancelled(listener.accept()).await {
         let Ok((stream, _)) = accepted else {
             continue;
         };
-        let reader = read_from_peer(stream, inbox.clone());
+        let reader = read_from_peer(stream, inbox.clone(), arrived.clone());
         let stopped = stopped.clone();
         tokio::spawn(async move { stopped.run_until_cancelled(reader).await });
     }
 }
 
-async fn read_from_peer(stream: TcpStream, inbox: mpsc::Sender<Envelope>) {
-    let mut frames = framed(stream);
+async fn read_from_peer(
+    stream: TcpStream,
+    inbox: mpsc::Sender<Envelope>,
+    arrived: Arc<AtomicUsize>,
+) {
+    let counted = InspectReader::new(stream, |bytes| {
+        arrived.fetch_add(bytes.len(), Ordering::Relaxed);
+    });
+    let mut frames = FramedRead::new(counted, codec());
     while let Some(Ok(frame)) = frames.next().await {
         // Anything else comes from no member: the connection is closed.
         let Ok(envelope) = postcard::from_bytes(&frame) else {
@@ -139,6 +158,12 @@
     outboxes: BTreeMap<DatabaseName, mpsc::Sender<Message>>,
     delayed: VecDeque<DelayedAppend>,
     reported: Option<(Role, Term)>,
+    /// Bytes of messages that have arrived.
+    arrived: Arc<AtomicUsize>,
+    /// How many of them had when a message was received last.
+    received: usize,
+    /// When the member saw the clock last.
+    ticked: Instant,
 }
 
 impl Driver {
@@ -161,6 +186,9 @@
     }
 
     fn tick(&mut self) {
+        let since_last_tick = self.ticked.elapsed();
+        self.ticked = Instant::now();
+        let stood = self.database.with_member(|member, _| member.is_candidate());
         let drained = self.database.is_leaving() && self.database.connections.count() == 0;
         self.database.with_member(|member, now| {
             if drained {
@@ -168,12 +196,23 @@
             }
             member.tick(now);
         });
+        let stands = self.database.with_member(|member, _| member.is_candidate());
+        if stands && !stood {
+            let name = &self.database.settings.name;
+            let arrived = self.arrived.load(Ordering::Relaxed) - self.received;
+            let waiting = self.inbox.len();
+            log::info!(
+                "database {name} stands for election; {since_last_tick:?} since it saw the clock, \
+                 {waiting} messages wait, {arrived} bytes have arrived since the last one"
+            );
+        }
         self.apply_delayed();
         self.report();
     }
 
     fn receive(&mut self, envelope: Envelope) {
         let Envelope { from, message } = envelope;
+        self.received = self.arrived.load(Ordering::Relaxed);
         if self.database.cut_from(&from).inbound {
             return;
         }
--- a/crates/dyketally-lab/src/database/replication/member.rs
+++ b/crates/dyketally-lab/src/database/replication/member.rs
@@ -145,6 +145,11 @@
         &self.store
     }
 
+    /// True while the member stands for election.
+    pub fn is_candidate(&self) -> bool {
+        matches!(self.activity, Activity::Candidate { .. })
+    }
+
     /// Appends the writes of one transaction.
     ///
     /// # Errors
--- a/crates/dyketally-lab/tests/home/main.rs
+++ b/crates/dyketally-lab/tests/home/main.rs
@@ -5,6 +5,7 @@
 mod reads;
 mod recorded;
 mod relay;
+mod stderr_log;
 mod support;
 mod transactions;
 mod writes;
--- a/crates/dyketally-lab/tests/home/support.rs
+++ b/crates/dyketally-lab/tests/home/support.rs
@@ -23,6 +23,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::stderr_log::print_log;
+
 /// Far beyond what any step takes; only a step that never comes runs into it.
 pub const LONG: Duration = Duration::from_secs(30);
 const POLL_PAUSE: Duration = Duration::from_millis(5);
@@ -80,6 +82,7 @@
     }
 
     pub async fn start_with(setup: Setup) -> Self {
+        print_log();
         let databases = start_group_of_three("stock", &setup.database);
         let databases = databases.await.expect("free ports");
         let policies = policies(&databases, &setup);
