Count a watch that has never stood as missing

What callers saw: a node went on with an old configuration for as long as its lease was renewed; routes that had been added were unknown there.

Cause: a relay judges by its own watches whether its updates are current. One that was lost counted from then on; one that had never stood counted as nothing. So a node that became a relay before it had watched the store, and whose reads were refused, took itself for current, followed nobody and published nothing. Two such relays leave a zone without any.

`OwnWatch::NotYet` holds since when the watch is missing, and `missing_for` is the one rule for the node itself, for the age that its followers are told, and for the log and the metric. All subjects have a copy from the start, so that none is left out for not having been heard of.

--- a/crates/dyketally-gateway/src/store/feed/copies.rs
+++ b/crates/dyketally-gateway/src/store/feed/copies.rs
@@ -35,7 +35,7 @@
 impl Default for Copies {
     fn default() -> Self {
         Self {
-            by_subject: RefCell::default(),
+            by_subject: RefCell::new(SUBJECTS.map(|it| (it, Copy::default())).into()),
             changes: broadcast::Sender::new(CHANGES_KEPT),
             subject_read: Notify::new(),
         }
@@ -138,13 +138,13 @@
 
     /// True once this node has read and watched all subjects itself.
     pub(super) fn were_all_watched(&self) -> bool {
-        self.all_watches(|watch| !matches!(watch, OwnWatch::Never))
+        self.all_watches(|watch| !matches!(watch, OwnWatch::NotYet(_)))
     }
 
     /// True while this node watches all subjects itself, or is about to watch them again.
     pub(super) fn are_all_watched(&self) -> bool {
         self.all_watches(|watch| match watch {
-            OwnWatch::Never => false,
+            OwnWatch::NotYet(_) => false,
             OwnWatch::Stands => true,
             OwnWatch::LostAt(at) => at.elapsed() < WATCH_RENEWED_WITHIN,
         })
@@ -157,14 +157,13 @@
             .all(|subject| copies.get(subject).is_some_and(|copy| holds(copy.watch)))
     }
 
-    /// How long some watch of this node's has been lost; `None` while all of them stand.
-    pub(super) fn watches_lost_for(&self) -> Option<Duration> {
+    /// How long some watch of this node's hasn't stood; `None` while all of them do.
+    pub(super) fn watches_missing_for(&self) -> Option<Duration> {
         let copies = self.by_subject.borrow();
-        let lost = copies.values().filter_map(|copy| match copy.watch {
-            OwnWatch::LostAt(at) => Some(at.elapsed()),
-            OwnWatch::Never | OwnWatch::Stands => None,
-        });
-        lost.max()
+        copies
+            .values()
+            .filter_map(|copy| copy.watch.missing_for())
+            .max()
     }
 
     /// The revision of the last change of a subject that is known.
--- a/crates/dyketally-gateway/src/store/feed/copy.rs
+++ b/crates/dyketally-gateway/src/store/feed/copy.rs
@@ -2,6 +2,7 @@
 //! on nothing else of the feed but its messages.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dyketally::delta::Delta;
@@ -31,14 +32,32 @@
 }
 
 /// This node's own watch of a subject.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) enum OwnWatch {
-    #[default]
-    Never,
+    /// It hasn't stood yet, since this node started then. Not to count that as missing left a relay without
+    /// updates for as long as its lease was renewed: its first read was refused, so it had nothing to lose,
+    /// and it followed nobody.
+    NotYet(Instant),
     Stands,
     LostAt(Instant),
 }
 
+impl Default for OwnWatch {
+    fn default() -> Self {
+        Self::NotYet(Instant::now())
+    }
+}
+
+impl OwnWatch {
+    /// For how long it hasn't stood; `None` while it does.
+    pub(super) fn missing_for(self) -> Option<Duration> {
+        match self {
+            Self::Stands => None,
+            Self::NotYet(since) | Self::LostAt(since) => Some(since.elapsed()),
+        }
+    }
+}
+
 impl Copy {
     pub(super) fn replace(&mut self, entries: &[Entry]) {
         self.encoded = None;
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -77,9 +77,11 @@
         !self.has_relay() && self.copies.are_all_watched()
     }
 
-    /// How long some watch of this node's has been lost; `None` while all of them stand.
+    /// How long some watch of this node's has been missing; `None` while all of them stand, and while this
+    /// node follows a relay and never had to watch.
     pub fn watches_lost_for(&self) -> Option<Duration> {
-        self.copies.watches_lost_for()
+        let missing = self.copies.watches_missing_for();
+        missing.filter(|_| !self.has_relay() || self.copies.were_all_watched())
     }
 
     /// Records that this node's own watch of a subject was lost or given up.
