Tests: a row of 5 MB that deposes a primary of the stand-ins, failing

A group whose members reach each other at 2.5 MB/s writes a row of 5 MB. The heartbeats of its primary wait behind the row for 2 s, and the replicas elect another one; so they do where all members stand still meanwhile. The older test of such a row meets this only beside much load.

--- a/crates/dyketally-lab/tests/database/main.rs
+++ b/crates/dyketally-lab/tests/database/main.rs
@@ -2,6 +2,7 @@
 
 mod failover;
 mod limits;
+mod long_rows;
 mod process;
 mod replication;
 mod settings;
