--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -22,7 +22,7 @@
 mod subscriber;
 mod subscription;
 mod updates;
-mod upstream;
+pub mod upstream;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/dyketally-gateway/src/store/feed/upstream.rs
+++ b/crates/dyketally-gateway/src/store/feed/upstream.rs
@@ -12,10 +12,10 @@
 
 /// How long a node that lost its relay looks for another before it asks the store: time to try three
 /// relays that don't reply. Not measured.
-const SEARCH_LIMIT: Duration = Duration::from_millis(1_500);
+pub const SEARCH_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// The relay that this node follows.
-pub(super) struct Upstream {
+pub struct Upstream {
     subscribed: watch::Sender<bool>,
     /// Since when this node follows no relay.
     unsubscribed_since: Cell<Instant>,
@@ -47,7 +47,7 @@
 
 impl Upstream {
     /// True while this node follows a relay.
-    pub(super) fn is_subscribed(&self) -> bool {
+    pub fn is_subscribed(&self) -> bool {
         *self.subscribed.borrow()
     }
 
@@ -57,11 +57,7 @@
     }
 
     /// Records that the relay at `address` has sent all subjects; true if this node followed none before.
-    pub(super) fn subscribe(
-        &self,
-        address: SocketAddr,
-        stepped_back: impl FnOnce() -> bool,
-    ) -> bool {
+    pub fn subscribe(&self, address: SocketAddr, stepped_back: impl FnOnce() -> bool) -> bool {
         if self.subscribed.send_replace(true) {
             return false;
         }
@@ -71,7 +67,7 @@
     }
 
     /// Records that this node follows no relay any more; true if it did.
-    pub(super) fn unsubscribe(&self) -> bool {
+    pub fn unsubscribe(&self) -> bool {
         self.unsubscribed_since.set(Instant::now());
         self.own_read_failed.set(false);
         self.subscribed.send_replace(false)
@@ -94,7 +90,7 @@
     }
 
     /// Records that no relay can be followed while the store replies to this node.
-    pub(super) fn none_found(&self) {
+    pub fn none_found(&self) {
         self.none_found.notify_waiters();
     }
 
@@ -106,7 +102,7 @@
     }
 
     /// Waits until this node follows a relay.
-    pub(super) async fn until_subscribed(&self) {
+    pub async fn until_subscribed(&self) {
         let mut subscribed = self.subscribed.subscribe();
         // The sender lives as long as the feed.
         let _ = subscribed.wait_for(|subscribed| *subscribed).await;
@@ -114,7 +110,7 @@
 
     /// Waits until this node has to ask the store itself: it follows no relay, and found none for a while
     /// if it followed one before.
-    pub(super) async fn until_lost(&self) {
+    pub async fn until_lost(&self) {
         let mut subscribed = self.subscribed.subscribe();
         while *subscribed.borrow_and_update() {
             // The sender lives as long as the feed.
