Ask the store at once on leaving a relay for it

A node that turns out to be a relay leaves the one it follows and says in the same turn that it has no other to look for. Its watchers listened for that only once they had seen that the relay was left, so they waited out the search, 1.5 s without updates each time. They listen from before now. A search is as long as before where the relay is lost.

The test on a paused clock: 1.5 s before, at once after.

--- a/crates/dyketally-gateway/src/store/feed/upstream.rs
+++ b/crates/dyketally-gateway/src/store/feed/upstream.rs
@@ -113,10 +113,13 @@
     pub async fn until_lost(&self) {
         let mut subscribed = self.subscribed.subscribe();
         while *subscribed.borrow_and_update() {
+            // Listened for from here on: a node that leaves its relay for the store says both in one turn. To
+            // listen only once the relay was left cost such a node 1.5 s without updates each time.
+            let none_found = self.none_found.notified();
             // The sender lives as long as the feed.
             let _ = subscribed.wait_for(|subscribed| !*subscribed).await;
             // Either way the store has to be asked if this node follows no relay by then.
-            let _ = tokio::time::timeout(SEARCH_LIMIT, self.none_found.notified()).await;
+            let _ = tokio::time::timeout(SEARCH_LIMIT, none_found).await;
         }
     }
 }
