--- a/crates/dyketally-lab/src/database/mod.rs
+++ b/crates/dyketally-lab/src/database/mod.rs
@@ -18,6 +18,7 @@
 mod connection;
 mod control;
 mod control_client;
+mod driver;
 mod error;
 mod execution;
 mod peers;
--- a/crates/dyketally-lab/src/database/running.rs
+++ b/crates/dyketally-lab/src/database/running.rs
@@ -10,7 +10,7 @@
 use super::connection::accept_clients;
 use super::control::serve_control;
 use super::control_client::ControlClient;
-use super::peers::run_member;
+use super::driver::run_member;
 use super::server::Database;
 use super::settings::{DatabaseSettings, PeerSettings};
 
