Ask a cold appointed database for its status, and probe it only where it can't be reached

Supposed from the counts: whether the appointed database leads was asked with a part of its cold rate, for which callers compete; each time there was no connection to be had the database was probed on a new one, every 60 ms.

The question is a step of a succession, and these need no part of the rate: a cold database is asked for its status, one request in place of two, four times a second. Whether it is lost is looked at only where no connection could be opened, every 400 ms at most.

That the cause is this one isn't shown.

--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -23,6 +23,11 @@
 const TAKE_LEAD_LIMIT: Duration = Duration::from_millis(3_500);
 /// Pause between two looks whether it leads. Not measured.
 const TAKE_LEAD_PAUSE: Duration = Duration::from_millis(60);
+/// The same for a database that is cold: what it is asked comes on top of its rate. Not measured.
+const COLD_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two looks whether an appointed database that can't be reached is lost: each may open a
+/// connection to it. Not measured.
+const LOSS_LOOK_PAUSE: Duration = Duration::from_millis(400);
 /// Appointments of one successor in a row that get no answer. That they are repeated was measured with late
 /// answers (decision 0041), the number wasn't.
 const APPOINTMENTS_AT_MOST: u32 = 6;
@@ -107,6 +112,7 @@
         let began = Instant::now();
         let until = began + TAKE_LEAD_LIMIT;
         let mut replies: BTreeMap<Confirmation, u32> = BTreeMap::new();
+        let mut looked = None;
         while Instant::now() < until {
             let confirmations = &self.leadership.confirmations;
             let reply = confirmations.confirm_appointed(&target).await;
@@ -121,14 +127,19 @@
                 self.step(group, "done", format!("{successor} leads"));
                 return true;
             }
-            if reply == Confirmation::Unclear(Unclear::NoConnection)
-                && self.was_lost(&target, began).await
-            {
-                let detail = format!("{successor} was lost before it led: {replies:?}");
-                self.step(group, "lost again", detail);
-                return false;
+            if self.may_be_lost(&target, reply, looked) {
+                looked = Some(Instant::now());
+                if self.was_lost(&target, began).await {
+                    let detail = format!("{successor} was lost before it led: {replies:?}");
+                    self.step(group, "lost again", detail);
+                    return false;
+                }
             }
-            tokio::time::sleep(TAKE_LEAD_PAUSE).await;
+            tokio::time::sleep(match target.state.pool.is_cold() {
+                true => COLD_PAUSE,
+                false => TAKE_LEAD_PAUSE,
+            })
+            .await;
         }
         self.step(
             group,
@@ -138,6 +149,15 @@
         false
     }
 
+    /// True when it is time to look whether a database is lost that gave `reply`, at which this node looked
+    /// last at `looked`: no connection to it could be opened lately.
+    fn may_be_lost(&self, target: &Target, reply: Confirmation, looked: Option<Instant>) -> bool {
+        let silent = [Unclear::NoConnection, Unclear::NoAnswer].map(Confirmation::Unclear);
+        silent.contains(&reply)
+            && target.state.is_suspended()
+            && looked.is_none_or(|at| at.elapsed() >= LOSS_LOOK_PAUSE)
+    }
+
     /// True when a database that was appointed at `appointed` has been lost, by the verdict of the nodes. One
     /// that ended right after its appointment was waited for in vain for all of [`TAKE_LEAD_LIMIT`], in which
     /// nobody was appointed in its place.
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -167,7 +167,31 @@
     /// without this, a group whose databases were lost and came back in turn was without a primary for as
     /// long as that fence stands (8 s).
     pub async fn confirm_appointed(&self, target: &Target) -> Confirmation {
-        self.confirm(target, Fence::IsOver).await
+        match target.state.pool.is_cold() {
+            true => self.confirm_by_status(target).await,
+            false => self.confirm(target, Fence::IsOver).await,
+        }
+    }
+
+    /// Asks a cold database for its status. Like all steps of a succession that needs no part of its rate, for
+    /// which callers compete, and it costs one request in place of two.
+    async fn confirm_by_status(&self, target: &Target) -> Confirmation {
+        let sent = self.cx.now();
+        let asked = self
+            .statements
+            .ask_status(target, OwnStatement::Status, CONFIRM_LIMIT);
+        let Some(status) = asked.await else {
+            return Confirmation::Unclear(Unclear::NoAnswer);
+        };
+        if !status.leads {
+            return Confirmation::Follows;
+        }
+        if !self.checks.is_unrivalled(target).await {
+            return Confirmation::Unclear(Unclear::Rivalled);
+        }
+        let position = Some(status.received);
+        self.databases.observe(&target.group, position, sent);
+        Confirmation::Leads
     }
 
     async fn confirm(&self, target: &Target, fence: Fence) -> Confirmation {
