Let a coordinator without updates follow relays, as a relay does

What callers saw: one node went on with an old configuration for as long as its lease was renewed; routes that had been added were unknown there.

Cause: the node that replaces primaries had its updates from the store in any case, since its contact rests on its own calls. While the store refused its reads and renewed its lease it had none, and followed nobody: the third place that answered for itself whether updates are current.

The coordinator is a node that is to watch the store, as a relay is, and the same rule says when its own watches no longer do: missing for 2 s, or a read refused. Its contact isn't taken from the relay; its own renewals count only while its watches stand, and the other nodes' signs of life as before. It sees after 10 s whether it can watch again.

--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -45,23 +45,29 @@
         relays.contains(&&self.cx.settings.node.name)
     }
 
-    /// True when there may be relays that this node should follow: it is none itself, or one that has lost
-    /// the store or its own watches while others may not have. The failover coordinator's contact rests on
-    /// its own calls alone, so it has its updates from the store as well.
+    /// True when this node is to have its updates from the store itself: it is a relay, or the failover
+    /// coordinator, whose contact rests on its own calls.
+    fn is_to_watch(&self) -> bool {
+        self.fleet.coordinator.last_term().is_some() || self.is_relay_of_zone()
+    }
+
+    /// True when there may be relays that this node should follow: it isn't to watch the store itself, or has
+    /// lost it or its own watches while others may not have. A coordinator that followed nobody kept an old
+    /// configuration for as long as its lease was renewed while the store refused what it read.
     pub fn may_follow_relays(&self) -> bool {
-        let is_coordinator = self.fleet.coordinator.last_term().is_some();
         // That the store renews a lease doesn't show that updates arrive: a large configuration over a thin
         // link may not, and the relay would act by an old one.
         let is_current =
             !self.cx.has_lost_store_for(OUT_OF_TOUCH) && !self.is_stale_for(OUT_OF_TOUCH);
-        let watches = self.is_relay_of_zone() && is_current;
-        !is_coordinator && !self.is_small_fleet() && !watches
+        let watches = self.is_to_watch() && is_current;
+        !self.is_small_fleet() && !watches
     }
 
-    /// True for a relay that the store replies to. If it follows another one since its own watch was lost,
-    /// it should see from time to time whether it can watch again.
+    /// True for a node that is to watch the store, which replies to it. If it follows a relay since its own
+    /// watch was lost, it should see from time to time whether it can watch again.
     pub(super) fn may_watch_again(&self) -> bool {
-        self.is_relay() && !self.cx.has_lost_store_for(OUT_OF_TOUCH)
+        let watches = !self.is_small_fleet() && self.is_to_watch();
+        watches && !self.cx.has_lost_store_for(OUT_OF_TOUCH)
     }
 
     /// Waits until it is clear that this node has no relay to follow. When the whole system starts
@@ -78,7 +84,7 @@
     }
 
     /// The relays that this node may follow, in the order of preference: those of its zone, then
-    /// some of others. None in a small fleet, and for a relay. While it isn't known which nodes run,
+    /// some of others. None in a small fleet, and for a node that watches the store. While it isn't known which nodes run,
     /// those that seeds named.
     pub(super) fn relays_to_follow(&self) -> Vec<SocketAddr> {
         let own = self.cx.settings.listen.peers;
