--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -84,8 +84,8 @@
     }
 
     /// The relays that this node may follow, in the order of preference: those of its zone, then
-    /// some of others. None in a small fleet, and for a node that watches the store. While it isn't known which nodes run,
-    /// those that seeds named.
+    /// some of others. None in a small fleet, and for a node that watches the store. While it isn't
+    /// known which nodes run, those that seeds named.
     pub(super) fn relays_to_follow(&self) -> Vec<SocketAddr> {
         let own = self.cx.settings.listen.peers;
         let usable =
