Extend a fence to databases that may be the fenced one under another name

A fence named one database. All databases of a group lost power; the old primary came back under a new name, with its log and its role, after the survey and before the appointment. No fence held for it, so nodes wrote to it, and a commit was acknowledged after the appointed database had taken the lead.

A fence now also holds for each database of the group that is primary by its own word or wasn't listed when the fence was set, until its role changes to primary or the coordinator reports that it leads. A leader that a survey finds is reported to all nodes; if another database was appointed before, the leader is appointed with a newer token first. A fence without a running replacement is cleared by such an appointment, also if its coordinator has appointed another database that never led.

--- a/crates/dyketally-gateway/src/database/fences.rs
+++ b/crates/dyketally-gateway/src/database/fences.rs
@@ -27,7 +27,7 @@
 
     /// Sets a fence of round `id` around `database`, as requested by `source`; false if the round is over.
     pub fn set_fence(&self, database: DatabaseName, id: FenceId, source: &str) -> bool {
-        let was_fenced = self.is_fenced(&database);
+        let was_fenced = self.is_named_by_fence(&database);
         let now = self.cx.now();
         let mut fences = self.fences.borrow_mut();
         let is_set = fences.set(now, database.clone(), id);
@@ -39,11 +39,30 @@
         is_set
     }
 
-    /// True while `database` must not be treated as the leader of its group.
+    /// True while `database` must not be treated as the leader of its group, because of a fence around it or around
+    /// another database of the group.
     pub fn is_fenced(&self, database: &DatabaseName) -> bool {
+        let now = self.cx.now();
+        let fences = self.fences.borrow();
+        let directory = self.directory.borrow();
+        match directory.member(database) {
+            Some(member) => fences.hold_for(now, &directory, member),
+            None => fences.is_fenced(now, database),
+        }
+    }
+
+    /// True while a fence names `database`.
+    fn is_named_by_fence(&self, database: &DatabaseName) -> bool {
         self.fences.borrow().is_fenced(self.cx.now(), database)
     }
 
+    /// Records that the failover coordinator found that `database` leads its group.
+    pub fn record_promoted(&self, database: &DatabaseName) {
+        let now = self.cx.now();
+        self.directory.borrow_mut().promoted(now, database);
+        self.clear_fence(database);
+    }
+
     /// The round of the fence around `database`; `None` if the database isn't fenced at this node.
     pub fn fence_round(&self, database: &DatabaseName) -> Option<FenceId> {
         self.fences.borrow().round(self.cx.now(), database)
@@ -64,9 +83,9 @@
         let now = self.cx.now();
         for fence in fenced {
             let database = fence.database.clone();
-            let was_fenced = self.is_fenced(&database);
+            let was_fenced = self.is_named_by_fence(&database);
             self.fences.borrow_mut().merge(now, fence);
-            if !was_fenced && self.is_fenced(&database) {
+            if !was_fenced && self.is_named_by_fence(&database) {
                 self.log_fence_set(&database, source);
             }
         }
@@ -81,7 +100,7 @@
 
     /// Clears all fences around `database`, which leads its group.
     pub fn clear_fence(&self, database: &DatabaseName) {
-        if self.is_fenced(database) {
+        if self.is_named_by_fence(database) {
             self.log_fence_cleared(database);
         }
         self.fences.borrow_mut().clear(self.cx.now(), database);
@@ -90,11 +109,11 @@
 
     /// Clears the fence of round `id` around `database`: the round ended without a replacement.
     pub fn clear_fence_round(&self, database: &DatabaseName, id: FenceId) {
-        let was_fenced = self.is_fenced(database);
+        let was_fenced = self.is_named_by_fence(database);
         let mut fences = self.fences.borrow_mut();
         fences.clear_round(self.cx.now(), database, id);
         drop(fences);
-        if was_fenced && !self.is_fenced(database) {
+        if was_fenced && !self.is_named_by_fence(database) {
             self.log_fence_cleared(database);
         }
         self.cx.changes.notify();
--- a/crates/dyketally-gateway/src/fleet/peer/requests.rs
+++ b/crates/dyketally-gateway/src/fleet/peer/requests.rs
@@ -158,10 +158,7 @@
                 self.access.fleet.coordinator.receive_announcement(record)
             }
             PeerMessage::NewLeader { database, .. } => {
-                let mut directory = self.access.databases.directory.borrow_mut();
-                directory.acted_as_primary(&database);
-                drop(directory);
-                self.access.databases.clear_fence(&database);
+                self.access.databases.record_promoted(&database);
             }
         }
     }
--- a/crates/dyketally-gateway/src/succession/appointment.rs
+++ b/crates/dyketally-gateway/src/succession/appointment.rs
@@ -122,11 +122,7 @@
             *replies.entry(reply).or_default() += 1;
             if reply == Confirmation::Leads {
                 self.fences.clear_all(successor);
-                confirmations.record_acted_as_primary(&target);
-                self.peers.broadcast(&PeerMessage::NewLeader {
-                    group: group.clone(),
-                    database: successor.clone(),
-                });
+                self.announce_leader(group, successor);
                 self.log_step(group, "done", format!("{successor} leads"));
                 return true;
             }
@@ -154,6 +150,15 @@
         false
     }
 
+    /// Records that `leader` leads `group`, and tells all nodes.
+    pub(super) fn announce_leader(&self, group: &GroupName, leader: &DatabaseName) {
+        self.databases.record_promoted(leader);
+        self.peers.broadcast(&PeerMessage::NewLeader {
+            group: group.clone(),
+            database: leader.clone(),
+        });
+    }
+
     /// True when the nodes should be polled whether an appointed database is lost: its last reply is `reply`, no
     /// connection to it could be opened lately, and the last poll, at `last_poll`, is long enough ago.
     fn is_loss_check_due(
--- a/crates/dyketally-gateway/src/succession/cause.rs
+++ b/crates/dyketally-gateway/src/succession/cause.rs
@@ -38,7 +38,7 @@
     Cold(Target),
     /// No node reaches the primary, which was first suspected this long ago.
     Lost(Target, Duration),
-    /// The primary leads, but a fence is set around it and no coordinator is replacing it.
+    /// A fence holds for the primary, and no coordinator is replacing it.
     Shunned(Target),
     /// No database leads.
     NoPrimary,
@@ -76,23 +76,14 @@
             return Some(cause);
         }
         let confirmed_loss = self.confirmed_loss(group, &primary).await;
-        confirmed_loss.or_else(|| {
-            self.is_fenced_without_successor(group, &primary)
-                .then_some(Cause::Shunned(primary))
-        })
+        confirmed_loss.or_else(|| self.is_shunned(&primary).then_some(Cause::Shunned(primary)))
     }
 
-    /// True when a fence is set around `primary` although this coordinator has appointed no other database:
-    /// a former coordinator may have ended before it could clear the fence. Since no node suspects a primary
-    /// that answers, the group would otherwise have no usable primary until the fence expires.
-    fn is_fenced_without_successor(&self, group: &GroupName, primary: &Target) -> bool {
-        let appointments = self.appointments.borrow();
-        let replaced = appointments
-            .last_appointed(group)
-            .is_some_and(|it| it != &primary.name);
-        self.fleet.coordinator.term().is_some()
-            && !replaced
-            && self.databases.is_fenced(&primary.name)
+    /// True when a fence holds for `primary` although no replacement runs: a former coordinator may have ended before
+    /// it could clear the fence, or a lost primary returned under another name and its successor never led. Since no
+    /// node suspects a primary that answers, the group would otherwise have no usable primary until the fence expires.
+    fn is_shunned(&self, primary: &Target) -> bool {
+        self.fleet.coordinator.term().is_some() && self.databases.is_fenced(&primary.name)
     }
 
     fn known_primary(&self, group: &GroupName) -> Option<(Target, MemberState)> {
--- a/crates/dyketally-gateway/src/succession/handover.rs
+++ b/crates/dyketally-gateway/src/succession/handover.rs
@@ -71,8 +71,10 @@
         let mut surveyed = self.survey(group, Some(old), OwnStatement::Status).await;
         self.restrict_to_regions(&mut surveyed.candidates, regions);
         if let Some(leading) = &surveyed.leading {
-            self.record_leader(group, leading);
-            return Handover::Leads;
+            return match self.adopt(group, leading).await {
+                AppointmentOutcome::Leads => Handover::Leads,
+                AppointmentOutcome::MayStillLead | AppointmentOutcome::WontLead => Handover::Failed,
+            };
         }
         let Some(successor) = self.choose_database(group, Some(old), &surveyed) else {
             return Handover::Deferred;
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -63,10 +63,7 @@
             Some(leading) if leading.name == primary.name => {
                 self.appoint(group, &primary.name).await == AppointmentOutcome::Leads
             }
-            Some(leading) => {
-                self.record_leader(group, leading);
-                true
-            }
+            Some(leading) => self.adopt(group, leading).await == AppointmentOutcome::Leads,
             None => false,
         }
     }
@@ -122,10 +119,7 @@
             return false;
         };
         let appointed = match &surveyed.leading {
-            Some(leading) => {
-                self.record_leader(group, leading);
-                AppointmentOutcome::Leads
-            }
+            Some(leading) => self.adopt(group, leading).await,
             None => self.appoint_best(group, old, surveyed).await,
         };
         // The fences are kept until they expire while an appointment may still take effect.
@@ -221,12 +215,21 @@
         }
     }
 
-    /// Records and logs that `leading`, found by a survey, leads `group` already.
-    pub(super) fn record_leader(&self, group: &GroupName, leading: &Target) {
+    /// Has all nodes use `leading`, which a survey found to lead `group` already; a fence of this takeover may hold
+    /// for it as well. If this coordinator has appointed another database, `leading` is appointed with a newer token
+    /// first, so that the earlier appointment can't take effect any more.
+    pub(super) async fn adopt(
+        self: &Rc<Self>,
+        group: &GroupName,
+        leading: &Target,
+    ) -> AppointmentOutcome {
         self.log_step(group, "found", format!("{leading:?} leads already"));
-        self.leadership
-            .confirmations
-            .record_acted_as_primary(leading);
+        let last = self.appointments.borrow().last_appointed(group).cloned();
+        if last.is_some_and(|appointed| appointed != leading.name) {
+            return self.appoint(group, &leading.name).await;
+        }
+        self.announce_leader(group, &leading.name);
+        AppointmentOutcome::Leads
     }
 
     /// How many replicas of `group` must have received a commit before it is acknowledged.
--- a/crates/dyketally/src/directory.rs
+++ b/crates/dyketally/src/directory.rs
@@ -56,6 +56,11 @@
     pub primary_order: u64,
     /// True when the member refused to act as primary although it had announced that role.
     pub refuted: bool,
+    /// When it was first listed.
+    pub listed_since: Timestamp,
+    /// When it was last known to be promoted: its role changed from replica to primary, or the failover coordinator
+    /// reported that it leads. `None` for a member that has been primary since it was listed.
+    pub promoted_at: Option<Timestamp>,
 }
 
 impl Member {
@@ -100,9 +105,13 @@
         };
         let role_changed = known.announcement.role != announcement.role;
         let mut member = self.new_member(now, announcement);
+        member.listed_since = known.listed_since;
+        member.promoted_at = known.promoted_at;
         if !role_changed {
             member.primary_order = known.primary_order;
             member.refuted = known.refuted;
+        } else if member.announcement.role == Role::Primary {
+            member.promoted_at = Some(now);
         }
         if member.state != MemberState::Ready {
             member.leaving_since = known.leaving_since.or(member.leaving_since);
@@ -198,6 +207,14 @@
         }
     }
 
+    /// Records that the failover coordinator found that a database leads its group.
+    pub fn promoted(&mut self, now: Timestamp, name: &DatabaseName) {
+        self.acted_as_primary(name);
+        if let Some(member) = self.members.get_mut(name) {
+            member.promoted_at = Some(now);
+        }
+    }
+
     /// Records that a database refused to act as primary.
     pub fn refused_as_primary(&mut self, name: &DatabaseName) {
         if let Some(member) = self.members.get_mut(name) {
@@ -256,6 +273,8 @@
             leaving_since,
             primary_order,
             refuted: false,
+            listed_since: now,
+            promoted_at: None,
         }
     }
 }
--- a/crates/dyketally/src/failover/fences.rs
+++ b/crates/dyketally/src/failover/fences.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::directory::{Directory, Member};
+use crate::group::Role;
 use crate::identifiers::DatabaseName;
 use crate::time::Timestamp;
 
@@ -117,6 +119,26 @@
         fence.is_some_and(|(_, began)| now.saturating_since(*began) < FENCE_LIFETIME)
     }
 
+    /// True while a fence around `member`, or around another database of its group, forbids to treat it as a leader.
+    ///
+    /// A database that is lost may return under another name before its successor leads. A fence therefore also
+    /// holds for each database of the group that was the primary or wasn't listed when the fence was set, until that
+    /// database is promoted.
+    pub fn hold_for(&self, now: Timestamp, directory: &Directory, member: &Member) -> bool {
+        if self.active.is_empty() {
+            return false;
+        }
+        if self.is_fenced(now, member.name()) {
+            return true;
+        }
+        let mut others = directory.members(&member.announcement.group);
+        others.any(|other| {
+            let fence = self.active.get(other.name());
+            let fence = fence.filter(|_| self.is_fenced(now, other.name()));
+            fence.is_some_and(|(_, began)| may_be_renamed(member, *began))
+        })
+    }
+
     /// The fences in force.
     pub fn active(&self, now: Timestamp) -> Vec<ActiveFence> {
         let fences = self.active.iter().map(|(database, (id, began))| {
@@ -130,3 +152,11 @@
         fences.filter(|fence| fence.age < FENCE_LIFETIME).collect()
     }
 }
+
+/// True when `member` may be a primary for which a fence was set at `fenced`, under another name.
+fn may_be_renamed(member: &Member, fenced: Timestamp) -> bool {
+    if member.promoted_at.is_some_and(|at| at >= fenced) {
+        return false;
+    }
+    member.announcement.role == Role::Primary || member.listed_since > fenced
+}
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -1,12 +1,15 @@
 //! Decisions of a failover: polls about a primary, choice of a successor, fences, and the contact by which nodes trust
 //! a primary.
 
+use std::time::Duration;
+
+use dyketally::directory::{Announcement, Directory};
 use dyketally::failover::{
-    ActiveFence, Appointments, Candidate, Contact, Evidence, FenceId, FenceRound, FenceVerdict,
-    Fences, PollResult, Succession, TokenUse, Verdict, choose_successor, evaluate_poll,
-    retain_warm,
+    ActiveFence, Appointments, Candidate, Contact, Evidence, FENCE_LIFETIME, FenceId, FenceRound,
+    FenceVerdict, Fences, PollResult, Succession, TokenUse, Verdict, choose_successor,
+    evaluate_poll, retain_warm,
 };
-use dyketally::group::{LogPosition, Term};
+use dyketally::group::{LogPosition, Role, Term};
 use dyketally::time::Timestamp;
 use rstest::rstest;
 
@@ -373,3 +376,94 @@
     retain_warm(&mut alone);
     assert_eq!(alone.len(), 1);
 }
+
+/// A primary is fenced at 100 ms, and the database `returned` is the lost primary under another name.
+fn fence_at_100_ms() -> (Fences, Directory) {
+    let mut directory = Directory::default();
+    directory.announced(at(0), announcement("lost", Role::Primary));
+    directory.announced(at(0), announcement("replica", Role::Replica));
+    let mut fences = Fences::default();
+    assert!(fences.set(at(100), "lost".into(), FenceId(1)));
+    (fences, directory)
+}
+
+fn holds(fences: &Fences, directory: &Directory, now: u64, name: &str) -> bool {
+    let member = directory.member(&name.into()).expect("a member");
+    fences.hold_for(at(now), directory, member)
+}
+
+#[test]
+fn a_fence_holds_for_a_primary_that_returns_under_another_name() {
+    let (fences, mut directory) = fence_at_100_ms();
+    directory.announced(at(200), announcement("returned", Role::Primary));
+    assert!(holds(&fences, &directory, 201, "returned"));
+    assert!(!holds(&fences, &directory, 201, "replica"));
+}
+
+#[test]
+fn a_fence_holds_for_a_returned_primary_that_this_node_lists_before_the_fence() {
+    let mut directory = Directory::default();
+    directory.announced(at(0), announcement("lost", Role::Primary));
+    directory.announced(at(50), announcement("returned", Role::Primary));
+    let mut fences = Fences::default();
+    fences.set(at(100), "lost".into(), FenceId(1));
+    assert!(holds(&fences, &directory, 101, "returned"));
+}
+
+#[test]
+fn a_returned_primary_may_lead_once_it_is_promoted() {
+    let (fences, mut directory) = fence_at_100_ms();
+    directory.announced(at(200), announcement("returned", Role::Primary));
+    directory.promoted(at(300), &"returned".into());
+    assert!(!holds(&fences, &directory, 301, "returned"));
+}
+
+#[test]
+fn a_promotion_before_the_fence_counts_for_nothing() {
+    let (mut fences, mut directory) = fence_at_100_ms();
+    directory.announced(at(200), announcement("returned", Role::Primary));
+    directory.promoted(at(300), &"returned".into());
+    fences.set(at(400), "lost".into(), FenceId(2));
+    assert!(holds(&fences, &directory, 401, "returned"));
+}
+
+#[test]
+fn a_replica_that_appears_behind_a_fence_may_lead_once_its_role_changes() {
+    let (fences, mut directory) = fence_at_100_ms();
+    directory.announced(at(200), announcement("new", Role::Replica));
+    assert!(holds(&fences, &directory, 201, "new"));
+    directory.announced(at(300), announcement("new", Role::Primary));
+    assert!(!holds(&fences, &directory, 301, "new"));
+}
+
+#[test]
+fn a_fence_that_is_cleared_or_has_expired_holds_for_no_database_of_the_group() {
+    let (mut fences, mut directory) = fence_at_100_ms();
+    directory.announced(at(200), announcement("returned", Role::Primary));
+    let expired = 100 + u64::try_from(FENCE_LIFETIME.as_millis()).expect("milliseconds");
+    assert!(!holds(&fences, &directory, expired, "returned"));
+    fences.clear_round(at(300), &"lost".into(), FenceId(1));
+    assert!(!holds(&fences, &directory, 301, "returned"));
+}
+
+#[test]
+fn a_fence_holds_for_no_database_of_another_group() {
+    let (fences, mut directory) = fence_at_100_ms();
+    let mut elsewhere = announcement("elsewhere", Role::Primary);
+    elsewhere.group = "stock".into();
+    directory.announced(at(200), elsewhere);
+    assert!(!holds(&fences, &directory, 201, "elsewhere"));
+}
+
+fn announcement(name: &str, role: Role) -> Announcement {
+    Announcement {
+        database: name.into(),
+        group: "orders".into(),
+        address: "127.0.0.1:5432".parse().expect("an address"),
+        zone: "east".into(),
+        slots: 3,
+        ready: true,
+        role,
+        cold_for: Duration::ZERO,
+    }
+}
