Find the databases of a group without scanning all databases

primary(), members() and each statement's choices scanned every database of the directory, 3,000 at 1,000 groups, and a list of all announcements compared each one with each other. The members of a group are found by an index now; databases that are unlisted are kept apart, so that an update of one announcement no longer scans all.

--- a/crates/dyketally-gateway/src/database/slow_start.rs
+++ b/crates/dyketally-gateway/src/database/slow_start.rs
@@ -1,6 +1,7 @@
 //! Slow start: records when databases announce that they are cold, and decides whether this node may send
 //! to them meanwhile; see [`dyketally::slow_start`].
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use dyketally::directory::{Announcement, DirectoryChange};
@@ -54,11 +55,10 @@
 
     /// Records that databases missing from `listed` no longer announce themselves.
     pub fn record_unannounced_except(&self, listed: &[Announcement]) {
+        let listed = listed.iter().map(|announcement| &announcement.database);
+        let listed: HashSet<&DatabaseName> = listed.collect();
         for (name, pacer) in self.pacers() {
-            if listed
-                .iter()
-                .all(|announcement| announcement.database != name)
-            {
+            if !listed.contains(&name) {
                 pacer.record_possible_restart();
             }
         }
--- a/crates/dyketally/src/directory.rs
+++ b/crates/dyketally/src/directory/mod.rs
@@ -1,6 +1,8 @@
 //! Directory of the databases of each group, built from the announcements of the databases.
 
-use std::collections::BTreeMap;
+mod group_index;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,6 +10,8 @@
 use crate::identifiers::{DatabaseName, GroupName, ZoneName};
 use crate::time::Timestamp;
 
+pub use group_index::GroupIndex;
+
 /// Whether a database accepts new statements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemberState {
@@ -87,6 +91,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     members: BTreeMap<DatabaseName, Member>,
+    groups: GroupIndex<GroupName, DatabaseName>,
+    /// Databases whose announcement is missing and that aren't marked as gone yet.
+    unlisted: BTreeSet<DatabaseName>,
     next_order: u64,
 }
 
@@ -100,6 +107,7 @@
         let name = announcement.database.clone();
         let Some(known) = self.members.get(&name).cloned() else {
             let member = self.new_member(now, announcement);
+            self.groups.insert(&member.announcement.group, &name);
             self.members.insert(name.clone(), member);
             return Some(DirectoryChange::Appeared(name));
         };
@@ -118,6 +126,11 @@
         }
         let left = known.state == MemberState::Ready && member.state != MemberState::Ready;
         let role = member.announcement.role;
+        if known.announcement.group != member.announcement.group {
+            self.groups.remove(&known.announcement.group, &name);
+            self.groups.insert(&member.announcement.group, &name);
+        }
+        self.unlisted.remove(&name);
         self.members.insert(name.clone(), member);
         if left {
             return Some(DirectoryChange::Leaving(name));
@@ -130,6 +143,9 @@
     pub fn vanished(&mut self, now: Timestamp, name: &DatabaseName) {
         if let Some(member) = self.members.get_mut(name) {
             member.unlisted_since.get_or_insert(now);
+            if member.state != MemberState::Gone {
+                self.unlisted.insert(name.clone());
+            }
         }
     }
 
@@ -137,24 +153,29 @@
     /// database announces itself again within its heartbeat interval.
     pub fn settle_unlisted(&mut self, time: Timestamp) -> Vec<DirectoryChange> {
         let mut changes = Vec::new();
-        for member in self.members.values_mut() {
+        let members = &mut self.members;
+        self.unlisted.retain(|name| {
+            let Some(member) = members.get_mut(name) else {
+                return false;
+            };
             let Some(since) = member.unlisted_since.filter(|since| *since <= time) else {
-                continue;
+                return true;
             };
             if member.state == MemberState::Ready {
-                changes.push(DirectoryChange::Leaving(member.name().clone()));
+                changes.push(DirectoryChange::Leaving(name.clone()));
             }
             member.state = MemberState::Gone;
             member.leaving_since.get_or_insert(since);
-        }
+            false
+        });
         changes
     }
 
     /// The earliest [`Member::unlisted_since`] of all databases that are not marked as gone.
     pub fn oldest_unlisted(&self) -> Option<Timestamp> {
-        let members = self.members.values();
-        let pending = members.filter(|member| member.state != MemberState::Gone);
-        pending.filter_map(|member| member.unlisted_since).min()
+        let pending = self.unlisted.iter();
+        let pending = pending.filter_map(|name| self.members.get(name)?.unlisted_since);
+        pending.min()
     }
 
     /// Applies the full list of announcements: known databases that are not in it count as
@@ -164,11 +185,9 @@
         now: Timestamp,
         announcements: Vec<Announcement>,
     ) -> Vec<DirectoryChange> {
-        let listed = |name: &DatabaseName| {
-            let mut all = announcements.iter();
-            all.any(|announcement| &announcement.database == name)
-        };
-        let unlisted = self.members.keys().filter(|name| !listed(name));
+        let listed = announcements.iter().map(|it| &it.database);
+        let listed: BTreeSet<&DatabaseName> = listed.collect();
+        let unlisted = self.members.keys().filter(|name| !listed.contains(name));
         let unlisted: Vec<DatabaseName> = unlisted.cloned().collect();
         for name in unlisted {
             self.vanished(now, &name);
@@ -187,7 +206,10 @@
         });
         let forgotten: Vec<DatabaseName> = forgotten.map(|member| member.name().clone()).collect();
         for name in &forgotten {
-            self.members.remove(name);
+            if let Some(member) = self.members.remove(name) {
+                self.groups.remove(&member.announcement.group, name);
+            }
+            self.unlisted.remove(name);
         }
         forgotten
             .into_iter()
@@ -225,8 +247,7 @@
     /// The primary of `group`, as far as is known: of the databases that have not refused the role, the one
     /// that became primary last.
     pub fn primary(&self, group: &GroupName) -> Option<&Member> {
-        let members = self.members.values();
-        let members = members.filter(|member| &member.announcement.group == group);
+        let members = self.members(group);
         let announced_primaries = members.filter(|member| member.primary_order > 0);
         announced_primaries
             .filter(|member| !member.refuted)
@@ -234,9 +255,9 @@
     }
 
     /// The databases of `group`.
-    pub fn members<'a>(&'a self, group: &'a GroupName) -> impl Iterator<Item = &'a Member> {
-        let all = self.members.values();
-        all.filter(move |member| &member.announcement.group == group)
+    pub fn members<'a>(&'a self, group: &GroupName) -> impl Iterator<Item = &'a Member> + use<'a> {
+        let names = self.groups.members(group);
+        names.filter_map(|name| self.members.get(name))
     }
 
     /// One database.
@@ -246,14 +267,7 @@
 
     /// All groups that have a database.
     pub fn groups(&self) -> Vec<GroupName> {
-        let groups = self
-            .members
-            .values()
-            .map(|member| member.announcement.group.clone());
-        let mut groups: Vec<GroupName> = groups.collect();
-        groups.sort();
-        groups.dedup();
-        groups
+        self.groups.groups().cloned().collect()
     }
 
     fn new_member(&mut self, now: Timestamp, announcement: Announcement) -> Member {
