Recompute only the placements that a change of the nodes alters

Each change of the nodes dropped all cached placements of a node, and each database that it uses ranked and sorted all nodes anew; cached addresses were dropped as well, and each was found again by a scan. A placement keeps its ranking now: it is dropped if the node that left is in it, or the one that joined would be. A node's repeated record changes nothing. Slow-start shares are computed on a change only where a group has a slow start.

--- a/crates/dyketally-gateway/src/database/directory_changes.rs
+++ b/crates/dyketally-gateway/src/database/directory_changes.rs
@@ -29,6 +29,7 @@
                 DirectoryChange::Leaving(name) => self.close_idle(&name),
                 DirectoryChange::Forgotten(name) => {
                     self.states.borrow_mut().remove(&name);
+                    self.shares.forget(&name);
                 }
                 DirectoryChange::Appeared(_) | DirectoryChange::RoleChanged(..) => {}
             }
--- a/crates/dyketally-gateway/src/database/shares.rs
+++ b/crates/dyketally-gateway/src/database/shares.rs
@@ -22,25 +22,32 @@
     /// until then this node would count itself as the only one.
     fn may_send_cold(&self, database: &DatabaseName) -> bool;
 
-    /// Discards the computed shares after nodes or limits changed.
+    /// Discards the computed shares after limits changed.
     fn invalidate(&self);
+
+    /// Discards the computed share of a database that the directory has forgotten.
+    fn forget(&self, database: &DatabaseName);
 }
 
 impl Databases {
-    /// Recomputes the shares after nodes or limits changed, and applies them to each pool and each pacer.
-    pub fn apply_shares(&self) {
+    /// Recomputes the shares after limits changed, and applies them to each pool and each pacer.
+    pub fn recompute_shares(&self) {
         self.shares.invalidate();
+        self.apply_shares_to_pools();
+        self.share_cold_rates();
+    }
+
+    fn apply_shares_to_pools(&self) {
         for (name, database) in self.states.borrow().iter() {
             let pool = &database.pool;
             let limit = self.shares.connection_limit(name);
             pool.set_limit(limit, self.shares.is_home(name));
             self.share_slots(name, pool);
         }
-        self.share_cold_rates();
     }
 
-    /// Spawns a task that applies the shares, unless one is pending. Changes that the running task makes
-    /// together are then applied once.
+    /// Spawns a task that applies the shares after nodes changed, unless one is pending. Changes that the running
+    /// task makes together are then applied once.
     pub fn apply_shares_soon(self: &Rc<Self>) {
         if self.shares_pending.replace(true) {
             return;
@@ -48,7 +55,10 @@
         let databases = self.clone();
         tokio::task::spawn_local(async move {
             databases.shares_pending.set(false);
-            databases.apply_shares();
+            databases.apply_shares_to_pools();
+            if databases.any_slow_start() {
+                databases.share_cold_rates();
+            }
         });
     }
 
--- a/crates/dyketally-gateway/src/database/slow_start.rs
+++ b/crates/dyketally-gateway/src/database/slow_start.rs
@@ -72,6 +72,13 @@
         }
     }
 
+    /// True when the databases of some group are limited to a slow-start rate while they are cold.
+    pub(super) fn any_slow_start(&self) -> bool {
+        let routes = self.cx.routes();
+        let mut groups = routes.groups.values();
+        groups.any(|limits| limits.slow_start.is_some())
+    }
+
     /// Recomputes which databases this node may send to while they are cold.
     pub(super) fn share_cold_rates(&self) {
         for (database, pacer) in self.pacers() {
--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -8,11 +8,12 @@
 
 use dyketally::eligibility::{ServingRegions, may_pass_through};
 use dyketally::identifiers::{DatabaseName, NodeName, RegionName, TenantName};
-use dyketally::placement::{self, Sharing};
+use dyketally::placement::{self, Ranking, Sharing};
 
 use crate::database::shares::ConnectionShares;
 use crate::database::slow_start::cold_senders;
 use crate::fleet::Fleet;
+use crate::fleet::membership::NodeChange;
 use crate::fleet::passive_exclusions::Exclusions;
 use crate::ports::DatabaseUser;
 
@@ -25,7 +26,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct Placement {
     pub(super) is_home: bool,
+    /// Connections that all nodes together may open.
+    connection_limit: u32,
     sharing: Sharing,
+    /// The nodes that this placement was computed from.
+    ranking: Ranking,
     /// Homes other than this node, in the order in which this node calls them. Empty if every node is one.
     homes: Vec<HomeNode>,
     /// Nodes that this node calls when no home can be reached.
@@ -46,6 +51,13 @@
 }
 
 impl Placement {
+    fn is_altered_by(&self, change: &NodeChange) -> bool {
+        match change {
+            NodeChange::Joined(node) => self.ranking.is_altered_by_join(node.candidate()),
+            NodeChange::Left(node) => self.ranking.is_altered_by_leave(&node.node),
+        }
+    }
+
     fn nodes(&self) -> impl Iterator<Item = &HomeNode> {
         self.homes.iter().chain(&self.stand_ins)
     }
@@ -97,8 +109,8 @@
 }
 
 impl Homes {
-    /// Clears the cached placements after nodes or limits changed.
-    pub fn forget(&self) {
+    /// Clears the cached placements after limits changed.
+    fn forget_all(&self) {
         self.placements.borrow_mut().clear();
     }
 }
@@ -137,11 +149,26 @@
     }
 
     fn invalidate(&self) {
-        self.homes.forget();
+        self.homes.forget_all();
+    }
+
+    fn forget(&self, database: &DatabaseName) {
+        self.homes.placements.borrow_mut().remove(database);
     }
 }
 
 impl Fleet {
+    /// Forgets the cached placements that `changes` of the nodes alter.
+    pub fn forget_changed_placements(&self, changes: &[NodeChange]) {
+        let nodes = self.membership.node_count();
+        let mut placements = self.homes.placements.borrow_mut();
+        placements.retain(|_, placement| {
+            let is_shared_as_before =
+                Sharing::of(placement.connection_limit, nodes) == placement.sharing;
+            is_shared_as_before && !changes.iter().any(|change| placement.is_altered_by(change))
+        });
+    }
+
     /// Addresses of the homes and stand-ins of a database other than this node; empty if every node is a
     /// home.
     pub fn homes_of(&self, database: &DatabaseName) -> Vec<SocketAddr> {
@@ -183,7 +210,8 @@
             true => sender_count,
             false => sender_count.max(count + STAND_IN_COUNT),
         };
-        let ranked = placement::rank(database, &locality, candidates, wanted);
+        let ranking = Ranking::of(database, &locality, candidates, wanted);
+        let ranked: Vec<&NodeName> = ranking.nodes().iter().collect();
         let cold_senders = &ranked[..sender_count.min(ranked.len())];
         let (homes, others) = match everyone {
             true => ranked.split_at(0),
@@ -207,11 +235,13 @@
         };
         Some(Placement {
             is_home,
+            connection_limit: total_limit,
             sharing,
             homes: others(ordered),
             stand_ins: others(stand_ins),
             cold_senders: others(placement::preference(own, cold_senders)),
             may_send_cold: cold_senders.contains(&own),
+            ranking,
         })
     }
 }
--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// A change of the nodes that the store lists. A record that is replaced is a departure and an arrival.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NodeChange {
+    /// The store lists this record.
+    Joined(NodeRecord),
+    /// The store no longer lists this record.
+    Left(NodeRecord),
+}
+
 /// The nodes that run, and those that may still run.
 #[derive(Default)]
 pub struct Membership {
@@ -108,27 +117,39 @@
         others.map(|record| record.address).collect()
     }
 
-    /// Replaces the nodes that run by `nodes`, the full list in the store.
-    pub fn replace_all(&self, nodes: Vec<NodeRecord>) {
+    /// Replaces the nodes that run by `nodes`, the full list in the store; returns what that changes.
+    pub fn replace_all(&self, nodes: Vec<NodeRecord>) -> Vec<NodeChange> {
         self.known.set(true);
-        let former = std::mem::take(&mut *self.nodes.borrow_mut());
-        former
-            .into_values()
-            .for_each(|node| self.record_departed(node));
-        nodes.into_iter().for_each(|node| self.record_joined(node));
+        let listed: HashSet<&NodeName> = nodes.iter().map(|node| &node.node).collect();
+        let known = self.nodes.borrow();
+        let gone = known.keys().filter(|name| !listed.contains(name));
+        let gone: Vec<NodeName> = gone.cloned().collect();
+        drop(known);
+        let left = gone.iter().flat_map(|name| self.record_left(name));
+        let mut changes: Vec<NodeChange> = left.collect();
+        changes.extend(nodes.into_iter().flat_map(|node| self.record_joined(node)));
+        changes
     }
 
-    /// Records a node that the store lists.
-    pub fn record_joined(&self, node: NodeRecord) {
-        let name = node.node.clone();
-        self.departed.borrow_mut().remove(&name);
-        self.nodes.borrow_mut().insert(name, node);
+    /// Records a node that the store lists; returns what that changes.
+    pub fn record_joined(&self, node: NodeRecord) -> Vec<NodeChange> {
+        self.departed.borrow_mut().remove(&node.node);
+        let mut nodes = self.nodes.borrow_mut();
+        if nodes.get(&node.node) == Some(&node) {
+            return Vec::new();
+        }
+        let former = nodes.insert(node.node.clone(), node.clone());
+        let left = former.map(NodeChange::Left);
+        left.into_iter().chain([NodeChange::Joined(node)]).collect()
     }
 
-    /// Records that the store no longer lists a node.
-    pub fn record_left(&self, name: &NodeName) {
-        let node = self.nodes.borrow_mut().remove(name);
-        node.into_iter().for_each(|node| self.record_departed(node));
+    /// Records that the store no longer lists a node; returns what that changes.
+    pub fn record_left(&self, name: &NodeName) -> Vec<NodeChange> {
+        let Some(node) = self.nodes.borrow_mut().remove(name) else {
+            return Vec::new();
+        };
+        self.record_departed(node.clone());
+        vec![NodeChange::Left(node)]
     }
 
     fn record_departed(&self, node: NodeRecord) {
--- a/crates/dyketally-gateway/src/fleet/traffic.rs
+++ b/crates/dyketally-gateway/src/fleet/traffic.rs
@@ -8,7 +8,7 @@
 use dyketally::identifiers::{NodeName, ZoneName};
 
 use crate::fleet::Fleet;
-use crate::fleet::membership::NodeRecord;
+use crate::fleet::membership::{NodeChange, NodeRecord};
 
 /// The zone label for bytes sent to an address of no known node, or of nodes in different zones.
 const UNKNOWN: &str = "unknown";
@@ -39,11 +39,16 @@
         self.by_node.borrow().clone()
     }
 
-    /// Clears the cached addresses after nodes joined or left, since a node may have taken over the address
-    /// of another.
-    pub fn forget_addresses(&self) {
-        self.by_address.borrow_mut().clear();
-        self.by_host.borrow_mut().clear();
+    /// Forgets the cached addresses of nodes that joined or left, since a node may have taken over the address of
+    /// another.
+    pub fn forget_addresses(&self, changes: &[NodeChange]) {
+        let mut by_address = self.by_address.borrow_mut();
+        let mut by_host = self.by_host.borrow_mut();
+        for change in changes {
+            let (NodeChange::Joined(node) | NodeChange::Left(node)) = change;
+            by_address.remove(&node.address);
+            by_host.remove(&node.address.ip());
+        }
     }
 
     fn cached(&self, address: SocketAddr) -> Option<Receiver> {
--- a/crates/dyketally-gateway/src/gateway.rs
+++ b/crates/dyketally-gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::access::DatabaseAccess;
 use crate::fleet::forwarding::NodeForwarding;
+use crate::fleet::membership::NodeChange;
 use crate::ports::{SharedCallerProtocol, SharedDatabaseProtocol};
 use crate::quota::Quotas;
 use crate::session::Sessions;
@@ -114,7 +115,7 @@
                 self.databases.reach_all_directly();
             }
         }
-        self.databases.apply_shares();
+        self.databases.recompute_shares();
         self.databases.update_observation_retention();
         self.cx.changes.notify();
     }
@@ -132,11 +133,11 @@
         self.fleet.links.close_expired();
     }
 
-    /// Applies a change of the set of nodes: clears cached placements and addresses, and gives each pool its
-    /// new share of its database's connections.
-    pub fn nodes_changed(&self) {
-        self.fleet.homes.forget();
-        self.fleet.traffic.forget_addresses();
+    /// Applies changes of the set of nodes: forgets the placements and addresses that they change, and gives each
+    /// pool its new share of its database's connections.
+    pub fn nodes_changed(&self, changes: &[NodeChange]) {
+        self.fleet.forget_changed_placements(changes);
+        self.fleet.traffic.forget_addresses(changes);
         self.databases.apply_shares_soon();
     }
 
--- a/crates/dyketally-gateway/src/node/nodes_handler.rs
+++ b/crates/dyketally-gateway/src/node/nodes_handler.rs
@@ -6,7 +6,7 @@
 use dyketally_store::key_value::{Entry, Key, WatchEvent};
 use dyketally_store::update::StoreUpdate;
 
-use crate::fleet::membership::NodeRecord;
+use crate::fleet::membership::{NodeChange, NodeRecord};
 use crate::gateway::Gateway;
 use crate::store::keys::StoreKeys;
 
@@ -25,11 +25,14 @@
     /// Applies an update and notifies everything that depends on the list of nodes.
     pub(super) fn receive(&self, update: StoreUpdate) {
         self.receive_fences(&update);
-        self.receive_nodes(update);
+        let was_known = self.gateway.fleet.membership.is_known();
+        let changes = self.receive_nodes(update);
         let fleet = &self.gateway.fleet;
-        fleet.membership.nodes_changed.notify_waiters();
         fleet.coordinator.check_vacancy(self.keys.record());
-        self.gateway.nodes_changed();
+        if !changes.is_empty() || !was_known {
+            fleet.membership.nodes_changed.notify_waiters();
+            self.gateway.nodes_changed(&changes);
+        }
     }
 
     /// Sets and clears this node's fences.
@@ -51,20 +54,19 @@
         });
     }
 
-    /// Updates the list of nodes and the coordinator's record.
-    fn receive_nodes(&self, update: StoreUpdate) {
+    /// Updates the list of nodes and the coordinator's record; returns the changes of the list.
+    fn receive_nodes(&self, update: StoreUpdate) -> Vec<NodeChange> {
         let fleet = &self.gateway.fleet;
         match update {
             StoreUpdate::All(entries) => {
                 fleet.coordinator.forget_record();
                 let nodes = entries.iter().filter_map(|entry| self.receive_entry(entry));
-                fleet.membership.replace_all(nodes.collect());
-            }
-            StoreUpdate::Changed(WatchEvent::Put(entry)) => {
-                if let Some(node) = self.receive_entry(&entry) {
-                    fleet.membership.record_joined(node);
-                }
+                fleet.membership.replace_all(nodes.collect())
             }
+            StoreUpdate::Changed(WatchEvent::Put(entry)) => match self.receive_entry(&entry) {
+                Some(node) => fleet.membership.record_joined(node),
+                None => Vec::new(),
+            },
             StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => self.receive_deletion(&key),
         }
     }
@@ -83,14 +85,15 @@
     }
 
     /// Removes the coordinator's record, or the node that a deleted key belongs to.
-    fn receive_deletion(&self, key: &Key) {
+    fn receive_deletion(&self, key: &Key) -> Vec<NodeChange> {
         let fleet = &self.gateway.fleet;
         if key == &self.keys.coordinator() {
             fleet.coordinator.record_deleted();
-            return;
+            return Vec::new();
         }
-        if let Some(name) = self.keys.node_of(key) {
-            fleet.membership.record_left(&name);
+        match self.keys.node_of(key) {
+            Some(name) => fleet.membership.record_left(&name),
+            None => Vec::new(),
         }
     }
 }
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! home; the database's own connection limit bounds the two together.
 
 mod link_class;
+mod ranking;
 mod score;
 mod sharing;
 mod tier;
@@ -14,6 +15,7 @@
 use crate::identifiers::{DatabaseName, Locality, NodeName, TenantName};
 
 pub use link_class::LinkClass;
+pub use ranking::Ranking;
 pub use sharing::Sharing;
 pub use tier::Distance;
 
@@ -75,10 +77,7 @@
 ) -> Vec<&'a NodeName> {
     let key = Key::of_database(database);
     let ranked = candidates.into_iter().filter(takes_databases);
-    let ranked = ranked.map(|candidate| {
-        let tier = Tier::of(&candidate, locality);
-        Ranked::new(candidate, tier, key)
-    });
+    let ranked = ranked.map(|candidate| Ranked::of_database(candidate, locality, key));
     best_first(ranked.collect(), count)
 }
 
@@ -150,9 +149,22 @@
     candidate.weight > 0
 }
 
-fn best_first(mut ranked: Vec<Ranked<'_>>, count: usize) -> Vec<&NodeName> {
+fn best_first(ranked: Vec<Ranked<'_>>, count: usize) -> Vec<&NodeName> {
+    let ranked = best_first_ranked(ranked, count);
+    ranked.iter().map(|entry| entry.node).collect()
+}
+
+/// The first `count` entries in order. Only these are sorted, not all.
+fn best_first_ranked(mut ranked: Vec<Ranked<'_>>, count: usize) -> Vec<Ranked<'_>> {
+    if count == 0 {
+        return Vec::new();
+    }
+    if count < ranked.len() {
+        ranked.select_nth_unstable_by(count - 1, Ranked::order);
+        ranked.truncate(count);
+    }
     ranked.sort_unstable_by(Ranked::order);
-    ranked.iter().take(count).map(|entry| entry.node).collect()
+    ranked
 }
 
 struct Ranked<'a> {
@@ -173,6 +185,11 @@
         }
     }
 
+    fn of_database(candidate: Candidate<'a>, locality: &Locality, key: Key) -> Self {
+        let tier = Tier::of(&candidate, locality);
+        Self::new(candidate, tier, key)
+    }
+
     fn order(&self, other: &Self) -> std::cmp::Ordering {
         let by_tier = self.tier.cmp(&other.tier);
         let by_link = || other.link.cmp(&self.link);
