Request the short contact for statements that need it, not ten times a second

Each node asked its relay for the coordinator's grant every 100 ms, whether or not it ran a statement: about 20 datagrams a second a node, by the code most of what an idle fleet sends. A node that follows a relay now asks when a statement for a leader is sent and its grant is older than 250 ms, and rests in between; an answer that arrives before the grant waits for it up to 150 ms, then the group's other databases are asked as before. Relays, the coordinator and small fleets ask regularly as before. A node that rests isn't in contact once its grant has ended, so fences need nothing new.

--- a/crates/dyketally-gateway/src/context/contact.rs
+++ b/crates/dyketally-gateway/src/context/contact.rs
@@ -7,9 +7,15 @@
 use dyketally::failover::{ActiveFence, Contact};
 use dyketally::time::Timestamp;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::Context;
 
+/// How long a statement waits for the short contact before the group's other databases are asked instead: two requests
+/// to a relay of the same zone, one of which may be lost.
+const GRANT_WAIT: Duration = Duration::from_millis(150);
+
 /// A relay's last contact with the store and with the nodes, as it reports it to the nodes that follow it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayContact {
@@ -27,6 +33,10 @@
     /// When this node sent the last request that the store answered directly, not through a relay.
     own_store_reply: Cell<Option<Timestamp>>,
     state: RefCell<Contact>,
+    /// Notified when a statement needs the short contact while this node requests it on demand.
+    pub grant_wanted: Notify,
+    /// Notified when the short contact was granted.
+    pub granted: Notify,
 }
 
 impl NodeContact {
@@ -66,6 +76,39 @@
         self.contact.state.borrow().is_in_contact(self.now())
     }
 
+    /// Requests the short contact if this node does so on demand and its last grant is getting old. Called before a
+    /// statement is sent that only a leader may answer, so that the grant arrives before the answer.
+    pub fn want_grant(&self) {
+        if self.contact.state.borrow().needs_grant(self.now()) {
+            self.contact.grant_wanted.notify_one();
+        }
+    }
+
+    /// True once this node is in contact. A node that requests the short contact on demand waits for it, at most for
+    /// [`GRANT_WAIT`].
+    pub async fn is_in_contact_soon(&self) -> bool {
+        let until = Instant::now() + GRANT_WAIT;
+        loop {
+            let granted = self.contact.granted.notified();
+            if self.is_in_contact() {
+                return true;
+            }
+            let contact = *self.contact.state.borrow();
+            if !contact.requests_on_demand() || !contact.long_is_valid(self.now()) {
+                return false;
+            }
+            self.want_grant();
+            if tokio::time::timeout_at(until, granted).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// True when this node is in contact, or could be within moments as it only rests.
+    pub fn is_available(&self) -> bool {
+        self.contact.state.borrow().is_available(self.now())
+    }
+
     /// True when the store has replied directly to this node before, but not to any request sent within `time`.
     pub fn has_lost_store_for(&self, time: Duration) -> bool {
         let last = self.contact.own_store_reply.get();
--- a/crates/dyketally-gateway/src/fleet/access.rs
+++ b/crates/dyketally-gateway/src/fleet/access.rs
@@ -122,6 +122,9 @@
         permission: Permission,
     ) -> Result<Vec<Answer>, ExchangeError> {
         let _in_flight = InFlight::begin(&target.state);
+        if batch.needs_leader() {
+            self.fleet.cx.want_grant();
+        }
         let started = Instant::now();
         let is_own = matches!(connection, DatabaseConnection::Own(_));
         let run = connection.run(batch, permission);
--- a/crates/dyketally-gateway/src/node/exposition.rs
+++ b/crates/dyketally-gateway/src/node/exposition.rs
@@ -76,7 +76,7 @@
             "1 while this node replaces primaries.",
             has_duty,
         );
-        let in_touch = usize::from(self.gateway.cx.is_in_contact());
+        let in_touch = usize::from(self.gateway.cx.is_available());
         set(
             "dyketally_in_touch",
             "1 while this node hears of successions.",
--- a/crates/dyketally-gateway/src/succession/checks.rs
+++ b/crates/dyketally-gateway/src/succession/checks.rs
@@ -104,7 +104,14 @@
     /// and would have received a fence around `target`, or all other databases answer that they don't lead.
     /// The caller has to check whether such a fence is set.
     pub(super) async fn no_other_leads(self: &Rc<Self>, target: &Target) -> bool {
-        self.cx.is_in_contact() || self.others_deny_lead(target).await
+        if self.cx.is_in_contact() {
+            return true;
+        }
+        if self.cx.is_in_contact_soon().await {
+            // The grant may have brought a fence.
+            return !self.is_replaced(target);
+        }
+        self.others_deny_lead(target).await
     }
 
     /// True while this node is isolated and its last check, made within [`UNCONFIRMED_VALIDITY`], couldn't rule out
--- a/crates/dyketally-gateway/src/succession/contact.rs
+++ b/crates/dyketally-gateway/src/succession/contact.rs
@@ -49,7 +49,7 @@
         let mut last_request = None;
         let mut was_in_contact = false;
         loop {
-            let in_contact = self.cx.is_in_contact();
+            let in_contact = self.cx.is_available();
             if in_contact != std::mem::replace(&mut was_in_contact, in_contact) {
                 self.cx.events.write(match in_contact {
                     true => &Event::InTouch,
--- a/crates/dyketally-gateway/src/succession/grants.rs
+++ b/crates/dyketally-gateway/src/succession/grants.rs
@@ -1,5 +1,6 @@
-//! Grants of the failover coordinator: each node requests a grant several times a second, in most cases from
-//! its relay, and receives the fences in force with each reply.
+//! Grants of the failover coordinator: a node requests a grant, in most cases from its relay, and receives the
+//! fences in force with each reply. Relays and nodes without one do so several times a second, since others depend on
+//! their grants; a node that follows a relay does so when a statement needs it.
 //!
 //! When a node is lost or cut off together with a primary, its grant ends within half a second, so a
 //! successor can be appointed without waiting until that node's contact with the store has ended.
@@ -109,6 +110,7 @@
         let mut contact = self.cx.contact.borrow_mut();
         if let Some(age) = granted_ms {
             contact.record_grant(requested - Duration::from_millis(age.into()));
+            self.cx.contact.granted.notify_waiters();
         }
         // While this node is the coordinator, only its own rounds count as contact with a majority.
         if let Some(age) = majority_ms
@@ -118,19 +120,50 @@
         }
     }
 
-    /// Requests a grant at each [`GRANT_INTERVAL`], forever.
+    /// Requests grants, forever: at each [`GRANT_INTERVAL`], or for statements that need one while this node follows a
+    /// relay.
     pub async fn run(self: Rc<Self>, peers: Rc<Peers>) {
         loop {
-            let now = self.cx.now();
-            if self.fleet.coordinator.may_grant() {
-                self.cx.contact.borrow_mut().record_grant(now);
+            if self.feed.has_relay() {
+                self.rest_until_wanted().await;
+                self.request_until_granted(&peers).await;
             } else {
-                let round = self.pending.borrow_mut().record(now);
-                for target in self.targets() {
-                    peers.send(target, &PeerMessage::ContactRequest { round });
-                }
+                self.cx.contact.borrow_mut().request_grants_regularly();
+                self.request(&peers);
+                tokio::time::sleep(GRANT_INTERVAL).await;
             }
-            tokio::time::sleep(GRANT_INTERVAL).await;
+        }
+    }
+
+    /// Waits until a statement needs a grant or this node follows no relay any more.
+    async fn rest_until_wanted(&self) {
+        self.cx.contact.borrow_mut().rest();
+        tokio::select! {
+            () = self.cx.contact.grant_wanted.notified() => {}
+            () = self.feed.relay_changes() => {}
+        }
+        self.cx.contact.borrow_mut().end_rest(self.cx.now());
+    }
+
+    async fn request_until_granted(&self, peers: &Peers) {
+        while self.feed.has_relay() {
+            let granted = self.cx.contact.granted.notified();
+            self.request(peers);
+            if tokio::time::timeout(GRANT_INTERVAL, granted).await.is_ok() {
+                return;
+            }
+        }
+    }
+
+    fn request(&self, peers: &Peers) {
+        let now = self.cx.now();
+        if self.fleet.coordinator.may_grant() {
+            self.cx.contact.borrow_mut().record_grant(now);
+            return;
+        }
+        let round = self.pending.borrow_mut().record(now);
+        for target in self.targets() {
+            peers.send(target, &PeerMessage::ContactRequest { round });
         }
     }
 
--- a/crates/dyketally/src/failover/contact.rs
+++ b/crates/dyketally/src/failover/contact.rs
@@ -10,6 +10,9 @@
 //! the coordinator, directly or through a relay; each reply grants it and lists the fences in force. While
 //! there is no coordinator, replies of more than half of the nodes count as a grant. A node trusts a
 //! primary without a check only while it has both contacts.
+//!
+//! A node that follows a relay requests the short contact only for statements that need it, and rests in between: in
+//! a large fleet most nodes run few statements, and regular requests would be most of all messages between nodes.
 
 use std::time::Duration;
 
@@ -27,6 +30,11 @@
 /// Age of the last granted request from which a node requests the short contact from further nodes, not only
 /// from its usual source. At this age two rounds of [`GRANT_INTERVAL`] have been lost.
 pub const GRANT_LATE_AFTER: Duration = Duration::from_millis(250);
+/// Age of the last granted request from which a statement that needs the short contact requests it anew: half of
+/// [`SHORT_CONTACT_DURATION`], so that the contact outlasts most statements.
+const GRANT_REFRESH_AGE: Duration = Duration::from_millis(250);
+/// Time without a reply after which a node that had rested requests the short contact from further nodes, too.
+const GRANT_REPLY_LIMIT: Duration = Duration::from_millis(150);
 /// Time that a node which was isolated is given to receive the announcements it missed, from the first request
 /// that is replied to again.
 const CATCH_UP: Duration = Duration::from_secs(3);
@@ -38,6 +46,18 @@
 /// contact then depends on the nodes' replies.
 const POLL_NODES_INTERVAL_WITHOUT_GRANTS: Duration = Duration::from_millis(200);
 
+/// When a node requests the short contact.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum GrantDemand {
+    /// At each [`GRANT_INTERVAL`].
+    #[default]
+    Regular,
+    /// Since this time, until a request is granted.
+    Since(Timestamp),
+    /// Not now: no statement needs it.
+    Resting,
+}
+
 /// When a node was last in contact with the store, the other nodes and the coordinator. All times are those
 /// at which the requests were sent, not those at which the replies arrived.
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,6 +72,7 @@
     store_regained: Option<Timestamp>,
     /// The first request that was replied to after the node had been isolated.
     regained: Option<Timestamp>,
+    grant_demand: GrantDemand,
 }
 
 impl Contact {
@@ -93,6 +114,34 @@
         self.granted = self.granted.max(Some(sent_at));
     }
 
+    /// Records that the node requests the short contact at each [`GRANT_INTERVAL`] from now on.
+    pub fn request_grants_regularly(&mut self) {
+        self.grant_demand = GrantDemand::Regular;
+    }
+
+    /// Records that the node requests no short contact until a statement needs it.
+    pub fn rest(&mut self) {
+        self.grant_demand = GrantDemand::Resting;
+    }
+
+    /// Records that a node that rested requests the short contact from `now` on.
+    pub fn end_rest(&mut self, now: Timestamp) {
+        if self.grant_demand == GrantDemand::Resting {
+            self.grant_demand = GrantDemand::Since(now);
+        }
+    }
+
+    /// True when the node requests the short contact only for statements that need it.
+    pub fn requests_on_demand(&self) -> bool {
+        self.grant_demand != GrantDemand::Regular
+    }
+
+    /// True when a statement that needs the short contact should request it anew.
+    pub fn needs_grant(&self, now: Timestamp) -> bool {
+        let age = self.granted_age(now);
+        self.requests_on_demand() && age.is_none_or(|age| age >= GRANT_REFRESH_AGE)
+    }
+
     fn note_reply(&mut self, sent_at: Timestamp) {
         if self.was_ever_in_contact() && !self.holds(sent_at) {
             self.regained = Some(sent_at);
@@ -127,6 +176,16 @@
         self.long_is_valid(now) && self.has_short_contact(now)
     }
 
+    /// True when the node is in contact, or would be after a grant that it hasn't requested or has just requested.
+    pub fn is_available(&self, now: Timestamp) -> bool {
+        let is_granted_soon = match self.grant_demand {
+            GrantDemand::Regular => false,
+            GrantDemand::Since(since) => now < since + GRANT_REPLY_LIMIT,
+            GrantDemand::Resting => true,
+        };
+        self.long_is_valid(now) && (is_granted_soon || self.has_short_contact(now))
+    }
+
     /// True while the node has the long contact and has received the announcements that it missed.
     pub fn long_is_valid(&self, now: Timestamp) -> bool {
         self.holds(now) && !self.is_catching_up(now)
@@ -140,8 +199,18 @@
     /// True when the last grant is so old that the node should request the short contact from further nodes, not
     /// only from its usual source.
     pub fn is_grant_late(&self, now: Timestamp) -> bool {
-        self.granted_age(now)
-            .is_none_or(|age| age >= GRANT_LATE_AFTER)
+        self.grant_late_at().is_some_and(|at| now >= at)
+    }
+
+    /// When a grant is late; `None` while the node requests none.
+    fn grant_late_at(&self) -> Option<Timestamp> {
+        let late_at = self.granted.map(|at| at + GRANT_LATE_AFTER);
+        let late_at = late_at.unwrap_or(Timestamp::ZERO);
+        match self.grant_demand {
+            GrantDemand::Regular => Some(late_at),
+            GrantDemand::Since(since) => Some(late_at.max(since + GRANT_REPLY_LIMIT)),
+            GrantDemand::Resting => None,
+        }
     }
 
     /// Time since the last request that the store replied to; `None` before its first reply.
@@ -159,11 +228,10 @@
     pub fn ask_nodes_at(&self, last_polled: Option<Timestamp>) -> Option<Timestamp> {
         let store_late = self.store? + POLL_NODES_AFTER;
         let after = |due: Timestamp, interval| last_polled.map_or(due, |at| due.max(at + interval));
-        let grant_late = self
-            .granted
-            .map_or(Timestamp::ZERO, |at| at + GRANT_LATE_AFTER);
-        let without_grants = after(grant_late, POLL_NODES_INTERVAL_WITHOUT_GRANTS);
-        Some(after(store_late, POLL_NODES_INTERVAL).min(without_grants))
+        let store_due = after(store_late, POLL_NODES_INTERVAL);
+        let grant_late = self.grant_late_at();
+        let without_grants = grant_late.map(|at| after(at, POLL_NODES_INTERVAL_WITHOUT_GRANTS));
+        Some(without_grants.map_or(store_due, |due| due.min(store_due)))
     }
 }
 
