Give a database no more homes than it has slots

A database that grants 428 connections had 32 homes. At a few statements a second each home got one every 20 s or more, after its idle connection was closed, so most statements opened a connection: a handshake for the caller, a slot of the database for 12 ms. The connections of a database are divided among as many homes as it runs statements at a time now, two at least, whatever the number of nodes.

--- a/crates/dyketally-gateway/src/fleet/homes.rs
+++ b/crates/dyketally-gateway/src/fleet/homes.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use dyketally::directory::Announcement;
 use dyketally::eligibility::{ServingRegions, may_pass_through};
 use dyketally::identifiers::{DatabaseName, NodeName, RegionName, TenantName};
 use dyketally::placement::{self, Ranking, Sharing};
@@ -28,6 +29,8 @@
     pub(super) is_home: bool,
     /// Connections that all nodes together may open.
     connection_limit: u32,
+    /// Statements that the database runs at a time.
+    slots: u32,
     sharing: Sharing,
     /// The nodes that this placement was computed from.
     ranking: Ranking,
@@ -164,7 +167,8 @@
         let mut placements = self.homes.placements.borrow_mut();
         placements.retain(|_, placement| {
             let is_shared_as_before =
-                Sharing::of(placement.connection_limit, nodes) == placement.sharing;
+                Sharing::of(placement.connection_limit, nodes, placement.slots)
+                    == placement.sharing;
             is_shared_as_before && !changes.iter().any(|change| placement.is_altered_by(change))
         });
     }
@@ -189,16 +193,17 @@
     }
 
     fn compute_placement(&self, database: &DatabaseName) -> Option<Placement> {
-        let (group, zone) = {
+        let Announcement {
+            group, zone, slots, ..
+        } = {
             let directory = self.directory.borrow();
-            let announcement = &directory.member(database)?.announcement;
-            (announcement.group.clone(), announcement.zone.clone())
+            directory.member(database)?.announcement.clone()
         };
         let routes = self.cx.routes();
         let limits = routes.groups.get(&group);
         let total_limit = limits.map_or(DEFAULT_CONNECTION_LIMIT, |limits| limits.connection_limit);
         let nodes = self.membership.node_count();
-        let sharing = Sharing::of(total_limit, nodes);
+        let sharing = Sharing::of(total_limit, nodes, slots);
         let everyone = matches!(sharing, Sharing::Everyone(_));
         let count = sharing.homes(nodes);
         let sender_count = cold_senders(&self.cx, &group);
@@ -236,6 +241,7 @@
         Some(Placement {
             is_home,
             connection_limit: total_limit,
+            slots,
             sharing,
             homes: others(ordered),
             stand_ins: others(stand_ins),
--- a/crates/dyketally/src/placement/sharing.rs
+++ b/crates/dyketally/src/placement/sharing.rs
@@ -9,6 +9,8 @@
 const MIN_PER_NODE: u32 = 4;
 /// Fewest connections of a home: enough that idle transactions do not use them up.
 const MIN_PER_HOME: u32 = 12;
+/// Fewest homes of a database whose connections suffice for them: one may be lost.
+const MIN_HOMES: u32 = 2;
 /// Connections that a node that is not a home may open while it reaches no home.
 const NON_HOME_LIMIT: u32 = 2;
 
@@ -27,14 +29,18 @@
 }
 
 impl Sharing {
-    /// Distributes `granted` connections of one database over `nodes` nodes.
-    pub fn of(granted: u32, nodes: usize) -> Self {
+    /// Distributes `granted` connections of one database, which runs `slots` statements at a time, over `nodes` nodes.
+    ///
+    /// A database has no more homes than slots: with more, statements spread over homes that rarely get another one
+    /// before their idle connection is closed, so that most have to open a new one.
+    pub fn of(granted: u32, nodes: usize, slots: u32) -> Self {
         let distributed = (f64::from(granted) * DISTRIBUTED_SHARE) as u32;
         let nodes = u32::try_from(nodes).unwrap_or(u32::MAX).max(1);
         if distributed / nodes >= MIN_PER_NODE || nodes <= 2 {
             return Self::Everyone((distributed / nodes).max(1));
         }
-        let count = (distributed / MIN_PER_HOME).clamp(1, nodes);
+        let useful = slots.max(MIN_HOMES);
+        let count = (distributed / MIN_PER_HOME).min(useful).clamp(1, nodes);
         Self::Homes {
             count: count as usize,
             each: (distributed / count).max(1),
--- a/crates/dyketally/tests/placement.rs
+++ b/crates/dyketally/tests/placement.rs
@@ -234,6 +234,9 @@
     assert!(rank(&"db-0".into(), &zone(0), [], 3).is_empty());
 }
 
+/// So many slots that the connections alone limit the number of homes.
+const MANY_SLOTS: u32 = 1_000;
+
 #[rstest]
 #[case::few_nodes(36, 7, Sharing::Everyone(4))]
 #[case::ample(50, 6, Sharing::Everyone(7))]
@@ -249,7 +252,22 @@
     #[case] nodes: usize,
     #[case] expected: Sharing,
 ) {
-    assert_eq!(Sharing::of(granted, nodes), expected);
+    assert_eq!(Sharing::of(granted, nodes, MANY_SLOTS), expected);
+}
+
+#[rstest]
+#[case::as_many_homes_as_slots(428, 985, 3, Sharing::Homes { count: 3, each: 128 })]
+#[case::twice_the_nodes(428, 1_970, 3, Sharing::Homes { count: 3, each: 128 })]
+#[case::two_homes_for_one_slot(428, 985, 1, Sharing::Homes { count: 2, each: 192 })]
+#[case::fewer_connections_than_slots_need(36, 200, 8, Sharing::Homes { count: 2, each: 16 })]
+#[case::every_node_has_enough(428, 90, 3, Sharing::Everyone(4))]
+fn a_database_has_no_more_homes_than_slots(
+    #[case] granted: u32,
+    #[case] nodes: usize,
+    #[case] slots: u32,
+    #[case] expected: Sharing,
+) {
+    assert_eq!(Sharing::of(granted, nodes, slots), expected);
 }
 
 /// The homes together never have more connections than are granted. Nodes that reach no home may open a few more.
@@ -257,7 +275,7 @@
 fn shares_never_exceed_the_granted_connections() {
     for granted in 3..200 {
         for nodes in 1..300 {
-            let sharing = Sharing::of(granted, nodes);
+            let sharing = Sharing::of(granted, nodes, MANY_SLOTS);
             let homes = sharing.homes(nodes) as u32;
             let used = homes * sharing.limit(true);
             assert!(used <= granted, "{granted} for {nodes}: {sharing:?}");
