Keep the changes for followers by their length, not by their number

A relay kept the last 256 changes for its followers. When all nodes of a large fleet start, or most are lost, its watch delivers hundreds of changes in one reply, so that every follower was too far behind at once, left the relay and had all keys copied again, from another region if need be. The log keeps as many bytes as all keys have now: a follower that lacks more gets all keys at less cost. Changes that arrived together go out in one write.

A follower reports the digest of its announcements, too, and isn't sent the same ones again; builds that don't report it still get all of them.

--- a/crates/dyketally-gateway/src/store/feed/copies.rs
+++ b/crates/dyketally-gateway/src/store/feed/copies.rs
@@ -1,6 +1,6 @@
 //! This node's copies of all subjects, and the messages about them that are sent to its followers.
 //!
-//! Owns the copies and the broadcast channel of changes; relies on [`SubjectCopy`] for the copy of one subject.
+//! Owns the copies and the log of changes; relies on [`SubjectCopy`] for the copy of one subject.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use dyketally_store::key_value::{Entry, Key, StoreRevision};
-use tokio::sync::{Notify, broadcast};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::change_log::{ChangeLog, Follower};
 use super::copy::{OwnWatch, SubjectCopy};
 use super::message::{Digest, FeedMessage, Patch, encode};
 use super::subject::{SUBJECTS, Subject};
@@ -20,14 +21,11 @@
 
 /// How long a lost watch counts as being reopened, which takes two calls to the store: a read and a watch.
 const WATCH_REOPENED_WITHIN: Duration = Duration::from_secs(1);
-/// Number of changes that a slow follower may lag behind; beyond it the follower has to reconnect and receive
-/// everything again.
-const CHANGE_BUFFER: usize = 256;
 
 /// This node's copies, by subject.
 pub(super) struct Copies {
     by_subject: RefCell<HashMap<Subject, SubjectCopy>>,
-    changes: broadcast::Sender<Bytes>,
+    pub(super) changes: ChangeLog,
     /// Notified each time this node has read a subject from the store.
     pub(super) subject_read: Notify,
 }
@@ -36,7 +34,7 @@
     fn default() -> Self {
         Self {
             by_subject: RefCell::new(SUBJECTS.map(|it| (it, SubjectCopy::default())).into()),
-            changes: broadcast::Sender::new(CHANGE_BUFFER),
+            changes: ChangeLog::default(),
             subject_read: Notify::new(),
         }
     }
@@ -85,23 +83,24 @@
         })
     }
 
-    /// Subscribes a follower's connection to all changes from now on.
-    pub(super) fn subscribe(&self) -> broadcast::Receiver<Bytes> {
-        self.changes.subscribe()
+    /// Follows all changes from now on, for one follower's connection.
+    pub(super) fn follow(&self) -> Follower {
+        self.changes.follow()
     }
 
     fn has_followers(&self) -> bool {
-        self.changes.receiver_count() > 0
+        self.changes.followers() > 0
     }
 
     fn broadcast(&self, form: Form, message: Bytes) -> SentUpdate {
         let bytes = message.len();
-        // Sending fails if the last follower has just disconnected.
-        let followers = self.changes.send(message).unwrap_or_default();
+        let copies = self.by_subject.borrow();
+        let key_bytes = copies.values().map(|copy| copy.bytes).sum();
+        self.changes.push(message, key_bytes);
         SentUpdate {
             form,
             bytes,
-            followers,
+            followers: self.changes.followers(),
         }
     }
 
@@ -182,12 +181,15 @@
         Some(entry.modified)
     }
 
-    /// The digest of the copy of a subject; `None` for subjects that are always sent in full. A snapshot of the
-    /// announcements also shows that they have been read, so it is sent even if the follower has the same entries.
+    /// All entries of the copy of a subject.
+    pub(super) fn entries(&self, subject: Subject) -> Vec<Entry> {
+        let copies = self.by_subject.borrow();
+        let copy = copies.get(&subject);
+        copy.map_or(Vec::new(), |copy| copy.entries.values().cloned().collect())
+    }
+
+    /// The digest of the copy of a subject.
     fn digest(&self, subject: Subject) -> Option<Digest> {
-        if subject == Subject::Announcements {
-            return None;
-        }
         let copies = self.by_subject.borrow();
         let copy = copies.get(&subject)?;
         Some(Digest::of(copy.entries.values()))
--- a/crates/dyketally-gateway/src/store/feed/copy.rs
+++ b/crates/dyketally-gateway/src/store/feed/copy.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub(super) struct SubjectCopy {
     pub(super) entries: BTreeMap<Key, Entry>,
+    /// Total length of the keys and values of `entries`.
+    pub(super) bytes: usize,
     /// The store revision of the last change that this node has received.
     pub(super) revision: StoreRevision,
     /// The store revision up to which this copy is complete, deletions included.
@@ -66,6 +68,7 @@
             .iter()
             .map(|it| (it.key.clone(), it.clone()))
             .collect();
+        self.bytes = self.entries.values().map(entry_bytes).sum();
         self.has_unsent_changes |= digest_before != Digest::of(self.entries.values());
         let newest = entries.iter().map(|entry| entry.modified).max();
         self.revision = self.revision.max(newest.unwrap_or_default());
@@ -107,17 +110,24 @@
         self.encoded = None;
         let revision = match event {
             WatchEvent::Put(entry) => {
-                self.entries.insert(entry.key.clone(), entry.clone());
+                let former = self.entries.insert(entry.key.clone(), entry.clone());
+                self.bytes += entry_bytes(entry);
+                self.bytes -= former.as_ref().map_or(0, entry_bytes);
                 entry.modified
             }
             WatchEvent::Deleted {
                 key,
                 store_revision,
             } => {
-                self.entries.remove(key);
+                let former = self.entries.remove(key);
+                self.bytes -= former.as_ref().map_or(0, entry_bytes);
                 *store_revision
             }
         };
         self.revision = self.revision.max(revision);
     }
 }
+
+fn entry_bytes(entry: &Entry) -> usize {
+    entry.key.as_bytes().len() + entry.value.len()
+}
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -10,6 +10,7 @@
 //! which determines the relays, on the record of the failover coordinator, which watches the store itself, and on
 //! fences, which relays report with their replies to pings.
 
+pub mod change_log;
 mod contact;
 mod copies;
 mod copy;
--- a/crates/dyketally-gateway/src/store/feed/publisher.rs
+++ b/crates/dyketally-gateway/src/store/feed/publisher.rs
@@ -8,9 +8,9 @@
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
-use tokio::sync::broadcast;
 
 use super::Feed;
+use super::change_log::Follower;
 use super::message::{FeedMessage, FirstPing, Ping, decode, encode};
 use super::subject::SUBJECTS;
 use crate::fleet::link::{Frames, frames};
@@ -62,7 +62,7 @@
         let ping = self.first_ping().await?;
         // A follower of an older build sends no digests, so it gets snapshots of all subjects.
         let known = decode(&ping).map_or(Vec::new(), |first: FirstPing| first.known);
-        let changes = self.feed.copies.subscribe();
+        let changes = self.feed.copies.follow();
         for subject in SUBJECTS {
             let snapshot = self.feed.copies.snapshot_unless_known(subject, &known);
             self.send(SNAPSHOT, snapshot).await?;
@@ -77,22 +77,38 @@
         ping.await.ok()??.ok()
     }
 
-    async fn send_changes(&mut self, mut changes: broadcast::Receiver<Bytes>) -> Option<()> {
+    async fn send_changes(&mut self, mut changes: Follower) -> Option<()> {
         loop {
-            let (kind, message) = tokio::select! {
+            tokio::select! {
                 // A pong tells the follower that all earlier changes were sent, so changes go first.
                 biased;
-                // Receiving fails if the follower lags too far behind: it reconnects and gets everything again.
-                change = changes.recv() => (CHANGES, Some(change.ok()?)),
-                ping = self.frames.next() => (PONG, self.feed.reply_to(&ping?.ok()?)),
+                () = changes.is_behind() => {
+                    // A follower that is too far behind reconnects and gets everything again.
+                    let messages = changes.take(&self.feed.copies.changes).ok()?;
+                    self.send_all(messages).await?;
+                }
+                ping = self.frames.next() => {
+                    let pong = self.feed.reply_to(&ping?.ok()?);
+                    self.send(PONG, pong).await?;
+                }
             };
             if !self.feed.may_publish() {
                 return None;
             }
-            self.send(kind, message).await?;
         }
     }
 
+    /// Sends changes that arrived together in as few packets as possible.
+    async fn send_all(&mut self, messages: Vec<Bytes>) -> Option<()> {
+        let bytes = messages.iter().map(Bytes::len).sum();
+        let fleet = &self.feed.fleet;
+        fleet.count_sent(CHANGES, self.follower, bytes);
+        for message in messages {
+            self.frames.feed(message).await.ok()?;
+        }
+        SinkExt::<Bytes>::flush(&mut self.frames).await.ok()
+    }
+
     /// Sends a message and counts its bytes; `None` if `message` is `None` or can't be sent.
     async fn send(&mut self, kind: &'static str, message: Option<Bytes>) -> Option<()> {
         let message = message?;
--- a/crates/dyketally-gateway/src/store/feed/subscription.rs
+++ b/crates/dyketally-gateway/src/store/feed/subscription.rs
@@ -266,6 +266,7 @@
                 complete_to,
             } => {
                 self.receive_complete(subject, complete_to)?;
+                self.receive_confirmation(subject);
                 self.subscribe_if_complete();
                 Ok(())
             }
@@ -313,6 +314,18 @@
         self.subscribe_if_complete();
     }
 
+    /// Has the copy of the announcements, which the relay confirmed, applied like a snapshot: their handler has to know
+    /// that all of them have been read.
+    fn receive_confirmation(&self, subject: Subject) {
+        if subject != Subject::Announcements {
+            return;
+        }
+        if let Some(handler) = self.context.handlers.get(&subject) {
+            let entries = self.context.feed.copies.entries(subject);
+            handler(StoreUpdate::All(entries));
+        }
+    }
+
     /// Records that the relay's copy of a subject is complete up to `complete_to`, and that this node has that copy or
     /// is about to apply it. Fails if this node's own copy is newer.
     fn receive_complete(
