Let few nodes of a large fleet read the list of nodes, poll all nodes and campaign

- A list that is longer than 64 KiB is given up.
The node reads the coordinator's key, which is short, and asks that node and the seeds for relays.
A node that others ask, or follow, reads the list; the coordinator does, too.
- Beyond 128 nodes only relays and the coordinator send messages to all nodes.
- A node that isn't a relay reads all keys itself only after a random wait without a relay, 8 s at most.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -16,7 +16,7 @@
 /// How long a node whose key is gone from the store counts as one that may still run, cut off from the
 /// store. As long as the lease of a node's key.
 pub(crate) const DEPARTED_RETENTION: Duration = Duration::from_secs(30);
-/// Maximum number of relays named by seeds that are kept.
+/// Maximum number of relays named by other nodes that are kept.
 const MAX_NAMED_RELAYS: usize = 8;
 
 /// The record that each node keeps in the store under its own key. The failover coordinator also puts it
@@ -66,12 +66,12 @@
 /// The nodes that run, and those that may still run.
 #[derive(Default)]
 pub struct Membership {
-    /// Notified when the set of nodes or of relays named by seeds may have changed.
+    /// Notified when the set of nodes or of relays named by others may have changed.
     pub nodes_changed: Notify,
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
     /// True once the nodes' keys have been read from the store.
     known: Cell<bool>,
-    /// Addresses of relays that seeds named.
+    /// Addresses of relays that other nodes named, the last ones first.
     named_relays: RefCell<Vec<SocketAddr>>,
     /// Nodes whose key is gone from the store, each with the time since when.
     departed: RefCell<BTreeMap<NodeName, (NodeRecord, Instant)>>,
@@ -88,20 +88,19 @@
         self.known.get()
     }
 
-    /// Adds relays that a seed named, up to `MAX_NAMED_RELAYS` in all.
+    /// Adds relays that another node named, in front of those named before; the last `MAX_NAMED_RELAYS` are kept. While
+    /// a whole fleet starts, a node may name relays from an incomplete list of nodes.
     pub fn add_relays(&self, relays: Vec<SocketAddr>) {
         let mut named = self.named_relays.borrow_mut();
-        for relay in relays {
-            if !named.contains(&relay) && named.len() < MAX_NAMED_RELAYS {
-                named.push(relay);
-            }
-        }
+        named.retain(|known| !relays.contains(known));
+        named.splice(..0, relays);
+        named.truncate(MAX_NAMED_RELAYS);
         drop(named);
         self.nodes_changed.notify_waiters();
     }
 
-    /// Addresses of the relays that seeds named.
-    pub fn relays_from_seeds(&self) -> Vec<SocketAddr> {
+    /// Addresses of the relays that other nodes named, the last ones first.
+    pub fn named_relays(&self) -> Vec<SocketAddr> {
         self.named_relays.borrow().clone()
     }
 
--- a/crates/dyketally-gateway/src/node/mod.rs
+++ b/crates/dyketally-gateway/src/node/mod.rs
@@ -34,7 +34,7 @@
     StoredDocuments,
 };
 use crate::settings::Settings;
-use crate::store::feed::{self, ask_seeds};
+use crate::store::feed::{self, request_relays};
 use crate::store::keys::StoreKeys;
 use crate::store::liveness::Liveness;
 use crate::store::metered_store::StoreCalls;
@@ -139,7 +139,7 @@
     let contact = ContactKeeper::new(gateway.fleet.clone(), gateway.feed.clone(), peers.clone());
     tokio::task::spawn_local(contact.run());
     tokio::task::spawn_local(gateway.leadership.grants.clone().run(peers.clone()));
-    tokio::task::spawn_local(ask_seeds(gateway.feed.clone(), peers.clone()));
+    tokio::task::spawn_local(request_relays(gateway.feed.clone(), peers.clone()));
     tokio::task::spawn_local(failover.run());
     tokio::task::spawn_local(liveness.run());
     let registration_ended = tokio::task::spawn_local(registration.run());
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -26,14 +26,16 @@
 mod updates;
 pub mod upstream;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dyketally_store::key_value::{Key, StoreRevision};
+use tokio::sync::Notify;
 
 pub use publisher::serve;
-pub use relays::ask_seeds;
+pub use relays::request_relays;
 pub use subject::Subject;
 pub use subscriber::Subscriber;
 pub use updates::{Source, UpdateHandler};
@@ -55,6 +57,12 @@
     databases: Rc<Databases>,
     copies: Copies,
     upstream: Upstream,
+    /// True once other nodes depend on this node's knowledge of the list of nodes.
+    nodes_wanted: Cell<bool>,
+    /// Notified when other nodes depend on the list of nodes, which this node doesn't know.
+    pub nodes_wanted_now: Notify,
+    /// True once the store's list of nodes was too long for every node to read it.
+    has_long_list_of_nodes: Cell<bool>,
 }
 
 impl Feed {
@@ -66,6 +74,9 @@
             databases,
             copies: Copies::default(),
             upstream: Upstream::default(),
+            nodes_wanted: Cell::default(),
+            nodes_wanted_now: Notify::new(),
+            has_long_list_of_nodes: Cell::default(),
         })
     }
 
--- a/crates/dyketally-gateway/src/store/feed/publisher.rs
+++ b/crates/dyketally-gateway/src/store/feed/publisher.rs
@@ -29,6 +29,7 @@
 /// the store continues and reports the loss in its pongs: it wouldn't help if all its followers called the failing
 /// store instead.
 pub async fn serve(feed: Rc<Feed>, stream: TcpStream) {
+    feed.want_nodes();
     // When many nodes start together, followers tend to connect before their relay has read all subjects.
     let ready = tokio::time::timeout(READ_WAIT, feed.until_publishing());
     if ready.await.is_err() || !feed.may_publish() {
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -7,6 +7,7 @@
 
 use dyketally::identifiers::{NodeName, ZoneName};
 use dyketally::placement;
+use dyketally::retry::Backoff;
 
 use super::{CONTACT_LOST_AGE, Feed};
 use crate::fleet::message::PeerMessage;
@@ -16,14 +17,52 @@
 pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Number of nodes up to which a fleet is small: every node watches the store itself.
 const SMALL_FLEET_NODES: usize = 12;
+/// Number of nodes up to which each node may send messages to each other one.
+const MAX_MESHED_NODES: usize = 128;
 /// Number of relays in each zone: with two, one may fail.
 const RELAYS_PER_ZONE: usize = 2;
 /// Number of relays of other zones that a node may try when it can follow none of its own zone.
 const OTHER_ZONE_RELAYS: usize = 2;
-/// Pause between two requests to the seeds for relays.
-const SEED_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause before each request for relays: all nodes may start together, and ask the same few.
+const RELAYS_REQUEST_PAUSE: Backoff = Backoff {
+    first: Duration::from_millis(250),
+    longest: Duration::from_secs(1),
+};
 
 impl Feed {
+    /// Has this node read the list of nodes now if it doesn't know it: other nodes depend on it.
+    pub fn want_nodes(&self) {
+        if !self.fleet.membership.is_known() && !self.nodes_wanted.replace(true) {
+            self.nodes_wanted_now.notify_one();
+        }
+    }
+
+    /// True when other nodes depend on this node's knowledge of the list of nodes.
+    pub fn are_nodes_wanted(&self) -> bool {
+        self.nodes_wanted.get()
+    }
+
+    /// True in a fleet in which only relays and the failover coordinator may send messages to all nodes, and in which
+    /// other nodes don't read all keys from the store unless they find no relay for long.
+    pub fn is_large_fleet(&self) -> bool {
+        match self.fleet.membership.is_known() {
+            true => self.fleet.membership.node_count() > MAX_MESHED_NODES,
+            false => self.has_long_list_of_nodes.get(),
+        }
+    }
+
+    /// Records that the list of nodes is so long that not every node should read it from the store.
+    pub fn record_long_list_of_nodes(&self) {
+        self.has_long_list_of_nodes.set(true);
+    }
+
+    /// True when this node may send messages to all nodes: in a large fleet that takes a relay or the coordinator, since
+    /// messages from each node to each other one grow with the square of the fleet.
+    pub fn may_poll_all_nodes(&self) -> bool {
+        let is_coordinator = self.fleet.coordinator.last_term().is_some();
+        is_coordinator || !self.is_large_fleet() || self.is_relay()
+    }
+
     /// True while the fleet is so small that every node watches the store itself.
     pub fn is_small_fleet(&self) -> bool {
         self.fleet.membership.node_count() <= SMALL_FLEET_NODES
@@ -85,14 +124,14 @@
 
     /// The relays that this node may follow, in order of preference: those of its zone, then some of other zones.
     /// Empty in a small fleet and for a node that should watch the store. While the list of nodes is unknown, these
-    /// are the relays named by the seeds.
+    /// are the relays that other nodes named.
     pub(super) fn relays_to_follow(&self) -> Vec<SocketAddr> {
         let own = self.cx.settings.listen.peers;
         let usable =
             |address: &SocketAddr| *address != own && !self.upstream.excluded.contains(address);
         match self.fleet.membership.is_known() {
             false => {
-                let named = self.fleet.membership.relays_from_seeds().into_iter();
+                let named = self.fleet.membership.named_relays().into_iter();
                 named.filter(usable).collect()
             }
             true if self.may_follow_relays() => {
@@ -120,8 +159,10 @@
     }
 
     /// The peer addresses of the relays that a node of `zone` may follow. In a small fleet, which has no relays, this
-    /// node names itself if it can have followers.
+    /// node names itself if it can have followers. A node that doesn't know the list of nodes yet reads it to answer
+    /// the next request.
     pub fn relays_for(&self, zone: &ZoneName) -> Vec<SocketAddr> {
+        self.want_nodes();
         match self.is_small_fleet() {
             true if self.is_publishing() => vec![self.cx.settings.listen.peers],
             true => Vec::new(),
@@ -162,18 +203,27 @@
     }
 }
 
-/// Requests the relays from the seeds until this node follows one or has the list of nodes.
-pub async fn ask_seeds(feed: Rc<Feed>, peers: Rc<Peers>) {
+/// Requests the relays from the seeds and from the failover coordinator, until this node follows one or has the list of
+/// nodes.
+pub async fn request_relays(feed: Rc<Feed>, peers: Rc<Peers>) {
     let message = PeerMessage::RelaysRequest {
         zone: feed.cx.settings.node.zone.clone(),
     };
     let seeds = feed.cx.settings.seeds();
-    // The store usually answers within this pause, and the seeds then needn't be asked.
-    tokio::time::sleep(SEED_REQUEST_INTERVAL).await;
-    while !feed.fleet.membership.is_known() && !feed.has_relay() {
-        for seed in &seeds {
-            peers.send(*seed, &message);
+    let mut requests = 0;
+    loop {
+        // The store usually answers within the first pause, and nobody needs to be asked then.
+        tokio::time::sleep(RELAYS_REQUEST_PAUSE.delay(requests, &mut rand::rng())).await;
+        if feed.fleet.membership.is_known() || feed.has_relay() {
+            return;
+        }
+        for node in seeds
+            .iter()
+            .copied()
+            .chain(feed.fleet.coordinator.address())
+        {
+            peers.send(node, &message);
         }
-        tokio::time::sleep(SEED_REQUEST_INTERVAL).await;
+        requests += 1;
     }
 }
--- a/crates/dyketally-gateway/src/store/watch/first_read.rs
+++ b/crates/dyketally-gateway/src/store/watch/first_read.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dyketally_store::StoreError;
-use dyketally_store::key_value::{RangeRequest, StoreRevision};
+use dyketally_store::key_value::{KeyRange, RangeRequest, StoreRevision};
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -25,6 +25,9 @@
 /// Length in bytes above which a node takes its first configuration from a relay. A shorter one arrives sooner from
 /// the store.
 const LONG_REPLY: usize = 64 << 10;
+/// Random time, up to this, that a node of a large fleet waits longer than [`RELAY_WAIT_FOR_LONG_REPLY`], and before it
+/// reads all keys after it lost its relay: if no node had a relay, all would read all keys.
+const OWN_READ_SPREAD: Duration = Duration::from_secs(8);
 /// Pause between two reads of the nodes' keys while this node follows no relay. Such reads cost little.
 const NODES_INTERVAL: Duration = Duration::from_millis(700);
 /// Upper bound of the random time that is added to [`NODES_INTERVAL`].
@@ -36,7 +39,9 @@
     pub(super) async fn start(&mut self) -> Option<StoreRevision> {
         let feed = self.parts.feed.clone();
         let began = Instant::now();
-        let mut until = began + self.relay_wait();
+        let until = began + self.relay_wait();
+        let until_in_large_fleet = began + RELAY_WAIT_FOR_LONG_REPLY + own_read_delay();
+        let mut has_long_reply = false;
         let mut read_at = None;
         loop {
             // The read is abandoned once a relay is followed: by the time a large reply has arrived, the relay's
@@ -48,13 +53,18 @@
             };
             match read {
                 Ok(read) => read_at = read.or(read_at),
-                Err(StoreError::LongAnswer { .. }) => until = began + RELAY_WAIT_FOR_LONG_REPLY,
+                Err(StoreError::LongAnswer { .. }) => has_long_reply = true,
                 // Not logged here: the loop reads again, and `Watcher::run` logs the first failure of its own reads.
                 Err(_) => {}
             }
+            let until = match has_long_reply || feed.is_large_fleet() {
+                true => until_in_large_fleet,
+                false => until,
+            };
             tokio::select! {
                 () = feed.until_subscribed() => return None,
                 () = feed.until_no_relay_needed() => return read_at,
+                () = self.until_nodes_wanted() => {}
                 () = tokio::time::sleep_until(self.next_read(until)) => {}
             }
             if Instant::now() >= until {
@@ -63,6 +73,24 @@
         }
     }
 
+    /// Waits until other nodes depend on this node's knowledge of the nodes.
+    async fn until_nodes_wanted(&self) {
+        match self.spec.subject {
+            Subject::Nodes => self.parts.feed.nodes_wanted_now.notified().await,
+            Subject::Configuration | Subject::Announcements => std::future::pending().await,
+        }
+    }
+
+    /// Waits before all keys are read because no relay was found. In a large fleet a node that isn't a relay waits for a
+    /// random time, as many others may be without a relay, too; less if it finds one.
+    pub(super) async fn wait_before_own_read(&self) {
+        let feed = &self.parts.feed;
+        if feed.is_large_fleet() && feed.may_follow_relays() {
+            // Whether the time has passed or a relay is followed, the caller checks for a relay.
+            let _ = tokio::time::timeout(own_read_delay(), feed.until_subscribed()).await;
+        }
+    }
+
     fn relay_wait(&self) -> Duration {
         match self.parts.cx.settings.node.first_start {
             true => RELAY_WAIT_AT_FIRST_START,
@@ -85,16 +113,51 @@
         match self.spec.first_read {
             // Nothing is read: there are no callers yet, and a relay will send the keys.
             FirstRead::Newest if self.parts.cx.settings.node.first_start => Ok(None),
-            FirstRead::Newest => self.read(RangeRequest::all(range)).await.map(Some),
+            FirstRead::Newest => {
+                let request = RangeRequest::all(range).unless_longer_than(LONG_REPLY);
+                self.read(request).await.map(Some)
+            }
+            FirstRead::Stale if self.spec.subject == Subject::Nodes => {
+                self.read_nodes().await.map(|()| None)
+            }
             FirstRead::Stale => {
-                let request = RangeRequest::stale(range);
-                let request = match self.spec.subject {
-                    Subject::Configuration => request.unless_longer_than(LONG_REPLY),
-                    // Read whatever their length: without the nodes' keys no relay is known.
-                    Subject::Nodes | Subject::Announcements => request,
-                };
+                let request = RangeRequest::stale(range).unless_longer_than(LONG_REPLY);
                 self.read(request).await.map(|_| None)
             }
         }
     }
+
+    /// Reads the nodes' keys, by which this node finds relays. If there are many, it reads only who the failover
+    /// coordinator is and asks that node for relays, unless other nodes depend on this one: if each of n nodes read all
+    /// n keys, the store would send n² of them.
+    async fn read_nodes(&mut self) -> Result<(), StoreError> {
+        let feed = self.parts.feed.clone();
+        let all = RangeRequest::stale(self.spec.range());
+        if feed.are_nodes_wanted() {
+            return self.read(all).await.map(drop);
+        }
+        if feed.is_large_fleet() {
+            return self.read_coordinator().await;
+        }
+        self.read(all.unless_longer_than(LONG_REPLY))
+            .await
+            .map(drop)
+    }
+
+    async fn read_coordinator(&self) -> Result<(), StoreError> {
+        let key = KeyRange::key(self.parts.keys.coordinator());
+        let reply = self.parts.store.range(RangeRequest::stale(key)).await?;
+        let coordinator = &self.parts.fleet.coordinator;
+        match reply.entries.first() {
+            Some(entry) => coordinator.record_entry(entry),
+            None => coordinator.forget_record(),
+        }
+        coordinator.check_vacancy(self.parts.keys.record());
+        Ok(())
+    }
+}
+
+/// A random time up to [`OWN_READ_SPREAD`].
+fn own_read_delay() -> Duration {
+    OWN_READ_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
 }
--- a/crates/dyketally-gateway/src/store/watch/mod.rs
+++ b/crates/dyketally-gateway/src/store/watch/mod.rs
@@ -74,6 +74,10 @@
             if feed.has_relay() {
                 read_at = None;
                 feed.until_relay_lost().await;
+                self.wait_before_own_read().await;
+                if feed.has_relay() {
+                    continue;
+                }
             }
             let read = match read_at.take() {
                 Some(revision) => Ok(revision),
--- a/crates/dyketally-gateway/src/store/watch/outage.rs
+++ b/crates/dyketally-gateway/src/store/watch/outage.rs
@@ -46,7 +46,9 @@
         let feed = self.parts.feed.clone();
         feed.own_read_failed();
         self.wait_after_failure(error).await;
-        if feed.may_follow_relays() {
+        if feed.is_large_fleet() {
+            self.wait_before_own_read().await;
+        } else if feed.may_follow_relays() {
             // After the timeout this node reads the store itself.
             let _ = tokio::time::timeout(RELAY_WAIT, feed.until_subscribed()).await;
         }
--- a/crates/dyketally-gateway/src/succession/contact.rs
+++ b/crates/dyketally-gateway/src/succession/contact.rs
@@ -57,7 +57,7 @@
                 });
             }
             let due = self.cx.contact.borrow_mut().ask_nodes_at(last_request);
-            let due = due.filter(|_| !self.relies_on_relay());
+            let due = due.filter(|_| !self.relies_on_relay() && self.feed.may_poll_all_nodes());
             let now = self.cx.now();
             match due {
                 Some(due) if due <= now => {
--- a/crates/dyketally-gateway/src/succession/coordinator.rs
+++ b/crates/dyketally-gateway/src/succession/coordinator.rs
@@ -7,13 +7,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dyketally::identifiers::NodeName;
+use dyketally::failover::{CampaignRank, campaign_delay};
 use dyketally::placement;
 use dyketally::time::Timestamp;
 use dyketally_store::StoreError;
 use dyketally_store::key_value::{
     Condition, Entry, KeyRange, LeaseId, RangeRequest, StoreRevision, TransactionRequest,
 };
+use rand::Rng;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
@@ -35,13 +36,11 @@
 /// How much earlier the contact from a renewal of this lease ends than the contact from other calls to the
 /// store: it has to end before the lease does.
 const CONTACT_REDUCTION: Duration = Duration::from_millis(600);
-/// Head start before this node's campaign, for each node that ranks before it: enough for that node to
-/// obtain a lease, write the key and announce itself.
-const CAMPAIGN_HEAD_START: Duration = Duration::from_millis(40);
-/// Longest total head start before this node's campaign.
-const MAX_CAMPAIGN_DELAY: Duration = Duration::from_millis(1_500);
 /// How long a node doesn't campaign after its start, so that it knows the other nodes first.
 const CAMPAIGN_DELAY_AFTER_START: Duration = Duration::from_millis(1_500);
+/// How long a node of a large fleet doesn't campaign after its start: it gets to know the other nodes through the
+/// coordinator.
+const CAMPAIGN_DELAY_IN_LARGE_FLEET: Duration = Duration::from_millis(500);
 /// Pause before a failed campaign is repeated if no node is known to have won.
 const CAMPAIGN_RETRY: Duration = Duration::from_secs(1);
 
@@ -130,25 +129,36 @@
         self.peers
             .broadcast(&PeerMessage::CoordinatorAnnounced { record });
         state.attention.notify_one();
+        // In a fleet that starts, all nodes ask the coordinator for relays.
+        self.parts.feed.want_nodes();
     }
 
     /// Gives the nodes that rank before this one time to win, since each campaign costs calls to the store.
     async fn pause_before_campaign(&self) {
         let running_for = self.parts.cx.now().saturating_since(Timestamp::ZERO);
-        tokio::time::sleep(CAMPAIGN_DELAY_AFTER_START.saturating_sub(running_for)).await;
-        let pause = CAMPAIGN_HEAD_START.saturating_mul(self.rank());
-        tokio::time::sleep(pause.min(MAX_CAMPAIGN_DELAY)).await;
+        let rank = self.rank();
+        let after_start = match rank {
+            CampaignRank::Unknown { .. } => CAMPAIGN_DELAY_IN_LARGE_FLEET,
+            CampaignRank::Known(_) => CAMPAIGN_DELAY_AFTER_START,
+        };
+        tokio::time::sleep(after_start.saturating_sub(running_for)).await;
+        let random = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(campaign_delay(rank, random)).await;
     }
 
-    /// How many nodes rank before this one in the order of campaigns.
-    fn rank(&self) -> u32 {
+    /// This node's place in the order of campaigns.
+    fn rank(&self) -> CampaignRank {
+        let own = self.parts.keys.record();
         let nodes = self.parts.fleet.membership.nodes();
-        let names: Vec<&NodeName> = nodes.keys().collect();
-        let by = NodeName::new(self.parts.keys.coordinator().to_string());
-        let ranked = placement::preference(&by, &names);
-        let own = &self.parts.keys.record().node;
-        let rank = ranked.iter().position(|name| *name == own);
-        rank.map_or(u32::MAX, |rank| u32::try_from(rank).unwrap_or(u32::MAX))
+        let candidates = nodes.values().map(|node| node.candidate());
+        let duty = self.parts.keys.coordinator().to_string();
+        let ranked = placement::duty_order(&duty, candidates);
+        match ranked.iter().position(|name| **name == own.node) {
+            Some(rank) => CampaignRank::Known(rank),
+            None => CampaignRank::Unknown {
+                small_link: own.link.is_small(),
+            },
+        }
     }
 
     /// Revokes the lease of an earlier process of this node, so that the nodes can elect a coordinator at once.
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -7,6 +7,7 @@
 //! token may appoint it. [`Contact`] says whether a node would know of a replacement by now.
 
 mod appointments;
+mod campaign;
 mod contact;
 mod fence;
 mod fences;
@@ -14,6 +15,7 @@
 mod verdict;
 
 pub use appointments::{Appointments, TokenUse};
+pub use campaign::{CampaignRank, campaign_delay};
 pub use contact::{
     Contact, GRANT_INTERVAL, SHORT_CONTACT_DURATION, STORE_CONTACT_DURATION, is_majority,
 };
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -145,6 +145,25 @@
     best_first(ranked.collect(), count)
 }
 
+/// All `candidates` in the order in which they are to take the duty named `duty`: nodes with the greatest link class
+/// first, as its holder sends messages to all nodes.
+pub fn duty_order<'a>(
+    duty: &str,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+) -> Vec<&'a NodeName> {
+    let key = Key::of_node(&NodeName::new(duty));
+    let scored = candidates.into_iter().map(|candidate| {
+        let score = key.score(candidate.node, NORMAL_WEIGHT);
+        (candidate.link, score, candidate.node)
+    });
+    let mut scored: Vec<_> = scored.collect();
+    scored.sort_by(|one, other| {
+        let by_link = other.0.cmp(&one.0);
+        by_link.then_with(|| other.1.cmp(&one.1))
+    });
+    scored.into_iter().map(|(_, _, node)| node).collect()
+}
+
 fn takes_databases(candidate: &Candidate<'_>) -> bool {
     candidate.weight > 0
 }
