Ask the coordinator for relays as soon as the list of nodes is too long

The list that a node read before most others had put their keys now counts as unknown once it turns out to be long, and at the first start of the whole system it is read a second later.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -69,7 +69,7 @@
     /// Notified when the set of nodes or of relays named by others may have changed.
     pub nodes_changed: Notify,
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
-    /// True once the nodes' keys have been read from the store.
+    /// True once all of the nodes' keys have been read from the store.
     known: Cell<bool>,
     /// Addresses of relays that other nodes named, the last ones first.
     named_relays: RefCell<Vec<SocketAddr>>,
@@ -88,6 +88,12 @@
         self.known.get()
     }
 
+    /// Records that many more nodes run than this node knows.
+    pub fn record_incomplete(&self) {
+        self.known.set(false);
+        self.nodes_changed.notify_waiters();
+    }
+
     /// Adds relays that another node named, in front of those named before; the last `MAX_NAMED_RELAYS` are kept. While
     /// a whole fleet starts, a node may name relays from an incomplete list of nodes.
     pub fn add_relays(&self, relays: Vec<SocketAddr>) {
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -45,15 +45,14 @@
     /// True in a fleet in which only relays and the failover coordinator may send messages to all nodes, and in which
     /// other nodes don't read all keys from the store unless they find no relay for long.
     pub fn is_large_fleet(&self) -> bool {
-        match self.fleet.membership.is_known() {
-            true => self.fleet.membership.node_count() > MAX_MESHED_NODES,
-            false => self.has_long_list_of_nodes.get(),
-        }
+        self.has_long_list_of_nodes.get() || self.fleet.membership.node_count() > MAX_MESHED_NODES
     }
 
-    /// Records that the list of nodes is so long that not every node should read it from the store.
+    /// Records that the list of nodes is so long that not every node should read it from the store. What this node knows
+    /// of it is incomplete then, since many nodes have been listed since.
     pub fn record_long_list_of_nodes(&self) {
         self.has_long_list_of_nodes.set(true);
+        self.fleet.membership.record_incomplete();
     }
 
     /// True when this node may send messages to all nodes: in a large fleet that takes a relay or the coordinator, since
@@ -109,6 +108,20 @@
         watches && !self.cx.has_lost_store_for(CONTACT_LOST_AGE)
     }
 
+    /// Waits while this node has the list of nodes or follows a relay.
+    async fn until_nodes_unknown(&self) {
+        loop {
+            let changed = self.fleet.membership.nodes_changed.notified();
+            if !self.fleet.membership.is_known() && !self.has_relay() {
+                return;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = self.relay_changes() => {}
+            }
+        }
+    }
+
     /// Waits until it is certain that this node has no relay to follow. At the first start of the whole system the
     /// list of nodes is incomplete for a while, so only a relay can be certain then.
     pub async fn until_no_relay_needed(&self) {
@@ -203,8 +216,8 @@
     }
 }
 
-/// Requests the relays from the seeds and from the failover coordinator, until this node follows one or has the list of
-/// nodes.
+/// Requests the relays from the seeds and from the failover coordinator while this node neither follows one nor has the
+/// list of nodes, forever.
 pub async fn request_relays(feed: Rc<Feed>, peers: Rc<Peers>) {
     let message = PeerMessage::RelaysRequest {
         zone: feed.cx.settings.node.zone.clone(),
@@ -213,9 +226,11 @@
     let mut requests = 0;
     loop {
         // The store usually answers within the first pause, and nobody needs to be asked then.
-        tokio::time::sleep(RELAYS_REQUEST_PAUSE.delay(requests, &mut rand::rng())).await;
+        tokio::time::sleep(RELAYS_REQUEST_PAUSE.delay(requests + 1, &mut rand::rng())).await;
         if feed.fleet.membership.is_known() || feed.has_relay() {
-            return;
+            requests = 0;
+            feed.until_nodes_unknown().await;
+            continue;
         }
         for node in seeds
             .iter()
--- a/crates/dyketally-gateway/src/store/watch/first_read.rs
+++ b/crates/dyketally-gateway/src/store/watch/first_read.rs
@@ -25,6 +25,9 @@
 /// Length in bytes above which a node takes its first configuration from a relay. A shorter one arrives sooner from
 /// the store.
 const LONG_REPLY: usize = 64 << 10;
+/// How long a node waits before it reads the nodes' keys at the first start of the whole system: by then most nodes have
+/// put theirs. From an incomplete list too many nodes would take themselves for relays.
+const LIST_DELAY_AT_FIRST_START: Duration = Duration::from_secs(1);
 /// Random time, up to this, that a node of a large fleet waits longer than [`RELAY_WAIT_FOR_LONG_REPLY`], and before it
 /// reads all keys after it lost its relay: if no node had a relay, all would read all keys.
 const OWN_READ_SPREAD: Duration = Duration::from_secs(8);
@@ -43,6 +46,7 @@
         let until_in_large_fleet = began + RELAY_WAIT_FOR_LONG_REPLY + own_read_delay();
         let mut has_long_reply = false;
         let mut read_at = None;
+        self.wait_for_list().await;
         loop {
             // The read is abandoned once a relay is followed: by the time a large reply has arrived, the relay's
             // updates may be newer.
@@ -57,7 +61,7 @@
                 // Not logged here: the loop reads again, and `Watcher::run` logs the first failure of its own reads.
                 Err(_) => {}
             }
-            let until = match has_long_reply || feed.is_large_fleet() {
+            let until = |has_long_reply: bool| match has_long_reply || feed.is_large_fleet() {
                 true => until_in_large_fleet,
                 false => until,
             };
@@ -65,14 +69,22 @@
                 () = feed.until_subscribed() => return None,
                 () = feed.until_no_relay_needed() => return read_at,
                 () = self.until_nodes_wanted() => {}
-                () = tokio::time::sleep_until(self.next_read(until)) => {}
+                () = tokio::time::sleep_until(self.next_read(until(has_long_reply))) => {}
             }
-            if Instant::now() >= until {
+            if Instant::now() >= until(has_long_reply) {
                 return read_at;
             }
         }
     }
 
+    /// Waits for [`LIST_DELAY_AT_FIRST_START`], and a random time so that not all nodes read at once.
+    async fn wait_for_list(&self) {
+        if self.spec.subject == Subject::Nodes && self.parts.cx.settings.node.first_start {
+            let jitter = NODES_INTERVAL_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
+            tokio::time::sleep(LIST_DELAY_AT_FIRST_START + jitter).await;
+        }
+    }
+
     /// Waits until other nodes depend on this node's knowledge of the nodes.
     async fn until_nodes_wanted(&self) {
         match self.spec.subject {
@@ -136,12 +148,13 @@
         if feed.are_nodes_wanted() {
             return self.read(all).await.map(drop);
         }
-        if feed.is_large_fleet() {
-            return self.read_coordinator().await;
+        if !feed.is_large_fleet() {
+            match self.read(all.unless_longer_than(LONG_REPLY)).await {
+                Err(StoreError::LongAnswer { .. }) => feed.record_long_list_of_nodes(),
+                read => return read.map(drop),
+            }
         }
-        self.read(all.unless_longer_than(LONG_REPLY))
-            .await
-            .map(drop)
+        self.read_coordinator().await
     }
 
     async fn read_coordinator(&self) -> Result<(), StoreError> {
--- a/crates/dyketally/src/failover/contact.rs
+++ b/crates/dyketally/src/failover/contact.rs
@@ -180,7 +180,7 @@
     pub fn is_available(&self, now: Timestamp) -> bool {
         let is_granted_soon = match self.grant_demand {
             GrantDemand::Regular => false,
-            GrantDemand::Since(since) => now < since + GRANT_REPLY_LIMIT,
+            GrantDemand::Since(since) => now < since + SHORT_CONTACT_DURATION,
             GrantDemand::Resting => true,
         };
         self.long_is_valid(now) && (is_granted_soon || self.has_short_contact(now))
