Check only groups whose primary may have to be replaced, and report suspicions to few

The coordinator started a task for each group twice a second and after each change, and built a connection pool for each primary. It now looks at what it knows first: a primary that is ready and neither suspected, fenced, evacuated nor cold is left alone.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -16,6 +16,8 @@
 /// How long a node whose key is gone from the store counts as one that may still run, cut off from the
 /// store. As long as the lease of a node's key.
 pub(crate) const DEPARTED_RETENTION: Duration = Duration::from_secs(30);
+/// Number of nodes up to which each node may send messages to each other one.
+const MAX_MESHED_NODES: usize = 128;
 /// Maximum number of relays named by other nodes that are kept.
 const MAX_NAMED_RELAYS: usize = 8;
 
@@ -83,6 +85,11 @@
         self.nodes.borrow().len().max(1)
     }
 
+    /// True in a fleet so small that each node may send messages to each other one.
+    pub fn is_meshed(&self) -> bool {
+        self.node_count() <= MAX_MESHED_NODES
+    }
+
     /// True once the list of nodes has been read from the store.
     pub fn is_known(&self) -> bool {
         self.known.get()
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -17,8 +17,6 @@
 pub(super) const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Number of nodes up to which a fleet is small: every node watches the store itself.
 const SMALL_FLEET_NODES: usize = 12;
-/// Number of nodes up to which each node may send messages to each other one.
-const MAX_MESHED_NODES: usize = 128;
 /// Number of relays in each zone: with two, one may fail.
 const RELAYS_PER_ZONE: usize = 2;
 /// Number of relays of other zones that a node may try when it can follow none of its own zone.
@@ -45,7 +43,7 @@
     /// True in a fleet in which only relays and the failover coordinator may send messages to all nodes, and in which
     /// other nodes don't read all keys from the store unless they find no relay for long.
     pub fn is_large_fleet(&self) -> bool {
-        self.has_long_list_of_nodes.get() || self.fleet.membership.node_count() > MAX_MESHED_NODES
+        self.has_long_list_of_nodes.get() || !self.fleet.membership.is_meshed()
     }
 
     /// Records that the list of nodes is so long that not every node should read it from the store. What this node knows
--- a/crates/dyketally-gateway/src/succession/cause.rs
+++ b/crates/dyketally-gateway/src/succession/cause.rs
@@ -6,7 +6,7 @@
 
 use dyketally::directory::MemberState;
 use dyketally::eligibility::ServingRegions;
-use dyketally::failover::Verdict;
+use dyketally::failover::{PrimaryCondition, Verdict, needs_check};
 use dyketally::identifiers::GroupName;
 use tokio::time::Instant;
 
@@ -60,6 +60,25 @@
 }
 
 impl Failover {
+    /// False when there is certainly no cause to replace the primary of a group. With a thousand groups nearly all are
+    /// like that, and a task and a connection pool for each of them at each check would take most of the coordinator's
+    /// share of a processor.
+    pub(super) fn needs_check(&self, group: &GroupName) -> bool {
+        let directory = self.databases.directory.borrow();
+        let Some(primary) = directory.primary(group) else {
+            return true;
+        };
+        let suspicions = self.fleet.coordinator.suspicions.borrow();
+        needs_check(&PrimaryCondition {
+            is_ready: primary.state == MemberState::Ready,
+            is_suspected: suspicions.contains_key(&(group.clone(), primary.name().clone())),
+            is_fenced: self.databases.is_fenced(primary.name()),
+            is_evacuated: self.databases.is_evacuated(&primary.announcement.zone),
+            is_cold: self.databases.pacer(primary.name()).is_cold(),
+            regions_bind: self.cx.routes().binds_regions(),
+        })
+    }
+
     /// Why the primary of a group should be replaced now; `None` while it shouldn't be. While the
     /// coordinator's lease may have ended, only a lost primary is replaced: its successor needs no new
     /// fencing token as long as no node reaches the store.
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -95,7 +95,7 @@
     fn check_groups(self: &Rc<Self>) {
         let groups = self.databases.directory.borrow().groups();
         for group in groups {
-            if !self.busy.borrow_mut().insert(group.clone()) {
+            if !self.needs_check(&group) || !self.busy.borrow_mut().insert(group.clone()) {
                 continue;
             }
             let failover = self.clone();
--- a/crates/dyketally-gateway/src/succession/suspicion.rs
+++ b/crates/dyketally-gateway/src/succession/suspicion.rs
@@ -133,7 +133,8 @@
         }
     }
 
-    /// Reports to the coordinator that `target` doesn't answer; to all nodes while no coordinator is known.
+    /// Reports to the coordinator that `target` doesn't answer; to all nodes of a small fleet while no coordinator is
+    /// known. In a large one the report is repeated until there is a coordinator.
     pub fn report(&self, target: &Target) {
         if self.fleet.coordinator.last_term().is_some() {
             self.record(target.group.clone(), target.name.clone());
@@ -149,7 +150,8 @@
         };
         match self.fleet.coordinator.address() {
             Some(coordinator) => peers.send(coordinator, &message),
-            None => peers.broadcast(&message),
+            None if self.fleet.membership.is_meshed() => peers.broadcast(&message),
+            None => {}
         }
     }
 
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -22,4 +22,4 @@
 pub use fence::{FenceRound, FenceVerdict, NEW_COORDINATOR_GRANT_DELAY};
 pub use fences::{ActiveFence, FENCE_LIFETIME, FenceId, Fences};
 pub use successor::{Candidate, Succession, choose_successor, retain_warm};
-pub use verdict::{Evidence, PollResult, Verdict, evaluate_poll};
+pub use verdict::{Evidence, PollResult, PrimaryCondition, Verdict, evaluate_poll, needs_check};
--- a/crates/dyketally/src/failover/verdict.rs
+++ b/crates/dyketally/src/failover/verdict.rs
@@ -67,3 +67,30 @@
     }
     Verdict::Undecided
 }
+
+/// What is known of a primary without asking anybody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PrimaryCondition {
+    /// It announces that it accepts new statements.
+    pub is_ready: bool,
+    /// Some node suspects it.
+    pub is_suspected: bool,
+    /// A fence holds for it.
+    pub is_fenced: bool,
+    /// Its zone is evacuated.
+    pub is_evacuated: bool,
+    /// It has just started and may serve only little.
+    pub is_cold: bool,
+    /// Statements are bound to serving regions, so another region may be preferred for it.
+    pub regions_bind: bool,
+}
+
+/// False when there is certainly no cause to replace a primary.
+///
+/// Load pattern: the coordinator checks all groups twice a second and after each change, and nearly all primaries of a
+/// large fleet are well.
+pub fn needs_check(primary: &PrimaryCondition) -> bool {
+    let is_well = primary.is_ready && !primary.is_suspected && !primary.is_fenced;
+    let may_stay = !primary.is_evacuated && !primary.is_cold && !primary.regions_bind;
+    !(is_well && may_stay)
+}
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -6,8 +6,8 @@
 use dyketally::directory::{Announcement, Directory};
 use dyketally::failover::{
     ActiveFence, Appointments, Candidate, Contact, Evidence, FENCE_LIFETIME, FenceId, FenceRound,
-    FenceVerdict, Fences, PollResult, Succession, TokenUse, Verdict, choose_successor,
-    evaluate_poll, retain_warm,
+    FenceVerdict, Fences, PollResult, PrimaryCondition, Succession, TokenUse, Verdict,
+    choose_successor, evaluate_poll, needs_check, retain_warm,
 };
 use dyketally::group::{LogPosition, Role, Term};
 use dyketally::time::Timestamp;
@@ -455,6 +455,30 @@
     assert!(!holds(&fences, &directory, 201, "elsewhere"));
 }
 
+const WELL: PrimaryCondition = PrimaryCondition {
+    is_ready: true,
+    is_suspected: false,
+    is_fenced: false,
+    is_evacuated: false,
+    is_cold: false,
+    regions_bind: false,
+};
+
+#[rstest]
+#[case::well(WELL, false)]
+#[case::leaving(PrimaryCondition { is_ready: false, ..WELL }, true)]
+#[case::suspected(PrimaryCondition { is_suspected: true, ..WELL }, true)]
+#[case::fenced(PrimaryCondition { is_fenced: true, ..WELL }, true)]
+#[case::evacuated(PrimaryCondition { is_evacuated: true, ..WELL }, true)]
+#[case::cold(PrimaryCondition { is_cold: true, ..WELL }, true)]
+#[case::maybe_misplaced(PrimaryCondition { regions_bind: true, ..WELL }, true)]
+fn only_a_primary_that_may_have_to_be_replaced_is_checked(
+    #[case] primary: PrimaryCondition,
+    #[case] expected: bool,
+) {
+    assert_eq!(needs_check(&primary), expected);
+}
+
 fn announcement(name: &str, role: Role) -> Announcement {
     Announcement {
         database: name.into(),
