Let an entry of another writer name no database, and a database's next life begin anew

An unknown state counted as draining, an unknown role as replica, a missing role or cold time as a default, and an entry that couldn't be read was passed over as a change but missing from a list.

The start that a database tells (Incarnation) is part of what it is: one that starts again under its name is a new member, whose former connections, health and promotions are forgotten, and an entry of a former life is ignored.

--- a/crates/dyketally-gateway/src/database/directory_changes.rs
+++ b/crates/dyketally-gateway/src/database/directory_changes.rs
@@ -27,6 +27,7 @@
             });
             match change {
                 DirectoryChange::Leaving(name) => self.close_idle(&name),
+                DirectoryChange::Restarted(name) => self.forget_life(&name),
                 DirectoryChange::Forgotten(name) => {
                     self.states.borrow_mut().remove(&name);
                     self.shares.forget(&name);
@@ -44,6 +45,14 @@
         }
     }
 
+    /// Forgets what this node knows of a database's former life: its connections, health and warmth.
+    fn forget_life(&self, name: &DatabaseName) {
+        self.close_idle(name);
+        self.states.borrow_mut().remove(name);
+        self.shares.forget(name);
+        self.record_unannounced(name);
+    }
+
     fn close_idle(&self, name: &DatabaseName) {
         if let Some(database) = self.states.borrow().get(name) {
             database.pool.close_idle(true);
--- a/crates/dyketally-gateway/src/node/updates.rs
+++ b/crates/dyketally-gateway/src/node/updates.rs
@@ -7,6 +7,7 @@
 
 use dyketally::directory::{Announcement, DirectoryChange};
 use dyketally::identifiers::ZoneName;
+use dyketally::time::Timestamp;
 use dyketally_store::key_value::{Entry, Key, WatchEvent};
 use dyketally_store::update::StoreUpdate;
 
@@ -150,26 +151,25 @@
                 changes
             }
             StoreUpdate::Changed(WatchEvent::Put(entry)) => {
-                let Some(announcement) = self.announcement(&entry) else {
-                    return;
-                };
-                let mut directory = self.gateway.databases.directory.borrow_mut();
-                let change = directory.announced(now, announcement.clone());
-                drop(directory);
-                self.gateway
-                    .databases
-                    .record_start_announcement(&announcement);
-                change.into_iter().collect()
+                match self.announcement(&entry) {
+                    Some(announcement) => {
+                        let mut directory = self.gateway.databases.directory.borrow_mut();
+                        let change = directory.announced(now, announcement.clone());
+                        drop(directory);
+                        self.gateway
+                            .databases
+                            .record_start_announcement(&announcement);
+                        change.into_iter().collect()
+                    }
+                    // As in a complete list, an entry that can't be read names no database.
+                    None => {
+                        self.record_vanished(now, &entry.key);
+                        Vec::new()
+                    }
+                }
             }
             StoreUpdate::Changed(WatchEvent::Deleted { key, .. }) => {
-                if let Some(name) = self.documents.announced_database(&key.to_string()) {
-                    self.gateway
-                        .databases
-                        .directory
-                        .borrow_mut()
-                        .vanished(now, &name);
-                    self.gateway.databases.record_unannounced(&name);
-                }
+                self.record_vanished(now, &key);
                 Vec::new()
             }
         };
@@ -179,6 +179,16 @@
         self.gateway.databases.remove_unlisted_after_grace();
     }
 
+    /// Records that no entry names the database of `key` any more.
+    fn record_vanished(&self, now: Timestamp, key: &Key) {
+        let Some(name) = self.documents.announced_database(&key.to_string()) else {
+            return;
+        };
+        let databases = &self.gateway.databases;
+        databases.directory.borrow_mut().vanished(now, &name);
+        databases.record_unannounced(&name);
+    }
+
     /// Decodes an announcement; logs the entry as refused if that fails.
     fn announcement(&self, entry: &Entry) -> Option<Announcement> {
         let read = self
--- a/crates/dyketally-store/src/error.rs
+++ b/crates/dyketally-store/src/error.rs
@@ -79,6 +79,20 @@
 }
 
 impl StoreError {
+    /// The store refused the call for a lasting reason.
+    pub fn rejected(reason: &str) -> Self {
+        Self::Rejected {
+            reason: reason.to_owned(),
+        }
+    }
+
+    /// The store's answer can't be decoded.
+    pub fn malformed(error: impl ToString) -> Self {
+        Self::Malformed {
+            reason: error.to_string(),
+        }
+    }
+
     /// True when a change may have taken effect although the request failed.
     pub fn may_have_taken_effect(&self) -> bool {
         matches!(
--- a/crates/dyketally/src/directory/mod.rs
+++ b/crates/dyketally/src/directory/mod.rs
@@ -2,6 +2,7 @@
 
 mod group_index;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,6 +24,11 @@
     Gone,
 }
 
+/// Unix millisecond at which a database started. Together with its name it identifies one life of the database: one that
+/// starts again under its name holds and knows nothing of before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incarnation(pub u64);
+
 /// What a database announces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
@@ -42,6 +48,8 @@
     pub role: Role,
     /// Time left after its start in which it cannot take its full load.
     pub cold_for: Duration,
+    /// When it started; `None` if it doesn't tell.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// A database in the directory.
@@ -81,6 +89,8 @@
     Appeared(DatabaseName),
     /// A database is leaving.
     Leaving(DatabaseName),
+    /// A database has started again under its name.
+    Restarted(DatabaseName),
     /// A database announced another role.
     RoleChanged(DatabaseName, Role),
     /// A database was removed from the directory.
@@ -111,6 +121,18 @@
             self.members.insert(name.clone(), member);
             return Some(DirectoryChange::Appeared(name));
         };
+        match announcement
+            .incarnation
+            .cmp(&known.announcement.incarnation)
+        {
+            // The store may hold an older entry again after it returned from a copy.
+            Ordering::Less if announcement.incarnation.is_some() => return None,
+            Ordering::Greater if known.announcement.incarnation.is_some() => {
+                self.restarted(now, announcement, &known);
+                return Some(DirectoryChange::Restarted(name));
+            }
+            _ => {}
+        }
         let role_changed = known.announcement.role != announcement.role;
         let mut member = self.new_member(now, announcement);
         member.listed_since = known.listed_since;
@@ -138,6 +160,16 @@
         role_changed.then_some(DirectoryChange::RoleChanged(name, role))
     }
 
+    /// Replaces a member by its next life, of which nothing is known but its announcement.
+    fn restarted(&mut self, now: Timestamp, announcement: Announcement, former: &Member) {
+        let name = announcement.database.clone();
+        let member = self.new_member(now, announcement);
+        self.groups.remove(&former.announcement.group, &name);
+        self.groups.insert(&member.announcement.group, &name);
+        self.unlisted.remove(&name);
+        self.members.insert(name, member);
+    }
+
     /// Records that a database's announcement is missing. The database may have left, or the store may
     /// have lost the announcement: [`Directory::settle_unlisted`] decides later.
     pub fn vanished(&mut self, now: Timestamp, name: &DatabaseName) {
--- a/crates/dyketally/tests/directory.rs
+++ b/crates/dyketally/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dyketally::directory::{Announcement, Directory, DirectoryChange, MemberState};
+use dyketally::directory::{Announcement, Directory, DirectoryChange, Incarnation, MemberState};
 use dyketally::group::Role;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::time::Timestamp;
@@ -21,6 +21,7 @@
         ready,
         role,
         cold_for: Duration::ZERO,
+        incarnation: None,
     }
 }
 
@@ -116,3 +117,56 @@
     assert_eq!(changes, vec![DirectoryChange::Forgotten("a".into())]);
     assert_eq!(directory.groups(), Vec::new());
 }
+
+fn born(at_ms: u64, name: &str, role: Role) -> Announcement {
+    Announcement {
+        incarnation: Some(Incarnation(at_ms)),
+        ..announcement(name, role, true)
+    }
+}
+
+#[test]
+fn a_database_that_starts_again_under_its_name_begins_anew() {
+    let mut directory = Directory::default();
+    directory.announced(at(0), born(1, "a", Role::Replica));
+    directory.announced(at(1), born(1, "a", Role::Primary));
+    directory.refused_as_primary(&"a".into());
+    let change = directory.announced(at(2), born(2, "a", Role::Replica));
+    assert_eq!(change, Some(DirectoryChange::Restarted("a".into())));
+    let member = directory.member(&"a".into()).expect("a member");
+    assert_eq!(member.listed_since, at(2));
+    assert_eq!(member.promoted_at, None);
+    assert!(!member.refuted);
+    assert_eq!(primary_of(&directory), None);
+}
+
+#[test]
+fn an_announcement_of_a_former_life_changes_nothing() {
+    let mut directory = Directory::default();
+    directory.announced(at(0), born(2, "a", Role::Replica));
+    let change = directory.announced(at(1), born(1, "a", Role::Primary));
+    assert_eq!(change, None);
+    assert_eq!(primary_of(&directory), None);
+}
+
+#[test]
+fn a_life_that_is_announced_again_goes_on() {
+    let mut directory = Directory::default();
+    directory.announced(at(0), born(1, "a", Role::Primary));
+    assert_eq!(
+        directory.announced(at(1), born(1, "a", Role::Primary)),
+        None
+    );
+    assert_eq!(primary_of(&directory), Some("a".into()));
+}
+
+#[test]
+fn a_database_that_starts_again_in_another_group_belongs_to_it_alone() {
+    let mut directory = Directory::default();
+    directory.announced(at(0), born(1, "a", Role::Primary));
+    let mut moved = born(2, "a", Role::Primary);
+    moved.group = "stock".into();
+    directory.announced(at(1), moved);
+    assert_eq!(primary_of(&directory), None);
+    assert_eq!(directory.groups(), vec![GroupName::from("stock")]);
+}
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -489,5 +489,6 @@
         ready: true,
         role,
         cold_for: Duration::ZERO,
+        incarnation: None,
     }
 }
