Store the number of nodes, by which a node that starts decides what to read

The coordinator of a fleet of more than 128 nodes stores how many there are, without a lease. A node that starts reads that first, and in a large fleet nothing long: it asks the coordinator and seeds for relays, which send the rest.

--- a/crates/dyketally-gateway/src/fleet/membership.rs
+++ b/crates/dyketally-gateway/src/fleet/membership.rs
@@ -17,7 +17,9 @@
 /// store. As long as the lease of a node's key.
 pub(crate) const DEPARTED_RETENTION: Duration = Duration::from_secs(30);
 /// Number of nodes up to which each node may send messages to each other one.
-const MAX_MESHED_NODES: usize = 128;
+pub const MAX_MESHED_NODES: usize = 128;
+/// The stored number of nodes may be off by one part in this many.
+const STORED_SIZE_TOLERANCE: usize = 4;
 /// Maximum number of relays named by other nodes that are kept.
 const MAX_NAMED_RELAYS: usize = 8;
 
@@ -73,6 +75,8 @@
     nodes: RefCell<BTreeMap<NodeName, NodeRecord>>,
     /// True once all of the nodes' keys have been read from the store.
     known: Cell<bool>,
+    /// The number of nodes as the store holds it; `None` while this node hasn't read it.
+    stored_size: Cell<Option<usize>>,
     /// Addresses of relays that other nodes named, the last ones first.
     named_relays: RefCell<Vec<SocketAddr>>,
     /// Nodes whose key is gone from the store, each with the time since when.
@@ -85,6 +89,22 @@
         self.nodes.borrow().len().max(1)
     }
 
+    /// Records the number of nodes as the store holds it.
+    pub fn record_stored_size(&self, nodes: usize) {
+        self.stored_size.set(Some(nodes));
+    }
+
+    /// The number of nodes that the store should hold, if it holds one that is far off. A small fleet needs none.
+    pub fn size_to_store(&self) -> Option<usize> {
+        let nodes = self.node_count();
+        let is_close = |stored: usize| stored.abs_diff(nodes) * STORED_SIZE_TOLERANCE <= stored;
+        let is_needed = match self.stored_size.get() {
+            Some(stored) => !is_close(stored),
+            None => !self.is_meshed(),
+        };
+        (self.is_known() && is_needed).then_some(nodes)
+    }
+
     /// True in a fleet so small that each node may send messages to each other one.
     pub fn is_meshed(&self) -> bool {
         self.node_count() <= MAX_MESHED_NODES
--- a/crates/dyketally-gateway/src/node/nodes_handler.rs
+++ b/crates/dyketally-gateway/src/node/nodes_handler.rs
@@ -71,12 +71,17 @@
         }
     }
 
-    /// The node record in an entry, if it is one. An entry of the coordinator is recorded instead; one of a fence is
-    /// ignored.
+    /// The node record in an entry, if it is one. An entry of the coordinator or of the fleet's size is recorded
+    /// instead; one of a fence is ignored.
     fn receive_entry(&self, entry: &Entry) -> Option<NodeRecord> {
         if self.keys.fenced(&entry.key).is_some() {
             return None;
         }
+        if entry.key == self.keys.fleet_size() {
+            let size = StoreKeys::fleet_size_of(entry);
+            size.inspect(|size| self.gateway.fleet.membership.record_stored_size(*size));
+            return None;
+        }
         if entry.key == self.keys.coordinator() {
             self.gateway.fleet.coordinator.record_entry(entry);
             return None;
--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -32,7 +32,7 @@
 use std::time::Duration;
 
 use dyketally_store::key_value::{Key, StoreRevision};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 pub use publisher::serve;
 pub use relays::request_relays;
@@ -63,6 +63,8 @@
     pub nodes_wanted_now: Notify,
     /// True once the store's list of nodes was too long for every node to read it.
     has_long_list_of_nodes: Cell<bool>,
+    /// True once this node has tried to find out how many nodes there are.
+    size_requested: watch::Sender<bool>,
 }
 
 impl Feed {
@@ -77,6 +79,7 @@
             nodes_wanted: Cell::default(),
             nodes_wanted_now: Notify::new(),
             has_long_list_of_nodes: Cell::default(),
+            size_requested: watch::Sender::new(false),
         })
     }
 
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -53,6 +53,18 @@
         self.fleet.membership.record_incomplete();
     }
 
+    /// Records that this node has tried to find out how many nodes there are, by which it decides what to read.
+    pub fn record_size_requested(&self) {
+        self.size_requested.send_replace(true);
+    }
+
+    /// Waits for [`Feed::record_size_requested`].
+    pub async fn until_size_requested(&self) {
+        let mut requested = self.size_requested.subscribe();
+        // Can't fail: this object owns the sender.
+        let _ = requested.wait_for(|requested| *requested).await;
+    }
+
     /// True when this node may send messages to all nodes: in a large fleet that takes a relay or the coordinator, since
     /// messages from each node to each other one grow with the square of the fleet.
     pub fn may_poll_all_nodes(&self) -> bool {
--- a/crates/dyketally-gateway/src/store/keys.rs
+++ b/crates/dyketally-gateway/src/store/keys.rs
@@ -12,6 +12,8 @@
 const NODES: &str = "nodes/";
 /// The failover coordinator's key; it keeps the name that the coordinator had in older builds.
 const COORDINATOR: &str = "duty/primary-control";
+/// The key of the number of nodes. It is bound to no lease, so that nodes find it when all of them start again.
+const FLEET_SIZE: &str = "fleet/size";
 /// Prefix of a database's name in the key of the fence around it.
 const FENCES: &str = "fences/";
 
@@ -55,6 +57,25 @@
         Key::from(format!("{}{COORDINATOR}", self.prefix))
     }
 
+    /// The key of the number of nodes in a large fleet.
+    pub fn fleet_size(&self) -> Key {
+        Key::from(format!("{}{FLEET_SIZE}", self.prefix))
+    }
+
+    /// The operation that puts the number of nodes.
+    pub fn put_fleet_size(&self, nodes: usize) -> Operation {
+        Operation::Put(PutRequest {
+            key: self.fleet_size(),
+            value: Bytes::from(nodes.to_string()),
+            lease: None,
+        })
+    }
+
+    /// The number of nodes in the value of [`StoreKeys::fleet_size`]; `None` if it is none.
+    pub fn fleet_size_of(entry: &Entry) -> Option<usize> {
+        std::str::from_utf8(&entry.value).ok()?.parse().ok()
+    }
+
     /// The key of the fence around `database`, which exists while the database is being replaced.
     pub fn fence(&self, database: &DatabaseName) -> Key {
         Key::from(format!("{}{FENCES}{database}", self.prefix))
--- a/crates/dyketally-gateway/src/store/watch/first_read.rs
+++ b/crates/dyketally-gateway/src/store/watch/first_read.rs
@@ -10,7 +10,9 @@
 
 use super::Watcher;
 use super::watched::FirstRead;
+use crate::fleet::membership::MAX_MESHED_NODES;
 use crate::store::feed::Subject;
+use crate::store::keys::StoreKeys;
 
 /// How long a node that has just started waits for a relay before it reads from the store the keys that it doesn't
 /// need at once.
@@ -28,6 +30,8 @@
 /// How long a node waits before it reads the nodes' keys at the first start of the whole system: by then most nodes have
 /// put theirs. From an incomplete list too many nodes would take themselves for relays.
 const LIST_DELAY_AT_FIRST_START: Duration = Duration::from_secs(1);
+/// Time limit for reading how many nodes there are.
+const SIZE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Random time, up to this, that a node of a large fleet waits longer than [`RELAY_WAIT_FOR_LONG_REPLY`], and before it
 /// reads all keys after it lost its relay: if no node had a relay, all would read all keys.
 const OWN_READ_SPREAD: Duration = Duration::from_secs(8);
@@ -46,7 +50,7 @@
         let until_in_large_fleet = began + RELAY_WAIT_FOR_LONG_REPLY + own_read_delay();
         let mut has_long_reply = false;
         let mut read_at = None;
-        self.wait_for_list().await;
+        self.find_size().await;
         loop {
             // The read is abandoned once a relay is followed: by the time a large reply has arrived, the relay's
             // updates may be newer.
@@ -77,14 +81,39 @@
         }
     }
 
-    /// Waits for [`LIST_DELAY_AT_FIRST_START`], and a random time so that not all nodes read at once.
-    async fn wait_for_list(&self) {
-        if self.spec.subject == Subject::Nodes && self.parts.cx.settings.node.first_start {
-            let jitter = NODES_INTERVAL_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
-            tokio::time::sleep(LIST_DELAY_AT_FIRST_START + jitter).await;
+    /// Finds out whether the fleet is large before anything long is read: even a long answer that is given up costs the
+    /// store 80 KB and a connection, and all nodes may start at once.
+    async fn find_size(&self) {
+        let feed = &self.parts.feed;
+        let is_first_start = self.parts.cx.settings.node.first_start;
+        match self.spec.subject {
+            Subject::Nodes if is_first_start => {
+                let jitter = NODES_INTERVAL_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
+                tokio::time::sleep(LIST_DELAY_AT_FIRST_START + jitter).await;
+            }
+            Subject::Nodes => {
+                if self
+                    .stored_size()
+                    .await
+                    .is_some_and(|size| size > MAX_MESHED_NODES)
+                {
+                    feed.record_long_list_of_nodes();
+                }
+                feed.record_size_requested();
+            }
+            Subject::Configuration | Subject::Announcements if is_first_start => {}
+            Subject::Configuration | Subject::Announcements => feed.until_size_requested().await,
         }
     }
 
+    /// The number of nodes that the store holds; `None` if it holds none or doesn't reply soon.
+    async fn stored_size(&self) -> Option<usize> {
+        let key = KeyRange::key(self.parts.keys.fleet_size());
+        let read = self.parts.store.range(RangeRequest::stale(key));
+        let reply = tokio::time::timeout(SIZE_TIMEOUT, read).await.ok()?.ok()?;
+        StoreKeys::fleet_size_of(reply.entries.first()?)
+    }
+
     /// Waits until other nodes depend on this node's knowledge of the nodes.
     async fn until_nodes_wanted(&self) {
         match self.spec.subject {
@@ -122,7 +151,10 @@
     /// Reads the keys for the first time; returns the store revision to watch from if the newest keys were read.
     async fn first_read(&mut self) -> Result<Option<StoreRevision>, StoreError> {
         let range = self.spec.range();
+        let is_sent_by_relay =
+            self.spec.subject != Subject::Nodes && self.parts.feed.is_large_fleet();
         match self.spec.first_read {
+            _ if is_sent_by_relay => Ok(None),
             // Nothing is read: there are no callers yet, and a relay will send the keys.
             FirstRead::Newest if self.parts.cx.settings.node.first_start => Ok(None),
             FirstRead::Newest => {
--- a/crates/dyketally-gateway/src/succession/coordinator.rs
+++ b/crates/dyketally-gateway/src/succession/coordinator.rs
@@ -199,7 +199,10 @@
         while self.state().last_term().is_some() {
             tokio::select! {
                 () = tokio::time::sleep_until(next) => match self.renew(lease).await {
-                    Ok(()) => next = Instant::now() + RENEWAL_INTERVAL,
+                    Ok(()) => {
+                        next = Instant::now() + RENEWAL_INTERVAL;
+                        self.store_fleet_size();
+                    }
                     Err(StoreError::LeaseLapsed { .. }) => self.resign("the lease ended"),
                     // Dropped: `StoreHealth` records it, and the lease is renewed until it has lapsed.
                     Err(_) => next = Instant::now() + RENEWAL_RETRY,
@@ -214,6 +217,24 @@
         }
     }
 
+    /// Puts the number of nodes into the store, in the background, if it holds one that is far off.
+    fn store_fleet_size(&self) {
+        let Some(nodes) = self.parts.fleet.membership.size_to_store() else {
+            return;
+        };
+        let parts = self.parts.clone();
+        tokio::task::spawn_local(async move {
+            let request = TransactionRequest {
+                then: vec![parts.keys.put_fleet_size(nodes)],
+                ..TransactionRequest::default()
+            };
+            // If this fails, it is repeated after the next renewal.
+            if parts.store.transact(request).await.is_ok() {
+                parts.fleet.membership.record_stored_size(nodes);
+            }
+        });
+    }
+
     /// Renews the lease. The contact with the store that a renewal gives ends before the lease can lapse, so
     /// that the next coordinator knows that its predecessor is out of contact.
     ///
--- a/crates/dyketally-gateway/tests/stored_keys.rs
+++ b/crates/dyketally-gateway/tests/stored_keys.rs
@@ -70,6 +70,7 @@
     assert_eq!(name(keys.coordinator()), "proxy/duty/primary-control");
     let database = DatabaseName::from("ledger-1");
     assert_eq!(name(keys.fence(&database)), "proxy/fences/ledger-1");
+    assert_eq!(name(keys.fleet_size()), "proxy/fleet/size");
 }
 
 #[rstest]
@@ -168,3 +169,14 @@
     let keys = own_keys();
     assert_eq!(keys.fence_of(&entry(keys.node(), RECORD.as_bytes())), None);
 }
+
+#[test]
+fn the_number_of_nodes_is_a_decimal_without_a_lease() {
+    let keys = own_keys();
+    let put = put(keys.put_fleet_size(985));
+    assert_eq!((put.key.clone(), put.lease), (keys.fleet_size(), None));
+    assert_eq!(put.value, Bytes::from_static(b"985"));
+    assert_eq!(StoreKeys::fleet_size_of(&entry(put.key, b"985")), Some(985));
+    let other = entry(keys.fleet_size(), br#"{"nodes":985}"#);
+    assert_eq!(StoreKeys::fleet_size_of(&other), None);
+}
