--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -43,7 +43,11 @@
     /// True in a fleet in which only relays and the failover coordinator may send messages to all nodes, and in which
     /// other nodes don't read all keys from the store unless they find no relay for long.
     pub fn is_large_fleet(&self) -> bool {
-        self.has_long_list_of_nodes.get() || !self.fleet.membership.is_meshed()
+        let membership = &self.fleet.membership;
+        match membership.is_known() {
+            true => !membership.is_meshed(),
+            false => self.has_long_list_of_nodes.get(),
+        }
     }
 
     /// Records that the list of nodes is so long that not every node should read it from the store. What this node knows
--- a/crates/dyketally-gateway/src/store/watch/first_read.rs
+++ b/crates/dyketally-gateway/src/store/watch/first_read.rs
@@ -65,7 +65,7 @@
                 // Not logged here: the loop reads again, and `Watcher::run` logs the first failure of its own reads.
                 Err(_) => {}
             }
-            let until = |has_long_reply: bool| match has_long_reply || feed.is_large_fleet() {
+            let wait_until = || match has_long_reply || feed.is_large_fleet() {
                 true => until_in_large_fleet,
                 false => until,
             };
@@ -73,9 +73,10 @@
                 () = feed.until_subscribed() => return None,
                 () = feed.until_no_relay_needed() => return read_at,
                 () = self.until_nodes_wanted() => {}
-                () = tokio::time::sleep_until(self.next_read(until(has_long_reply))) => {}
+                () = tokio::time::sleep_until(self.next_read(wait_until())) => {}
             }
-            if Instant::now() >= until(has_long_reply) {
+            // Another watch may have found out meanwhile that the fleet is large.
+            if Instant::now() >= wait_until() {
                 return read_at;
             }
         }
@@ -92,11 +93,8 @@
                 tokio::time::sleep(LIST_DELAY_AT_FIRST_START + jitter).await;
             }
             Subject::Nodes => {
-                if self
-                    .stored_size()
-                    .await
-                    .is_some_and(|size| size > MAX_MESHED_NODES)
-                {
+                let size = self.stored_size().await;
+                if size.is_some_and(|size| size > MAX_MESHED_NODES) {
                     feed.record_long_list_of_nodes();
                 }
                 feed.record_size_requested();
