--- a/crates/dyketally-gateway/src/store/feed/mod.rs
+++ b/crates/dyketally-gateway/src/store/feed/mod.rs
@@ -14,6 +14,7 @@
 mod contact;
 mod copies;
 mod copy;
+mod fleet_size;
 pub mod message;
 mod nearer_relay;
 
@@ -26,13 +27,11 @@
 mod updates;
 pub mod upstream;
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use dyketally_store::key_value::{Key, StoreRevision};
-use tokio::sync::{Notify, watch};
 
 pub use publisher::serve;
 pub use relays::request_relays;
@@ -44,6 +43,7 @@
 use crate::database::Databases;
 use crate::fleet::Fleet;
 use copies::Copies;
+use fleet_size::FleetSize;
 use upstream::Upstream;
 
 /// Age of a relay's contact with the store from which on it counts as lost: its followers look for another relay,
@@ -57,14 +57,7 @@
     databases: Rc<Databases>,
     copies: Copies,
     upstream: Upstream,
-    /// True once other nodes depend on this node's knowledge of the list of nodes.
-    nodes_wanted: Cell<bool>,
-    /// Notified when other nodes depend on the list of nodes, which this node doesn't know.
-    pub nodes_wanted_now: Notify,
-    /// True once the store's list of nodes was too long for every node to read it.
-    has_long_list_of_nodes: Cell<bool>,
-    /// True once this node has tried to find out how many nodes there are.
-    size_requested: watch::Sender<bool>,
+    fleet_size: FleetSize,
 }
 
 impl Feed {
@@ -76,10 +69,7 @@
             databases,
             copies: Copies::default(),
             upstream: Upstream::default(),
-            nodes_wanted: Cell::default(),
-            nodes_wanted_now: Notify::new(),
-            has_long_list_of_nodes: Cell::default(),
-            size_requested: watch::Sender::new(false),
+            fleet_size: FleetSize::default(),
         })
     }
 
--- a/crates/dyketally-gateway/src/store/feed/relays.rs
+++ b/crates/dyketally-gateway/src/store/feed/relays.rs
@@ -28,54 +28,6 @@
 };
 
 impl Feed {
-    /// Has this node read the list of nodes now if it doesn't know it: other nodes depend on it.
-    pub fn want_nodes(&self) {
-        if !self.fleet.membership.is_known() && !self.nodes_wanted.replace(true) {
-            self.nodes_wanted_now.notify_one();
-        }
-    }
-
-    /// True when other nodes depend on this node's knowledge of the list of nodes.
-    pub fn are_nodes_wanted(&self) -> bool {
-        self.nodes_wanted.get()
-    }
-
-    /// True in a fleet in which only relays and the failover coordinator may send messages to all nodes, and in which
-    /// other nodes don't read all keys from the store unless they find no relay for long.
-    pub fn is_large_fleet(&self) -> bool {
-        let membership = &self.fleet.membership;
-        match membership.is_known() {
-            true => !membership.is_meshed(),
-            false => self.has_long_list_of_nodes.get(),
-        }
-    }
-
-    /// Records that the list of nodes is so long that not every node should read it from the store. What this node knows
-    /// of it is incomplete then, since many nodes have been listed since.
-    pub fn record_long_list_of_nodes(&self) {
-        self.has_long_list_of_nodes.set(true);
-        self.fleet.membership.record_incomplete();
-    }
-
-    /// Records that this node has tried to find out how many nodes there are, by which it decides what to read.
-    pub fn record_size_requested(&self) {
-        self.size_requested.send_replace(true);
-    }
-
-    /// Waits for [`Feed::record_size_requested`].
-    pub async fn until_size_requested(&self) {
-        let mut requested = self.size_requested.subscribe();
-        // Can't fail: this object owns the sender.
-        let _ = requested.wait_for(|requested| *requested).await;
-    }
-
-    /// True when this node may send messages to all nodes: in a large fleet that takes a relay or the coordinator, since
-    /// messages from each node to each other one grow with the square of the fleet.
-    pub fn may_poll_all_nodes(&self) -> bool {
-        let is_coordinator = self.fleet.coordinator.last_term().is_some();
-        is_coordinator || !self.is_large_fleet() || self.is_relay()
-    }
-
     /// True while the fleet is so small that every node watches the store itself.
     pub fn is_small_fleet(&self) -> bool {
         self.fleet.membership.node_count() <= SMALL_FLEET_NODES
--- a/crates/dyketally-gateway/src/store/watch/first_read.rs
+++ b/crates/dyketally-gateway/src/store/watch/first_read.rs
@@ -115,7 +115,7 @@
     /// Waits until other nodes depend on this node's knowledge of the nodes.
     async fn until_nodes_wanted(&self) {
         match self.spec.subject {
-            Subject::Nodes => self.parts.feed.nodes_wanted_now.notified().await,
+            Subject::Nodes => self.parts.feed.until_nodes_wanted().await,
             Subject::Configuration | Subject::Announcements => std::future::pending().await,
         }
     }
