Take a node's rank for a campaign after the pause that follows its start

The list that a node reads at its start may lack its own key. It then counted as a node that knows no others and drew a slot, so in a small fleet any node could become the coordinator, not the first in order.

--- a/crates/dyketally-gateway/src/succession/coordinator.rs
+++ b/crates/dyketally-gateway/src/succession/coordinator.rs
@@ -136,12 +136,13 @@
     /// Gives the nodes that rank before this one time to win, since each campaign costs calls to the store.
     async fn pause_before_campaign(&self) {
         let running_for = self.parts.cx.now().saturating_since(Timestamp::ZERO);
-        let rank = self.rank();
-        let after_start = match rank {
-            CampaignRank::Unknown { .. } => CAMPAIGN_DELAY_IN_LARGE_FLEET,
-            CampaignRank::Known(_) => CAMPAIGN_DELAY_AFTER_START,
+        let after_start = match self.parts.fleet.membership.is_known() {
+            true => CAMPAIGN_DELAY_AFTER_START,
+            false => CAMPAIGN_DELAY_IN_LARGE_FLEET,
         };
         tokio::time::sleep(after_start.saturating_sub(running_for)).await;
+        // The list that a node reads at its start may lack its own key.
+        let rank = self.rank();
         let random = rand::rng().random_range(0.0..1.0);
         tokio::time::sleep(campaign_delay(rank, random)).await;
     }
