--- a/crates/dyketally/src/document/fault.rs
+++ b/crates/dyketally/src/document/fault.rs
@@ -43,7 +43,7 @@
         /// The operating system's message.
         message: String,
     },
-    /// A table has a key that isn't one of its fields.
+    /// A table has an unknown key.
     #[error("unknown key; remove it or use one of: {known}")]
     UnknownKey {
         /// The keys that the table may have, separated by commas.
