Put members, rank nodes and look up fences in one place each

A member of the directory was added, replaced and replaced by its next life by three copies of the same steps; Directory::put does it now. Ranking::of repeated placement::rank: both call one function. The check before each send looked a member up again by the name of the member it had.

--- a/crates/dyketally-gateway/src/database/eligibility.rs
+++ b/crates/dyketally-gateway/src/database/eligibility.rs
@@ -52,7 +52,7 @@
         let standing = DatabaseCondition {
             database: member.name(),
             region: &region,
-            fenced: self.is_fenced(member.name()),
+            fenced: self.is_member_fenced(member),
             leaving_for,
             evacuated_for,
             has_successor,
--- a/crates/dyketally-gateway/src/database/fences.rs
+++ b/crates/dyketally-gateway/src/database/fences.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use dyketally::directory::Member;
 use dyketally::failover::{ActiveFence, FenceId};
 use dyketally::identifiers::DatabaseName;
 use dyketally::time::Timestamp;
@@ -42,15 +43,18 @@
     /// True while `database` must not be treated as the leader of its group, because of a fence around it or around
     /// another database of the group.
     pub fn is_fenced(&self, database: &DatabaseName) -> bool {
-        let now = self.cx.now();
-        let fences = self.fences.borrow();
-        let directory = self.directory.borrow();
-        match directory.member(database) {
-            Some(member) => fences.hold_for(now, &directory, member),
-            None => fences.is_fenced(now, database),
+        match self.directory.borrow().member(database) {
+            Some(member) => self.is_member_fenced(member),
+            None => self.is_named_by_fence(database),
         }
     }
 
+    /// As [`Databases::is_fenced`], for a member of the directory.
+    pub(super) fn is_member_fenced(&self, member: &Member) -> bool {
+        let fences = self.fences.borrow();
+        fences.hold_for(self.cx.now(), &self.directory.borrow(), member)
+    }
+
     /// True while a fence names `database`.
     fn is_named_by_fence(&self, database: &DatabaseName) -> bool {
         self.fences.borrow().is_fenced(self.cx.now(), database)
--- a/crates/dyketally/src/directory/mod.rs
+++ b/crates/dyketally/src/directory/mod.rs
@@ -117,8 +117,7 @@
         let name = announcement.database.clone();
         let Some(known) = self.members.get(&name).cloned() else {
             let member = self.new_member(now, announcement);
-            self.groups.insert(&member.announcement.group, &name);
-            self.members.insert(name.clone(), member);
+            self.put(member);
             return Some(DirectoryChange::Appeared(name));
         };
         match announcement
@@ -128,7 +127,8 @@
             // The store may hold an older entry again after it returned from a copy.
             Ordering::Less if announcement.incarnation.is_some() => return None,
             Ordering::Greater if known.announcement.incarnation.is_some() => {
-                self.restarted(now, announcement, &known);
+                let member = self.new_member(now, announcement);
+                self.put(member);
                 return Some(DirectoryChange::Restarted(name));
             }
             _ => {}
@@ -148,26 +148,23 @@
         }
         let left = known.state == MemberState::Ready && member.state != MemberState::Ready;
         let role = member.announcement.role;
-        if known.announcement.group != member.announcement.group {
-            self.groups.remove(&known.announcement.group, &name);
-            self.groups.insert(&member.announcement.group, &name);
-        }
-        self.unlisted.remove(&name);
-        self.members.insert(name.clone(), member);
+        self.put(member);
         if left {
             return Some(DirectoryChange::Leaving(name));
         }
         role_changed.then_some(DirectoryChange::RoleChanged(name, role))
     }
 
-    /// Replaces a member by its next life, of which nothing is known but its announcement.
-    fn restarted(&mut self, now: Timestamp, announcement: Announcement, former: &Member) {
-        let name = announcement.database.clone();
-        let member = self.new_member(now, announcement);
-        self.groups.remove(&former.announcement.group, &name);
-        self.groups.insert(&member.announcement.group, &name);
+    /// Adds a listed member, or replaces it.
+    fn put(&mut self, member: Member) {
+        let name = member.name().clone();
+        let group = member.announcement.group.clone();
         self.unlisted.remove(&name);
-        self.members.insert(name, member);
+        let former = self.members.insert(name.clone(), member);
+        if let Some(former) = former.filter(|former| former.announcement.group != group) {
+            self.groups.remove(&former.announcement.group, &name);
+        }
+        self.groups.insert(&group, &name);
     }
 
     /// Records that a database's announcement is missing. The database may have left, or the store may
--- a/crates/dyketally/src/placement/mod.rs
+++ b/crates/dyketally/src/placement/mod.rs
@@ -75,7 +75,17 @@
     candidates: impl IntoIterator<Item = Candidate<'a>>,
     count: usize,
 ) -> Vec<&'a NodeName> {
-    let key = Key::of_database(database);
+    let ranked = rank_for(Key::of_database(database), locality, candidates, count);
+    ranked.iter().map(|entry| entry.node).collect()
+}
+
+/// The first `count` nodes for the database of `key`, with what they were compared by.
+fn rank_for<'a>(
+    key: Key,
+    locality: &Locality,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
+    count: usize,
+) -> Vec<Ranked<'a>> {
     let ranked = candidates.into_iter().filter(takes_databases);
     let ranked = ranked.map(|candidate| Ranked::of_database(candidate, locality, key));
     best_first(ranked.collect(), count)
@@ -142,7 +152,8 @@
             ..ranked
         }
     });
-    best_first(ranked.collect(), count)
+    let ranked = best_first(ranked.collect(), count);
+    ranked.iter().map(|entry| entry.node).collect()
 }
 
 /// All `candidates` in the order in which they are to take the duty named `duty`: nodes with the greatest link class
@@ -168,13 +179,8 @@
     candidate.weight > 0
 }
 
-fn best_first(ranked: Vec<Ranked<'_>>, count: usize) -> Vec<&NodeName> {
-    let ranked = best_first_ranked(ranked, count);
-    ranked.iter().map(|entry| entry.node).collect()
-}
-
 /// The first `count` entries in order. Only these are sorted, not all.
-fn best_first_ranked(mut ranked: Vec<Ranked<'_>>, count: usize) -> Vec<Ranked<'_>> {
+fn best_first(mut ranked: Vec<Ranked<'_>>, count: usize) -> Vec<Ranked<'_>> {
     if count == 0 {
         return Vec::new();
     }
--- a/crates/dyketally/src/placement/ranking.rs
+++ b/crates/dyketally/src/placement/ranking.rs
@@ -5,9 +5,9 @@
 
 use crate::identifiers::{DatabaseName, Locality, NodeName};
 
-use super::score::Key;
+use super::score::{Key, Score};
 use super::tier::Tier;
-use super::{Candidate, Ranked, best_first_ranked, takes_databases};
+use super::{Candidate, Ranked, rank_for, takes_databases};
 
 /// The first nodes for a database, best first, and what tells whether a change of the nodes alters them.
 #[derive(Clone, Debug)]
@@ -26,7 +26,7 @@
 struct LastRank {
     node: NodeName,
     tier: Tier,
-    score: super::score::Score,
+    score: Score,
 }
 
 impl Ranking {
@@ -38,9 +38,7 @@
         count: usize,
     ) -> Self {
         let key = Key::of_database(database);
-        let ranked = candidates.into_iter().filter(takes_databases);
-        let ranked = ranked.map(|candidate| Ranked::of_database(candidate, locality, key));
-        let first = best_first_ranked(ranked.collect(), count);
+        let first = rank_for(key, locality, candidates, count);
         let last = first.last().map(|last| LastRank {
             node: last.node.clone(),
             tier: last.tier,
