--- a/review/standin/lost.py
+++ b/review/standin/lost.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -118,11 +119,13 @@
 def main(folder_of_case, disrupt):
     """Plays the case and exits with its result; `TROUBLE=0` leaves the disruption out."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A run that is ended from outside stops its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder_of_case / "record.txt")
     try:
         with gateway.folder() as folder:
             result = asyncio.run(play(record, folder, disrupt, trouble))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record(f"the case couldn't run: {error!r}")
         result = 2
     record(f"exit {result}")
