Bound the values and prepared statements of sessions

What callers saw: one connection that sends SET or PREPARE with new names of 1 MiB each ended the process within a second, and all sessions with it; so did eight sessions with three values of 1 MiB each, which are legal, and 400 with keys of 1 MiB. Twelve sessions with 10,000 short values took 0.92 of a core.

Cause: a session's state had no limit. Each statement copied it, for the request, for the batch, and for each pooled connection on which it ran, which kept its copy.

Fix: the budget (dyketally::budget, context::memory) divides the node's memory into accounts; what callers make it hold is a Reservation, which returns its bytes when it is dropped. A session may hold 2 MiB and 1,024 entries; beyond 4 KiB they are reserved. Copies that go along with a statement are reserved before it runs, and wait for 1 s at most. Attempts share the session's values, and an idle connection forgets a long state. What is refused has not run, is counted (dyketally_limited_total) and logged once a second.

Messages between nodes keep their bytes (tests/wire/links.rs); the test's value is the same, shared. Metrics and log get new names; none changes.

--- a/crates/dyketally-gateway/src/context/mod.rs
+++ b/crates/dyketally-gateway/src/context/mod.rs
@@ -9,6 +9,8 @@
 mod configuration;
 pub mod contact;
 pub mod input;
+mod limits;
+pub mod memory;
 mod stop;
 pub mod store_health;
 
@@ -22,6 +24,9 @@
 pub use self::clock::Clock;
 pub use self::configuration::Configuration;
 use self::contact::NodeContact;
+pub use self::limits::Limit;
+use self::limits::LimitLog;
+use self::memory::MemoryBudget;
 pub use self::stop::{Stop, StopPhase};
 use self::store_health::StoreHealth;
 use crate::counters::{Counters, StoreCalls};
@@ -47,6 +52,9 @@
     pub contact: Rc<NodeContact>,
     /// Whether the store replies.
     pub store_health: StoreHealth,
+    /// The memory for callers' bytes.
+    pub memory: MemoryBudget,
+    limits: LimitLog,
     /// Notifies tasks that routes, databases or a primary have changed.
     pub changes: Changes,
     /// The phase of the planned stop.
@@ -57,6 +65,7 @@
     /// Creates the state of a process that starts now. The client of the store counts its calls in `store_calls`.
     pub fn new(settings: Settings, store_calls: Arc<StoreCalls>) -> Rc<Self> {
         let configuration = Configuration::new(settings.access.key_policy());
+        let memory = MemoryBudget::new(settings.node.memory_mb);
         Rc::new(Self {
             settings,
             clock: Clock::start(),
@@ -66,6 +75,8 @@
             configuration,
             contact: Rc::default(),
             store_health: StoreHealth::default(),
+            memory,
+            limits: LimitLog::default(),
             changes: Changes::default(),
             stop: Stop::default(),
         })
--- a/crates/dyketally-gateway/src/counters.rs
+++ b/crates/dyketally-gateway/src/counters.rs
@@ -85,6 +85,8 @@
     pub sent_bytes_by_zone: CountsByKind,
     /// Bytes sent to nodes outside this node's region, by kind of message; also part of `sent_bytes`.
     pub sent_bytes_far: CountsByKind,
+    /// How often each limit for callers acted, by the limit's name.
+    pub limited: CountsByKind,
     /// Calls to the store.
     #[serde(flatten)]
     pub store: Arc<StoreCalls>,
--- a/crates/dyketally-gateway/src/database/batch.rs
+++ b/crates/dyketally-gateway/src/database/batch.rs
@@ -3,6 +3,7 @@
 //! Nodes send batches to each other in postcard, which depends on the order of variants and fields.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use dyketally::group::LogPosition;
@@ -14,8 +15,8 @@
 /// The session state that a connection must have before the session's statements run.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionContext {
-    /// The session's settings, by name.
-    pub values: BTreeMap<String, String>,
+    /// The session's settings, by name; shared with the session and with other attempts at the statement.
+    pub values: Rc<BTreeMap<String, String>>,
     /// The prepared statement that [`Step::Execute`] runs; `None` if the batch has no such step.
     pub prepared: Option<PreparedStatement>,
 }
--- a/crates/dyketally-gateway/src/database/connection/mod.rs
+++ b/crates/dyketally-gateway/src/database/connection/mod.rs
@@ -37,8 +37,7 @@
     session: SessionState,
     /// Number of commands without a complete answer, including those whose caller has stopped waiting.
     unanswered: usize,
-    /// When the connection was last returned to its pool.
-    pub idle_since: Instant,
+    idle_since: Instant,
     opening_began: Instant,
 }
 
@@ -208,6 +207,12 @@
         }
     }
 
+    /// Prepares the connection for being idle: frees memory that only the last session needed.
+    pub fn rest(&mut self) {
+        self.session.forget_if_long();
+        self.idle_since = Instant::now();
+    }
+
     /// When opening the connection began.
     pub fn opening_began(&self) -> Instant {
         self.opening_began
@@ -218,6 +223,11 @@
         socket::was_closed(&self.stream)
     }
 
+    /// When the connection was last returned to its pool.
+    pub fn idle_since(&self) -> Instant {
+        self.idle_since
+    }
+
     /// The user as whom the connection was opened at the database.
     pub fn user(&self) -> &DatabaseUser {
         &self.user
--- a/crates/dyketally-gateway/src/database/connection/session_state.rs
+++ b/crates/dyketally-gateway/src/database/connection/session_state.rs
@@ -5,6 +5,7 @@
 //! session's context, with as few commands as possible.
 
 use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 
 use dyketally::statement::{FailureKind, PreparedStatement};
 
@@ -16,10 +17,14 @@
 /// connection, which bounds the memory that the database uses for it.
 const MAX_PREPARED: usize = 64;
 
+/// Most bytes of settings and prepared statements that are kept for an idle connection. A connection with more is reset
+/// before its next use, so that the memory is free as soon as the session's statement has run.
+const KEPT_BYTES: usize = 16 << 10;
+
 /// The settings and prepared statements that a connection has at its database.
 #[derive(Debug, Default)]
 pub(super) struct SessionState {
-    values: BTreeMap<String, String>,
+    values: Rc<BTreeMap<String, String>>,
     /// Names of the prepared statements on this connection.
     prepared: HashMap<PreparedStatement, String>,
     /// True when the state at the database may differ from this record.
@@ -32,13 +37,28 @@
         self.must_reset |= is_uncertain;
     }
 
+    /// Forgets a long state, since no statement of its session is running any more.
+    pub(super) fn forget_if_long(&mut self) {
+        let values = self
+            .values
+            .iter()
+            .map(|(name, value)| name.len() + value.len());
+        let shapes = self.prepared.keys().map(|prepared| prepared.shape.len());
+        if values.chain(shapes).sum::<usize>() > KEPT_BYTES {
+            *self = Self {
+                must_reset: true,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Relative cost of giving the connection the settings `values`: 0 if no command is needed, 1 if settings must
     /// be sent, 2 if the connection must be reset first.
     pub(super) fn adoption_cost(&self, values: &BTreeMap<String, String>) -> u32 {
         if self.must_reset || !self.extends_to(values) {
             return 2;
         }
-        u32::from(&self.values != values)
+        u32::from(*self.values != *values)
     }
 
     /// True when `values` sets every setting that the connection has, so that no reset is needed.
@@ -61,15 +81,15 @@
             commands.push(DatabaseCommand::Own(OwnStatement::Reset));
             *self = Self::default();
         }
-        for (name, value) in values {
+        for (name, value) in values.iter() {
             if self.values.get(name) != Some(value) {
                 commands.push(DatabaseCommand::Own(OwnStatement::Set {
                     name: name.clone(),
                     value: value.clone(),
                 }));
-                self.values.insert(name.clone(), value.clone());
             }
         }
+        self.values = values.clone();
         let name = prepared.as_ref();
         let name = name.map(|prepared| self.prepare(prepared, &mut commands));
         (commands, name.unwrap_or_default())
--- a/crates/dyketally-gateway/src/database/pool/checkout.rs
+++ b/crates/dyketally-gateway/src/database/pool/checkout.rs
@@ -100,7 +100,7 @@
         self.guards.pinned = None;
         self.guards.running = None;
         self.guards.reserved = None;
-        connection.idle_since = Instant::now();
+        connection.rest();
         if self.pool.open.get() > self.pool.size.assigned_limit() {
             drop(connection);
             self.pool.connection_closed();
--- a/crates/dyketally-gateway/src/database/pool/closing.rs
+++ b/crates/dyketally-gateway/src/database/pool/closing.rs
@@ -20,14 +20,14 @@
             return;
         }
         self.close_surplus();
-        self.close_while(|_, oldest| oldest.idle_since.elapsed() >= IDLE_LIMIT);
+        self.close_while(|_, oldest| oldest.idle_since().elapsed() >= IDLE_LIMIT);
     }
 
     /// Closes idle connections past [`SURPLUS_IDLE_LIMIT`], except for those that the pool keeps.
     pub(super) fn close_surplus(&self) {
         let kept = self.size.kept_idle();
         self.close_while(|idle, oldest| {
-            idle > kept && oldest.idle_since.elapsed() >= SURPLUS_IDLE_LIMIT
+            idle > kept && oldest.idle_since().elapsed() >= SURPLUS_IDLE_LIMIT
         });
     }
 
@@ -49,7 +49,7 @@
     pub(super) fn idle_longest(&self) -> Option<usize> {
         let idle = self.idle.borrow();
         let indexed = idle.iter().enumerate();
-        let oldest = indexed.min_by_key(|(_, connection)| connection.idle_since);
+        let oldest = indexed.min_by_key(|(_, connection)| connection.idle_since());
         oldest.map(|(index, _)| index)
     }
 }
--- a/crates/dyketally-gateway/src/decision/intake.rs
+++ b/crates/dyketally-gateway/src/decision/intake.rs
@@ -10,6 +10,9 @@
 /// that sends byte by byte wakes this node at most 50 times a second.
 const SMALL_READ_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time that a caller waits for memory of this node.
+pub const MEMORY_WAIT: Duration = Duration::from_secs(1);
+
 /// Counts the small reads of a caller's message.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SmallReads(u32);
--- a/crates/dyketally-gateway/src/event.rs
+++ b/crates/dyketally-gateway/src/event.rs
@@ -251,6 +251,15 @@
         /// The result of the step.
         detail: String,
     },
+    /// A limit for callers acted. Each limit is logged once a second at most.
+    CallerLimited {
+        /// The limit.
+        limit: &'a str,
+        /// The caller's address; none where another node speaks for the caller.
+        caller: Option<String>,
+        /// Number of times that the limit acted since its last line, without this time.
+        unlogged: u64,
+    },
     /// The counters since the start of the process.
     Counters(&'a Counters),
     /// Bytes sent to other nodes since the start of the process.
--- a/crates/dyketally-gateway/src/node/exposition.rs
+++ b/crates/dyketally-gateway/src/node/exposition.rs
@@ -1,6 +1,7 @@
 //! Writes the metrics as text: counters and timings since the start of the process, and gauges of its state at the
 //! time of the request.
 
+use dyketally::budget::Account;
 use prometheus::{Encoder, Gauge, IntGaugeVec, Opts, Registry, TextEncoder};
 use serde_json::Value;
 
@@ -65,6 +66,16 @@
             "Open sessions.",
             self.gateway.sessions.open_count(),
         );
+        let held = gauges(
+            registry,
+            "dyketally_caller_bytes",
+            "Bytes reserved for callers.",
+            &["account"],
+        );
+        for account in Account::ALL {
+            let bytes = self.gateway.cx.memory.held(account);
+            held.with_label_values(&[account.name()]).set(bytes as i64);
+        }
         set(
             "dyketally_nodes",
             "Nodes that run.",
--- a/crates/dyketally-gateway/src/session/caller.rs
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -1,5 +1,6 @@
 //! The caller's connection of a session: reads messages and writes replies.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use super::Sessions;
 use super::admission::Admission;
 use super::load::BufferedInput;
+use crate::context::Limit;
 use crate::context::input::InputBuffer;
 use crate::decision::intake::SmallReads;
 use crate::ports::{CallerMessage, Reply};
@@ -110,6 +112,18 @@
         }
     }
 
+    /// The caller's address; `None` if its connection is broken.
+    pub(super) fn address(&self) -> Option<SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+
+    /// Records that `limit` acted on the caller, and tells the caller why its session ends.
+    pub(super) async fn refuse_for(&mut self, limit: Limit, reason: &str) {
+        self.sessions.cx.limit_acted(limit, self.address());
+        self.refuse(Response::failed(FailureKind::Overloaded, reason))
+            .await;
+    }
+
     /// Sends the caller the reason why no session is opened, or why the session ends.
     pub(super) async fn refuse(&mut self, response: Response) {
         if let Err(failure) = response.end {
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod operation;
 mod serving;
+mod variables;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use self::caller::{Caller, ConnectRequest};
 use self::load::{OpenSession, SessionLoad};
 use self::serving::Session;
-use crate::context::{Context, accept};
+use crate::context::{Context, Limit, accept};
 use crate::database::connection::prepare_socket;
 use crate::ports::SharedCallerProtocol;
 use crate::quota::Quotas;
@@ -106,8 +107,14 @@
     let Some(ConnectRequest { database, key }) = caller.handshake().await else {
         return;
     };
-    let mut session = Session::new(&sessions, database, key);
-    session.run(&mut caller).await;
+    match Session::new(&sessions, caller.address(), database, key) {
+        Ok(mut session) => session.run(&mut caller).await,
+        Err(limit) => {
+            caller
+                .refuse_for(Limit::SessionState, &limit.to_string())
+                .await
+        }
+    }
 }
 
 /// Refuses a session because this node is full.
--- a/crates/dyketally-gateway/src/session/operation.rs
+++ b/crates/dyketally-gateway/src/session/operation.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use dyketally::budget::{Account, FREE_BYTES, STATE_COPIES};
 use dyketally::group::LogPosition;
 use dyketally::policy::Access;
 use dyketally::statement::{FailureKind, TransactionState};
@@ -11,7 +12,10 @@
 
 use super::admission::Admission;
 use super::serving::Session;
+use crate::context::Limit;
+use crate::context::memory::Reservation;
 use crate::decision::Reason;
+use crate::decision::intake::MEMORY_WAIT;
 use crate::ports::CallerStatement;
 use crate::quota::QuotaExceeded;
 use crate::statement::dispatch::Dispatches;
@@ -56,20 +60,60 @@
         access: Access,
         execution: Option<Execution>,
     ) -> (Response, TransactionState) {
+        let state_copies = match self.reserve_state_copies(execution.as_ref()).await {
+            Ok(state_copies) => state_copies,
+            Err(refused) => return (refused, self.fail_transaction()),
+        };
         if let (Some(admission), true) = (&self.admission, self.transaction.is_some()) {
             let key_is_valid = admission.is_valid(&self.sessions.cx);
-            let request = self.request(statement, execution, admission.clone());
+            let mut request = self.request(statement, execution, admission.clone());
+            request.state_copies = state_copies;
             return self.run_in_transaction(request, access, key_is_valid).await;
         }
         let admission = match self.admit() {
             Ok(admission) => admission,
             Err(refused) => return (refused, TransactionState::Idle),
         };
-        let request = self.request(statement, execution, admission);
+        let mut request = self.request(statement, execution, admission);
+        request.state_copies = state_copies;
         let response = self.run_single(request, access).await;
         (response, TransactionState::Idle)
     }
 
+    /// Reserves memory for the copies of the session's state that are sent along with a statement; nothing for a short
+    /// state.
+    async fn reserve_state_copies(
+        &self,
+        execution: Option<&Execution>,
+    ) -> Result<Option<Reservation>, Response> {
+        let prepared = execution.map(|execution| &execution.prepared);
+        let bytes = self.variables.carried_bytes(prepared);
+        if bytes <= FREE_BYTES {
+            return Ok(None);
+        }
+        let cx = &self.sessions.cx;
+        let copies = STATE_COPIES * bytes as u64;
+        let reserving = cx.memory.reserve(Account::CarriedState, copies);
+        match tokio::time::timeout(MEMORY_WAIT, reserving).await {
+            Ok(reservation) => Ok(Some(reservation)),
+            Err(_) => {
+                cx.limit_acted(Limit::CarriedState, self.address);
+                Err(Response::out_of_memory())
+            }
+        }
+    }
+
+    /// Marks the open transaction as failed; returns the state of the session.
+    fn fail_transaction(&mut self) -> TransactionState {
+        match &mut self.transaction {
+            Some(transaction) => {
+                transaction.failed = true;
+                TransactionState::Failed
+            }
+            None => TransactionState::Idle,
+        }
+    }
+
     async fn run_in_transaction(
         &mut self,
         request: Request,
@@ -183,7 +227,8 @@
             id: statement.id,
             text: statement.text,
             execution,
-            values: self.values.clone(),
+            values: self.variables.values().clone(),
+            state_copies: None,
             arrived: self.sessions.cx.now(),
             connected: self.connected,
             own_commit: self.own_commit,
--- a/crates/dyketally-gateway/src/session/serving.rs
+++ b/crates/dyketally-gateway/src/session/serving.rs
@@ -1,19 +1,20 @@
 //! A session from connect to close: serves its messages in order and keeps its state in between.
 
-use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use dyketally::group::LogPosition;
 use dyketally::policy::Access;
-use dyketally::statement::{FailureKind, PreparedStatement, StatementKind, TransactionState};
+use dyketally::statement::{FailureKind, StatementKind, TransactionState};
 use dyketally::tenant::ApiKey;
 use dyketally::time::Timestamp;
 
 use super::Sessions;
 use super::admission::Admission;
 use super::caller::{Caller, SessionEvent};
-use crate::context::StopPhase;
+use super::variables::{StateLimit, Variables};
+use crate::context::{Limit, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement};
 use crate::statement::request::{Execution, Response};
 use crate::statement::transaction::Transaction;
@@ -24,11 +25,12 @@
 /// A caller's session.
 pub(super) struct Session {
     pub(super) sessions: Rc<Sessions>,
+    /// The caller's address; `None` if its connection broke at once.
+    pub(super) address: Option<SocketAddr>,
     pub(super) database: String,
     pub(super) key: ApiKey,
     pub(super) connected: Timestamp,
-    pub(super) values: BTreeMap<String, String>,
-    pub(super) prepared: HashMap<String, PreparedStatement>,
+    pub(super) variables: Variables,
     pub(super) transaction: Option<Transaction>,
     /// Admission of the open transaction.
     pub(super) admission: Option<Admission>,
@@ -37,18 +39,28 @@
 
 impl Session {
     /// A session that was just connected.
-    pub(super) fn new(sessions: &Rc<Sessions>, database: String, key: ApiKey) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// There is no memory for its key.
+    pub(super) fn new(
+        sessions: &Rc<Sessions>,
+        address: Option<SocketAddr>,
+        database: String,
+        key: ApiKey,
+    ) -> Result<Self, StateLimit> {
+        let opening_bytes = database.len() + key.length();
+        let variables = Variables::of_session(opening_bytes, &sessions.cx.memory)?;
+        Ok(Self {
             sessions: sessions.clone(),
+            address,
             database,
             key,
             connected: sessions.cx.now(),
-            values: BTreeMap::new(),
-            prepared: HashMap::new(),
+            variables,
             transaction: None,
             admission: None,
             own_commit: None,
-        }
+        })
     }
 
     /// Serves the session's statements one after the other, until the caller disconnects or the process stops.
@@ -133,22 +145,23 @@
             StatementKind::Read => self.run_statement(statement, Access::Read, None).await,
             StatementKind::Write => self.run_statement(statement, Access::Write, None).await,
             StatementKind::Set { name, value } => {
-                self.values.insert(name, value);
-                if let Some(transaction) = &mut self.transaction {
+                let set = self.variables.set(&self.sessions.cx.memory, name, value);
+                if let (Ok(()), Some(transaction)) = (&set, &mut self.transaction) {
                     transaction.set_values = true;
                 }
-                (own_success(), self.state())
+                (self.state_change(set), self.state())
             }
             StatementKind::Prepare { name, prepared } => {
-                self.prepared.insert(name, prepared);
-                (own_success(), self.state())
+                let memory = &self.sessions.cx.memory;
+                let prepared = self.variables.prepare(memory, name, prepared);
+                (self.state_change(prepared), self.state())
             }
             StatementKind::Deallocate { name } => {
-                self.prepared.remove(&name);
+                self.variables.deallocate(&name);
                 (own_success(), self.state())
             }
             StatementKind::Execute { name, arguments } => {
-                let Some(prepared) = self.prepared.get(&name).cloned() else {
+                let Some(prepared) = self.variables.prepared(&name).cloned() else {
                     let response = Response::failed(
                         FailureKind::UnknownPrepared,
                         "no statement is prepared under this name; prepare it first",
@@ -165,6 +178,19 @@
         }
     }
 
+    /// The answer to a statement that changes the session's state.
+    fn state_change(&self, changed: Result<(), StateLimit>) -> Response {
+        match changed {
+            Ok(()) => own_success(),
+            Err(limit) => {
+                self.sessions
+                    .cx
+                    .limit_acted(Limit::SessionState, self.address);
+                Response::failed(FailureKind::Overloaded, &limit.to_string())
+            }
+        }
+    }
+
     fn state(&self) -> TransactionState {
         match &self.transaction {
             None => TransactionState::Idle,
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -17,6 +17,7 @@
 use dyketally::time::Timestamp;
 use tokio::time::Instant;
 
+use crate::context::memory::Reservation;
 use crate::database::batch::{Batch, SessionContext, Step};
 use crate::database::connection::Answer;
 use crate::database::connection_request::failure_kind;
@@ -58,7 +59,9 @@
     /// Set when the statement runs a prepared one.
     pub execution: Option<Execution>,
     /// Values that the session has set.
-    pub values: BTreeMap<String, String>,
+    pub values: Rc<BTreeMap<String, String>>,
+    /// Memory for the copies of the session's state that are sent along; `None` for a short state.
+    pub state_copies: Option<Reservation>,
     /// Route of the statement.
     pub route: Rc<RoutePolicy>,
     /// The caller's tenant, on routes that need an API key.
@@ -121,6 +124,18 @@
         )
     }
 
+    /// This node has no memory for the statement, which hasn't run.
+    pub fn out_of_memory() -> Self {
+        let retry_after_ms = come_back::after_rollback().as_millis();
+        Self::failed(
+            FailureKind::Overloaded,
+            &format!(
+                "this node's memory for long messages is used up and the statement has not run; \
+                 connect to another node, or retry after {retry_after_ms} ms"
+            ),
+        )
+    }
+
     /// The operation would exceed the tenant's quota; nothing of it has run.
     pub fn over_quota(retry_after: Duration) -> Self {
         Self::failed(
--- a/crates/dyketally-gateway/tests/log_events.rs
+++ b/crates/dyketally-gateway/tests/log_events.rs
@@ -86,6 +86,7 @@
     FencePutUp { database: "stock-0", source: "store" }
     FenceLifted { database: "stock-0" }
     FailoverStep { group: "stock", step: "start", detail: "Lost".to_owned() }
+    CallerLimited { limit: "session_state", caller: Some("127.0.0.1:7001".to_owned()), unlogged: 3 }
     Counters { 0: counters }
     Traffic { sent_bytes: BTreeMap::from([(node("node-2"), 1_000)]) }
     StatementDecided {
@@ -125,6 +126,7 @@
     counters.sent_bytes.add("ping", 16);
     counters.sent_bytes_by_zone.add("east", 17);
     counters.sent_bytes_far.add("ping", 18);
+    counters.limited.add("calls", 19);
     counters
 }
 
--- a/crates/dyketally-gateway/tests/wire/links.rs
+++ b/crates/dyketally-gateway/tests/wire/links.rs
@@ -130,7 +130,7 @@
     let values = [("tz", "UTC"), ("lang", "de")];
     let values = values.map(|(name, value)| (name.to_owned(), value.to_owned()));
     SessionContext {
-        values: BTreeMap::from(values),
+        values: BTreeMap::from(values).into(),
         prepared,
     }
 }
--- a/crates/dyketally/src/lib.rs
+++ b/crates/dyketally/src/lib.rs
@@ -5,6 +5,7 @@
 //! code.
 
 pub mod admission;
+pub mod budget;
 pub mod capacity;
 pub mod configuration;
 pub mod delta;
--- a/crates/dyketally/src/tenant/api_key.rs
+++ b/crates/dyketally/src/tenant/api_key.rs
@@ -15,6 +15,11 @@
         Self(SecretString::from(key.into()))
     }
 
+    /// Length of the key in bytes.
+    pub fn length(&self) -> usize {
+        self.bytes().len()
+    }
+
     /// The key's bytes, to be hashed.
     pub(super) fn bytes(&self) -> &[u8] {
         self.0.expose_secret().as_bytes()
