Reserve the memory of a caller's message before it is read

What callers saw: 400 connections that send one legal statement of 1 MiB each, reads or writes, in one piece, ended the process within a second. An unfinished message in the shared limit of a crowd turned away whoever read next.

Cause: only incomplete messages were counted, by their length. A whole message lived on, uncounted, in queues, batches, attempts and calls.

Fix: beyond 4 KiB a message is read only once memory for it is reserved, for four copies of the longest message of its class (64 KiB, 1 MiB); the rest returns when its length is known, and all of it when the last attempt at its statement ends. So a message that has been read can always be served. Who finds none waits, unread, for 1 s, and is refused then; a connection without a session at once. An unfinished message that others wait for keeps its memory for 0.5 s, any other for 30 s.

--- a/crates/dyketally-gateway/src/context/input.rs
+++ b/crates/dyketally-gateway/src/context/input.rs
@@ -1,6 +1,6 @@
 //! Bytes that a peer has sent and that aren't decoded yet.
 
-use bytes::BytesMut;
+use bytes::{BufMut, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 use crate::ports::ProtocolError;
@@ -51,8 +51,8 @@
         Ok(message)
     }
 
-    /// Makes room for at least `more` further bytes, and appends what `source` has. Returns the number of bytes read, 0
-    /// at the end of the source.
+    /// Makes room for at least `more` further bytes, and appends at most `at_most` bytes of what `source` has. Returns the
+    /// number of bytes read, 0 at the end of the source.
     ///
     /// # Errors
     /// The source can't be read.
@@ -60,8 +60,10 @@
         &mut self,
         source: &mut (impl AsyncRead + Unpin),
         more: usize,
+        at_most: usize,
     ) -> std::io::Result<usize> {
         self.bytes.reserve(more);
-        source.read_buf(&mut self.bytes).await
+        let mut room = (&mut self.bytes).limit(at_most);
+        source.read_buf(&mut room).await
     }
 }
--- a/crates/dyketally-gateway/src/context/memory.rs
+++ b/crates/dyketally-gateway/src/context/memory.rs
@@ -28,6 +28,7 @@
 /// Bytes of an account that are in use until this is dropped.
 #[must_use = "the bytes are free again when the reservation is dropped"]
 pub struct Reservation {
+    account: Account,
     balance: Rc<Balance>,
     permit: OwnedSemaphorePermit,
 }
@@ -77,6 +78,7 @@
         let wanted = balance.wanted(bytes);
         let permit = balance.free.clone().acquire_many_owned(wanted).await;
         Reservation {
+            account,
             balance: balance.clone(),
             permit: permit.expect("accounts are never closed"),
         }
@@ -91,6 +93,7 @@
             .try_acquire_many_owned(balance.wanted(bytes))
             .ok()?;
         Some(Reservation {
+            account,
             balance: balance.clone(),
             permit,
         })
@@ -115,6 +118,11 @@
 }
 
 impl Reservation {
+    /// The account of the bytes.
+    pub fn account(&self) -> Account {
+        self.account
+    }
+
     /// Number of bytes.
     pub fn bytes(&self) -> u64 {
         self.permit.num_permits() as u64
--- a/crates/dyketally-gateway/src/database/connection/mod.rs
+++ b/crates/dyketally-gateway/src/database/connection/mod.rs
@@ -200,7 +200,10 @@
             if let Some(reply) = decoded.map_err(Disconnected::new)? {
                 return Ok(reply);
             }
-            let read = self.input.read_from(&mut self.stream, READ_CHUNK).await;
+            let read = self
+                .input
+                .read_from(&mut self.stream, READ_CHUNK, usize::MAX)
+                .await;
             if read.map_err(Disconnected::new)? == 0 {
                 return Err(Disconnected::new("closed by the database"));
             }
--- a/crates/dyketally-gateway/src/decision/mod.rs
+++ b/crates/dyketally-gateway/src/decision/mod.rs
@@ -10,7 +10,7 @@
 //! | How long may a statement wait in the queue for a connection? | [`admit`] |
 //! | How long does a statement wait for a usable primary? | [`wait`] |
 //! | Which statements are retried, how often, and after which pause? | [`retry`] |
-//! | How is a message read that arrives in small pieces? | [`intake`] |
+//! | How is a message read that arrives slowly or in small pieces? | [`intake`] |
 //! | When is a read also sent to a second database? | [`hedge`] |
 //! | When is a statement given up before its deadline? | [`give_up`] |
 //! | Which error does the caller receive for a statement without an answer? | [`refuse`] |
--- a/crates/dyketally-gateway/src/ports.rs
+++ b/crates/dyketally-gateway/src/ports.rs
@@ -163,6 +163,9 @@
 
 /// The wire protocol between callers and the gateway.
 pub trait CallerProtocol {
+    /// Length of the longest valid message, in bytes.
+    fn longest_message(&self) -> usize;
+
     /// False when the message at the front of `input` surely doesn't end in the bytes from the index `from` on.
     fn may_end(&self, input: &[u8], from: usize) -> bool;
 
--- a/crates/dyketally-gateway/src/session/caller.rs
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -13,10 +13,9 @@
 
 use super::Sessions;
 use super::admission::Admission;
-use super::load::BufferedInput;
+use super::intake::{Intake, Patience, Received};
 use crate::context::Limit;
-use crate::context::input::InputBuffer;
-use crate::decision::intake::SmallReads;
+use crate::context::memory::Reservation;
 use crate::ports::{CallerMessage, Reply};
 use crate::statement::request::Response;
 
@@ -29,8 +28,6 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_600);
 /// Longest time that a caller may take to accept an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes reserved in the buffer for each read.
-const READ_CHUNK: usize = 1_024;
 
 /// The first message of a caller.
 pub(super) struct ConnectRequest {
@@ -44,16 +41,15 @@
 pub(super) struct Caller {
     sessions: Rc<Sessions>,
     stream: TcpStream,
-    input: InputBuffer,
-    /// Counts the bytes in `input` towards the limit of this node.
-    buffered: BufferedInput,
+    intake: Intake,
 }
 
 /// What happened while a session waited for its caller.
 pub(super) enum SessionEvent {
-    Message(CallerMessage),
+    /// A message, and the memory that it takes beyond the free bytes.
+    Message(CallerMessage, Option<Reservation>),
     Closed,
-    InputRejected(String),
+    InputRejected(Response),
     TransactionIdle,
     Stop,
 }
@@ -61,20 +57,26 @@
 impl Caller {
     /// A connection that was just accepted.
     pub(super) fn new(sessions: Rc<Sessions>, stream: TcpStream) -> Self {
-        let buffered = BufferedInput::none(&sessions.load);
         Self {
+            intake: Intake::new(sessions.protocol.clone()),
             sessions,
             stream,
-            input: InputBuffer::default(),
-            buffered,
         }
     }
 
     /// Reads the first message, checks it and confirms the session. Returns `None` when no session is opened.
     pub(super) async fn handshake(&mut self) -> Option<ConnectRequest> {
-        let message = tokio::time::timeout(HANDSHAKE_TIMEOUT, self.next_message()).await;
-        let SessionEvent::Message(CallerMessage::Connect { database, key }) = message.ok()? else {
-            return None;
+        let message = self.next_message(Patience::None);
+        let (database, key) = match tokio::time::timeout(HANDSHAKE_TIMEOUT, message)
+            .await
+            .ok()?
+        {
+            SessionEvent::Message(CallerMessage::Connect { database, key }, _) => (database, key),
+            SessionEvent::InputRejected(response) => {
+                self.refuse(response).await;
+                return None;
+            }
+            _ => return None,
         };
         self.sessions
             .cx
@@ -102,8 +104,9 @@
 
     /// Waits briefly for the first message, and refuses the session with the advice to connect to another node.
     pub(super) async fn refuse_handshake(&mut self) {
-        let message = tokio::time::timeout(REFUSAL_TIMEOUT, self.next_message()).await;
-        if let Ok(SessionEvent::Message(_)) = message {
+        let message = self.next_message(Patience::None);
+        let message = tokio::time::timeout(REFUSAL_TIMEOUT, message).await;
+        if let Ok(SessionEvent::Message(..)) = message {
             let response = Response::failed(
                 FailureKind::Overloaded,
                 "this node has reached its session limit; connect to another node",
@@ -133,33 +136,21 @@
     }
 
     /// Waits for the next message.
-    pub(super) async fn next_message(&mut self) -> SessionEvent {
-        let mut small_reads = SmallReads::default();
-        loop {
-            let protocol = &self.sessions.protocol;
-            let decoded = self.input.decode(
-                |bytes, from| protocol.may_end(bytes, from),
-                |bytes| protocol.decode(bytes),
-            );
-            match decoded {
-                Ok(Some(message)) => return SessionEvent::Message(message),
-                Ok(None) => {}
-                Err(error) => return SessionEvent::InputRejected(error.to_string()),
-            }
-            self.buffered.set(self.input.len());
-            if !self.buffered.fits() {
-                return SessionEvent::InputRejected(
-                    "this node's memory for incomplete messages is used up; connect to another node".to_owned(),
-                );
-            }
-            if let Some(pause) = small_reads.pause() {
-                tokio::time::sleep(pause).await;
+    pub(super) async fn next_message(&mut self, patience: Patience) -> SessionEvent {
+        let budget = &self.sessions.cx.memory;
+        let received = self.intake.next(&mut self.stream, budget, patience).await;
+        let (limit, response) = match received {
+            Received::Message(message, memory) => return SessionEvent::Message(message, memory),
+            Received::Closed => return SessionEvent::Closed,
+            Received::Malformed(reason) => {
+                let response = Response::failed(FailureKind::Malformed, &reason);
+                return SessionEvent::InputRejected(response);
             }
-            match self.input.read_from(&mut self.stream, READ_CHUNK).await {
-                Ok(0) | Err(_) => return SessionEvent::Closed,
-                Ok(bytes) => small_reads.record(bytes),
-            }
-        }
+            Received::OutOfMemory => (Limit::MessageMemory, Response::out_of_memory()),
+            Received::TooSlow => (Limit::SlowMessage, Response::message_too_slow()),
+        };
+        self.sessions.cx.limit_acted(limit, self.address());
+        SessionEvent::InputRejected(response)
     }
 
     async fn write(&mut self, replies: &[Reply]) -> Option<()> {
--- a/crates/dyketally-gateway/src/session/load.rs
+++ b/crates/dyketally-gateway/src/session/load.rs
@@ -1,4 +1,4 @@
-//! Number of open sessions of this node, and the size of their buffered input.
+//! Number of open sessions of this node.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -13,8 +13,6 @@
     cx: Rc<Context>,
     capacity: Capacity,
     open: Cell<u32>,
-    /// Bytes of incomplete messages, over all callers.
-    buffered: Rc<Cell<u64>>,
     full: Cell<bool>,
 }
 
@@ -25,7 +23,6 @@
             capacity: cx.settings.node.capacity(),
             cx,
             open: Cell::new(0),
-            buffered: Rc::default(),
             full: Cell::new(false),
         })
     }
@@ -78,39 +75,3 @@
         self.count(self.0.open.get() - 1);
     }
 }
-
-/// Size of one connection's buffered input; no longer counted once this is dropped.
-pub(super) struct BufferedInput {
-    own: u64,
-    all: Rc<Cell<u64>>,
-    limit: Option<u64>,
-}
-
-impl BufferedInput {
-    /// A connection without buffered input.
-    pub(super) fn none(load: &SessionLoad) -> Self {
-        Self {
-            own: 0,
-            all: load.buffered.clone(),
-            limit: load.capacity.input_bytes(),
-        }
-    }
-
-    /// Sets the number of buffered bytes.
-    pub(super) fn set(&mut self, bytes: usize) {
-        let bytes = bytes as u64;
-        self.all.set(self.all.get() - self.own + bytes);
-        self.own = bytes;
-    }
-
-    /// True while the input of all connections together is within the limit, or this connection has none.
-    pub(super) fn fits(&self) -> bool {
-        self.own == 0 || self.limit.is_none_or(|limit| self.all.get() <= limit)
-    }
-}
-
-impl Drop for BufferedInput {
-    fn drop(&mut self) {
-        self.set(0);
-    }
-}
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -1,15 +1,16 @@
 //! Sessions of callers: their connections, values, prepared statements and transactions, and how many of
 //! them this node can hold.
 //!
-//! `caller` reads a message. `serving` answers it or passes a statement to `operation`, which gets its
+//! `caller` receives a message by way of `intake`. `serving` answers it or passes a statement to `operation`, which gets its
 //! route and tenant from `admission`, obtains a permit and runs it with `statement`. `load` counts the
-//! sessions and their buffered input.
+//! sessions; `variables` holds a session's values and prepared statements.
 //!
 //! [`Sessions`] owns the load; each session owns its state between statements. Depends on `statement` to
 //! run statements, and on `quota` for permits.
 
 mod admission;
 mod caller;
+mod intake;
 mod load;
 mod operation;
 mod serving;
--- a/crates/dyketally-gateway/src/session/operation.rs
+++ b/crates/dyketally-gateway/src/session/operation.rs
@@ -228,6 +228,7 @@
             text: statement.text,
             execution,
             values: self.variables.values().clone(),
+            memory: self.message_memory.clone(),
             state_copies: None,
             arrived: self.sessions.cx.now(),
             connected: self.connected,
--- a/crates/dyketally-gateway/src/session/serving.rs
+++ b/crates/dyketally-gateway/src/session/serving.rs
@@ -13,7 +13,9 @@
 use super::Sessions;
 use super::admission::Admission;
 use super::caller::{Caller, SessionEvent};
+use super::intake::Patience;
 use super::variables::{StateLimit, Variables};
+use crate::context::memory::Reservation;
 use crate::context::{Limit, StopPhase};
 use crate::ports::{CallerMessage, CallerStatement};
 use crate::statement::request::{Execution, Response};
@@ -31,6 +33,8 @@
     pub(super) key: ApiKey,
     pub(super) connected: Timestamp,
     pub(super) variables: Variables,
+    /// Memory of the message that is being served, beyond the free bytes. Attempts that outlast it share it.
+    pub(super) message_memory: Option<Rc<Reservation>>,
     pub(super) transaction: Option<Transaction>,
     /// Admission of the open transaction.
     pub(super) admission: Option<Admission>,
@@ -57,6 +61,7 @@
             key,
             connected: sessions.cx.now(),
             variables,
+            message_memory: None,
             transaction: None,
             admission: None,
             own_commit: None,
@@ -67,19 +72,20 @@
     pub(super) async fn run(&mut self, caller: &mut Caller) {
         loop {
             match self.next_event(caller).await {
-                SessionEvent::Message(CallerMessage::Statement(statement)) => {
+                SessionEvent::Message(CallerMessage::Statement(statement), memory) => {
+                    self.message_memory = memory.map(Rc::new);
                     let (response, state) = self.serve(statement).await;
                     if caller.answer(response, state).await.is_none() {
                         return;
                     }
+                    self.message_memory = None;
                 }
                 SessionEvent::TransactionIdle => self.roll_back_idle_transaction(),
-                SessionEvent::InputRejected(reason) => {
-                    let response = Response::failed(FailureKind::Malformed, &reason);
+                SessionEvent::InputRejected(response) => {
                     caller.refuse(response).await;
                     return;
                 }
-                SessionEvent::Message(_) | SessionEvent::Closed | SessionEvent::Stop => return,
+                SessionEvent::Message(..) | SessionEvent::Closed | SessionEvent::Stop => return,
             }
         }
     }
@@ -97,7 +103,7 @@
         };
         tokio::select! {
             biased;
-            event = caller.next_message() => event,
+            event = caller.next_message(Patience::Session) => event,
             () = idle => SessionEvent::TransactionIdle,
             () = self.stop_requested() => SessionEvent::Stop,
         }
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -56,6 +56,8 @@
     pub id: Bytes,
     /// Text of the statement.
     pub text: Bytes,
+    /// Memory of the caller's message, as long as any attempt needs it; `None` for a short message.
+    pub memory: Option<Rc<Reservation>>,
     /// Set when the statement runs a prepared one.
     pub execution: Option<Execution>,
     /// Values that the session has set.
@@ -136,6 +138,14 @@
         )
     }
 
+    /// The caller's message didn't arrive in time, so that it hasn't run.
+    pub fn message_too_slow() -> Self {
+        Self::failed(
+            FailureKind::Overloaded,
+            "the message took too long to arrive and has not run; send it in one piece",
+        )
+    }
+
     /// The operation would exceed the tenant's quota; nothing of it has run.
     pub fn over_quota(retry_after: Duration) -> Self {
         Self::failed(
--- a/crates/dyketally/src/budget.rs
+++ b/crates/dyketally/src/budget.rs
@@ -81,7 +81,7 @@
     /// the rest is for the sessions themselves and for the process.
     pub fn share_of(self, memory: u64) -> u64 {
         match self {
-            Self::LongMessages => memory / 6,
+            Self::LongMessages => memory / 4 - Self::ShortMessages.share_of(memory),
             Self::ShortMessages | Self::Answers | Self::Calls => memory / 12,
             Self::SessionState | Self::CarriedState => memory / 16,
         }
--- a/crates/dyketally/src/capacity.rs
+++ b/crates/dyketally/src/capacity.rs
@@ -1,5 +1,4 @@
-//! Limits of a node: the number of sessions by its file descriptors, the bytes of buffered input by its
-//! memory.
+//! Limits of a node's sessions by its file descriptors. [`crate::budget`] divides its memory.
 //!
 //! Without limits, a node runs out of descriptors for its links and databases and can then serve no
 //! caller at all, or the system kills it when its memory is used up. New sessions are therefore refused
@@ -13,9 +12,6 @@
 const MAX_CONCURRENT_REFUSALS: u32 = 128;
 /// Least session limit, however few descriptors there are.
 const MIN_SESSION_LIMIT: u32 = 16;
-/// Divides a node's memory; the quotient is the limit for buffered input that isn't a whole message yet. A
-/// session itself takes 7.4 KB, so descriptors run out long before sessions fill the rest of the memory.
-const INPUT_MEMORY_DIVISOR: u64 = 4;
 /// Share of the session limit at or below which a node that was full reports itself ready again.
 const READY_AGAIN_SHARE: f64 = 0.9;
 
@@ -67,11 +63,4 @@
             false => open >= limit,
         }
     }
-
-    /// Most bytes of incomplete messages that all sessions together may buffer; `None` when they are not
-    /// limited.
-    pub fn input_bytes(self) -> Option<u64> {
-        let memory = u64::from(self.memory_mb?) << 20;
-        Some(memory / INPUT_MEMORY_DIVISOR)
-    }
 }
--- a/crates/dyketally/tests/capacity.rs
+++ b/crates/dyketally/tests/capacity.rs
@@ -1,4 +1,4 @@
-//! How many sessions and how much input a node accepts for its file descriptors and memory.
+//! How many sessions a node accepts for its file descriptors.
 
 use dyketally::capacity::{Capacity, SessionVerdict};
 use rstest::rstest;
@@ -31,7 +31,6 @@
     let unlimited = Capacity::default();
     assert_eq!(unlimited.judge(u32::MAX), SessionVerdict::Serve);
     assert!(!unlimited.is_full(u32::MAX, false));
-    assert_eq!(unlimited.input_bytes(), None);
 }
 
 #[rstest]
@@ -46,12 +45,3 @@
 ) {
     assert_eq!(with_descriptors(4_300).is_full(open, was_full), expected);
 }
-
-#[test]
-fn input_gets_a_quarter_of_the_memory() {
-    let small = Capacity {
-        descriptors: None,
-        memory_mb: Some(160),
-    };
-    assert_eq!(small.input_bytes(), Some(40 << 20));
-}
