Shorten callers' ids in the log

What callers saw: 200 clients with ids of 0.9 MB whose statements fail; the process held over 160 MB and was gone.

Cause: statement_decided logged the whole id, up to 1 MiB (more when escaped) a line and 40 lines a second, written while everybody waits.

Fix: the log shows the first 128 bytes of an id.

--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -1,6 +1,7 @@
 //! A caller's statement with all that is needed to serve it: deadline, queue timeouts, the commits that it
 //! has to see. Obtains the permission to send it and writes its log line.
 
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -32,6 +33,9 @@
 use crate::statement::Statements;
 use crate::statement::dispatch::{Dispatch, Dispatches, ProvenNotRun};
 
+/// Most bytes of a caller's id that the log shows. Ids of up to 1 MiB are valid.
+const SHOWN_ID_BYTES: usize = 128;
+
 /// Position of a statement in its transaction.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -200,6 +204,11 @@
     }
 }
 
+/// A caller's id for the log: its first [`SHOWN_ID_BYTES`].
+fn shown_id(id: &[u8]) -> Cow<'_, str> {
+    String::from_utf8_lossy(&id[..id.len().min(SHOWN_ID_BYTES)])
+}
+
 impl Request {
     /// The session state that a connection must have to run the statement.
     pub fn context(&self) -> SessionContext {
@@ -316,7 +325,7 @@
             Err(failure) => format!("{:?}", failure.kind),
         };
         statements.cx.events.write(&Event::StatementDecided {
-            id: &String::from_utf8_lossy(&self.id),
+            id: &shown_id(&self.id),
             group: self.route.group.as_str(),
             tenant: tenant_label(self.tenant.as_ref().map(|tenant| &tenant.name)),
             outcome,
