Bound answers that callers don't read

What callers saw: 150 sessions that ask for rows of 0.9 MB and read none ended the process; 60 that read 4 KiB now and then took 134 MB of 160.

Cause: an answer's rows were collected without a limit, encoded whole beside the rows, and kept for a caller that doesn't read.

Fix: answers beyond 4 KiB draw on an account. An answer exists before its memory can be refused, so those are dropped whose callers have read nothing for the longest time, and their sessions closed; a caller that reads moves to the end of that order. Rows are encoded 32 KiB at a time and freed as they go. Rows beyond 3 MiB are read and dropped, and the caller gets a failure that says that the statement has run; the connection serves others afterwards.

--- a/crates/dyketally-gateway/src/context/memory.rs
+++ b/crates/dyketally-gateway/src/context/memory.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use super::answers::UnreadAnswers;
 use dyketally::budget::Account;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -16,6 +17,8 @@
 /// The memory for callers' bytes.
 pub struct MemoryBudget {
     balances: [Rc<Balance>; Account::ALL.len()],
+    /// Answers that their callers haven't read yet, which take [`Account::Answers`].
+    pub answers: Rc<UnreadAnswers>,
 }
 
 /// The free bytes of an account. Those who wait for bytes get them in the order in which they came.
@@ -52,18 +55,22 @@
 impl MemoryBudget {
     /// A budget of which nothing is in use, on a node with `memory_mb` mebibytes; `None` if its memory isn't limited.
     pub fn new(memory_mb: Option<u32>) -> Self {
+        let size = |account: Account| match memory_mb {
+            Some(memory_mb) => account.share_of(u64::from(memory_mb) << 20),
+            None => UNLIMITED,
+        };
         let balances = Account::ALL.map(|account| {
-            let size = match memory_mb {
-                Some(memory_mb) => account.share_of(u64::from(memory_mb) << 20),
-                None => UNLIMITED,
-            };
+            let size = size(account);
             Rc::new(Balance {
                 size,
                 free: Arc::new(Semaphore::new(size as usize)),
                 waiting: Cell::new(0),
             })
         });
-        Self { balances }
+        Self {
+            balances,
+            answers: UnreadAnswers::new(size(Account::Answers)),
+        }
     }
 
     fn balance(&self, account: Account) -> &Rc<Balance> {
@@ -101,14 +108,12 @@
 
     /// Bytes of an account that are in use.
     pub fn held(&self, account: Account) -> u64 {
+        if account == Account::Answers {
+            return self.answers.held();
+        }
         let balance = self.balance(account);
         balance.size - balance.free.available_permits() as u64
     }
-
-    /// All bytes of an account.
-    pub fn size(&self, account: Account) -> u64 {
-        self.balance(account).size
-    }
 }
 
 impl Balance {
--- a/crates/dyketally-gateway/src/context/mod.rs
+++ b/crates/dyketally-gateway/src/context/mod.rs
@@ -4,6 +4,7 @@
 //! Relies on no higher layer: every part is built with an `Rc<Context>`.
 
 mod accept;
+mod answers;
 mod changes;
 mod clock;
 mod configuration;
@@ -20,6 +21,7 @@
 use dyketally::time::Timestamp;
 
 pub use self::accept::accept;
+pub use self::answers::UnreadAnswer;
 pub use self::changes::Changes;
 pub use self::clock::Clock;
 pub use self::configuration::Configuration;
--- a/crates/dyketally-gateway/src/database/connection/answer.rs
+++ b/crates/dyketally-gateway/src/database/connection/answer.rs
@@ -1,5 +1,6 @@
 //! Complete answers of a database to commands.
 
+use super::rows::TOO_LONG;
 use bytes::Bytes;
 use dyketally::group::LogPosition;
 use dyketally::statement::{Failure, TransactionState};
@@ -22,6 +23,11 @@
 }
 
 impl Answer {
+    /// True when the answer was dropped since it was longer than the longest that is passed on.
+    pub fn was_too_long(&self) -> bool {
+        matches!(&self.end, Err(failure) if failure.message == TOO_LONG)
+    }
+
     /// True when the database reported a failure that means it hasn't run the statement.
     pub fn was_rejected(&self) -> bool {
         matches!(&self.end, Err(failure) if failure.kind.not_run())
--- a/crates/dyketally-gateway/src/database/connection/mod.rs
+++ b/crates/dyketally-gateway/src/database/connection/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connector;
 mod error;
+mod rows;
 mod session_state;
 mod socket;
 
@@ -22,6 +23,7 @@
 pub use self::answer::{Answer, end_outside_transaction};
 pub use self::connector::{Connector, Destination, Forwarding, Route};
 pub use self::error::{Disconnected, OpenError};
+use self::rows::Rows;
 use self::session_state::SessionState;
 pub use self::socket::{is_open_without_input, prepare_socket};
 
@@ -168,7 +170,7 @@
     }
 
     async fn read_answer(&mut self) -> Result<Answer, Disconnected> {
-        let mut rows = Vec::new();
+        let mut rows = Rows::default();
         let mut end = Err(Failure {
             kind: FailureKind::Other,
             message: "the database gave no result".to_owned(),
@@ -180,7 +182,7 @@
                 Reply::Failed(failure) => end = Err(failure),
                 Reply::Ready { state, position } => {
                     return Ok(Answer {
-                        rows,
+                        rows: rows.within_limit(&mut end),
                         end,
                         state,
                         position,
--- a/crates/dyketally-gateway/src/fleet/access.rs
+++ b/crates/dyketally-gateway/src/fleet/access.rs
@@ -12,6 +12,7 @@
 use dyketally::statement::FailureKind;
 use tokio::time::Instant;
 
+use crate::context::Limit;
 use crate::database::Databases;
 use crate::database::batch::Batch;
 use crate::database::connection::{Answer, Disconnected};
@@ -148,6 +149,9 @@
         match result {
             Ok(answers) => {
                 target.state.record_answer(started.elapsed());
+                if answers.iter().any(Answer::was_too_long) {
+                    self.fleet.cx.limit_acted(Limit::LongAnswer, None);
+                }
                 Ok(answers)
             }
             Err(error) => Err(self.exchange_error(target, is_own, error)),
--- a/crates/dyketally-gateway/src/session/caller.rs
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
+use dyketally::budget::{FREE_BYTES, ROW_BYTES};
 use dyketally::statement::{FailureKind, TransactionState};
 use dyketally::tenant::ApiKey;
 use tokio::io::AsyncWriteExt;
@@ -14,8 +15,8 @@
 use super::Sessions;
 use super::admission::Admission;
 use super::intake::{Intake, Patience, Received};
-use crate::context::Limit;
 use crate::context::memory::Reservation;
+use crate::context::{Limit, UnreadAnswer};
 use crate::ports::{CallerMessage, Reply};
 use crate::statement::request::Response;
 
@@ -28,6 +29,8 @@
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_600);
 /// Longest time that a caller may take to accept an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of bytes of a long answer that are encoded before they are written.
+const WRITE_CHUNK: usize = 32 << 10;
 
 /// The first message of a caller.
 pub(super) struct ConnectRequest {
@@ -153,10 +156,11 @@
         SessionEvent::InputRejected(response)
     }
 
+    /// Writes replies that are short together.
     async fn write(&mut self, replies: &[Reply]) -> Option<()> {
         let mut output = BytesMut::new();
-        for response in replies {
-            self.sessions.protocol.encode(response, &mut output);
+        for reply in replies {
+            self.sessions.protocol.encode(reply, &mut output);
         }
         let writing = self.stream.write_all(&output);
         let written = tokio::time::timeout(WRITE_TIMEOUT, writing).await;
@@ -174,19 +178,106 @@
             Ok(_) => counters.served.add(),
             Err(_) => counters.failed.add(),
         }
-        let rows = match response.end.is_ok() {
-            true => response.rows,
-            false => Vec::new(),
+        let replies = Replies::new(response, state);
+        let bytes = replies.bytes();
+        if bytes <= FREE_BYTES {
+            let replies: Vec<Reply> = replies.collect();
+            return self.write(&replies).await;
+        }
+        let unread = self.sessions.cx.memory.answers.add(bytes as u64);
+        let writing = self.write_long(replies, unread);
+        match tokio::time::timeout(WRITE_TIMEOUT, writing).await.ok()? {
+            Ok(()) => Some(()),
+            Err(Unwritten::Broken) => None,
+            Err(Unwritten::OutOfMemory) => {
+                let limit = Limit::UnreadAnswer;
+                self.sessions.cx.limit_acted(limit, self.address());
+                None
+            }
+        }
+    }
+
+    /// Writes replies part by part, so that only a part of them is encoded at the same time.
+    async fn write_long(
+        &mut self,
+        mut replies: Replies,
+        mut unread: UnreadAnswer,
+    ) -> Result<(), Unwritten> {
+        let mut output = BytesMut::new();
+        loop {
+            let reply = replies.next();
+            if let Some(reply) = &reply {
+                self.sessions.protocol.encode(reply, &mut output);
+            }
+            if output.len() < WRITE_CHUNK && reply.is_some() {
+                continue;
+            }
+            while !output.is_empty() {
+                tokio::select! {
+                    written = self.stream.write_buf(&mut output) => {
+                        written.map_err(|_| Unwritten::Broken)?;
+                        unread.progressed();
+                    }
+                    () = unread.dropped() => return Err(Unwritten::OutOfMemory),
+                }
+            }
+            if reply.is_none() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Why an answer wasn't written.
+enum Unwritten {
+    /// The connection broke.
+    Broken,
+    /// The memory was needed for other answers.
+    OutOfMemory,
+}
+
+/// The replies that make up the answer to a statement.
+struct Replies {
+    rows: std::vec::IntoIter<Bytes>,
+    end: Option<Reply>,
+    ready: Option<Reply>,
+}
+
+impl Replies {
+    fn new(response: Response, state: TransactionState) -> Self {
+        let (rows, end) = match response.end {
+            Ok(signature) => (response.rows, Reply::Complete(signature)),
+            Err(failure) => (Vec::new(), Reply::Failed(failure)),
+        };
+        Self {
+            rows: rows.into_iter(),
+            end: Some(end),
+            ready: Some(Reply::Ready {
+                state,
+                position: response.position,
+            }),
+        }
+    }
+
+    /// Bytes that the replies take until they are written.
+    fn bytes(&self) -> usize {
+        let rows = self.rows.as_slice().iter();
+        let rows: usize = rows.map(|row| row.len() + ROW_BYTES).sum();
+        let end = match &self.end {
+            Some(Reply::Complete(signature)) => signature.len(),
+            Some(Reply::Failed(failure)) => failure.message.len(),
+            _ => 0,
         };
-        let mut replies: Vec<Reply> = rows.into_iter().map(Reply::Row).collect();
-        replies.push(match response.end {
-            Ok(signature) => Reply::Complete(signature),
-            Err(failure) => Reply::Failed(failure),
-        });
-        replies.push(Reply::Ready {
-            state,
-            position: response.position,
-        });
-        self.write(&replies).await
+        rows + end
+    }
+}
+
+impl Iterator for Replies {
+    type Item = Reply;
+
+    fn next(&mut self) -> Option<Reply> {
+        let row = self.rows.next().map(Reply::Row);
+        row.or_else(|| self.end.take())
+            .or_else(|| self.ready.take())
     }
 }
