Close still sessions to make room for new ones

What callers saw: 3,900 connections that stop in the middle of CONNECT, or sessions that are confirmed and say nothing, filled a node's session limit: new sessions were refused for as long as they stood, without a served one for 3.4 s, 4.4 s and 5.6 s of 6.

Cause: at the limit the newcomer was refused, whoever held the slots.

Fix: a session with nothing asked loses nothing when it is closed. At the limit, the node closes the one that has been still for the longest time: first connections without a first message (after 0.25 s), then sessions without a statement, then idle ones (after 1.5 s); never one with a transaction or a statement. Only if there is none the newcomer is refused. A full node also closes sessions of the first two kinds until it is ready.

The ordinary callers of the tests keep a session whose statement was refused, as the platform's clients do, and try another node meanwhile.

The three tests fail without the fix.

--- a/crates/dyketally-gateway/src/decision/mod.rs
+++ b/crates/dyketally-gateway/src/decision/mod.rs
@@ -15,6 +15,7 @@
 //! | When is a statement given up before its deadline? | [`give_up`] |
 //! | Which error does the caller receive for a statement without an answer? | [`refuse`] |
 //! | What does a refusal or an answer show about the database that sent it? | [`learn`] |
+//! | Which sessions are closed to make room for a new one? | [`make_room`] |
 //! | When should a refused caller retry? | [`come_back`] |
 //!
 //! The folder owns no state, does no I/O and reads no clock; random samples are passed in. It depends on
@@ -27,6 +28,7 @@
 pub mod hedge;
 pub mod intake;
 pub mod learn;
+pub mod make_room;
 mod reason;
 pub mod refuse;
 pub mod retry;
--- a/crates/dyketally-gateway/src/session/caller.rs
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -15,6 +15,7 @@
 use super::Sessions;
 use super::admission::Admission;
 use super::intake::{Intake, Patience, Received};
+use super::load::OpenSession;
 use crate::context::memory::Reservation;
 use crate::context::{Limit, UnreadAnswer};
 use crate::ports::{CallerMessage, Reply};
@@ -68,7 +69,7 @@
     }
 
     /// Reads the first message, checks it and confirms the session. Returns `None` when no session is opened.
-    pub(super) async fn handshake(&mut self) -> Option<ConnectRequest> {
+    pub(super) async fn handshake(&mut self, open: &mut OpenSession) -> Option<ConnectRequest> {
         let message = self.next_message(Patience::None);
         let (database, key) = match tokio::time::timeout(HANDSHAKE_TIMEOUT, message)
             .await
@@ -81,6 +82,7 @@
             }
             _ => return None,
         };
+        open.set_busy();
         self.sessions
             .cx
             .wait_until_configured(Instant::now() + CONFIGURATION_WAIT)
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -91,29 +91,39 @@
         return;
     }
     let open = OpenSession::begin(&sessions.load);
+    let closed = open.closed();
     let sessions = sessions.clone();
     tokio::task::spawn_local(async move {
-        match verdict {
-            SessionVerdict::Serve => serve(sessions, stream, open).await,
-            SessionVerdict::Refuse | SessionVerdict::Close => refuse(sessions, stream, open).await,
+        let served = async {
+            match verdict {
+                SessionVerdict::Serve => serve(sessions, stream, open).await,
+                SessionVerdict::Refuse | SessionVerdict::Close => {
+                    refuse(sessions, stream, open).await;
+                }
+            }
+        };
+        tokio::select! {
+            // First, since a session that was told to close must not begin anything.
+            biased;
+            () = closed.notified() => {}
+            () = served => {}
         }
     });
 }
 
 /// Serves one caller until it disconnects or the process stops.
-async fn serve(sessions: Rc<Sessions>, stream: TcpStream, _open: OpenSession) {
+async fn serve(sessions: Rc<Sessions>, stream: TcpStream, mut open: OpenSession) {
     prepare_socket(&stream);
     sessions.cx.counters.sessions.add();
     let mut caller = Caller::new(sessions.clone(), stream);
-    let Some(ConnectRequest { database, key }) = caller.handshake().await else {
+    let Some(ConnectRequest { database, key }) = caller.handshake(&mut open).await else {
         return;
     };
     match Session::new(&sessions, caller.address(), database, key) {
-        Ok(mut session) => session.run(&mut caller).await,
+        Ok(mut session) => session.run(&mut caller, &mut open).await,
         Err(limit) => {
-            caller
-                .refuse_for(Limit::SessionState, &limit.to_string())
-                .await
+            let limit = limit.to_string();
+            caller.refuse_for(Limit::SessionState, &limit).await;
         }
     }
 }
--- a/crates/dyketally-gateway/src/session/serving.rs
+++ b/crates/dyketally-gateway/src/session/serving.rs
@@ -14,9 +14,11 @@
 use super::admission::Admission;
 use super::caller::{Caller, SessionEvent};
 use super::intake::Patience;
+use super::load::OpenSession;
 use super::variables::{StateLimit, Variables};
 use crate::context::memory::Reservation;
 use crate::context::{Limit, StopPhase};
+use crate::decision::make_room::Stillness;
 use crate::ports::{CallerMessage, CallerStatement};
 use crate::statement::request::{Execution, Response};
 use crate::statement::transaction::Transaction;
@@ -69,9 +71,15 @@
     }
 
     /// Serves the session's statements one after the other, until the caller disconnects or the process stops.
-    pub(super) async fn run(&mut self, caller: &mut Caller) {
+    pub(super) async fn run(&mut self, caller: &mut Caller, open: &mut OpenSession) {
+        let mut stillness = Stillness::Silent;
         loop {
-            match self.next_event(caller).await {
+            if self.transaction.is_none() {
+                open.set_still(stillness);
+            }
+            let event = self.next_event(caller).await;
+            open.set_busy();
+            match event {
                 SessionEvent::Message(CallerMessage::Statement(statement), memory) => {
                     self.message_memory = memory.map(Rc::new);
                     let (response, state) = self.serve(statement).await;
@@ -79,6 +87,7 @@
                         return;
                     }
                     self.message_memory = None;
+                    stillness = Stillness::Idle;
                 }
                 SessionEvent::TransactionIdle => self.roll_back_idle_transaction(),
                 SessionEvent::InputRejected(response) => {
--- a/crates/dyketally-gateway/tests/decision/main.rs
+++ b/crates/dyketally-gateway/tests/decision/main.rs
@@ -5,6 +5,7 @@
 mod give_up;
 mod intake;
 mod learn;
+mod make_room;
 mod refuse;
 mod retry;
 mod waits;
