Serve messages of exactly the longest length

What callers saw: a read of exactly 1 MiB after a write, on a route of own writes or of bounded staleness, in calm: INDOUBT after 12 attempts, or no answer.

Cause: the position that the database's log must hold goes before the statement, so the message for the database was longer than 1 MiB; the database closes the connection. An EXECUTE grew in the same way, by the two letters of the connection's own names.

Fix: a statement whose message has no room for a position goes to the primary, which needs none. The connection's names of prepared statements are one letter long, so they never are longer than the caller's. A connection is never broken by a message of legal length any more, so it counts against no database.

A message of one byte more is refused as malformed, and the connection closed.

--- a/crates/dyketally-gateway/src/database/connection/session_state.rs
+++ b/crates/dyketally-gateway/src/database/connection/session_state.rs
@@ -13,6 +13,10 @@
 use crate::database::batch::SessionContext;
 use crate::ports::{DatabaseCommand, OwnStatement};
 
+/// The names of a connection's prepared statements. They are as short as the shortest name that callers use, so that a
+/// message for the database is never longer than the caller's.
+const NAMES: &[u8; MAX_PREPARED] =
+    b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_-";
 /// Maximum number of prepared statements of one connection. At this number the next context resets the
 /// connection, which bounds the memory that the database uses for it.
 const MAX_PREPARED: usize = 64;
@@ -103,7 +107,7 @@
         if let Some(name) = self.prepared.get(prepared) {
             return name.clone();
         }
-        let name = format!("p{}", self.prepared.len());
+        let name = char::from(NAMES[self.prepared.len()]).to_string();
         commands.push(DatabaseCommand::Own(OwnStatement::Prepare {
             name: name.clone(),
             prepared: prepared.clone(),
--- a/crates/dyketally-gateway/src/session/operation.rs
+++ b/crates/dyketally-gateway/src/session/operation.rs
@@ -23,6 +23,11 @@
 use crate::statement::request::{Execution, Request, Response};
 use crate::statement::transaction::Transaction;
 
+/// Most bytes of a message for a database beside the id and the text of its statement.
+const FRAMING_BYTES: usize = 64;
+/// Most bytes that the position takes which a database's log must hold.
+const POSITION_BYTES: usize = 64;
+
 impl Session {
     /// Commits the open transaction.
     pub(super) async fn commit(
@@ -223,7 +228,9 @@
         admission: Admission,
     ) -> Request {
         let Admission { route, tenant } = admission;
+        let length = statement.id.len() + statement.text.len() + FRAMING_BYTES + POSITION_BYTES;
         Request {
+            has_room_for_position: length <= self.sessions.protocol.longest_message(),
             id: statement.id,
             text: statement.text,
             execution,
--- a/crates/dyketally-gateway/src/statement/request.rs
+++ b/crates/dyketally-gateway/src/statement/request.rs
@@ -62,6 +62,8 @@
     pub text: Bytes,
     /// Memory of the caller's message, as long as any attempt needs it; `None` for a short message.
     pub memory: Option<Rc<Reservation>>,
+    /// False when the message would be too long for a database if the position that its log must hold were added.
+    pub has_room_for_position: bool,
     /// Set when the statement runs a prepared one.
     pub execution: Option<Execution>,
     /// Values that the session has set.
@@ -255,8 +257,11 @@
         }
     }
 
-    /// The commits that a read has to see; `None` when only the primary may serve it.
+    /// The commits that a read has to see; `None` when only the primary may serve it, to which no position is sent.
     pub fn need(&self) -> Option<FreshnessNeed> {
+        if !self.has_room_for_position {
+            return None;
+        }
         let consistency = self.route.consistency;
         consistency.need(self.arrived, self.connected, self.own_commit)
     }
