Read answers of a database while commands are written

What callers would see: statements of a session with many values never end. All commands that give a connection the session's values were written before the first answer was read; once the answers fill the buffers between the two, both sides wait, until the operating system ends the connection (2.5 s), and the attempts after it do the same.

Cause: Connection::exchange wrote everything first.

Fix: writing and reading run at the same time. The reader of answers is a type of its own.

--- a/crates/dyketally-gateway/src/database/connection/mod.rs
+++ b/crates/dyketally-gateway/src/database/connection/mod.rs
@@ -3,15 +3,14 @@
 mod answer;
 mod connector;
 mod error;
+mod reader;
 mod rows;
 mod session_state;
 mod socket;
 
 use std::collections::BTreeMap;
-use std::io;
 
 use bytes::BytesMut;
-use dyketally::statement::{Failure, FailureKind};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -23,13 +22,10 @@
 pub use self::answer::{Answer, end_outside_transaction};
 pub use self::connector::{Connector, Destination, Forwarding, Route};
 pub use self::error::{Disconnected, OpenError};
-use self::rows::Rows;
+use self::reader::AnswerReader;
 use self::session_state::SessionState;
 pub use self::socket::{is_open_without_input, prepare_socket};
 
-/// Buffer space reserved for each read from a database, in bytes. Most answers are shorter.
-const READ_CHUNK: usize = 4_096;
-
 /// An open connection to a database.
 pub struct Connection {
     stream: TcpStream,
@@ -69,13 +65,22 @@
             user,
             expected: to.database.clone(),
         };
-        connection
-            .send(&[open])
-            .await
-            .map_err(|_| OpenError::Refused)?;
+        connection.open_session(open).await?;
+        Ok(connection)
+    }
+
+    async fn open_session(&mut self, open: DatabaseCommand) -> Result<(), OpenError> {
+        let output = self.encode(&[open]);
+        let written = self.stream.write_all(&output).await;
+        written.map_err(|_| OpenError::Refused)?;
+        let mut reader = AnswerReader {
+            stream: &mut self.stream,
+            input: &mut self.input,
+            protocol: &self.protocol,
+        };
         loop {
-            match connection.next_reply().await {
-                Ok(Reply::Ready { .. }) => return Ok(connection),
+            match reader.reply().await {
+                Ok(Reply::Ready { .. }) => return Ok(()),
                 Ok(Reply::Failed(failure)) => return Err(OpenError::TurnedAway(failure)),
                 Ok(_) => {}
                 Err(_) => return Err(OpenError::Refused),
@@ -152,64 +157,35 @@
         commands: &[DatabaseCommand],
     ) -> Result<Vec<Answer>, Disconnected> {
         self.unanswered += commands.len();
-        self.send(commands).await.map_err(Disconnected::new)?;
-        let mut answers = Vec::with_capacity(commands.len());
-        for _ in commands {
-            answers.push(self.read_answer().await?);
-            self.unanswered -= 1;
-        }
+        let output = self.encode(commands);
+        let (stream, mut writer) = self.stream.split();
+        let mut reader = AnswerReader {
+            stream,
+            input: &mut self.input,
+            protocol: &self.protocol,
+        };
+        let unanswered = &mut self.unanswered;
+        let writing = async { writer.write_all(&output).await.map_err(Disconnected::new) };
+        let reading = async {
+            let mut answers = Vec::with_capacity(commands.len());
+            for _ in commands {
+                answers.push(reader.answer().await?);
+                *unanswered -= 1;
+            }
+            Ok(answers)
+        };
+        // Answers are read while commands are written. Otherwise both sides would wait forever once the answers to the
+        // first commands fill the buffers between them.
+        let ((), answers) = tokio::try_join!(writing, reading)?;
         Ok(answers)
     }
 
-    async fn send(&mut self, commands: &[DatabaseCommand]) -> io::Result<()> {
+    fn encode(&self, commands: &[DatabaseCommand]) -> BytesMut {
         let mut output = BytesMut::new();
         for command in commands {
             self.protocol.encode(command, &mut output);
         }
-        self.stream.write_all(&output).await
-    }
-
-    async fn read_answer(&mut self) -> Result<Answer, Disconnected> {
-        let mut rows = Rows::default();
-        let mut end = Err(Failure {
-            kind: FailureKind::Other,
-            message: "the database gave no result".to_owned(),
-        });
-        loop {
-            match self.next_reply().await? {
-                Reply::Row(row) => rows.push(row),
-                Reply::Complete(signature) => end = Ok(signature),
-                Reply::Failed(failure) => end = Err(failure),
-                Reply::Ready { state, position } => {
-                    return Ok(Answer {
-                        rows: rows.within_limit(&mut end),
-                        end,
-                        state,
-                        position,
-                    });
-                }
-            }
-        }
-    }
-
-    async fn next_reply(&mut self) -> Result<Reply, Disconnected> {
-        loop {
-            let protocol = &self.protocol;
-            let decoded = self.input.decode(
-                |bytes, from| protocol.may_end(bytes, from),
-                |bytes| protocol.decode(bytes),
-            );
-            if let Some(reply) = decoded.map_err(Disconnected::new)? {
-                return Ok(reply);
-            }
-            let read = self
-                .input
-                .read_from(&mut self.stream, READ_CHUNK, usize::MAX)
-                .await;
-            if read.map_err(Disconnected::new)? == 0 {
-                return Err(Disconnected::new("closed by the database"));
-            }
-        }
+        output
     }
 
     /// Prepares the connection for being idle: frees memory that only the last session needed.
