Reserve the memory of calls at homes, and free that of links

What callers would see: a home that runs the long statements of many other nodes reads them all, up to 4 MiB each and without a limit over all links, and holds them twice; and a node keeps the buffers of its idle links, which long rows make large.

Cause: a home decoded frames of any size at once; idle links kept their buffers.

Fix: a home reads a call of more than 16 KiB once memory for it is reserved. After 1 s without any it drops the call and replies that nothing has run, which lets an open transaction stand. Replies are encoded into one buffer. A link whose buffers are larger than 64 KiB is closed instead of kept. The bytes on links are the same.

There is no figure of a home that is called by hundreds of nodes; the limit for that case has no test of its own.

--- a/crates/dyketally-gateway/src/fleet/home.rs
+++ b/crates/dyketally-gateway/src/fleet/home.rs
@@ -4,14 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dyketally::admission::QueueTimeouts;
 use dyketally::eligibility::{Denial, Intent, Permission, ServingRegions};
 use dyketally::statement::FailureKind;
-use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::context::Limit;
 use crate::database::batch::{Batch, Reset};
 use crate::database::connection::{Disconnected, end_outside_transaction};
 use crate::database::connection_request::{ConnectionRequest, Refusal};
@@ -19,7 +18,8 @@
 use crate::fleet::Fleet;
 use crate::fleet::access::{DatabaseAccess, ExchangeError};
 use crate::fleet::connection::DatabaseConnection;
-use crate::fleet::link::{Call, CallReply, Frames, frames};
+use crate::fleet::incoming::{Incoming, IncomingLink};
+use crate::fleet::link::{Call, CallReply};
 
 /// How long a call may continue after its link was closed, so that its connection can be reused.
 const ABANDONED_LIMIT: Duration = Duration::from_millis(400);
@@ -61,26 +61,35 @@
     let Ok(caller) = stream.peer_addr() else {
         return;
     };
-    let mut frames = frames(stream);
+    let mut link = IncomingLink::new(stream);
     let mut pinned = None;
-    while let Some(Ok(message)) = frames.next().await {
+    let cx = &access.fleet.cx;
+    while let Some(incoming) = link.next(&cx.memory).await {
+        let (message, _memory) = match incoming {
+            Incoming::Call(message, memory) => (message, memory),
+            Incoming::OutOfMemory => {
+                cx.limit_acted(Limit::Calls, Some(caller));
+                if link.reply(&out_of_memory()).await.is_none() {
+                    return;
+                }
+                continue;
+            }
+        };
         let Ok(call) = postcard::from_bytes::<Call<'_>>(&message) else {
             // Closing the link without a reply leaves the caller to assume that its call may have run.
             return;
         };
+        drop(message);
         let _counted = CountedCall::begin(&access.fleet);
         let running = run(&access, pinned.take(), call);
-        let Some((reply, kept)) = finish_unless_link_closes(running, &mut frames).await else {
+        let Some((reply, kept)) = finish_unless_link_closes(running, &mut link).await else {
             return;
         };
         pinned = kept.map(|kept| (kept, CountedCall::begin(&access.fleet)));
-        let Ok(message) = postcard::to_stdvec(&reply) else {
+        let Some(length) = link.reply(&reply).await else {
             return;
         };
-        access.fleet.count_sent("call_reply", caller, message.len());
-        if frames.send(Bytes::from(message)).await.is_err() {
-            return;
-        }
+        access.fleet.count_sent("call_reply", caller, length);
     }
 }
 
@@ -88,14 +97,13 @@
 /// `None`.
 async fn finish_unless_link_closes<T>(
     running: impl Future<Output = T>,
-    frames: &mut Frames,
+    link: &mut IncomingLink,
 ) -> Option<T> {
     tokio::pin!(running);
     tokio::select! {
         biased;
         done = &mut running => return Some(done),
-        // The caller sends nothing before the reply, so any frame or error means that the link is unusable.
-        _ = frames.next() => {}
+        () = link.closed() => {}
     }
     // A transaction that is still open afterwards is rolled back when its `PinnedConnection` is dropped.
     let _ = tokio::time::timeout(ABANDONED_LIMIT, running).await;
@@ -166,6 +174,14 @@
     access.databases.permission_to_send(target, &intent)
 }
 
+/// The reply to a call that was dropped for lack of memory. An open transaction stands.
+fn out_of_memory() -> CallReply {
+    CallReply::Refused(Refusal {
+        kind: FailureKind::Busy,
+        unreachable: false,
+    })
+}
+
 fn denied(denial: Denial) -> CallReply {
     CallReply::Refused(Refusal::denied(denial))
 }
--- a/crates/dyketally-gateway/src/fleet/link/links.rs
+++ b/crates/dyketally-gateway/src/fleet/link/links.rs
@@ -19,12 +19,14 @@
 use crate::fleet::opening::{self, Opening};
 
 /// Longest message between nodes, in bytes: four times the longest value of a store.
-const LONGEST_MESSAGE: usize = 4 << 20;
+pub const LONGEST_MESSAGE: usize = 4 << 20;
 /// Longest time that connecting to a home may take: regions are 20 ms apart, and the retransmission of a
 /// lost SYN isn't waited for.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// How long an idle link is kept. The machine at the other end of an idle link may be gone.
 const IDLE_LIMIT: Duration = Duration::from_secs(3);
+/// Largest buffer of an idle link, in bytes. A link over which a long message went is closed, which frees its buffers.
+const LARGEST_KEPT_BUFFER: usize = 64 << 10;
 /// Maximum number of idle links that are kept for each home.
 const MAX_IDLE_LINKS: usize = 4;
 
@@ -66,6 +68,11 @@
         !is_open_without_input(self.frames.get_ref())
     }
 
+    fn largest_buffer(&self) -> usize {
+        let received = self.frames.read_buffer().capacity();
+        received.max(self.frames.write_buffer().capacity())
+    }
+
     pub(super) async fn call(
         &mut self,
         fleet: &Fleet,
@@ -103,6 +110,9 @@
     }
 
     pub(super) fn give_back(&self, home: SocketAddr, mut link: Link) {
+        if link.largest_buffer() > LARGEST_KEPT_BUFFER {
+            return;
+        }
         link.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(home).or_default();
--- a/crates/dyketally-gateway/src/fleet/link/mod.rs
+++ b/crates/dyketally-gateway/src/fleet/link/mod.rs
@@ -7,4 +7,4 @@
 
 pub use self::call::{Call, CallError, CallReply};
 pub use self::home_call::HomeCall;
-pub use self::links::{Frames, Links, frames};
+pub use self::links::{Frames, LONGEST_MESSAGE, Links, frames};
--- a/crates/dyketally-gateway/src/fleet/mod.rs
+++ b/crates/dyketally-gateway/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod home;
 mod home_probe;
 pub mod homes;
+mod incoming;
 pub mod link;
 pub mod listener;
 pub mod membership;
