Let statements that were sent ahead share a few seats

What callers saw: 60 connections that send 40,000 reads ahead and read no answer halved what ordinary callers got served at the node, and each crowd that asks for rows without reading them kept every database's queue full.

Cause: a session that never waits for its caller is always busy; 60 of them hold most of each queue.

Fix: a statement outside a transaction that was received before the answer to the preceding one was written runs in one of four seats of the node. A caller that waits for its answers never needs one. The idea of bounded seats is that of API priority and fairness; queues are not divided further, since each session is served in order anyway.

--- a/crates/dyketally-gateway/src/session/caller.rs
+++ b/crates/dyketally-gateway/src/session/caller.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// True when the caller has sent something before it got the answer to its last statement.
+    pub(super) fn has_sent_ahead(&self) -> bool {
+        self.intake.has_input()
+    }
+
     /// The caller's address; `None` if its connection is broken.
     pub(super) fn address(&self) -> Option<SocketAddr> {
         self.stream.peer_addr().ok()
--- a/crates/dyketally-gateway/src/session/intake.rs
+++ b/crates/dyketally-gateway/src/session/intake.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// True when bytes of a further message were received.
+    pub(super) fn has_input(&self) -> bool {
+        !self.input.is_empty()
+    }
+
     /// Waits for the next message. Dropping the future loses nothing.
     pub(super) async fn next(
         &mut self,
--- a/crates/dyketally-gateway/src/session/mod.rs
+++ b/crates/dyketally-gateway/src/session/mod.rs
@@ -21,6 +21,7 @@
 
 use dyketally::capacity::SessionVerdict;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 use self::caller::{Caller, ConnectRequest};
 use self::load::{OpenSession, SessionLoad};
@@ -35,6 +36,11 @@
 /// callers are waiting.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Statements that run at the same time although they were sent before the answer to the preceding one. Callers that
+/// send many of them share these seats, so that the queues of databases stay short for all others (bounded seats, as in
+/// the API priority and fairness of Kubernetes).
+const SEATS_OF_SENT_AHEAD: usize = 4;
+
 /// The sessions of this node.
 pub struct Sessions {
     cx: Rc<Context>,
@@ -42,6 +48,8 @@
     statements: Rc<Statements>,
     quotas: Rc<Quotas>,
     load: Rc<SessionLoad>,
+    /// Seats for statements that were sent before the answer to the preceding one.
+    sent_ahead: Semaphore,
 }
 
 impl Sessions {
@@ -59,6 +67,7 @@
             statements,
             quotas,
             load,
+            sent_ahead: Semaphore::new(SEATS_OF_SENT_AHEAD),
         })
     }
 
--- a/crates/dyketally-gateway/src/session/serving.rs
+++ b/crates/dyketally-gateway/src/session/serving.rs
@@ -9,6 +9,7 @@
 use dyketally::statement::{FailureKind, StatementKind, TransactionState};
 use dyketally::tenant::ApiKey;
 use dyketally::time::Timestamp;
+use tokio::sync::SemaphorePermit;
 
 use super::Sessions;
 use super::admission::Admission;
@@ -73,6 +74,7 @@
     /// Serves the session's statements one after the other, until the caller disconnects or the process stops.
     pub(super) async fn run(&mut self, caller: &mut Caller, open: &mut OpenSession) {
         let mut stillness = Stillness::Silent;
+        let mut was_sent_ahead = false;
         loop {
             if self.transaction.is_none() {
                 open.set_still(stillness);
@@ -82,7 +84,14 @@
             match event {
                 SessionEvent::Message(CallerMessage::Statement(statement), memory) => {
                     self.message_memory = memory.map(Rc::new);
+                    let sessions = self.sessions.clone();
+                    let seat = match was_sent_ahead && self.transaction.is_none() {
+                        true => self.seat(&sessions).await,
+                        false => None,
+                    };
                     let (response, state) = self.serve(statement).await;
+                    drop(seat);
+                    was_sent_ahead = caller.has_sent_ahead();
                     if caller.answer(response, state).await.is_none() {
                         return;
                     }
@@ -99,6 +108,16 @@
         }
     }
 
+    /// Waits for a seat for a statement that was sent ahead.
+    async fn seat<'a>(&self, sessions: &'a Sessions) -> Option<SemaphorePermit<'a>> {
+        let seats = &sessions.sent_ahead;
+        if let Ok(seat) = seats.try_acquire() {
+            return Some(seat);
+        }
+        sessions.cx.limit_acted(Limit::SentAhead, self.address);
+        seats.acquire().await.ok()
+    }
+
     async fn next_event(&self, caller: &mut Caller) -> SessionEvent {
         let idle_limit = match self.has_active_transaction() {
             true => self.sessions.cx.routes().transaction_idle,
