Bound the rate at which sessions are closed for new ones

What callers saw: 3,900 sessions that read once come back when they are closed for new ones, 1,800 times a second; the processor was busy with their handshakes, and ordinary sessions that stand waited.

Cause: each newcomer at a full node closed another session as soon as one had been still for 1.5 s.

Fix: one session in 5 ms is closed for a new one; other newcomers are refused, which costs little, and told to connect to another node.

The rule's test fails without the rule. Also: the seat of a statement that was sent ahead is taken in a function of its own.

--- a/crates/dyketally-gateway/src/context/memory.rs
+++ b/crates/dyketally-gateway/src/context/memory.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use super::answers::UnreadAnswers;
 use dyketally::budget::Account;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use super::answers::UnreadAnswers;
+
 /// Bytes of an account on a node whose memory isn't limited.
 const UNLIMITED: u64 = 1 << 40;
 
--- a/crates/dyketally-gateway/src/database/connection/answer.rs
+++ b/crates/dyketally-gateway/src/database/connection/answer.rs
@@ -1,11 +1,12 @@
 //! Complete answers of a database to commands.
 
-use super::rows::TOO_LONG;
 use bytes::Bytes;
 use dyketally::group::LogPosition;
 use dyketally::statement::{Failure, TransactionState};
 use serde::{Deserialize, Serialize};
 
+use super::rows::TOO_LONG;
+
 /// The complete answer to one command.
 ///
 /// Homes (nodes that keep connections to a database) send it to other nodes, encoded with the `postcard` crate,
--- a/crates/dyketally-gateway/src/decision/make_room.rs
+++ b/crates/dyketally-gateway/src/decision/make_room.rs
@@ -5,6 +5,17 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
+/// Shortest time between two sessions that a full node closes for new ones. Callers whose sessions are closed come back;
+/// without this pause, a crowd of them keeps the processor busy with new sessions, and those that stand wait for it.
+const CLOSING_PAUSE: Duration = Duration::from_millis(5);
+
+/// True when a full node that closed a session at `last` for a new one may close another at `now`.
+pub fn may_close_another(last: Option<Instant>, now: Instant) -> bool {
+    last.is_none_or(|last| now >= last + CLOSING_PAUSE)
+}
+
 /// What a session waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stillness {
--- a/crates/dyketally-gateway/src/session/load.rs
+++ b/crates/dyketally-gateway/src/session/load.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::context::{Context, Limit};
-use crate::decision::make_room::Stillness;
+use crate::decision::make_room::{self, Stillness};
 use crate::event::Event;
 
 /// Pause between two attempts of a full node to get ready again.
@@ -23,6 +23,8 @@
     open: Cell<u32>,
     /// Sessions that were told to close and haven't done so yet.
     closing: Cell<u32>,
+    /// When a session was closed for a new one.
+    last_closing: Cell<Option<Instant>>,
     full: Cell<bool>,
     next_number: Cell<u64>,
     /// The sessions that wait for their callers, by kind and in the order in which they began to wait.
@@ -39,6 +41,7 @@
             cx,
             open: Cell::new(0),
             closing: Cell::new(0),
+            last_closing: Cell::new(None),
             full: Cell::new(false),
             next_number: Cell::new(0),
             still: Default::default(),
@@ -53,11 +56,15 @@
     /// What to do with one more session. Closes another one if that makes room.
     pub(super) fn evaluate_next(&self) -> SessionVerdict {
         let verdict = self.capacity.judge(self.open.get() - self.closing.get());
-        match verdict {
-            SessionVerdict::Serve => verdict,
-            _ if self.close_one(|_| true) => SessionVerdict::Serve,
-            _ => verdict,
+        if verdict == SessionVerdict::Serve {
+            return verdict;
         }
+        let now = Instant::now();
+        if make_room::may_close_another(self.last_closing.get(), now) && self.close_one(|_| true) {
+            self.last_closing.set(Some(now));
+            return SessionVerdict::Serve;
+        }
+        verdict
     }
 
     /// True while this node should get no new sessions.
--- a/crates/dyketally-gateway/src/session/serving.rs
+++ b/crates/dyketally-gateway/src/session/serving.rs
@@ -9,7 +9,6 @@
 use dyketally::statement::{FailureKind, StatementKind, TransactionState};
 use dyketally::tenant::ApiKey;
 use dyketally::time::Timestamp;
-use tokio::sync::SemaphorePermit;
 
 use super::Sessions;
 use super::admission::Admission;
@@ -84,13 +83,10 @@
             match event {
                 SessionEvent::Message(CallerMessage::Statement(statement), memory) => {
                     self.message_memory = memory.map(Rc::new);
-                    let sessions = self.sessions.clone();
-                    let seat = match was_sent_ahead && self.transaction.is_none() {
-                        true => self.seat(&sessions).await,
-                        false => None,
+                    let (response, state) = match was_sent_ahead {
+                        true => self.serve_sent_ahead(statement).await,
+                        false => self.serve(statement).await,
                     };
-                    let (response, state) = self.serve(statement).await;
-                    drop(seat);
                     was_sent_ahead = caller.has_sent_ahead();
                     if caller.answer(response, state).await.is_none() {
                         return;
@@ -108,14 +104,27 @@
         }
     }
 
-    /// Waits for a seat for a statement that was sent ahead.
-    async fn seat<'a>(&self, sessions: &'a Sessions) -> Option<SemaphorePermit<'a>> {
-        let seats = &sessions.sent_ahead;
-        if let Ok(seat) = seats.try_acquire() {
-            return Some(seat);
+    /// Serves a statement that was sent ahead, once a seat is free. A statement of an open transaction needs no seat,
+    /// since the transaction keeps others waiting.
+    async fn serve_sent_ahead(
+        &mut self,
+        statement: CallerStatement,
+    ) -> (Response, TransactionState) {
+        if self.transaction.is_some() {
+            return self.serve(statement).await;
         }
-        sessions.cx.limit_acted(Limit::SentAhead, self.address);
-        seats.acquire().await.ok()
+        let sessions = self.sessions.clone();
+        let seats = &sessions.sent_ahead;
+        let seat = match seats.try_acquire() {
+            Ok(seat) => Ok(seat),
+            Err(_) => {
+                sessions.cx.limit_acted(Limit::SentAhead, self.address);
+                seats.acquire().await
+            }
+        };
+        let served = self.serve(statement).await;
+        drop(seat);
+        served
     }
 
     async fn next_event(&self, caller: &mut Caller) -> SessionEvent {
--- a/crates/dyketally-gateway/tests/decision/make_room.rs
+++ b/crates/dyketally-gateway/tests/decision/make_room.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use dyketally_gateway::decision::make_room::Stillness;
+use dyketally_gateway::decision::make_room::{Stillness, may_close_another};
+use tokio::time::Instant;
 
 /// 3,900 connections that stopped within their first message kept ordinary callers out.
 #[test]
@@ -22,6 +23,16 @@
     }
 }
 
+/// A crowd whose sessions are closed comes back at once: 1,800 sessions a second took the processor.
+#[test]
+fn sessions_are_closed_for_new_ones_at_a_bounded_rate() {
+    let last = Instant::now();
+    let after = |milliseconds| last + Duration::from_millis(milliseconds);
+    assert!(may_close_another(None, last));
+    assert!(!may_close_another(Some(last), after(4)));
+    assert!(may_close_another(Some(last), after(5)));
+}
+
 /// A node with ordinary sessions only keeps them, and is full.
 #[test]
 fn sessions_that_have_asked_are_closed_for_others_alone() {
