Appoint a successor only once the primary has stepped down

Cause: a planned handover computed the term of the step-down from the group's other databases. Where these knew only an older term, STEPDOWN changed nothing at the primary. Its answer is a row of status either way, of which only the position was read, so the row `primary` was taken for a step-down. The log showed it: `step down i-second: DatabaseStatus { leads: true, term: 2 }`, then `appoint i-third`.

The primary is asked for its own term now, and the answer to a step-down is evaluated: role `primary` leads to a request above the reported term, at once; a replica of a later term than the requested one isn't the end of the newest log. A primary that doesn't step down keeps the lead, and the handover is repeated. With its term known, a former primary that is the only other database to answer isn't adopted as the leader either (related path).

--- a/crates/dyketally-gateway/src/succession/handover.rs
+++ b/crates/dyketally-gateway/src/succession/handover.rs
@@ -6,14 +6,17 @@
 use std::time::Duration;
 
 use dyketally::eligibility::ServingRegions;
-use dyketally::failover::{Candidate, Succession, choose_successor, group_fence, retain_warm};
+use dyketally::failover::{
+    Candidate, StepDownAnswer, Succession, choose_successor, evaluate_step_down, group_fence,
+    newest_term, retain_warm,
+};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
 use super::appointment::AppointmentOutcome;
 use super::failover::{Failover, RETRY_PAUSE};
-use super::survey::{STATUS_LIMIT, SurveyScope};
+use super::survey::{STATUS_LIMIT, Survey, SurveyScope};
 use crate::database::target::Target;
 use crate::ports::OwnStatement;
 
@@ -54,10 +57,23 @@
     Deferred,
     /// The old primary stepped down, but no other database was confirmed as leader.
     Failed,
+    /// The old primary answered, but still leads, or follows a leader of a later term.
+    NotSteppedDown,
     /// The old primary didn't confirm that it stepped down, and may still lead.
     NoReply,
 }
 
+/// Outcome of asking a primary to step down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StepDown {
+    /// It is a replica now, and this is the end of its log.
+    Done(LogPosition),
+    /// It answered, but still leads, or follows a leader of a later term.
+    NotDone,
+    /// It didn't answer.
+    NoReply,
+}
+
 impl Failover {
     /// Has the old primary step down, and appoints a database in `regions` that has received its whole log. If no
     /// database has, `if_not_caught_up` decides. If a database that was appointed earlier may lead, the group is fenced
@@ -93,9 +109,7 @@
         regions: &ServingRegions,
         if_not_caught_up: IfNotCaughtUp,
     ) -> Handover {
-        let mut surveyed = self
-            .survey(group, Some(old), SurveyScope::Listed, OwnStatement::Status)
-            .await;
+        let mut surveyed = self.survey_beside(group, old).await;
         self.restrict_to_regions(&mut surveyed.candidates, regions);
         if let Some(leading) = &surveyed.leading {
             return match self.adopt(group, leading).await {
@@ -133,8 +147,10 @@
             );
             return Handover::Deferred;
         }
-        let Some(position) = self.step_down(old, surveyed.newest_term + 1).await else {
-            return Handover::NoReply;
+        let position = match self.step_down(old, surveyed.newest_term + 1).await {
+            StepDown::Done(position) => position,
+            StepDown::NotDone => return Handover::NotSteppedDown,
+            StepDown::NoReply => return Handover::NoReply,
         };
         let caught_up = self.wait_until_caught_up(group, old, position, successor, regions);
         let successor = match (caught_up.await, if_not_caught_up) {
@@ -149,10 +165,27 @@
         }
     }
 
-    /// Has `old` step down, so that its log ends; returns the end of that log. If this node doesn't reach `old`,
-    /// the request goes through another node. `None` without a reply within [`STEP_DOWN_LIMIT`].
-    async fn step_down(&self, old: &Target, term: u64) -> Option<LogPosition> {
+    /// Surveys the group for a handover from `old`. A primary steps down only for a term above its own, and a former
+    /// primary that returns may say that it leads, so `old` is asked for its term as well.
+    async fn survey_beside(&self, group: &GroupName, old: &Target) -> Survey {
+        let statements = &self.leadership.statements;
+        let (mut surveyed, status) = futures::join!(
+            self.survey(group, Some(old), SurveyScope::Listed, OwnStatement::Status),
+            statements.ask_status(old, OwnStatement::Status, STATUS_LIMIT),
+        );
+        if let Some(status) = status {
+            surveyed.learn_term(newest_term(&[Some(status)]));
+        }
+        surveyed
+    }
+
+    /// Has `old` step down, so that its log ends. If this node doesn't reach `old`, the request goes through another
+    /// node. Repeated for at most [`STEP_DOWN_LIMIT`] until the answer shows that `old` is a replica: the first `term`
+    /// may not be above the one in which `old` leads.
+    async fn step_down(&self, old: &Target, term: u64) -> StepDown {
         let until = Instant::now() + STEP_DOWN_LIMIT;
+        let mut term = term;
+        let mut outcome = StepDown::NoReply;
         while Instant::now() < until {
             let statement = OwnStatement::StepDown { term };
             let status = self
@@ -161,13 +194,20 @@
                 .ask_status(old, statement, STATUS_LIMIT)
                 .await;
             self.log_step(&old.group, "step down", format!("{old:?}: {status:?}"));
-            if let Some(status) = status {
-                return Some(status.received);
+            match status.map(|status| evaluate_step_down(&status, term)) {
+                Some(StepDownAnswer::SteppedDown(position)) => return StepDown::Done(position),
+                Some(StepDownAnswer::Superseded) => return StepDown::NotDone,
+                Some(StepDownAnswer::StillLeads { term: next }) if next > term => {
+                    outcome = StepDown::NotDone;
+                    term = next;
+                    continue;
+                }
+                Some(StepDownAnswer::StillLeads { .. }) => outcome = StepDown::NotDone,
+                None => self.leadership.suspicions.find_forwarder(old),
             }
-            self.leadership.suspicions.find_forwarder(old);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
-        None
+        outcome
     }
 
     /// True when no ready database receives within [`CATCH_UP_LIMIT`] the log that `old` has now. If `old`
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -33,7 +33,7 @@
                     .await
                 {
                     Handover::Leads => true,
-                    Handover::Deferred | Handover::Failed => false,
+                    Handover::Deferred | Handover::Failed | Handover::NotSteppedDown => false,
                     // The primary doesn't answer, so it is replaced like a lost one.
                     Handover::NoReply => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
                 }
@@ -109,7 +109,7 @@
         }
         match handover {
             Handover::Leads => true,
-            Handover::Deferred | Handover::Failed => false,
+            Handover::Deferred | Handover::Failed | Handover::NotSteppedDown => false,
             Handover::NoReply => self.take_over(group, Some(old), STEP_DOWN_LIMIT).await,
         }
     }
--- a/crates/dyketally-gateway/src/succession/survey.rs
+++ b/crates/dyketally-gateway/src/succession/survey.rs
@@ -26,7 +26,7 @@
     pub(super) candidates: Vec<Candidate>,
     /// The newest term in any reply.
     pub(super) newest_term: u64,
-    /// The database that leads already, if there is one.
+    /// The database that leads already, in [`Survey::newest_term`], if there is one.
     pub(super) leading: Option<Target>,
 }
 
@@ -37,6 +37,15 @@
         let silent = silent.filter(|candidate| candidate.received.is_none());
         silent.map(|candidate| candidate.name.clone()).collect()
     }
+
+    /// Takes into account that a database outside the survey knows `term`. One that leads in an older term is a former
+    /// primary.
+    pub(super) fn learn_term(&mut self, term: u64) {
+        if term > self.newest_term {
+            self.newest_term = term;
+            self.leading = None;
+        }
+    }
 }
 
 /// A database's reply to a survey.
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -6,10 +6,11 @@
 use dyketally::directory::{Announcement, Directory};
 use dyketally::failover::{
     ActiveFence, Appointments, Candidate, Contact, Evidence, FENCE_LIFETIME, FenceId, FenceRound,
-    FenceVerdict, Fences, PollResult, PrimaryCondition, Succession, TokenUse, Verdict,
-    choose_successor, evaluate_poll, needs_check, retain_warm,
+    FenceVerdict, Fences, PollResult, PrimaryCondition, StepDownAnswer, Succession, TokenUse,
+    Verdict, choose_successor, evaluate_poll, evaluate_step_down, needs_check, retain_warm,
 };
 use dyketally::group::{LogPosition, Role, Term};
+use dyketally::statement::DatabaseStatus;
 use dyketally::time::Timestamp;
 use rstest::rstest;
 
@@ -104,6 +105,33 @@
     assert_eq!(chosen, expected);
 }
 
+/// Guards against a planned handover that takes any answer for a step-down: a request in a term that isn't above the
+/// primary's own changes nothing, and the answer is the status of a primary.
+#[rstest]
+#[case::a_replica_has_stepped_down(false, 3, StepDownAnswer::SteppedDown(END))]
+#[case::the_request_was_in_its_own_term(true, 3, StepDownAnswer::StillLeads { term: 4 })]
+#[case::the_request_was_in_an_older_term(true, 7, StepDownAnswer::StillLeads { term: 8 })]
+#[case::the_request_has_yet_to_take_effect(true, 2, StepDownAnswer::StillLeads { term: 3 })]
+#[case::it_follows_a_later_leader(false, 4, StepDownAnswer::Superseded)]
+fn only_a_replica_of_no_later_term_has_stepped_down(
+    #[case] leads: bool,
+    #[case] term: u64,
+    #[case] expected: StepDownAnswer,
+) {
+    let status = DatabaseStatus {
+        leads,
+        term,
+        received: END,
+    };
+    assert_eq!(evaluate_step_down(&status, 3), expected);
+}
+
+/// The end of a log.
+const END: LogPosition = LogPosition {
+    term: Term(2),
+    offset: 9,
+};
+
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp::from_millis(milliseconds)
 }
