Count all databases that may have acknowledged commits in a takeover

The primary and the replica that had acknowledged its last commits were lost together, and the other replica, which lacked them, was promoted.

Cause: the number of logs that a takeover needs was computed from the databases that were left, and shrank while nobody led. The log showed `TooFewLogs { known: 1, needed: 2 }` until then, and `appoint` right after.

Each node keeps the lives of the databases that were announced in a group. A takeover needs the logs of all of them but `sync_replicas`. The coordinator retires a life only while a primary leads: the life has ended, the primary has reported the end of its log after that, and as many others as acknowledge a commit have received it. That holds since all earlier commits are then on those, and the life can't have acknowledged later ones.

--- a/crates/dyketally-gateway/src/database/directory_changes.rs
+++ b/crates/dyketally-gateway/src/database/directory_changes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use dyketally::directory::DirectoryChange;
-use dyketally::identifiers::DatabaseName;
+use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
 use super::Databases;
@@ -124,10 +124,27 @@
         let long_ago = self.cx.now() - GONE_RETENTION;
         let forgotten = self.directory.borrow_mut().forget_gone_before(long_ago);
         if !forgotten.is_empty() {
+            self.retire_forgotten_holders();
             self.directory_changed(forgotten);
         }
         for database in self.states.borrow().values() {
             database.pool.close_idle(false);
         }
     }
+
+    /// Stops counting forgotten databases as holders of acknowledged commits, in groups whose primary acknowledges
+    /// commits alone. In the others the failover coordinator decides.
+    fn retire_forgotten_holders(&self) {
+        let routes = self.cx.routes();
+        // Before the first configuration it isn't known which groups wait for replicas.
+        if routes.groups.is_empty() {
+            return;
+        }
+        let waits_for_replicas = |group: &GroupName| {
+            let limits = routes.groups.get(group);
+            limits.is_some_and(|limits| limits.acknowledging_replicas > 0)
+        };
+        let mut directory = self.directory.borrow_mut();
+        directory.retire_forgotten_holders(waits_for_replicas);
+    }
 }
--- a/crates/dyketally-gateway/src/succession/cause.rs
+++ b/crates/dyketally-gateway/src/succession/cause.rs
@@ -116,7 +116,7 @@
         Some(self.databases.target(primary, false))
     }
 
-    fn known_primary(&self, group: &GroupName) -> Option<(Target, MemberState)> {
+    pub(super) fn known_primary(&self, group: &GroupName) -> Option<(Target, MemberState)> {
         let directory = self.databases.directory.borrow();
         let primary = directory.primary(group)?;
         Some((self.databases.target(primary, true), primary.state))
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -1,7 +1,8 @@
 //! Checks the primaries of all groups and replaces them where needed, on the failover coordinator.
 //!
 //! [`Failover`] owns which groups are being checked, and when primaries may be moved for preference alone. The
-//! steps of a failover are in `cause`, `poll`, `survey`, `replacement`, `handover` and `appointment`.
+//! steps of a failover are in `cause`, `poll`, `survey`, `replacement`, `handover` and `appointment`; `retirement` runs
+//! beside them.
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -22,6 +23,7 @@
 use crate::succession::Leadership;
 use crate::succession::coordinator::CoordinatorKeeper;
 use crate::succession::fence::FenceKeeper;
+use crate::succession::retirement::RETIREMENT_PAUSE;
 
 /// Longest pause between two checks of all groups; notifications start a check earlier.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -42,6 +44,8 @@
     pub(super) appointments: RefCell<Appointments>,
     /// Groups that are being checked, or whose primary is being replaced.
     busy: RefCell<HashSet<GroupName>>,
+    /// Groups in which databases that have ended are being retired.
+    retiring: RefCell<HashSet<GroupName>>,
     /// When a fence around the primary of each group last couldn't be closed.
     pub(super) unclosed_fences: RefCell<HashMap<GroupName, Instant>>,
     /// When the primary of each group may be moved again for preference alone.
@@ -69,6 +73,7 @@
             peers,
             control,
             busy: RefCell::default(),
+            retiring: RefCell::default(),
             unclosed_fences: RefCell::default(),
             moves: RefCell::default(),
             appointments: RefCell::default(),
@@ -95,6 +100,7 @@
     fn check_groups(self: &Rc<Self>) {
         let groups = self.databases.directory.borrow().groups();
         for group in groups {
+            self.retire_in_background(&group);
             if !self.needs_check(&group) || !self.busy.borrow_mut().insert(group.clone()) {
                 continue;
             }
@@ -106,6 +112,20 @@
         }
     }
 
+    /// Retires databases that have ended from those whose logs a takeover of `group` needs, if there are any.
+    fn retire_in_background(self: &Rc<Self>, group: &GroupName) {
+        if !self.has_departed_holders(group) || !self.retiring.borrow_mut().insert(group.clone()) {
+            return;
+        }
+        let failover = self.clone();
+        let group = group.clone();
+        tokio::task::spawn_local(async move {
+            failover.retire_departed_holders(&group).await;
+            tokio::time::sleep(RETIREMENT_PAUSE).await;
+            failover.retiring.borrow_mut().remove(&group);
+        });
+    }
+
     async fn check_group(self: &Rc<Self>, group: &GroupName) {
         let Some(cause) = self.cause(group).await else {
             return;
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -224,7 +224,13 @@
         group: &GroupName,
         surveyed: &Survey,
     ) -> Option<DatabaseName> {
-        let replicas = surveyed.candidates.len();
+        // Counted are all that may have acknowledged commits, not those that are left. One of them is the lost primary.
+        let replicas = self
+            .databases
+            .directory
+            .borrow()
+            .log_holders(group)
+            .saturating_sub(1);
         let acknowledging_replicas = self.acknowledging_replicas(group);
         let choice = choose_successor(&surveyed.candidates, replicas, acknowledging_replicas);
         self.promotable(group, choice)
--- a/crates/dyketally/src/directory/mod.rs
+++ b/crates/dyketally/src/directory/mod.rs
@@ -1,6 +1,7 @@
 //! Directory of the databases of each group, built from the announcements of the databases.
 
 mod group_index;
+mod log_holders;
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,6 +13,7 @@
 use crate::time::Timestamp;
 
 pub use group_index::GroupIndex;
+pub use log_holders::{DatabaseLife, LogHolders};
 
 /// Whether a database accepts new statements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,6 +89,14 @@
     pub fn name(&self) -> &DatabaseName {
         &self.announcement.database
     }
+
+    /// The life of the database that announced itself last.
+    fn life(&self) -> DatabaseLife {
+        DatabaseLife {
+            database: self.announcement.database.clone(),
+            incarnation: self.announcement.incarnation,
+        }
+    }
 }
 
 /// A change of the directory that the node may have to act on.
@@ -111,6 +121,8 @@
     groups: GroupIndex<GroupName, DatabaseName>,
     /// Databases whose announcement is missing and that aren't marked as gone yet.
     unlisted: BTreeSet<DatabaseName>,
+    /// Databases that may hold acknowledged commits, also if they are gone or forgotten.
+    holders: LogHolders,
     /// Groups of which a database was confirmed to lead, also if that database has been forgotten.
     confirmed: BTreeSet<GroupName>,
     next_order: u64,
@@ -182,6 +194,7 @@
     fn put(&mut self, member: Member) {
         let name = member.name().clone();
         let group = member.announcement.group.clone();
+        self.holders.joined(&group, member.life());
         self.unlisted.remove(&name);
         let former = self.members.insert(name.clone(), member);
         if let Some(former) = former.filter(|former| former.announcement.group != group) {
@@ -376,6 +389,47 @@
         names.filter_map(|name| self.members.get(name))
     }
 
+    /// How many databases of `group` may hold acknowledged commits, the primary included.
+    pub fn log_holders(&self, group: &GroupName) -> usize {
+        self.holders.count(group)
+    }
+
+    /// The databases of `group` that may hold acknowledged commits but aren't announced any more.
+    pub fn departed_holders(&self, group: &GroupName) -> Vec<DatabaseLife> {
+        let holders = self.holders.of(group);
+        let departed = holders.filter(|holder| {
+            let member = self.members.get(&holder.database);
+            !member.is_some_and(|member| {
+                let is_listed = member.unlisted_since.is_none() && member.life() == **holder;
+                is_listed && &member.announcement.group == group
+            })
+        });
+        departed.cloned().collect()
+    }
+
+    /// Stops counting databases as holders of acknowledged commits; see [`LogHolders::retire`] for the conditions.
+    pub fn retire_holders(&mut self, group: &GroupName, lives: &[DatabaseLife]) {
+        self.holders.retire(group, lives);
+    }
+
+    /// Stops counting databases that have been forgotten or have started again, in groups where `waits_for_replicas` is
+    /// false: there commits are acknowledged by the primary alone.
+    pub fn retire_forgotten_holders(&mut self, waits_for_replicas: impl Fn(&GroupName) -> bool) {
+        let groups = self.holders.groups();
+        let groups: Vec<GroupName> = groups
+            .filter(|group| !waits_for_replicas(group))
+            .cloned()
+            .collect();
+        for group in groups {
+            let mut departed = self.departed_holders(&group);
+            departed.retain(|life| {
+                let member = self.members.get(&life.database);
+                member.is_none_or(|member| member.life() != *life)
+            });
+            self.holders.retire(&group, &departed);
+        }
+    }
+
     /// One database.
     pub fn member(&self, name: &DatabaseName) -> Option<&Member> {
         self.members.get(name)
--- a/crates/dyketally/src/failover/mod.rs
+++ b/crates/dyketally/src/failover/mod.rs
@@ -29,5 +29,5 @@
 pub use group_fence::group_fence;
 pub use leader::{newest_leader, newest_term};
 pub use step_down::{StepDownAnswer, evaluate_step_down};
-pub use successor::{Candidate, Succession, choose_successor, retain_warm};
+pub use successor::{Candidate, Succession, choose_successor, is_received, retain_warm};
 pub use verdict::{Evidence, PollResult, PrimaryCondition, Verdict, evaluate_poll, needs_check};
--- a/crates/dyketally/src/failover/successor.rs
+++ b/crates/dyketally/src/failover/successor.rs
@@ -80,6 +80,16 @@
     }
 }
 
+/// True when at least `acknowledging` of the replicas whose logs end at `received` have the primary's log up to `end`.
+/// They then hold every commit that was acknowledged before.
+pub fn is_received(
+    received: impl Iterator<Item = Option<LogPosition>>,
+    end: LogPosition,
+    acknowledging: usize,
+) -> bool {
+    received.filter(|it| *it >= Some(end)).count() >= acknowledging
+}
+
 /// Removes the cold candidates if there is at least one warm one. For use where the successor's log is
 /// waited for: there any candidate is suitable.
 pub fn retain_warm(candidates: &mut Vec<Candidate>) {
