Resume replicas however a takeover ended, and whoever coordinates then

In a group whose commits wait for a replica, callers got no commit acknowledged any more: writes timed out for as long as the group was watched.

Cause: a takeover suspends the replicas to compare their logs, and only a failed takeover resumed them, in the process that had suspended them. A coordinator that was killed between SUSPEND and the promotion left them so, and the primary, which was back, waited for them with each commit.

A coordinator resumes what it suspended after each takeover. One that takes the duty asks the replicas of groups whose commits wait for replicas, 16 groups at a time. Where one holds a term above its own, the primary is appointed with the new token before the replicas are resumed: a promotion by the former coordinator that is still in flight is refused then, so commits that are acknowledged from now on can't be rolled back by it. A takeover for which too few logs are known suspends nothing.

--- a/crates/dyketally-gateway/src/succession/cause.rs
+++ b/crates/dyketally-gateway/src/succession/cause.rs
@@ -44,21 +44,6 @@
     NoPrimary,
 }
 
-impl Cause {
-    /// The primary to replace; `None` when there is none, or when it only has to be unfenced.
-    pub(super) fn old(&self) -> Option<&Target> {
-        match self {
-            Self::Leaves(old)
-            | Self::Unlisted(old)
-            | Self::Evacuated(old)
-            | Self::Misplaced(old, _)
-            | Self::Cold(old)
-            | Self::Lost(old, _) => Some(old),
-            Self::Shunned(_) | Self::NoPrimary => None,
-        }
-    }
-}
-
 impl Failover {
     /// False when there is certainly no cause to replace the primary of a group. With a thousand groups nearly all are
     /// like that, and a task and a connection pool for each of them at each check would take most of the coordinator's
--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Failover`] owns which groups are being checked, and when primaries may be moved for preference alone. The
 //! steps of a failover are in `cause`, `poll`, `survey`, `replacement`, `handover` and `appointment`; `retirement` runs
-//! beside them.
+//! beside them, and `resumption` while there is nothing to replace.
 
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
@@ -23,6 +23,7 @@
 use crate::succession::Leadership;
 use crate::succession::coordinator::CoordinatorKeeper;
 use crate::succession::fence::FenceKeeper;
+use crate::succession::resumption::Suspensions;
 use crate::succession::retirement::RETIREMENT_PAUSE;
 
 /// Longest pause between two checks of all groups; notifications start a check earlier.
@@ -30,6 +31,10 @@
 /// Pause after a failed attempt to replace a primary, and between two requests to step down.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Most groups of one check whose replicas are asked whether they are suspended: a coordinator that takes the duty asks
+/// those of all groups whose commits wait for replicas.
+const MAX_RESUMPTIONS_AT_ONCE: usize = 16;
+
 /// Replaces primaries while this node is the failover coordinator.
 pub struct Failover {
     pub(super) cx: Rc<Context>,
@@ -46,6 +51,8 @@
     busy: RefCell<HashSet<GroupName>>,
     /// Groups in which databases that have ended are being retired.
     retiring: RefCell<HashSet<GroupName>>,
+    /// Whose replicas may be suspended.
+    pub(super) suspensions: RefCell<Suspensions>,
     /// When a fence around the primary of each group last couldn't be closed.
     pub(super) unclosed_fences: RefCell<HashMap<GroupName, Instant>>,
     /// When the primary of each group may be moved again for preference alone.
@@ -74,6 +81,7 @@
             control,
             busy: RefCell::default(),
             retiring: RefCell::default(),
+            suspensions: RefCell::default(),
             unclosed_fences: RefCell::default(),
             moves: RefCell::default(),
             appointments: RefCell::default(),
@@ -84,6 +92,9 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             let attention = self.fleet.coordinator.attention.notified();
+            if self.fleet.coordinator.last_term().is_none() {
+                self.suspensions.borrow_mut().forget();
+            }
             match self.fleet.coordinator.last_term() {
                 Some(_) => {
                     // The groups are checked whether this was notified or the pause is over.
@@ -99,11 +110,15 @@
 
     fn check_groups(self: &Rc<Self>) {
         let groups = self.databases.directory.borrow().groups();
+        let mut resumptions = 0;
         for group in groups {
             self.retire_in_background(&group);
-            if !self.needs_check(&group) || !self.busy.borrow_mut().insert(group.clone()) {
+            let resumes = resumptions < MAX_RESUMPTIONS_AT_ONCE && self.is_resumption_due(&group);
+            let needs_check = resumes || self.needs_check(&group);
+            if !needs_check || !self.busy.borrow_mut().insert(group.clone()) {
                 continue;
             }
+            resumptions += usize::from(resumes);
             let failover = self.clone();
             tokio::task::spawn_local(async move {
                 failover.check_group(&group).await;
@@ -128,6 +143,7 @@
 
     async fn check_group(self: &Rc<Self>, group: &GroupName) {
         let Some(cause) = self.cause(group).await else {
+            self.undo_suspensions(group).await;
             return;
         };
         self.log_step(group, "start", format!("{cause:?}"));
--- a/crates/dyketally-gateway/src/succession/mod.rs
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -24,6 +24,7 @@
 pub mod own_statements;
 mod poll;
 mod replacement;
+mod resumption;
 mod retirement;
 mod survey;
 pub mod suspicion;
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -48,14 +48,8 @@
             Cause::Shunned(primary) => self.reinstate(group, primary).await,
             Cause::NoPrimary => self.take_over(group, None, NO_PRIMARY_GRACE).await,
         };
-        if self.acknowledging_replicas(group) > 0 && !succeeded {
-            self.survey(
-                group,
-                cause.old(),
-                SurveyScope::Counting,
-                OwnStatement::Resume,
-            )
-            .await;
+        if self.has_suspended(group) {
+            self.resume_replicas(group).await;
         }
         succeeded
     }
@@ -146,6 +140,11 @@
         mut surveyed: Survey,
     ) -> AppointmentOutcome {
         if self.acknowledging_replicas(group) > 0 {
+            // A takeover that can't succeed leaves the replicas as they are.
+            if self.choose_database(group, &surveyed).is_none() {
+                return AppointmentOutcome::WontLead;
+            }
+            self.record_suspension(group);
             let term = surveyed.newest_term + 1;
             let suspend = OwnStatement::Suspend { term };
             surveyed = self
--- a/crates/dyketally-gateway/src/succession/survey.rs
+++ b/crates/dyketally-gateway/src/succession/survey.rs
@@ -28,6 +28,8 @@
     pub(super) newest_term: u64,
     /// The database that leads already, in [`Survey::newest_term`], if there is one.
     pub(super) leading: Option<Target>,
+    /// True when a database replied that it may be suspended.
+    pub(super) found_suspended: bool,
 }
 
 impl Survey {
@@ -128,6 +130,7 @@
         let mut survey = Survey {
             newest_term: newest_term(&statuses),
             leading: leading.map(|member| member.target.clone()),
+            found_suspended: statuses.iter().flatten().any(|it| it.may_be_suspended()),
             candidates: Vec::new(),
         };
         for (member, status) in members.into_iter().zip(statuses) {
--- a/crates/dyketally-gateway/tests/log_values.rs
+++ b/crates/dyketally-gateway/tests/log_values.rs
@@ -93,6 +93,7 @@
         leads: true,
         term: 2,
         received,
+        held_term: 0,
     };
     let pinned = "DatabaseStatus { leads: true, term: 2, received: LogPosition { term: Term(2), offset: 397 } }";
     assert_eq!(format!("{status:?}"), pinned);
--- a/crates/dyketally/src/statement.rs
+++ b/crates/dyketally/src/statement.rs
@@ -1,5 +1,7 @@
 //! Statements, failures and database status in the form that the gateway uses for all protocols.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::group::LogPosition;
@@ -147,7 +149,7 @@
 }
 
 /// The status that a database reports about itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub struct DatabaseStatus {
     /// True when the database considers itself the primary of its group.
     pub leads: bool,
@@ -155,4 +157,27 @@
     pub term: u64,
     /// The end of the log that the database has received.
     pub received: LogPosition,
+    /// The term for which the database was last suspended or asked to step down; zero if it never was.
+    pub held_term: u64,
+}
+
+impl DatabaseStatus {
+    /// True when the database may be suspended: it holds a term in which no database has been seen by it to lead.
+    pub fn may_be_suspended(&self) -> bool {
+        !self.leads && self.held_term > self.term
+    }
+}
+
+/// Shows [`DatabaseStatus::held_term`] only where it says something, as operators search logs for the other fields.
+impl fmt::Debug for DatabaseStatus {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = formatter.debug_struct("DatabaseStatus");
+        shown.field("leads", &self.leads);
+        shown.field("term", &self.term);
+        shown.field("received", &self.received);
+        if self.may_be_suspended() {
+            shown.field("held_term", &self.held_term);
+        }
+        shown.finish()
+    }
 }
--- a/crates/dyketally/tests/failover.rs
+++ b/crates/dyketally/tests/failover.rs
@@ -122,6 +122,7 @@
         leads,
         term,
         received: END,
+        held_term: 0,
     };
     assert_eq!(evaluate_step_down(&status, 3), expected);
 }
--- a/crates/dyketally/tests/lead_fuzz.rs
+++ b/crates/dyketally/tests/lead_fuzz.rs
@@ -277,6 +277,7 @@
         leads: database.leads,
         term: database.term,
         received,
+        held_term: 0,
     })
 }
 
