Refuse announcements that can't be connected to

Another operator reports machines that ended, or stopped following the list of databases, over one odd entry: very deeply nested, a number too large, a port out of range.

What the test found: an entry with port 0 was taken for a database, counted in surveys and takeovers, and so was one whose group has blanks or line breaks, which can't be sent as one word. The adapter checks types and words only. `Announcement::validate` refuses both now, with the reason in `document_refused`; the entry then names no database.

--- a/crates/dyketally-gateway/src/node/updates.rs
+++ b/crates/dyketally-gateway/src/node/updates.rs
@@ -189,12 +189,17 @@
         databases.record_unannounced(&name);
     }
 
-    /// Decodes an announcement; logs the entry as refused if that fails.
+    /// Decodes an announcement; logs the entry as refused if it names no database that can be used.
     fn announcement(&self, entry: &Entry) -> Option<Announcement> {
         let read = self
             .documents
             .announcement(&entry.key.to_string(), &entry.value);
-        match read {
+        let checked = read.and_then(|announcement| {
+            let validated = announcement.validate();
+            validated.map_err(|error| error.to_string())?;
+            Ok(announcement)
+        });
+        match checked {
             Ok(announcement) => Some(announcement),
             Err(reason) => {
                 self.log_refused(&entry.key, &reason);
--- a/crates/dyketally/src/directory/mod.rs
+++ b/crates/dyketally/src/directory/mod.rs
@@ -1,17 +1,16 @@
 //! Directory of the databases of each group, built from the announcements of the databases.
 
+mod announcement;
 mod group_index;
 mod log_holders;
 
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::time::Duration;
-
 use crate::group::Role;
-use crate::identifiers::{DatabaseName, GroupName, ZoneName};
+use crate::identifiers::{DatabaseName, GroupName};
 use crate::time::Timestamp;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 
+pub use announcement::{Announcement, Incarnation, InvalidAnnouncement};
 pub use group_index::GroupIndex;
 pub use log_holders::{DatabaseLife, LogHolders};
 
@@ -26,34 +25,6 @@
     Gone,
 }
 
-/// Unix millisecond at which a database started. Together with its name it identifies one life of the database: one that
-/// starts again under its name holds and knows nothing of before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Incarnation(pub u64);
-
-/// What a database announces.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Announcement {
-    /// The database.
-    pub database: DatabaseName,
-    /// The group it belongs to.
-    pub group: GroupName,
-    /// Where it accepts connections.
-    pub address: SocketAddr,
-    /// Where it runs.
-    pub zone: ZoneName,
-    /// Most statements that it runs at the same time.
-    pub slots: u32,
-    /// True when it accepts new statements.
-    pub ready: bool,
-    /// The role it believes it has.
-    pub role: Role,
-    /// Time left after its start in which it cannot take its full load.
-    pub cold_for: Duration,
-    /// When it started; `None` if it doesn't tell.
-    pub incarnation: Option<Incarnation>,
-}
-
 /// A database in the directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
--- a/crates/dyketally/tests/directory.rs
+++ b/crates/dyketally/tests/directory.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use dyketally::directory::{Announcement, Directory, DirectoryChange, Incarnation, MemberState};
+use dyketally::directory::{
+    Announcement, Directory, DirectoryChange, Incarnation, InvalidAnnouncement, MemberState,
+};
 use dyketally::group::Role;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::time::Timestamp;
@@ -204,3 +206,23 @@
     assert_eq!(primary_of(&directory), None);
     assert_eq!(directory.groups(), vec![GroupName::from("stock")]);
 }
+
+/// Guards against an entry of another writer that is taken for a database although none can be connected to by it.
+#[test]
+fn an_announcement_that_can_not_be_connected_to_is_invalid() {
+    let valid = announcement("a", Role::Replica, true);
+    assert_eq!(valid.validate(), Ok(()));
+    let mut without_port = valid.clone();
+    without_port.address.set_port(0);
+    assert_eq!(without_port.validate(), Err(InvalidAnnouncement::NoPort));
+    for name in ["", "a b", "a\r\nQUERY"] {
+        let mut group = valid.clone();
+        group.group = name.into();
+        let refused = Err(InvalidAnnouncement::NotAWord("group"));
+        assert_eq!(group.validate(), refused, "{name:?}");
+        let mut database = valid.clone();
+        database.database = name.into();
+        let refused = Err(InvalidAnnouncement::NotAWord("database"));
+        assert_eq!(database.validate(), refused, "{name:?}");
+    }
+}
