Follow no leader while a database that announces the lead is silent

Cause: nodes that know of no leader compare the terms of the databases that answer within 0.4 s. The successor announced its lead but turned connections away, so the former primary's older term was the newest. A silent primary held a node back only if it had been confirmed before, which a node that has just started never has. The coordinator adopted the former primary in the same way, without an appointment.

A node without a confirmed primary waits now while a listed database that announces the lead doesn't answer and its address doesn't refuse connections. The coordinator waits while such a database runs but turns connections away; otherwise it appoints the leader that it found, which begins a new term and ends the silent one's. The cost: beside a primary that went dark and is still listed, a node that starts waits for the coordinator's word or for the announcement to lapse.

--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -11,7 +11,7 @@
 
 use dyketally::directory::MemberState;
 use dyketally::eligibility::{Denial, ServingRegions};
-use dyketally::failover::newest_leader;
+use dyketally::failover::{Evidence, newest_leader};
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
 use dyketally::statement::{FailureKind, TransactionState};
@@ -20,6 +20,7 @@
 
 use super::checks::LeadershipChecks;
 use super::own_statements::{OWN_QUEUE_TIMEOUT, OwnStatements};
+use super::suspicion::Suspicions;
 use crate::context::Context;
 use crate::database::Databases;
 use crate::database::batch::Batch;
@@ -84,16 +85,19 @@
     fleet: Rc<Fleet>,
     checks: Rc<LeadershipChecks>,
     statements: Rc<OwnStatements>,
+    suspicions: Rc<Suspicions>,
     groups: RefCell<HashMap<GroupName, Rc<GroupConfirmation>>>,
 }
 
 impl Confirmations {
-    /// Creates the part. Confirmations run through `statements`; `checks` rules out other leaders.
+    /// Creates the part. Confirmations run through `statements`; `checks` rules out other leaders, and `suspicions` tells
+    /// whether a database that doesn't reply has ended.
     pub fn new(
         databases: Rc<Databases>,
         fleet: Rc<Fleet>,
         checks: Rc<LeadershipChecks>,
         statements: Rc<OwnStatements>,
+        suspicions: Rc<Suspicions>,
     ) -> Rc<Self> {
         Rc::new(Self {
             cx: fleet.cx.clone(),
@@ -101,6 +105,7 @@
             fleet,
             checks,
             statements,
+            suspicions,
             groups: RefCell::default(),
         })
     }
@@ -302,7 +307,9 @@
         let replied = targets.iter().zip(&replies);
         let replied = replied.filter(|(_, reply)| reply.is_some());
         let replied: Vec<&DatabaseName> = replied.map(|(target, _)| &target.name).collect();
-        if self.silent_primary_may_lead(&target.group, &replied) {
+        if self.silent_primary_may_lead(&target.group, &replied)
+            || self.silent_claimant_may_lead(&target.group, &replied).await
+        {
             return None;
         }
         if self.databases.is_fenced(&target.name) || !self.checks.no_other_leads(target).await {
@@ -324,6 +331,31 @@
         })
     }
 
+    /// True when no primary of `group` is confirmed at this node, and a database that announces the lead isn't among those
+    /// that replied but may run: it may lead in a later term than these, as a node that has just started knows of no
+    /// succession.
+    async fn silent_claimant_may_lead(&self, group: &GroupName, replied: &[&DatabaseName]) -> bool {
+        let silent: Vec<Target> = {
+            let directory = self.databases.directory.borrow();
+            if directory.confirmed_primary(group).is_some() {
+                return false;
+            }
+            let claimants = directory.claimants(group);
+            let silent = claimants.filter(|claimant| {
+                !replied.contains(&claimant.name()) && !self.databases.is_fenced(claimant.name())
+            });
+            silent
+                .map(|claimant| self.databases.target(claimant, false))
+                .collect()
+        };
+        for claimant in &silent {
+            if self.suspicions.evidence_of(claimant).await != Evidence::Refused {
+                return true;
+            }
+        }
+        false
+    }
+
     fn search_targets(&self, group: &GroupName) -> Vec<Target> {
         let directory = self.databases.directory.borrow();
         let ready = directory
--- a/crates/dyketally-gateway/src/succession/mod.rs
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -64,6 +64,7 @@
     pub fn new(access: &Rc<DatabaseAccess>, feed: &Rc<Feed>) -> Rc<Self> {
         let DatabaseAccess { fleet, databases } = &**access;
         let statements = OwnStatements::new(access.clone());
+        let suspicions = Suspicions::new(access.clone());
         let cx = fleet.cx.clone();
         let checks = LeadershipChecks::new(cx, databases.clone(), statements.clone());
         let confirmations = Confirmations::new(
@@ -71,11 +72,12 @@
             fleet.clone(),
             checks.clone(),
             statements.clone(),
+            suspicions.clone(),
         );
         Rc::new(Self {
             checks,
             confirmations,
-            suspicions: Suspicions::new(access.clone()),
+            suspicions,
             grants: Grants::new(fleet.clone(), databases.clone(), feed.clone()),
             statements,
             fleet: fleet.clone(),
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use dyketally::eligibility::ServingRegions;
-use dyketally::failover::{Succession, choose_successor, group_fence};
+use dyketally::failover::{Evidence, Succession, choose_successor, group_fence};
 use dyketally::identifiers::{DatabaseName, GroupName};
 use tokio::time::Instant;
 
@@ -116,11 +116,22 @@
         old: Option<&Target>,
         suspected: Duration,
     ) -> bool {
+        if old.is_none() && self.claimant_turns_nodes_away(group).await {
+            self.log_step(
+                group,
+                "put off",
+                "a database that may lead refuses connections".to_owned(),
+            );
+            return false;
+        }
         let Some((surveyed, fenced)) = self.fence_and_survey(group, old, suspected).await else {
             self.record_unclosed_fence(group);
             return false;
         };
+        let is_contested = old.is_some() || self.has_silent_claimant(group, &surveyed);
         let appointed = match &surveyed.leading {
+            // It may be a former primary whose successor doesn't reply: its appointment begins a term of its own.
+            Some(leading) if is_contested => self.appoint(group, &leading.name).await,
             Some(leading) => self.adopt(group, leading).await,
             None => self.appoint_best(group, old, surveyed).await,
         };
@@ -131,6 +142,36 @@
         appointed == AppointmentOutcome::Leads
     }
 
+    /// True when a database of `group` that announces the lead runs, but accepts no connection for the question whether it
+    /// leads: connections of machines that have lost power may still count against its limit.
+    async fn claimant_turns_nodes_away(&self, group: &GroupName) -> bool {
+        let surveyed = self
+            .statuses(group, None, SurveyScope::Listed, OwnStatement::Status)
+            .await;
+        for claimant in self.silent_claimants(group, &surveyed) {
+            let evidence = self.leadership.suspicions.evidence_of(&claimant).await;
+            if evidence == Evidence::Answered {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn has_silent_claimant(&self, group: &GroupName, surveyed: &Survey) -> bool {
+        !self.silent_claimants(group, surveyed).is_empty()
+    }
+
+    /// The databases of `group` that announce the lead and didn't reply to the survey.
+    fn silent_claimants(&self, group: &GroupName, surveyed: &Survey) -> Vec<Target> {
+        let silent = surveyed.silent();
+        let directory = self.databases.directory.borrow();
+        let claimants = directory.claimants(group);
+        let silent = claimants.filter(|claimant| silent.contains(claimant.name()));
+        silent
+            .map(|claimant| self.databases.target(claimant, false))
+            .collect()
+    }
+
     /// Chooses a successor from `surveyed` and appoints it. Where commits need acknowledgements, the replicas
     /// are suspended first, so that their logs don't change any more.
     async fn appoint_best(
--- a/crates/dyketally/src/directory/mod.rs
+++ b/crates/dyketally/src/directory/mod.rs
@@ -322,6 +322,17 @@
         is_confirmed.then_some(primary)
     }
 
+    /// The databases of `group` that announce that they lead, whether or not they do.
+    pub fn claimants<'a>(
+        &'a self,
+        group: &GroupName,
+    ) -> impl Iterator<Item = &'a Member> + use<'a> {
+        self.members(group).filter(|member| {
+            let announces = member.announcement.role == Role::Primary;
+            announces && !member.refuted && member.unlisted_since.is_none()
+        })
+    }
+
     /// True when a database of `group` announces that it leads and it isn't known whether it does so in a later term
     /// than the other databases that are known, or were known, as primary.
     pub fn is_contested(&self, group: &GroupName) -> bool {
