Count logs before a leader that isn't certain is appointed

Where commits wait for a replica, an acknowledged commit was gone after a takeover: a former primary that hadn't learned of its successor was the only database to answer, said that it led, and was appointed again. The successor and the replica that had acknowledged the commit were lost.

Cause: a takeover looks for a database that leads already among those that answer, and skips the count of logs if it finds one. The lost primary's term isn't among the answers, so a former primary's term is the newest.

Beside a primary that is being replaced, or a silent database that announces the lead, a database that says that it leads isn't certain to be the newest. It is then a candidate like the others where commits wait for replicas, and is appointed, which begins a term of its own, where they don't. A planned handover whose primary doesn't tell its term takes no other database for the leader; the primary is replaced like a lost one.

--- a/crates/dyketally-gateway/src/succession/handover.rs
+++ b/crates/dyketally-gateway/src/succession/handover.rs
@@ -109,9 +109,13 @@
         regions: &ServingRegions,
         if_not_caught_up: IfNotCaughtUp,
     ) -> Handover {
-        let mut surveyed = self.survey_beside(group, old).await;
+        let (mut surveyed, old_replied) = self.survey_beside(group, old).await;
         self.restrict_to_regions(&mut surveyed.candidates, regions);
         if let Some(leading) = &surveyed.leading {
+            // Where `old` leads a later term, the other one is a former primary.
+            if !old_replied {
+                return Handover::NoReply;
+            }
             return match self.adopt(group, leading).await {
                 AppointmentOutcome::Leads => Handover::Leads,
                 AppointmentOutcome::MayStillLead | AppointmentOutcome::WontLead => Handover::Failed,
@@ -166,17 +170,15 @@
     }
 
     /// Surveys the group for a handover from `old`. A primary steps down only for a term above its own, and a former
-    /// primary that returns may say that it leads, so `old` is asked for its term as well.
-    async fn survey_beside(&self, group: &GroupName, old: &Target) -> Survey {
+    /// primary that returns may say that it leads, so `old` is asked for its term as well. Returns whether it replied.
+    async fn survey_beside(&self, group: &GroupName, old: &Target) -> (Survey, bool) {
         let statements = &self.leadership.statements;
         let (mut surveyed, status) = futures::join!(
             self.survey(group, Some(old), SurveyScope::Listed, OwnStatement::Status),
             statements.ask_status(old, OwnStatement::Status, STATUS_LIMIT),
         );
-        if let Some(status) = status {
-            surveyed.learn_term(newest_term(&[Some(status)]));
-        }
-        surveyed
+        surveyed.learn_term(newest_term(&[status]));
+        (surveyed, status.is_some())
     }
 
     /// Has `old` step down, so that its log ends. If this node doesn't reach `old`, the request goes through another
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -128,12 +128,15 @@
             self.record_unclosed_fence(group);
             return false;
         };
-        let is_contested = old.is_some() || self.has_silent_claimant(group, &surveyed);
+        // The database that leads by its own account may be a former primary whose successor doesn't reply.
+        let is_contested = old.is_some() || !self.silent_claimants(group, &surveyed).is_empty();
         let appointed = match &surveyed.leading {
-            // It may be a former primary whose successor doesn't reply: its appointment begins a term of its own.
-            Some(leading) if is_contested => self.appoint(group, &leading.name).await,
-            Some(leading) => self.adopt(group, leading).await,
-            None => self.appoint_best(group, old, surveyed).await,
+            Some(leading) if !is_contested => self.adopt(group, leading).await,
+            // Its appointment begins a term of its own.
+            Some(leading) if self.acknowledging_replicas(group) == 0 => {
+                self.appoint(group, &leading.name).await
+            }
+            _ => self.appoint_best(group, old, surveyed).await,
         };
         // The fences are kept until they expire while an appointment may still take effect.
         if appointed == AppointmentOutcome::WontLead {
@@ -157,10 +160,6 @@
         false
     }
 
-    fn has_silent_claimant(&self, group: &GroupName, surveyed: &Survey) -> bool {
-        !self.silent_claimants(group, surveyed).is_empty()
-    }
-
     /// The databases of `group` that announce the lead and didn't reply to the survey.
     fn silent_claimants(&self, group: &GroupName, surveyed: &Survey) -> Vec<Target> {
         let silent = surveyed.silent();
