Bound the wait for a silent database that announces the lead

An entry of another writer may claim the lead of a group forever, with an address that never answers. A node without a confirmed primary would hold back for as long as the entry is listed. A claim counts for 10 s after it was first seen now; by then partitions have usually healed, and connections of dead machines have ended.

`a_node_that_starts_finds_the_primary_beside_an_entry_that_claims_the_lead` plays it, with one node and with all nodes that start anew. It passes without the bound as well: the coordinator's word ended the wait in these runs. The bound covers nodes that it doesn't reach.

`returned_primary`, `suspensions` and `acknowledged_commits` pass.

--- a/crates/dyketally-gateway/src/database/primary.rs
+++ b/crates/dyketally-gateway/src/database/primary.rs
@@ -10,6 +10,11 @@
 use super::Databases;
 use super::target::Target;
 
+/// How long a database that announces the lead and doesn't answer may be a leader of which this node doesn't know. By then
+/// a partition has usually healed, and connections of dead machines have ended; an entry that no database stands behind
+/// must not keep a group without a primary for longer.
+const CLAIM_VALIDITY: Duration = Duration::from_secs(10);
+
 /// Watches primaries and replaces them; implemented by succession.
 pub trait PrimaryWatch {
     /// True while it is uncertain whether the known primary of `group` still leads.
@@ -67,6 +72,17 @@
         }
     }
 
+    /// The databases of `group` that have announced the lead within [`CLAIM_VALIDITY`], whether or not they have it.
+    pub fn recent_claimants(&self, group: &GroupName) -> Vec<Target> {
+        let directory = self.directory.borrow();
+        let claimants = directory.claimants(group);
+        let recent = claimants.filter(|member| {
+            let since = member.promoted_at.unwrap_or(member.listed_since);
+            self.cx.now().saturating_since(since) < CLAIM_VALIDITY
+        });
+        recent.map(|member| self.target(member, false)).collect()
+    }
+
     /// The reason why a group without a known primary can't serve.
     fn missing_primary_denial(&self, group: &GroupName) -> Denial {
         let directory = self.directory.borrow();
--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -331,25 +331,22 @@
         })
     }
 
-    /// True when no primary of `group` is confirmed at this node, and a database that announces the lead isn't among those
-    /// that replied but may run: it may lead in a later term than these, as a node that has just started knows of no
+    /// True when no primary of `group` is confirmed at this node, and a database that has announced the lead may run but
+    /// isn't among those that replied. It may lead in a later term than these: a node that has just started knows of no
     /// succession.
     async fn silent_claimant_may_lead(&self, group: &GroupName, replied: &[&DatabaseName]) -> bool {
-        let silent: Vec<Target> = {
-            let directory = self.databases.directory.borrow();
-            if directory.confirmed_primary(group).is_some() {
-                return false;
-            }
-            let claimants = directory.claimants(group);
-            let silent = claimants.filter(|claimant| {
-                !replied.contains(&claimant.name()) && !self.databases.is_fenced(claimant.name())
-            });
-            silent
-                .map(|claimant| self.databases.target(claimant, false))
-                .collect()
-        };
-        for claimant in &silent {
-            if self.suspicions.evidence_of(claimant).await != Evidence::Refused {
+        let directory = self.databases.directory.borrow();
+        let is_confirmed = directory.confirmed_primary(group).is_some();
+        drop(directory);
+        if is_confirmed {
+            return false;
+        }
+        for claimant in self.databases.recent_claimants(group) {
+            let is_silent = !replied.contains(&&claimant.name);
+            if is_silent
+                && !self.databases.is_fenced(&claimant.name)
+                && self.suspicions.evidence_of(&claimant).await != Evidence::Refused
+            {
                 return true;
             }
         }
--- a/crates/dyketally-gateway/src/succession/replacement.rs
+++ b/crates/dyketally-gateway/src/succession/replacement.rs
@@ -120,7 +120,7 @@
             self.log_step(
                 group,
                 "put off",
-                "a database that may lead refuses connections".to_owned(),
+                "a database that may lead turns connections away".to_owned(),
             );
             return false;
         }
@@ -160,15 +160,12 @@
         false
     }
 
-    /// The databases of `group` that announce the lead and didn't reply to the survey.
+    /// The databases of `group` that have announced the lead and didn't reply to the survey.
     fn silent_claimants(&self, group: &GroupName, surveyed: &Survey) -> Vec<Target> {
         let silent = surveyed.silent();
-        let directory = self.databases.directory.borrow();
-        let claimants = directory.claimants(group);
-        let silent = claimants.filter(|claimant| silent.contains(claimant.name()));
-        silent
-            .map(|claimant| self.databases.target(claimant, false))
-            .collect()
+        let mut claimants = self.databases.recent_claimants(group);
+        claimants.retain(|claimant| silent.contains(&claimant.name));
+        claimants
     }
 
     /// Chooses a successor from `surveyed` and appoints it. Where commits need acknowledgements, the replicas
--- a/crates/dyketally-gateway/src/succession/resumption.rs
+++ b/crates/dyketally-gateway/src/succession/resumption.rs
@@ -84,8 +84,14 @@
         if !self.is_resumption_due(group) || self.fleet.coordinator.term().is_none() {
             return;
         }
+        let is_resumed = self.try_to_resume(group).await;
+        self.suspensions.borrow_mut().record(group, is_resumed);
+    }
+
+    /// True when no replica of `group` is suspended any more.
+    async fn try_to_resume(self: &Rc<Self>, group: &GroupName) -> bool {
         let Some((primary, _)) = self.known_primary(group) else {
-            return;
+            return false;
         };
         let status = OwnStatement::Status;
         let statements = &self.leadership.statements;
@@ -93,25 +99,25 @@
             statements.ask_status(&primary, status.clone(), STATUS_LIMIT),
             self.statuses(group, Some(&primary), SurveyScope::Listed, status),
         );
-        if !leader.is_some_and(|leader| leader.leads && leader.term >= replicas.newest_term) {
-            return;
-        }
-        if !replicas.found_suspended {
-            let all_replied = replicas.silent().is_empty();
-            self.suspensions.borrow_mut().record(group, all_replied);
-            return;
-        }
-        if self.appoint(group, &primary.name).await == AppointmentOutcome::Leads {
-            self.resume_replicas(group).await;
+        let leads = leader.is_some_and(|it| it.leads && it.term >= replicas.newest_term);
+        if !leads || !replicas.found_suspended {
+            return leads && replicas.silent().is_empty();
         }
+        let appointed = self.appoint(group, &primary.name).await;
+        appointed == AppointmentOutcome::Leads && self.resume(group).await
     }
 
-    /// Has the databases of `group` receive the log again. Those that aren't suspended ignore it.
+    /// Resumes the replicas that this coordinator has suspended in `group`, after a takeover.
     pub(super) async fn resume_replicas(&self, group: &GroupName) {
+        let is_resumed = self.resume(group).await;
+        self.suspensions.borrow_mut().record(group, is_resumed);
+    }
+
+    /// Has the databases of `group` receive the log again; true if all replied. Those that aren't suspended ignore it.
+    async fn resume(&self, group: &GroupName) -> bool {
         let primary = self.known_primary(group).map(|(primary, _)| primary);
         let resume = OwnStatement::Resume;
         let resumed = self.survey(group, primary.as_ref(), SurveyScope::Counting, resume);
-        let all_replied = resumed.await.silent().is_empty();
-        self.suspensions.borrow_mut().record(group, all_replied);
+        resumed.await.silent().is_empty()
     }
 }
