Let a primary that returns lead on where commits wait for replicas

The coordinator was in the middle of a handover from the unlisted primary, asking it again and again to step down. The primary did so the moment it was back, before any replica had received the end of its log, and none could after that; 1.5 s later it was appointed again.

Where the old primary would have to be appointed again, it is asked for its status before it is asked to step down, for as long as the step-down was tried before, also through other nodes. If it is announced as ready again, the handover that began because it wasn't is put off: it leads already.

--- a/crates/dyketally-gateway/src/succession/confirm.rs
+++ b/crates/dyketally-gateway/src/succession/confirm.rs
@@ -335,10 +335,7 @@
     /// isn't among those that replied. It may lead in a later term than these: a node that has just started knows of no
     /// succession.
     async fn silent_claimant_may_lead(&self, group: &GroupName, replied: &[&DatabaseName]) -> bool {
-        let directory = self.databases.directory.borrow();
-        let is_confirmed = directory.confirmed_primary(group).is_some();
-        drop(directory);
-        if is_confirmed {
+        if self.has_confirmed_primary(group) {
             return false;
         }
         for claimant in self.databases.recent_claimants(group) {
@@ -353,6 +350,11 @@
         false
     }
 
+    fn has_confirmed_primary(&self, group: &GroupName) -> bool {
+        let directory = self.databases.directory.borrow();
+        directory.confirmed_primary(group).is_some()
+    }
+
     fn search_targets(&self, group: &GroupName) -> Vec<Target> {
         let directory = self.databases.directory.borrow();
         let ready = directory
--- a/crates/dyketally-gateway/src/succession/handover.rs
+++ b/crates/dyketally-gateway/src/succession/handover.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dyketally::directory::MemberState;
 use dyketally::eligibility::ServingRegions;
 use dyketally::failover::{
     Candidate, StepDownAnswer, Succession, choose_successor, evaluate_step_down, group_fence,
@@ -12,6 +13,7 @@
 };
 use dyketally::group::LogPosition;
 use dyketally::identifiers::{DatabaseName, GroupName};
+use dyketally::statement::DatabaseStatus;
 use tokio::time::Instant;
 
 use super::appointment::AppointmentOutcome;
@@ -127,18 +129,27 @@
         let Some(successor) = self.promotable(group, choice) else {
             return Handover::Deferred;
         };
+        let is_about_to_end = if_not_caught_up == IfNotCaughtUp::AppointBest;
         // An acknowledged commit may be missing from every other database.
         let if_not_caught_up = match self.acknowledging_replicas(group) {
             0 => if_not_caught_up,
             _ => IfNotCaughtUp::ReappointOld,
         };
-        if if_not_caught_up == IfNotCaughtUp::ReappointOld
-            && self
-                .no_replica_keeps_up(group, old, &successor, regions)
-                .await
-        {
-            self.log_step(group, "put off", "no replica keeps up".to_owned());
-            return Handover::Deferred;
+        if if_not_caught_up == IfNotCaughtUp::ReappointOld {
+            let Some(status) = self.status_of_old(old).await else {
+                return Handover::NoReply;
+            };
+            if is_about_to_end && self.is_ready(old) {
+                self.log_step(group, "put off", "the primary is back".to_owned());
+                return Handover::Deferred;
+            }
+            surveyed.learn_term(newest_term(&[Some(status)]));
+            let keeps_up =
+                self.wait_until_caught_up(group, old, status.received, successor.clone(), regions);
+            if matches!(keeps_up.await, CatchUp::Behind(_)) {
+                self.log_step(group, "put off", "no replica keeps up".to_owned());
+                return Handover::Deferred;
+            }
         }
         // Without a token neither a successor nor the old primary could be appointed after the step-down.
         if if_not_caught_up == IfNotCaughtUp::ReappointOld
@@ -212,28 +223,28 @@
         outcome
     }
 
-    /// True when no ready database receives within [`CATCH_UP_LIMIT`] the log that `old` has now. If `old`
-    /// stepped down then, no database could take over without losing a part of the log. False when `old` doesn't
-    /// reply.
-    async fn no_replica_keeps_up(
-        &self,
-        group: &GroupName,
-        old: &Target,
-        successor: &DatabaseName,
-        regions: &ServingRegions,
-    ) -> bool {
-        let status = OwnStatement::Status;
-        let Some(status) = self
-            .leadership
-            .statements
-            .ask_status(old, status, STATUS_LIMIT)
-            .await
-        else {
-            return false;
-        };
-        let caught_up =
-            self.wait_until_caught_up(group, old, status.received, successor.clone(), regions);
-        matches!(caught_up.await, CatchUp::Behind(_))
+    /// The status of `old`, asked repeatedly for at most [`STEP_DOWN_LIMIT`], also through another node. Only a primary
+    /// that replies is asked to step down where it would have to be appointed again: one that returns just then would
+    /// step down before any replica has received the end of its log, and none could after that.
+    async fn status_of_old(&self, old: &Target) -> Option<DatabaseStatus> {
+        let until = Instant::now() + STEP_DOWN_LIMIT;
+        while Instant::now() < until {
+            let statements = &self.leadership.statements;
+            let status = statements.ask_status(old, OwnStatement::Status, STATUS_LIMIT);
+            if let Some(status) = status.await {
+                return Some(status);
+            }
+            self.leadership.suspicions.find_forwarder(old);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// True when `database` announces that it accepts new statements.
+    fn is_ready(&self, database: &Target) -> bool {
+        let directory = self.databases.directory.borrow();
+        let member = directory.member(&database.name);
+        member.is_some_and(|member| member.state == MemberState::Ready)
     }
 
     /// Waits until a ready database has received the log up to `position`, at most [`CATCH_UP_LIMIT`]. Each
