Keep what is known of suspensions apart from the code that resumes

`failover` imported `resumption` and `retirement` for a struct and a constant, and both import `failover`: a circle of five files, where there was none. The struct has a file of its own now, and the constant stands where it is used. No behaviour changes.

--- a/crates/dyketally-gateway/src/succession/failover.rs
+++ b/crates/dyketally-gateway/src/succession/failover.rs
@@ -23,14 +23,15 @@
 use crate::succession::Leadership;
 use crate::succession::coordinator::CoordinatorKeeper;
 use crate::succession::fence::FenceKeeper;
-use crate::succession::resumption::Suspensions;
-use crate::succession::retirement::RETIREMENT_PAUSE;
+use crate::succession::suspensions::Suspensions;
 
 /// Longest pause between two checks of all groups; notifications start a check earlier.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed attempt to replace a primary, and between two requests to step down.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause between two attempts to retire databases of a group.
+const RETIREMENT_PAUSE: Duration = Duration::from_millis(250);
 /// Most groups of one check whose replicas are asked whether they are suspended: a coordinator that takes the duty asks
 /// those of all groups whose commits wait for replicas.
 const MAX_RESUMPTIONS_AT_ONCE: usize = 16;
--- a/crates/dyketally-gateway/src/succession/mod.rs
+++ b/crates/dyketally-gateway/src/succession/mod.rs
@@ -27,6 +27,7 @@
 mod resumption;
 mod retirement;
 mod survey;
+mod suspensions;
 pub mod suspicion;
 
 use std::rc::Rc;
--- a/crates/dyketally-gateway/src/succession/resumption.rs
+++ b/crates/dyketally-gateway/src/succession/resumption.rs
@@ -4,77 +4,34 @@
 //! commits wait for replicas acknowledges nothing. So the suspension has to end however the takeover ended: it failed, it
 //! promoted one of the replicas, or the coordinator was lost halfway and another one took the duty.
 //!
-//! [`Suspensions`] owns what this coordinator knows of it. Relies on surveys, and on `appointment` to rule out that an
-//! appointment by a former coordinator takes effect after its suspension was undone.
+//! Owns nothing; relies on [`Suspensions`](super::suspensions::Suspensions) for what this coordinator knows, on surveys,
+//! and on `appointment` to rule out that an appointment by a former coordinator takes effect after its suspension was
+//! undone.
 
-use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
 
 use dyketally::identifiers::GroupName;
-use tokio::time::Instant;
 
 use super::appointment::AppointmentOutcome;
 use super::failover::Failover;
 use super::survey::{STATUS_LIMIT, SurveyScope};
 use crate::ports::OwnStatement;
 
-/// Pause between two attempts to undo the suspensions of a group, where a replica didn't answer.
-const ATTEMPT_PAUSE: Duration = Duration::from_secs(2);
-
-/// What this coordinator knows of suspended replicas.
-#[derive(Debug, Default)]
-pub(super) struct Suspensions {
-    /// The groups whose replicas all answered that they aren't suspended, or were resumed.
-    resumed: HashSet<GroupName>,
-    /// The groups whose replicas this coordinator has suspended and not resumed yet.
-    own: HashSet<GroupName>,
-    /// When an attempt to resume replicas of a group last failed.
-    failed: HashMap<GroupName, Instant>,
-}
-
-impl Suspensions {
-    /// Forgets everything, as another node may have suspended replicas since this one last had the duty.
-    pub(super) fn forget(&mut self) {
-        self.resumed.clear();
-        self.own.clear();
-        self.failed.clear();
-    }
-
-    fn record(&mut self, group: &GroupName, is_resumed: bool) {
-        if is_resumed {
-            self.failed.remove(group);
-            self.own.remove(group);
-            self.resumed.insert(group.clone());
-        } else {
-            self.failed.insert(group.clone(), Instant::now());
-        }
-    }
-}
-
 impl Failover {
     /// Records that replicas of `group` are about to be suspended.
     pub(super) fn record_suspension(&self, group: &GroupName) {
-        let mut suspensions = self.suspensions.borrow_mut();
-        suspensions.resumed.remove(group);
-        suspensions.own.insert(group.clone());
+        self.suspensions.borrow_mut().record_suspension(group);
     }
 
     /// True when this coordinator has suspended replicas of `group` and not resumed them yet.
     pub(super) fn has_suspended(&self, group: &GroupName) -> bool {
-        self.suspensions.borrow().own.contains(group)
+        self.suspensions.borrow().has_suspended(group)
     }
 
     /// True when commits of `group` wait for replicas, some of these may be suspended, and no attempt to resume them has
     /// just failed.
     pub(super) fn is_resumption_due(&self, group: &GroupName) -> bool {
-        if self.acknowledging_replicas(group) == 0 {
-            return false;
-        }
-        let suspensions = self.suspensions.borrow();
-        let failed = suspensions.failed.get(group);
-        let has_just_failed = failed.is_some_and(|at| at.elapsed() < ATTEMPT_PAUSE);
-        !suspensions.resumed.contains(group) && !has_just_failed
+        self.acknowledging_replicas(group) > 0 && self.suspensions.borrow().is_attempt_due(group)
     }
 
     /// Resumes the replicas that a former coordinator or a failed attempt left suspended in `group`, which its primary
--- a/crates/dyketally-gateway/src/succession/retirement.rs
+++ b/crates/dyketally-gateway/src/succession/retirement.rs
@@ -18,8 +18,6 @@
 use crate::database::target::Target;
 use crate::ports::OwnStatement;
 
-/// Pause between two attempts to retire databases of a group.
-pub(super) const RETIREMENT_PAUSE: Duration = Duration::from_millis(250);
 /// How often the replicas are asked whether they have received the primary's log.
 const RECEIPT_CHECKS: u32 = 10;
 /// Pause between two of these questions: replicas are tens of milliseconds behind.
